--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -149,7 +149,12 @@
             Self::StillRunning => (409, Unknown, Some(1), false),
             Self::Internal => (500, Unknown, None, true),
         };
-        Answer { status, outcome, retry_after_s, close }
+        Answer {
+            status,
+            outcome,
+            retry_after_s,
+            close,
+        }
     }
 
     /// The short name on the wire, in logs and in metrics.
@@ -192,7 +197,9 @@
             Self::BodyTooLarge => "send a smaller body",
             Self::SlowSender => "send the whole request faster",
             Self::UnknownRoute => "use a path that one of the classes of work covers",
-            Self::KeyMissing => "send an Idempotency-Key header that is new for each order and repeated on each re-send",
+            Self::KeyMissing => {
+                "send an Idempotency-Key header that is new for each order and repeated on each re-send"
+            }
             Self::KeyReused => "use a new Idempotency-Key for a new order",
             Self::Leaving => "ask the look-up for another entry instance and send again",
             Self::QueueFull | Self::Shed | Self::WontFinish | Self::Expired => "send again after the given time",
--- a/crates/config/src/configs/operators.rs
+++ b/crates/config/src/configs/operators.rs
@@ -15,7 +15,9 @@
 
 impl Default for Operators {
     fn default() -> Self {
-        Self { address: "127.0.0.1:7100".to_owned() }
+        Self {
+            address: "127.0.0.1:7100".to_owned(),
+        }
     }
 }
 
--- a/crates/config/src/policy/link.rs
+++ b/crates/config/src/policy/link.rs
@@ -34,10 +34,18 @@
 
     pub(super) fn check(&self, name: &str, key: &str, regions: &BTreeMap<String, Region>) -> Result<()> {
         if let Some(end) = self.between.iter().find(|end| !regions.contains_key(*end)) {
-            return Err(Error::value(name, format!("{key}.between"), format!("`{end}` is no region; name two regions")));
+            return Err(Error::value(
+                name,
+                format!("{key}.between"),
+                format!("`{end}` is no region; name two regions"),
+            ));
         }
         if self.between[0] == self.between[1] {
-            return Err(Error::value(name, format!("{key}.between"), "names one region twice; name two regions"));
+            return Err(Error::value(
+                name,
+                format!("{key}.between"),
+                "names one region twice; name two regions",
+            ));
         }
         if !(self.cap_mbit > 0.0 && self.cap_mbit.is_finite()) {
             return Err(Error::value(name, format!("{key}.cap_mbit"), "must be above zero"));
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,9 @@
-//! ctl
+//! The operators' command line.
+
+pub mod change;
+pub mod cli;
+pub mod error;
+pub mod fleet;
+pub mod verbs;
+
+pub use error::{Error, Result};
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,21 @@
+//! `hemlockctl`, the operators' command line.
+
+use std::process::ExitCode;
+
+use ctl::cli::Command;
+use ctl::verbs;
+
+fn main() -> ExitCode {
+    let arguments = std::env::args().skip(1);
+    let result = Command::parse(arguments).and_then(|command| verbs::run(&command));
+    match result {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("hemlockctl: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/verbs/show.rs
@@ -0,0 +1,151 @@
+//! `show`: the state of every daemon.
+
+use serde::{Deserialize, Serialize};
+
+use crate::cli::Command;
+use crate::error::{Error, Result};
+use crate::fleet;
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Ready {
+    ready: bool,
+    reasons: Vec<String>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Member {
+    state: String,
+}
+
+/// The part of a daemon's decisions that `show` needs.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Decisions {
+    region: String,
+    domain: String,
+    revision: u64,
+    ready: Ready,
+    store_silent_s: f64,
+    grant_share: f64,
+    open: usize,
+    members: Vec<Member>,
+}
+
+#[derive(Debug, Serialize)]
+struct Line {
+    instance: String,
+    answer: Option<Decisions>,
+    silent: Option<String>,
+}
+
+#[derive(Debug, Serialize)]
+struct Summary {
+    newest: u64,
+    oldest: u64,
+    behind: Vec<String>,
+    silent: Vec<String>,
+    daemons: Vec<Line>,
+}
+
+/// Asks every daemon in the list.
+pub fn run(command: &Command) -> Result<String> {
+    let agent = fleet::agent();
+    let entries = fleet::entries(&agent, &command.list)?;
+    let answers = fleet::ask::<Decisions>(&agent, &entries, "/decisions");
+    let lines = answers.into_iter().map(|(instance, answer)| match answer {
+        Ok(decisions) => Line {
+            instance,
+            answer: Some(decisions),
+            silent: None,
+        },
+        Err(reason) => Line {
+            instance,
+            answer: None,
+            silent: Some(reason),
+        },
+    });
+    let summary = sum_up(lines.collect());
+    if command.json {
+        let text = serde_json::to_string_pretty(&summary).map_err(|error| Error::Failed(error.to_string()))?;
+        return Ok(text + "\n");
+    }
+    Ok(table(&summary))
+}
+
+fn sum_up(daemons: Vec<Line>) -> Summary {
+    let revisions = daemons
+        .iter()
+        .filter_map(|line| line.answer.as_ref().map(|answer| answer.revision));
+    let newest = revisions.clone().max().unwrap_or(0);
+    let oldest = revisions.min().unwrap_or(0);
+    let named = |keep: &dyn Fn(&Line) -> bool| -> Vec<String> {
+        daemons
+            .iter()
+            .filter(|line| keep(line))
+            .map(|line| line.instance.clone())
+            .collect()
+    };
+    let behind = named(&|line| line.answer.as_ref().is_some_and(|answer| answer.revision < newest));
+    let silent = named(&|line| line.silent.is_some());
+    Summary {
+        newest,
+        oldest,
+        behind,
+        silent,
+        daemons,
+    }
+}
+
+fn table(summary: &Summary) -> String {
+    let mut text = format!(
+        "{:<16} {:<18} {:<14} {:>9} {:<6} {:>7} {:>7} {:>6} {:>8}  {}\n",
+        "instance", "region", "domain", "revision", "ready", "members", "grants", "open", "store", "note"
+    );
+    for line in &summary.daemons {
+        text.push_str(&row(line));
+    }
+    let Summary {
+        newest,
+        oldest,
+        behind,
+        silent,
+        ..
+    } = summary;
+    text.push_str(&format!(
+        "revision: newest {newest}, oldest {oldest}, behind {}\n",
+        behind.len()
+    ));
+    if !behind.is_empty() {
+        text.push_str(&format!("behind: {}\n", behind.join(", ")));
+    }
+    if !silent.is_empty() {
+        text.push_str(&format!("no answer: {}\n", silent.join(", ")));
+    }
+    text
+}
+
+fn row(line: &Line) -> String {
+    let Some(answer) = &line.answer else {
+        return format!(
+            "{:<16} no answer: {}\n",
+            line.instance,
+            line.silent.as_deref().unwrap_or_default()
+        );
+    };
+    let living = answer
+        .members
+        .iter()
+        .filter(|member| matches!(member.state.as_str(), "alive" | "suspect"))
+        .count();
+    let ready = if answer.ready.ready { "yes" } else { "no" };
+    format!(
+        "{:<16} {:<18} {:<14} {:>9} {ready:<6} {living:>7} {:>6.1}% {:>6} {:>7.1}s  {}\n",
+        line.instance,
+        answer.region,
+        answer.domain,
+        answer.revision,
+        answer.grant_share * 100.0,
+        answer.open,
+        answer.store_silent_s,
+        answer.ready.reasons.join("; ")
+    )
+}
--- /dev/null
+++ b/crates/daemon/src/callers/lookup.rs
@@ -0,0 +1,83 @@
+//! Look-ups: which entry instances a caller should use.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
+
+use base::error::Kind;
+use serde::Serialize;
+
+use super::reply::{self, Reply};
+use crate::Context;
+
+/// The path of look-ups.
+pub const PATH: &str = "/lookup";
+
+#[derive(Debug, Serialize)]
+struct Entry<'a> {
+    instance: &'a str,
+    address: &'a str,
+}
+
+#[derive(Debug, Serialize)]
+struct Answer<'a> {
+    entries: Vec<Entry<'a>>,
+    ttl_s: u64,
+    region: &'a str,
+    revision: u64,
+    session: String,
+}
+
+/// Answers a look-up; `query` may name the caller's address as `client=`.
+pub fn answer(context: &Arc<Context>, query: Option<&str>, peer: IpAddr) -> Reply {
+    let Some(address) = address(query, peer) else {
+        return reply::error(Kind::Malformed);
+    };
+    context.metrics.lookups.inc();
+    let steering = context.steering();
+    let in_force = context.policy();
+    let most = context.settings.callers.answer_entries as usize;
+    let found = steer::answer::look_up(&steering.table, &steering.view, &steering.shares, address, most);
+    let entries = found
+        .positions()
+        .iter()
+        .filter_map(|position| steering.view.entry(*position));
+    let entries: Vec<Entry<'_>> = entries
+        .map(|entry| Entry {
+            instance: &entry.name,
+            address: &entry.address,
+        })
+        .collect();
+    if entries.is_empty() {
+        return reply::error(Kind::NoBackend);
+    }
+    let region = found
+        .region
+        .and_then(|region| in_force.regions.get(usize::from(region)));
+    reply::json(&Answer {
+        entries,
+        ttl_s: context.settings.callers.answer_ttl_s,
+        region: region.map_or("", String::as_str),
+        revision: in_force.revision,
+        session: context.session(),
+    })
+}
+
+/// The caller's address: as named, or as connected.
+fn address(query: Option<&str>, peer: IpAddr) -> Option<u32> {
+    let pairs = query
+        .unwrap_or_default()
+        .split('&')
+        .filter_map(|pair| pair.split_once('='));
+    let named = pairs
+        .into_iter()
+        .find(|(name, _)| *name == "client")
+        .map(|(_, value)| value);
+    let address = match named {
+        Some(text) => text.parse::<Ipv4Addr>().ok()?,
+        None => match peer {
+            IpAddr::V4(address) => address,
+            IpAddr::V6(address) => address.to_ipv4().unwrap_or(Ipv4Addr::UNSPECIFIED),
+        },
+    };
+    Some(u32::from(address))
+}
--- /dev/null
+++ b/crates/daemon/src/context.rs
@@ -0,0 +1,164 @@
+//! What all plug-ins share.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::time::Duration;
+
+use base::instance::Instance;
+use base::time::Time;
+use config::configs::Settings;
+use config::policy::Policy;
+use dispatch::Engine;
+use dispatch::engine::Limits;
+use fleet::copy::Holder;
+use fleet::message::{Record, State};
+use fleet::roster::{Roster, Times};
+use ledger::Ledger;
+use steer::grant::Keeper;
+use steer::shift::Controller;
+
+use crate::backends::agents::Agents;
+use crate::clock::{self, Clock};
+use crate::driver::Driver;
+use crate::metrics::Metrics;
+use crate::orders::Span;
+use crate::policies::InForce;
+use crate::view::Steering;
+use crate::whole::Whole;
+
+/// Keys of sessions remembered at most.
+const SESSION_KEYS: usize = 65_536;
+
+/// The shared state of a daemon.
+#[derive(Debug)]
+pub struct Context {
+    /// Settings of this daemon.
+    pub settings: Settings,
+    /// The clock.
+    pub clock: Clock,
+    /// Random number of this process; no two are equal.
+    pub incarnation: u64,
+    /// Runs the sockets of callers and peers.
+    pub runtime: tokio::runtime::Handle,
+    /// The platform's store.
+    pub store: store::Client,
+    /// The policy in force, with its copy for peers.
+    pub holder: Mutex<Holder>,
+    /// The policy in force, parsed.
+    pub in_force: RwLock<Arc<InForce>>,
+    /// Membership and loads.
+    pub roster: Mutex<Roster>,
+    /// Shares of links and other regions.
+    pub keeper: Mutex<Keeper>,
+    /// Shifts of callers between regions.
+    pub controller: Mutex<Controller>,
+    /// What look-ups read.
+    pub steering: RwLock<Arc<Steering>>,
+    /// Instances in the platform's list, and when it was read last.
+    pub list: Mutex<(Vec<Instance>, Option<Time>)>,
+    /// Connections to backend servers.
+    pub agents: Agents,
+    /// Requests under way.
+    pub driver: Driver,
+    /// Keys of non-idempotent requests.
+    pub ledger: Mutex<Ledger<Arc<Whole>>>,
+    /// The lease that new claims hang on.
+    pub span: Mutex<Option<Span>>,
+    /// Service-level counts by class.
+    pub burn: Mutex<BTreeMap<String, burn::Series>>,
+    /// Counters for operators.
+    pub metrics: Metrics,
+    /// Numbers of the store's answers: the last time it answered, in microseconds of the clock.
+    pub store_seen: AtomicU64,
+    stopping: AtomicBool,
+}
+
+impl Context {
+    /// The state of a daemon that starts with `settings`.
+    pub fn new(settings: Settings, runtime: tokio::runtime::Handle) -> Self {
+        let clock = Clock::new();
+        let now = clock.now();
+        let incarnation = fastrand::u64(1..);
+        let record = Record {
+            name: settings.instance.clone(),
+            incarnation: clock::calendar_ms(),
+            beat: 0,
+            state: State::Alive,
+            peers: settings.fleet.address.clone(),
+            domain: settings.domain.clone(),
+        };
+        let times = Times {
+            suspect: Duration::from_millis(settings.fleet.suspect_ms),
+        };
+        let timeout = Duration::from_millis(settings.platform.timeout_ms);
+        let limits = Limits {
+            queued: settings.dispatch.max_queued as usize,
+            in_flight: settings.dispatch.max_in_flight as usize,
+            poison: Duration::from_secs(settings.dispatch.poison_s),
+        };
+        let keys = ledger::table::Limits {
+            kept: Duration::from_secs(settings.platform.claim_kept_s),
+            session_keys: SESSION_KEYS,
+            answer_bytes: settings.dispatch.kept_answers_bytes,
+        };
+        let kept = Duration::from_secs(settings.callers.answer_kept_s);
+        Self {
+            clock,
+            incarnation,
+            runtime,
+            store: store::Client::new(&settings.platform.address, timeout),
+            holder: Mutex::new(Holder::new()),
+            in_force: RwLock::new(Arc::new(InForce::new(0, Policy::default()))),
+            roster: Mutex::new(Roster::new(record, times, incarnation)),
+            keeper: Mutex::new(Keeper::new()),
+            controller: Mutex::new(Controller::new(0, kept, now)),
+            steering: RwLock::new(Arc::new(Steering::default())),
+            list: Mutex::new((Vec::new(), None)),
+            agents: Agents::new(Duration::from_millis(settings.dispatch.connect_ms)),
+            driver: Driver::new(Engine::new(Vec::new(), limits, incarnation)),
+            ledger: Mutex::new(Ledger::new(incarnation, keys)),
+            span: Mutex::new(None),
+            burn: Mutex::new(BTreeMap::new()),
+            metrics: Metrics::new(),
+            store_seen: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+            settings,
+        }
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// The policy in force.
+    pub fn policy(&self) -> Arc<InForce> {
+        Arc::clone(&self.in_force.read().unwrap_or_else(std::sync::PoisonError::into_inner))
+    }
+
+    /// What look-ups read.
+    pub fn steering(&self) -> Arc<Steering> {
+        Arc::clone(&self.steering.read().unwrap_or_else(std::sync::PoisonError::into_inner))
+    }
+
+    /// Whether the daemon was told to stop.
+    pub fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Tells the daemon to stop.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// The session that callers may name: it ends with this process.
+    pub fn session(&self) -> String {
+        format!("{:016x}", self.incarnation)
+    }
+}
+
+/// Locks `mutex`; state behind a panic elsewhere is still whole, since no decision panics half-way.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/daemon/src/driver.rs
@@ -0,0 +1,228 @@
+//! Carries the engine's actions out.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base::error::Kind;
+use bytes::Bytes;
+use dispatch::engine::Arrival;
+use dispatch::{Action, Ending, Engine, Verdict};
+use tokio::sync::{Notify, oneshot};
+
+use crate::Context;
+use crate::backends::attempt;
+use crate::context::lock;
+use crate::orders::Order;
+use crate::plugin::Plugin;
+use crate::whole::Whole;
+
+/// Longest sleep of the timer.
+const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+
+inventory::submit! {
+    Plugin(kernel::Plugin { name: "dispatch", stage: 20, start })
+}
+
+/// A caller's request, ready to be sent to a backend server.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// Its number.
+    pub number: u64,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Headers that concern the backend server.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Bytes,
+    /// Whether running it twice is harmless.
+    pub idempotent: bool,
+    /// Set for a request that must run at most once.
+    pub order: Option<Order>,
+}
+
+/// What a caller's request comes to.
+pub type Outcome = Result<Arc<Whole>, Kind>;
+
+#[derive(Debug)]
+struct Pending {
+    outgoing: Arc<Outgoing>,
+    reply: oneshot::Sender<Outcome>,
+}
+
+/// Requests under way.
+#[derive(Debug)]
+pub struct Driver {
+    engine: Mutex<Engine>,
+    pending: Mutex<BTreeMap<u64, Pending>>,
+    answers: Mutex<BTreeMap<u64, Arc<Whole>>>,
+    next: AtomicU64,
+    changed: Notify,
+}
+
+impl Driver {
+    /// A driver of `engine`.
+    pub const fn new(engine: Engine) -> Self {
+        Self {
+            engine: Mutex::new(engine),
+            pending: Mutex::new(BTreeMap::new()),
+            answers: Mutex::new(BTreeMap::new()),
+            next: AtomicU64::new(1),
+            changed: Notify::const_new(),
+        }
+    }
+
+    /// A number for a new request.
+    pub fn number(&self) -> u64 {
+        self.next.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Takes a request in; its outcome comes through the receiver.
+    pub fn submit(
+        &self,
+        context: &Arc<Context>,
+        outgoing: Arc<Outgoing>,
+        class: usize,
+        fingerprint: u64,
+    ) -> oneshot::Receiver<Outcome> {
+        let (reply, outcome) = oneshot::channel();
+        let arrival = Arrival {
+            request: outgoing.number,
+            class,
+            fingerprint,
+            bytes: outgoing.body.len() as u64,
+        };
+        lock(&self.pending).insert(outgoing.number, Pending { outgoing, reply });
+        let now = context.now();
+        self.with(context, |engine| engine.submit(arrival, now));
+        outcome
+    }
+
+    /// The caller of `request` went away.
+    pub fn abandon(&self, context: &Arc<Context>, request: u64) {
+        lock(&self.pending).remove(&request);
+        let now = context.now();
+        self.with(context, |engine| engine.abandon(request, now));
+    }
+
+    /// An attempt ended; `whole` is its answer, if it has one.
+    pub fn finish(&self, context: &Arc<Context>, attempt: u64, ending: Ending, whole: Option<Arc<Whole>>) {
+        context.metrics.attempts.with_label_values(&[ending_name(ending)]).inc();
+        if let Some(whole) = whole {
+            lock(&self.answers).insert(attempt, whole);
+        }
+        let now = context.now();
+        self.with(context, |engine| engine.finish(attempt, ending, now));
+        lock(&self.answers).remove(&attempt);
+    }
+
+    /// Lets `work` change the engine, then carries out what it decided.
+    pub fn with<T>(&self, context: &Arc<Context>, work: impl FnOnce(&mut Engine) -> T) -> T {
+        let mut engine = lock(&self.engine);
+        let result = work(&mut engine);
+        let actions = engine.take();
+        let losses = engine.take_losses();
+        context.metrics.queued.set(engine.queued() as i64);
+        context.metrics.in_flight.set(engine.in_flight() as i64);
+        drop(engine);
+        for action in actions {
+            self.perform(context, action);
+        }
+        if !losses.is_empty() {
+            crate::peers::tell_losses(context, &losses);
+        }
+        self.changed.notify_one();
+        result
+    }
+
+    /// Looks at the engine without changing it.
+    pub fn look<T>(&self, work: impl FnOnce(&Engine) -> T) -> T {
+        work(&lock(&self.engine))
+    }
+
+    fn perform(&self, context: &Arc<Context>, action: Action) {
+        match action {
+            Action::Start {
+                request,
+                attempt,
+                backend,
+                deadline,
+                again,
+            } => {
+                let outgoing = lock(&self.pending)
+                    .get(&request)
+                    .map(|pending| Arc::clone(&pending.outgoing));
+                let sending = attempt::Sending {
+                    attempt,
+                    backend,
+                    deadline,
+                    again,
+                };
+                attempt::start(context, outgoing, sending);
+            }
+            Action::Cancel { attempt, backend } => attempt::cancel(context, attempt, backend),
+            Action::Answer { request, verdict } => self.answer(request, verdict),
+        }
+    }
+
+    fn answer(&self, request: u64, verdict: Verdict) {
+        let Some(pending) = lock(&self.pending).remove(&request) else {
+            return;
+        };
+        let outcome = match verdict {
+            Verdict::Refuse(kind) => Err(kind),
+            Verdict::Relay(attempt) => lock(&self.answers).get(&attempt).cloned().ok_or(Kind::Internal),
+        };
+        if pending.reply.send(outcome).is_err() {
+            log::debug!("dispatch: answer skipped, caller gone request={request}");
+        }
+    }
+}
+
+fn ending_name(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Answered(_) => "answered",
+        Ending::Shed => "shed",
+        Ending::Unreachable => "unreachable",
+        Ending::Lost => "lost",
+        Ending::Timeout => "timeout",
+        Ending::Cut => "cut",
+        Ending::TooLarge => "too-large",
+        Ending::Withheld(_) => "withheld",
+        Ending::Cancelled => "cancelled",
+    }
+}
+
+/// Runs the engine's timers.
+struct Timer(tokio::task::JoinHandle<()>);
+
+impl kernel::Part for Timer {
+    fn close(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn start(context: &Arc<Context>) -> kernel::Started {
+    let shared = Arc::clone(context);
+    let task = context.runtime.spawn(async move { run(&shared).await });
+    Ok(Box::new(Timer(task)))
+}
+
+async fn run(context: &Arc<Context>) {
+    let driver = &context.driver;
+    loop {
+        let wake = driver.look(Engine::wake);
+        let sleep = wake.map_or(LONGEST_SLEEP, |wake| context.clock.until(wake).min(LONGEST_SLEEP));
+        tokio::select! {
+            () = tokio::time::sleep(sleep) => {}
+            () = driver.changed.notified() => {}
+        }
+        let now = context.now();
+        if driver.look(Engine::wake).is_some_and(|wake| wake <= now) {
+            driver.with(context, |engine| engine.tick(now));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/grants.rs
@@ -0,0 +1,171 @@
+//! Keeps this daemon's slots of the region's grants in the store.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use steer::grant::{Keeper, LEASE, Plan, SLOTS};
+use store::{Change, Commit, Entry, Lease, Store as _, key};
+
+use crate::Context;
+use crate::context::lock;
+use crate::plugin::{Loop, Plugin};
+
+/// Time between two looks at the plan.
+const TURN: Duration = Duration::from_secs(2);
+
+inventory::submit! {
+    Plugin(kernel::Plugin { name: "grants", stage: 50, start })
+}
+
+struct Grants {
+    running: Loop,
+    context: Arc<Context>,
+    lease: Arc<std::sync::Mutex<Option<Lease>>>,
+}
+
+impl kernel::Part for Grants {
+    /// Gives the slots back, so that the others need not wait for the lease to end.
+    fn close(&mut self) {
+        self.running.stop();
+        let held: Vec<u32> = lock(&self.context.keeper).held().collect();
+        lock(&self.context.keeper).lost();
+        let lease = lock(&self.lease).take();
+        if let Some(lease) = lease {
+            give_back(&self.context, lease, &held);
+        }
+    }
+}
+
+fn start(context: &Arc<Context>) -> kernel::Started {
+    let lease = Arc::new(std::sync::Mutex::new(None));
+    let (shared, held_lease) = (Arc::clone(context), Arc::clone(&lease));
+    let running = Loop::start("grants", move || {
+        turn(&shared, &held_lease);
+        TURN
+    })?;
+    Ok(Box::new(Grants {
+        running,
+        context: Arc::clone(context),
+        lease,
+    }))
+}
+
+fn turn(context: &Context, held_lease: &std::sync::Mutex<Option<Lease>>) {
+    let in_force = context.policy();
+    if in_force.revision == 0 || context.stopping() {
+        return;
+    }
+    let live = region_members(context);
+    let now = context.now();
+    let plan = lock(&context.keeper).plan(live, now);
+    let lease = *lock(held_lease);
+    match (plan, lease) {
+        (Plan::Rest, _) => {}
+        (Plan::Lease, _) | (_, None) => {
+            if let Ok(lease) = context.store.grant(LEASE) {
+                *lock(held_lease) = Some(lease);
+                lock(&context.keeper).leased(now);
+            }
+        }
+        (Plan::Renew, Some(lease)) => match context.store.renew(lease) {
+            Ok(true) => lock(&context.keeper).leased(now),
+            Ok(false) => lock(&context.keeper).lost(),
+            Err(error) => log::debug!("grants: renewal skipped reason={:?}", error.to_string()),
+        },
+        (Plan::Take(count), Some(lease)) => take(context, lease, count),
+        (Plan::Drop(slots), Some(_)) => drop_slots(context, &slots),
+    }
+    context.metrics.grants.set(lock(&context.keeper).held().count() as i64);
+}
+
+/// Living entry instances of our region.
+fn region_members(context: &Context) -> usize {
+    let in_force = context.policy();
+    let region = in_force.policy.regions.get(&context.settings.region);
+    let domains = region.map(|region| region.domains.as_slice()).unwrap_or_default();
+    let roster = lock(&context.roster);
+    domains
+        .iter()
+        .map(|domain| roster.alive_in(domain).count())
+        .sum::<usize>()
+        .max(1)
+}
+
+/// Our mark on a slot; it names the lease, so that slots of an earlier lease are not taken for ours.
+fn token(context: &Context, lease: Lease) -> Vec<u8> {
+    format!("{} {:016x} {}", context.settings.instance, context.incarnation, lease.0).into_bytes()
+}
+
+/// Takes up to `count` slots in one call: those under our mark from a lost answer first, then free ones.
+///
+/// A slot under our mark is written anew: a deletion of ours that is still on its way then misses it.
+fn take(context: &Context, lease: Lease, count: u32) {
+    let region = &context.settings.region;
+    let Ok(entries) = context.store.list(&key::grants(region)) else {
+        return;
+    };
+    let token = token(context, lease);
+    let held: BTreeSet<u32> = lock(&context.keeper).held().collect();
+    let known: BTreeMap<u32, &Entry> = entries
+        .iter()
+        .filter_map(|entry| Some((slot_number(&entry.key)?, entry)))
+        .collect();
+    let ours = known
+        .iter()
+        .filter(|(number, entry)| entry.value == token && !held.contains(number));
+    let ours = ours.map(|(number, entry)| (*number, entry.revision));
+    let start = (context.incarnation % u64::from(SLOTS)) as u32;
+    let free = (0..SLOTS)
+        .map(|step| (start + step) % SLOTS)
+        .filter(|number| !known.contains_key(number));
+    let wanted: Vec<(u32, u64)> = ours
+        .chain(free.map(|number| (number, 0)))
+        .take(count as usize)
+        .collect();
+    let set = |(number, expect): &(u32, u64)| {
+        Change::set(&key::grant(region, *number), *expect, token.clone()).with_lease(lease)
+    };
+    let changes: Vec<Change> = wanted.iter().map(set).collect();
+    if changes.is_empty() {
+        return;
+    }
+    if let Ok(Commit::Done(revision)) = context.store.commit(&changes) {
+        let mut keeper = lock(&context.keeper);
+        for (number, _) in wanted {
+            keeper.took(number, revision);
+        }
+    }
+}
+
+/// Stops using slots, then deletes them.
+fn drop_slots(context: &Context, slots: &[(u32, u64)]) {
+    let mut keeper = lock(&context.keeper);
+    for (number, _) in slots {
+        Keeper::dropped(&mut keeper, *number);
+    }
+    drop(keeper);
+    let region = &context.settings.region;
+    let delete = |(number, revision): &(u32, u64)| Change::delete(&key::grant(region, *number), *revision);
+    let changes: Vec<Change> = slots.iter().map(delete).collect();
+    if let Err(error) = context.store.commit(&changes) {
+        log::debug!("grants: deletion skipped reason={:?}", error.to_string());
+    }
+}
+
+fn give_back(context: &Context, lease: Lease, held: &[u32]) {
+    let region = &context.settings.region;
+    let token = token(context, lease);
+    let Ok(entries) = context.store.list(&key::grants(region)) else {
+        return;
+    };
+    let ours = entries.iter().filter(|entry| entry.value == token);
+    let changes: Vec<Change> = ours.map(|entry| Change::delete(&entry.key, entry.revision)).collect();
+    if !changes.is_empty() && context.store.commit(&changes).is_err() {
+        log::debug!("grants: {} slots are free when their lease ends", held.len());
+    }
+}
+
+fn slot_number(key: &str) -> Option<u32> {
+    key.rsplit('/').next()?.parse().ok()
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,22 @@
-//! daemon
+//! The entry daemon: plug-ins over the pure decisions.
+
+pub mod backends;
+pub mod callers;
+pub mod clock;
+pub mod context;
+pub mod driver;
+pub mod grants;
+pub mod life;
+pub mod lister;
+pub mod logs;
+pub mod metrics;
+pub mod operators;
+pub mod orders;
+pub mod peers;
+pub mod plugin;
+pub mod policies;
+pub mod reader;
+pub mod view;
+pub mod whole;
+
+pub use context::Context;
--- /dev/null
+++ b/crates/daemon/src/operators.rs
@@ -0,0 +1,233 @@
+//! The operators' port: health, readiness, metrics, decisions in force, and burn.
+
+use std::io::Read as _;
+use std::sync::Arc;
+
+use burn::report::{Line, Report};
+use serde::Serialize;
+use tiny_http::{Header, Request, Response, Server};
+
+use crate::Context;
+use crate::context::lock;
+use crate::plugin::Plugin;
+use crate::view;
+
+/// Largest request body read and thrown away, in bytes.
+const MAX_BODY_BYTES: u64 = 65_536;
+
+inventory::submit! {
+    Plugin(kernel::Plugin { name: "operators", stage: 5, start })
+}
+
+struct Port(Arc<Server>);
+
+impl kernel::Part for Port {
+    fn close(&mut self) {
+        self.0.unblock();
+    }
+}
+
+fn start(context: &Arc<Context>) -> kernel::Started {
+    let address = &context.settings.operators.address;
+    let server = Server::http(address).map_err(|error| {
+        format!("key `operators.address`: cannot listen at {address}: {error}; choose a free address")
+    })?;
+    let server = Arc::new(server);
+    let (shared, port) = (Arc::clone(context), Arc::clone(&server));
+    let body = move || {
+        while let Ok(request) = port.recv() {
+            answer(&shared, request);
+        }
+    };
+    std::thread::Builder::new()
+        .name("operators".to_owned())
+        .spawn(body)
+        .map_err(|error| error.to_string())?;
+    Ok(Box::new(Port(server)))
+}
+
+/// Why a daemon is ready, or not.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Readiness {
+    /// Whether callers may be sent here.
+    pub ready: bool,
+    /// What is missing, in short words.
+    pub reasons: Vec<&'static str>,
+}
+
+/// Whether the daemon is ready, and if not, why.
+pub fn readiness(context: &Context) -> Readiness {
+    let mut missing = Vec::new();
+    let in_force = context.policy();
+    if context.stopping() {
+        missing.push("stopping");
+    }
+    if lock(&context.roster).superseded() {
+        missing.push("another process runs under this name");
+    }
+    if in_force.policy.regions.is_empty() {
+        missing.push("no policy");
+    }
+    if lock(&context.list).1.is_none() {
+        missing.push("no list of instances");
+    }
+    let ready = missing.is_empty();
+    if in_force.revision == 0 && !in_force.policy.regions.is_empty() {
+        missing.push("policy of the settings only");
+    }
+    Readiness {
+        ready,
+        reasons: missing,
+    }
+}
+
+fn answer(context: &Arc<Context>, mut request: Request) {
+    let mut body = Vec::new();
+    if request.as_reader().take(MAX_BODY_BYTES).read_to_end(&mut body).is_err() {
+        log::debug!("operators: body skipped");
+    }
+    let path = request.url().split('?').next().unwrap_or_default().to_owned();
+    let response = match path.as_str() {
+        "/health" => text(200, b"ok\n".to_vec(), "text/plain"),
+        "/ready" => {
+            let readiness = readiness(context);
+            json(if readiness.ready { 200 } else { 503 }, &readiness)
+        }
+        "/metrics" => text(200, context.metrics.render(), "text/plain; version=0.0.4"),
+        "/decisions" => json(200, &decisions(context)),
+        "/burn" => json(200, &burn_report(context)),
+        _ => text(
+            404,
+            b"try /health /ready /metrics /decisions /burn\n".to_vec(),
+            "text/plain",
+        ),
+    };
+    if let Err(error) = request.respond(response) {
+        log::debug!("operators: answer skipped reason={:?}", error.to_string());
+    }
+}
+
+fn text(status: u16, body: Vec<u8>, kind: &str) -> Response<std::io::Cursor<Vec<u8>>> {
+    let header = Header::from_bytes("content-type", kind).expect("the header is constant");
+    Response::from_data(body).with_status_code(status).with_header(header)
+}
+
+fn json<T: Serialize>(status: u16, value: &T) -> Response<std::io::Cursor<Vec<u8>>> {
+    text(
+        status,
+        serde_json::to_vec_pretty(value).unwrap_or_default(),
+        "application/json",
+    )
+}
+
+#[derive(Debug, Serialize)]
+struct Member {
+    name: String,
+    incarnation: u64,
+    state: String,
+    domain: String,
+}
+
+#[derive(Debug, Serialize)]
+#[expect(clippy::struct_excessive_bools, reason = "each is shown on its own")]
+struct Backend {
+    name: String,
+    in_flight: u32,
+    limit: u32,
+    load: f64,
+    ratio: f64,
+    leaving: bool,
+    suspect: bool,
+    closed: bool,
+    hosts_waiting_work: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct Decisions {
+    instance: String,
+    region: String,
+    domain: String,
+    revision: u64,
+    ready: Readiness,
+    store_silent_s: f64,
+    members: Vec<Member>,
+    entries: Vec<String>,
+    shares: Vec<Vec<f64>>,
+    grant_share: f64,
+    backends: Vec<Backend>,
+    open: usize,
+    queued: usize,
+    drains: Vec<config::policy::Drain>,
+}
+
+fn decisions(context: &Context) -> Decisions {
+    let now = context.now();
+    let in_force = context.policy();
+    let steering = context.steering();
+    let roster = lock(&context.roster);
+    let members = roster.records().into_iter().map(|record| Member {
+        name: record.name,
+        incarnation: record.incarnation,
+        state: format!("{:?}", record.state).to_lowercase(),
+        domain: record.domain,
+    });
+    let members = members.collect();
+    drop(roster);
+    let regions = in_force.regions.len() as u16;
+    let row = |from: u16| (0..regions).map(|to| steering.shares.part(from, to)).collect();
+    let name = |id: u32| {
+        steering
+            .backends
+            .get(&id)
+            .map_or_else(|| id.to_string(), |known| known.name.clone())
+    };
+    let backends = context.driver.look(|engine| {
+        let backend = |server: &dispatch::backend::Backend| Backend {
+            name: name(server.spec.id),
+            in_flight: server.in_flight,
+            limit: server.limit(),
+            load: server.load(now),
+            ratio: server.ratio(),
+            leaving: server.leaving(),
+            suspect: server.suspect(),
+            closed: server.closed(now),
+            hosts_waiting_work: server.spec.hosts,
+        };
+        engine.backends().map(backend).collect()
+    });
+    let seen = base::time::Time::from_micros(context.store_seen.load(std::sync::atomic::Ordering::Relaxed));
+    let entry = |entry: &steer::view::Entry| format!("{} {:?}", entry.name, entry.standing).to_lowercase();
+    Decisions {
+        instance: context.settings.instance.clone(),
+        region: context.settings.region.clone(),
+        domain: context.settings.domain.clone(),
+        revision: in_force.revision,
+        ready: readiness(context),
+        store_silent_s: now.since(seen).as_secs_f64(),
+        members,
+        entries: steering.view.entries().iter().map(entry).collect(),
+        shares: (0..regions).map(row).collect(),
+        grant_share: lock(&context.keeper).share(now),
+        backends,
+        open: context.driver.look(dispatch::Engine::open),
+        queued: context.driver.look(dispatch::Engine::queued),
+        drains: in_force.policy.drains.clone(),
+    }
+}
+
+fn burn_report(context: &Context) -> Report {
+    let now = context.now();
+    let in_force = context.policy();
+    let region = &context.settings.region;
+    let mut series = lock(&context.burn);
+    let line = |(class, series): (&String, &mut burn::Series)| {
+        let target = in_force.policy.classes.get(class)?;
+        Some(Line::new(class, region, target.target_share, series, now))
+    };
+    Report {
+        lines: series.iter_mut().filter_map(line).collect(),
+    }
+}
+
+/// How often prepared state is rebuilt at least; shown to operators by its effects.
+pub const REFRESH: std::time::Duration = view::REFRESH;
--- /dev/null
+++ b/crates/daemon/src/orders.rs
@@ -0,0 +1,241 @@
+//! Running an order at most once: the ledger, the store and the peers together.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base::error::Kind;
+use base::hash;
+use base::time::Time;
+use ledger::claim::Claim;
+use ledger::make::{Call, Maker, Progress, Reply};
+use ledger::table::{Held, Step, Word};
+use store::{Change, Commit, Error, Lease, Store as _, key};
+
+use crate::Context;
+use crate::context::lock;
+use crate::driver::Outcome;
+use crate::peers;
+use crate::whole::Whole;
+
+/// Time before a request's deadline at which its claim is given up, in milliseconds.
+const CLAIM_MARGIN_MS: u64 = 20;
+/// Time for which one lease serves the claims of this daemon.
+const LEASE_SPAN: Duration = Duration::from_hours(1);
+
+/// A request that must run at most once.
+#[derive(Debug)]
+pub struct Order {
+    /// Hash of its idempotency key.
+    pub key: u128,
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Whether its key belongs to a session of this incarnation.
+    pub session: bool,
+    /// Revision of its claim in the store, once made.
+    pub revision: Mutex<Option<u64>>,
+    /// The answer of an earlier send, if a peer had it.
+    pub earlier: Mutex<Option<Arc<Whole>>>,
+}
+
+/// The lease that new claims hang on. It is never renewed: the store itself removes claims when it ends.
+#[derive(Debug, Clone, Copy)]
+pub struct Span {
+    lease: Lease,
+    made: Time,
+}
+
+/// Hash of an idempotency key; a key of a session differs from the same key without.
+pub fn key_hash(session: Option<&str>, key: &str) -> u128 {
+    hash::wide(format!("{}\n{key}", session.unwrap_or_default()).as_bytes())
+}
+
+/// What to do with an order that came.
+pub fn begin(context: &Context, order: &Order) -> Step<Arc<Whole>> {
+    let now = context.now();
+    lock(&context.ledger).begin(order.key, order.fingerprint, order.session, now)
+}
+
+/// Makes sure that the order's claim is ours before anything is sent.
+pub fn claim(context: &Arc<Context>, order: &Order, deadline: Time) -> Result<(), Kind> {
+    if order.session || lock(&order.revision).is_some() {
+        return Ok(());
+    }
+    lock(&context.ledger).claiming(order.key);
+    let progress = make(context, order, deadline);
+    let now = context.now();
+    if let Progress::Ours(revision) = &progress {
+        *lock(&order.revision) = Some(*revision);
+    }
+    match lock(&context.ledger).claimed(order.key, progress.held(), now) {
+        Step::Run => Ok(()),
+        Step::Refuse(kind) => Err(kind),
+        Step::Replay(whole) => {
+            *lock(&order.earlier) = Some(whole);
+            Err(Kind::AlreadyClaimed)
+        }
+        Step::Ask(_) | Step::Claim => Err(later(order)),
+    }
+}
+
+/// Ends an order and gives what its caller is told.
+pub fn end(context: &Arc<Context>, order: &Order, outcome: Outcome) -> Outcome {
+    if let Some(earlier) = lock(&order.earlier).take() {
+        context.metrics.replays.inc();
+        return Ok(earlier);
+    }
+    let now = context.now();
+    let mut ledger = lock(&context.ledger);
+    match &outcome {
+        Ok(whole) => ledger.ran(order.key, Arc::clone(whole), whole.bytes(), now),
+        Err(kind) => {
+            let release = ledger.failed(order.key, *kind, now);
+            drop(ledger);
+            if release {
+                self::release(context, order);
+            }
+        }
+    }
+    outcome
+}
+
+/// What this daemon can tell a peer of a key.
+pub fn word(context: &Context, key: u128) -> Word<Arc<Whole>> {
+    let now = context.now();
+    lock(&context.ledger).word(key, now)
+}
+
+/// The answer when a peer runs or ran the order: its word was kept in `make`.
+fn later(order: &Order) -> Kind {
+    if lock(&order.earlier).is_some() {
+        Kind::AlreadyClaimed
+    } else {
+        Kind::StillRunning
+    }
+}
+
+/// Makes the claim at the store; another's claim is taken over if that daemon says that it never ran.
+fn make(context: &Arc<Context>, order: &Order, deadline: Time) -> Progress {
+    let give_up = deadline - Duration::from_millis(CLAIM_MARGIN_MS);
+    let unsent = lock(&context.ledger).unsent(order.key);
+    let maker = Maker::new(context.incarnation, unsent, give_up);
+    let mut progress = maker.first();
+    loop {
+        match progress {
+            Progress::Call(call) => {
+                let reply = call_store(context, order, call);
+                progress = maker.next(reply, context.now());
+            }
+            Progress::Other(claim, revision) if claim.incarnation != context.incarnation => {
+                match ask(context, order, &claim) {
+                    Word::NeverRun if context.now() < give_up => progress = Progress::Call(Call::Write(revision)),
+                    Word::NeverRun => return Progress::Silent,
+                    Word::Ran(whole) => {
+                        *lock(&order.earlier) = Some(whole);
+                        return Progress::Other(claim, revision);
+                    }
+                    Word::Running => return Progress::Other(claim, revision),
+                    Word::Unknown => {
+                        // The claimant itself cannot be asked: as if the key had been ours and forgotten.
+                        let forgotten = Claim {
+                            incarnation: context.incarnation,
+                            ..claim
+                        };
+                        return Progress::Other(forgotten, revision);
+                    }
+                }
+            }
+            ended => return ended,
+        }
+    }
+}
+
+fn ask(context: &Arc<Context>, order: &Order, claim: &Claim) -> Word<Arc<Whole>> {
+    if claim.fingerprint != order.fingerprint {
+        return Word::Running;
+    }
+    peers::client::word(context, &claim.peers, claim.incarnation, order.key)
+}
+
+fn call_store(context: &Context, order: &Order, call: Call) -> Reply {
+    let name = key::claim(order.key);
+    let reply = match call {
+        Call::Write(expect) => write(context, order, &name, expect),
+        Call::Read => read(context, &name),
+    };
+    let result = match reply {
+        Reply::Unsent | Reply::Lost => "failed",
+        Reply::Written(_) | Reply::Conflict | Reply::Found(_) => "ok",
+    };
+    context.metrics.store_calls.with_label_values(&["claim", result]).inc();
+    reply
+}
+
+fn write(context: &Context, order: &Order, name: &str, expect: u64) -> Reply {
+    let Ok(lease) = lease(context) else {
+        return Reply::Unsent;
+    };
+    let claim = Claim {
+        incarnation: context.incarnation,
+        fingerprint: order.fingerprint,
+        peers: context.settings.fleet.address.clone(),
+    };
+    let change = Change::set(name, expect, claim.to_bytes()).with_lease(lease);
+    match context.store.commit(&[change]) {
+        Ok(Commit::Done(revision)) => Reply::Written(revision),
+        Ok(Commit::Conflict) => Reply::Conflict,
+        Err(Error::Ambiguous(_)) => Reply::Lost,
+        Err(Error::Unreachable(_) | Error::Refused(_)) => {
+            // A refused write may mean that the lease is gone.
+            *lock(&context.span) = None;
+            Reply::Unsent
+        }
+    }
+}
+
+fn read(context: &Context, name: &str) -> Reply {
+    match context.store.read(name) {
+        Ok(None) => Reply::Found(None),
+        Ok(Some(entry)) => match Claim::parse(&entry.value) {
+            Ok(claim) => Reply::Found(Some((claim, entry.revision))),
+            Err(_) => Reply::Unsent,
+        },
+        Err(_) => Reply::Unsent,
+    }
+}
+
+/// The lease for claims made now.
+fn lease(context: &Context) -> store::Result<Lease> {
+    let now = context.now();
+    let mut span = lock(&context.span);
+    if let Some(span) = span.filter(|span| now.since(span.made) < LEASE_SPAN) {
+        return Ok(span.lease);
+    }
+    let kept = Duration::from_secs(context.settings.platform.claim_kept_s);
+    let lease = context.store.grant(kept + LEASE_SPAN)?;
+    *span = Some(Span { lease, made: now });
+    Ok(lease)
+}
+
+/// Deletes the claim of an order that never ran, so that it can be sent again anywhere.
+fn release(context: &Arc<Context>, order: &Order) {
+    let Some(revision) = *lock(&order.revision) else { return };
+    let key = order.key;
+    let context = Arc::clone(context);
+    let runtime = context.runtime.clone();
+    runtime.spawn_blocking(move || {
+        let deleted = context.store.commit(&[Change::delete(&key::claim(key), revision)]);
+        if matches!(deleted, Ok(Commit::Done(_))) {
+            lock(&context.ledger).released(key);
+        }
+    });
+}
+
+/// The ledger's word for a claim that nobody tried to make.
+pub fn withdraw(context: &Context, order: &Order) {
+    let now = context.now();
+    let mut ledger = lock(&context.ledger);
+    if ledger.unsent(order.key) {
+        let step = ledger.claimed(order.key, Held::Silent, now);
+        log::debug!("orders: claim withdrawn step={step:?}");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/exchange.rs
@@ -0,0 +1,153 @@
+//! One exchange with one peer, again and again.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fleet::message::Message;
+
+use super::api::PeersClient as _;
+use super::client;
+use crate::Context;
+use crate::context::lock;
+use crate::plugin::Plugin;
+use crate::policies;
+
+/// Longest pause of a daemon that finds no peer at its start.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(8);
+
+inventory::submit! {
+    Plugin(kernel::Plugin { name: "exchange", stage: 30, start })
+}
+
+struct Exchange(tokio::task::JoinHandle<()>, Arc<Context>);
+
+impl kernel::Part for Exchange {
+    fn withdraw(&mut self) {
+        lock(&self.1.roster).leave();
+        super::tell_leaving(&self.1);
+    }
+
+    fn close(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn start(context: &Arc<Context>) -> kernel::Started {
+    let shared = Arc::clone(context);
+    let task = context.runtime.spawn(async move {
+        join(&shared).await;
+        run(&shared).await;
+    });
+    Ok(Box::new(Exchange(task, Arc::clone(context))))
+}
+
+/// The message for a peer.
+pub fn message(context: &Context) -> Message {
+    let revision = lock(&context.holder).revision();
+    let now = context.now();
+    lock(&context.roster).message(revision, now)
+}
+
+/// Takes in a peer's message and fetches its policy if that is newer.
+pub fn take(context: &Arc<Context>, message: &Message) {
+    let now = context.now();
+    lock(&context.roster).merge(message, now);
+    if !message.losses.is_empty() {
+        context
+            .driver
+            .with(context, |engine| engine.merge_losses(&message.losses, now));
+    }
+    if lock(&context.holder).wants(message.revision) {
+        let address = message.from.peers.clone();
+        let context = Arc::clone(context);
+        let runtime = context.runtime.clone();
+        runtime.spawn(async move { fetch(&context, &address).await });
+    }
+}
+
+/// Exchanges news with one peer.
+pub async fn with(context: &Arc<Context>, name: &str, address: &str) {
+    let message = message(context);
+    let Some(client) = client::client(context, address) else {
+        return;
+    };
+    match client.exchange(message).await {
+        Ok(answer) => {
+            context.metrics.exchanges.with_label_values(&["ok"]).inc();
+            take(context, &answer);
+        }
+        Err(error) => {
+            context.metrics.exchanges.with_label_values(&["failed"]).inc();
+            log::debug!("peers: exchange failed peer={name} reason={:?}", error.to_string());
+            let now = context.now();
+            lock(&context.roster).failed(name, now);
+        }
+    }
+}
+
+async fn fetch(context: &Arc<Context>, address: &str) {
+    let after = lock(&context.holder).revision();
+    let Some(client) = client::client(context, address) else {
+        return;
+    };
+    match client.policy(after).await {
+        Ok(Some(copy)) => {
+            if policies::offer(context, copy, address) {
+                super::tell_revision(context);
+            }
+        }
+        Ok(None) => log::debug!("peers: policy skipped, not newer peer={address}"),
+        Err(error) => log::debug!(
+            "peers: policy not fetched peer={address} reason={:?}",
+            error.to_string()
+        ),
+    }
+}
+
+/// Takes the state of the first peer that answers; a daemon alone goes on without.
+async fn join(context: &Arc<Context>) {
+    let mut rng = fastrand::Rng::with_seed(context.incarnation);
+    let mut seeds = context.settings.fleet.seeds.clone();
+    seeds.retain(|seed| *seed != context.settings.fleet.address);
+    rng.shuffle(&mut seeds);
+    let base = Duration::from_millis(context.settings.fleet.exchange_ms);
+    for (tries, seed) in seeds.iter().enumerate() {
+        let Some(client) = client::client(context, seed) else {
+            continue;
+        };
+        match client.snapshot().await {
+            Ok(snapshot) => {
+                let now = context.now();
+                lock(&context.roster).adopt(&snapshot, now);
+                if let Some(copy) = snapshot.policy {
+                    policies::offer(context, copy, seed);
+                }
+                log::info!("peers: joined through peer={seed} members={}", snapshot.records.len());
+                return;
+            }
+            Err(error) => log::debug!("peers: seed skipped peer={seed} reason={:?}", error.to_string()),
+        }
+        // Full jitter keeps a whole failure domain that starts at once from coming all together.
+        let most = base.saturating_mul(1 << tries.min(6)).min(LONGEST_BACKOFF);
+        tokio::time::sleep(most.mul_f64(rng.f64())).await;
+    }
+    log::warn!("peers: no peer answered seeds={}", seeds.len());
+}
+
+async fn run(context: &Arc<Context>) {
+    let base = context.settings.fleet.exchange_ms;
+    let mut rng = fastrand::Rng::with_seed(context.incarnation ^ 1);
+    loop {
+        let jittered = rng.u64(base * 3 / 4..=base * 5 / 4);
+        tokio::time::sleep(Duration::from_millis(jittered)).await;
+        let now = context.now();
+        let target = {
+            let mut roster = lock(&context.roster);
+            roster.tick(now);
+            roster.target(now)
+        };
+        if let Some((name, address)) = target {
+            with(context, &name, &address).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/mod.rs
@@ -0,0 +1,41 @@
+//! Exchange between daemons over JSON-RPC.
+
+pub mod api;
+pub mod client;
+pub mod exchange;
+pub mod server;
+
+use std::sync::Arc;
+
+use crate::Context;
+use crate::context::lock;
+
+/// Tells a few peers at once that a newer policy is in force here; they fetch it and tell others.
+pub fn tell_revision(context: &Arc<Context>) {
+    let fanout = context.settings.fleet.fanout as usize;
+    tell(context, fanout);
+}
+
+/// Tells peers at once of losses of connections, so that a re-send elsewhere is refused.
+pub fn tell_losses(context: &Arc<Context>, losses: &[(u64, u64)]) {
+    let mut roster = lock(&context.roster);
+    for loss in losses {
+        roster.spread_loss(*loss);
+    }
+    drop(roster);
+    tell(context, context.settings.fleet.fanout as usize);
+}
+
+/// Tells as many peers as it takes for most to hear at once that we leave.
+pub fn tell_leaving(context: &Arc<Context>) {
+    tell(context, 2 * context.settings.fleet.fanout as usize);
+}
+
+fn tell(context: &Arc<Context>, most: usize) {
+    let chosen = lock(&context.roster).some(most);
+    for (name, address) in chosen {
+        let context = Arc::clone(context);
+        let runtime = context.runtime.clone();
+        runtime.spawn(async move { exchange::with(&context, &name, &address).await });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/server.rs
@@ -0,0 +1,98 @@
+//! The peers' port.
+
+use std::sync::Arc;
+
+use fleet::Copy;
+use fleet::message::{Message, Snapshot};
+use jsonrpsee::core::async_trait;
+use jsonrpsee::server::{ServerConfig, ServerHandle};
+use jsonrpsee::types::ErrorObjectOwned;
+
+use super::api::{PeersServer, Word};
+use super::exchange;
+use crate::Context;
+use crate::context::lock;
+use crate::orders;
+use crate::plugin::Plugin;
+
+/// Connections of peers at most.
+const MAX_CONNECTIONS: u32 = 256;
+/// Largest request and answer, in bytes.
+const MAX_BYTES: u32 = 2 << 20;
+
+inventory::submit! {
+    Plugin(kernel::Plugin { name: "peers", stage: 10, start })
+}
+
+struct Calls {
+    context: Arc<Context>,
+}
+
+#[async_trait]
+impl PeersServer for Calls {
+    async fn exchange(&self, message: Message) -> Result<Message, ErrorObjectOwned> {
+        exchange::take(&self.context, &message);
+        Ok(exchange::message(&self.context))
+    }
+
+    async fn policy(&self, after: u64) -> Result<Option<Copy>, ErrorObjectOwned> {
+        let holder = lock(&self.context.holder);
+        Ok(holder.copy().filter(|copy| copy.revision > after).cloned())
+    }
+
+    async fn snapshot(&self) -> Result<Snapshot, ErrorObjectOwned> {
+        let records = lock(&self.context.roster).records();
+        let policy = lock(&self.context.holder).copy().cloned();
+        Ok(Snapshot { records, policy })
+    }
+
+    async fn word(&self, incarnation: u64, key: String) -> Result<Word, ErrorObjectOwned> {
+        let key = u128::from_str_radix(&key, 16);
+        let (Ok(key), true) = (key, incarnation == self.context.incarnation) else {
+            return Ok(Word::Unknown);
+        };
+        Ok(match orders::word(&self.context, key) {
+            ledger::table::Word::Ran(whole) => Word::Ran(whole.as_ref().clone().into()),
+            ledger::table::Word::Running => Word::Running,
+            ledger::table::Word::NeverRun => Word::NeverRun,
+            ledger::table::Word::Unknown => Word::Unknown,
+        })
+    }
+}
+
+struct Port(Option<ServerHandle>);
+
+impl kernel::Part for Port {
+    fn close(&mut self) {
+        let stopped = self.0.take().map(|handle| handle.stop());
+        if stopped.is_some_and(|stopped| stopped.is_err()) {
+            log::debug!("peers: port closed already");
+        }
+    }
+}
+
+fn start(context: &Arc<Context>) -> kernel::Started {
+    let address = context.settings.fleet.address.clone();
+    let config = ServerConfig::builder()
+        .max_connections(MAX_CONNECTIONS)
+        .max_request_body_size(MAX_BYTES)
+        .max_response_body_size(MAX_BYTES)
+        .http_only()
+        .build();
+    let calls = Calls {
+        context: Arc::clone(context),
+    };
+    let built = context.runtime.block_on(async move {
+        let server = jsonrpsee::server::Server::builder()
+            .set_config(config)
+            .build(&address)
+            .await;
+        server
+            .map(|server| server.start(calls.into_rpc()))
+            .map_err(|error| (address, error))
+    });
+    let handle = built.map_err(|(address, error)| {
+        format!("key `fleet.address`: cannot listen at {address}: {error}; choose a free address")
+    })?;
+    Ok(Box::new(Port(Some(handle))))
+}
--- /dev/null
+++ b/crates/daemon/src/policies.rs
@@ -0,0 +1,165 @@
+//! Putting a policy into force.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::policy::Policy;
+use dispatch::class;
+use fleet::Copy;
+use steer::shift::Controller;
+
+use crate::context::lock;
+use crate::{Context, view};
+
+/// A policy with its revision and the names that decisions use by position.
+#[derive(Debug, Clone, Default)]
+pub struct InForce {
+    /// Revision in the store; zero for a policy of the settings.
+    pub revision: u64,
+    /// The policy.
+    pub policy: Policy,
+    /// Names of classes, in the order of their positions.
+    pub classes: Vec<String>,
+    /// Names of services, in the order of their positions.
+    pub services: Vec<String>,
+    /// Names of regions, in the order of their positions.
+    pub regions: Vec<String>,
+    /// Home regions of callers.
+    pub table: Arc<steer::Table>,
+}
+
+impl InForce {
+    /// Prepares `policy` at `revision`.
+    pub fn new(revision: u64, policy: Policy) -> Self {
+        Self::after(&Self::default(), revision, policy)
+    }
+
+    /// Prepares `policy`; classes and services keep the positions they have in `before`.
+    pub fn after(before: &Self, revision: u64, policy: Policy) -> Self {
+        let classes = extend(&before.classes, policy.classes.keys());
+        let services = extend(&before.services, policy.classes.values().map(|class| &class.service));
+        let regions = policy.regions.keys().cloned().collect();
+        let table = Arc::new(steer::Table::from_policy(&policy));
+        Self {
+            revision,
+            policy,
+            classes,
+            services,
+            regions,
+            table,
+        }
+    }
+
+    /// The position of a service.
+    pub fn service(&self, name: &str) -> Option<u16> {
+        self.services
+            .iter()
+            .position(|service| service == name)
+            .map(|position| position as u16)
+    }
+
+    /// The position of a region.
+    pub fn region(&self, name: &str) -> Option<u16> {
+        self.regions
+            .iter()
+            .position(|region| region == name)
+            .map(|position| position as u16)
+    }
+
+    /// The position of a class.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.iter().position(|class| class == name)
+    }
+
+    fn specs(&self) -> Vec<class::Spec> {
+        self.classes.iter().map(|name| self.spec(name)).collect()
+    }
+
+    /// What dispatch needs of a class; a class that is gone keeps its place and gets no work.
+    fn spec(&self, name: &str) -> class::Spec {
+        let Some(class) = self.policy.classes.get(name) else {
+            return class::Spec {
+                service: 0,
+                idempotent: false,
+                rank: u8::MAX,
+                deadline: Duration::from_secs(1),
+                may_wait: true,
+            };
+        };
+        class::Spec {
+            service: self.service(&class.service).unwrap_or_default(),
+            idempotent: class.idempotent,
+            rank: class.rank,
+            deadline: Duration::from_millis(class.deadline_ms),
+            may_wait: class.may_wait,
+        }
+    }
+}
+
+/// Takes a copy of the policy from the store or a peer; says whether it is now in force.
+pub fn offer(context: &Arc<Context>, copy: Copy, source: &str) -> bool {
+    let revision = copy.revision;
+    let mut holder = lock(&context.holder);
+    match holder.offer(copy) {
+        Ok(Some(policy)) => {
+            put(context, revision, policy);
+            log::info!("policy: in force revision={revision} source={source}");
+            true
+        }
+        Ok(None) => {
+            log::debug!("policy: skipped, not newer revision={revision} source={source}");
+            false
+        }
+        Err(error) => {
+            log::warn!(
+                "policy: refused revision={revision} source={source} reason={:?}",
+                error.to_string()
+            );
+            context.metrics.policy_refused.inc();
+            false
+        }
+    }
+}
+
+/// Puts the policy of the settings into force, if they name one.
+pub fn from_settings(context: &Arc<Context>) -> Result<(), config::Error> {
+    let path = &context.settings.policy;
+    if path.is_empty() {
+        return Ok(());
+    }
+    let policy = Policy::read(Path::new(path))?;
+    let _order = lock(&context.holder);
+    put(context, 0, policy);
+    log::info!("policy: in force from the settings file={path}");
+    Ok(())
+}
+
+/// Called with the holder locked, so that policies come into force in the order of their revisions.
+fn put(context: &Arc<Context>, revision: u64, policy: Policy) {
+    let now = context.now();
+    let before = context.policy();
+    let next = Arc::new(InForce::after(&before, revision, policy));
+    if next.regions != before.regions {
+        let kept = Duration::from_secs(context.settings.callers.answer_kept_s);
+        *lock(&context.controller) = Controller::new(next.regions.len(), kept, now);
+    }
+    *context
+        .in_force
+        .write()
+        .unwrap_or_else(std::sync::PoisonError::into_inner) = Arc::clone(&next);
+    context.metrics.policy_revision.set(revision as i64);
+    context.driver.with(context, |engine| engine.set_classes(next.specs()));
+    view::refresh(context);
+}
+
+/// Adds names that are new; those known keep their positions.
+fn extend<'a>(before: &[String], names: impl Iterator<Item = &'a String>) -> Vec<String> {
+    let mut all = before.to_vec();
+    for name in names {
+        if !all.contains(name) {
+            all.push(name.clone());
+        }
+    }
+    all
+}
--- /dev/null
+++ b/crates/daemon/src/view.rs
@@ -0,0 +1,272 @@
+//! What look-ups and attempts read, rebuilt whenever the list, the membership or the policy changes.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::hash;
+use base::instance::{Instance, Role, State as Listed};
+use base::time::Time;
+use config::policy::Policy;
+use dispatch::backend::{BackendId, Place, Spec};
+use dispatch::engine::Remote;
+use dispatch::subset;
+use fleet::message::State;
+use fleet::roster::Roster;
+use steer::shift::{Load, Shares};
+use steer::view::{Entry, Standing};
+use steer::{Table, View};
+
+use crate::Context;
+use crate::context::lock;
+use crate::policies::InForce;
+
+/// Part of a region's slots that other regions may use, all together.
+const REMOTE_PART: f64 = 0.5;
+/// Part of a link's cap that is handed out.
+const LINK_PART: f64 = 0.85;
+/// Daemons of a region that may use one backend server, so that its connections are not used up.
+const USERS_PER_BACKEND: usize = 64;
+
+/// A prepared state of the world.
+#[derive(Debug, Clone, Default)]
+pub struct Steering {
+    /// Home regions of callers.
+    pub table: Arc<Table>,
+    /// Entry instances.
+    pub view: View,
+    /// Shifts of callers.
+    pub shares: Shares,
+    /// Backend servers in use, by number.
+    pub backends: BTreeMap<BackendId, Instance>,
+}
+
+impl Steering {
+    /// Where a backend server is reached.
+    pub fn backend_address(&self, backend: BackendId) -> Option<String> {
+        self.backends.get(&backend).map(|instance| instance.address.clone())
+    }
+}
+
+/// A backend server's number: its name and address together, so that a successor elsewhere is another one.
+pub fn backend_id(instance: &Instance) -> BackendId {
+    hash::bytes(format!("{}\n{}", instance.name, instance.address).as_bytes()) as BackendId
+}
+
+/// Rebuilds everything from the list, the membership and the policy.
+pub fn refresh(context: &Arc<Context>) {
+    let now = context.now();
+    let in_force = context.policy();
+    let instances = lock(&context.list).0.clone();
+    let roster = lock(&context.roster).clone();
+    context.metrics.members.set(roster.alive().count() as i64 + 1);
+    let view = View::new(entries(&instances, &roster, &in_force, context), in_force.regions.len());
+    let loads = loads(&in_force, &roster);
+    let mut controller = lock(&context.controller);
+    controller.update(&loads, now);
+    let shares = controller.shares().clone();
+    drop(controller);
+    let used = used_backends(context, &instances, &roster, &in_force);
+    let specs = specs(context, &used, &roster, &in_force);
+    let backends: BTreeMap<BackendId, Instance> = used
+        .into_iter()
+        .map(|instance| (backend_id(instance), instance.clone()))
+        .collect();
+    context.agents.keep(|backend| backends.contains_key(&backend));
+    let table = Arc::clone(&in_force.table);
+    let steering = Arc::new(Steering {
+        table,
+        view,
+        shares,
+        backends,
+    });
+    *context
+        .steering
+        .write()
+        .unwrap_or_else(std::sync::PoisonError::into_inner) = steering;
+    let remotes = remotes(context, &instances, &in_force, now);
+    context.driver.with(context, |engine| {
+        for (region, remote) in remotes {
+            engine.set_remote(region, remote, now);
+        }
+        engine.set_backends(specs, now);
+    });
+}
+
+fn entries(instances: &[Instance], roster: &Roster, in_force: &InForce, context: &Context) -> Vec<Entry> {
+    let listed: Vec<&Instance> = instances
+        .iter()
+        .filter(|instance| instance.role == Role::Entry)
+        .collect();
+    let leaving = listed
+        .iter()
+        .filter(|instance| instance.state == Listed::Leaving)
+        .count();
+    // A list that takes most entry instances away at once is doubted.
+    let doubted = leaving * 2 > listed.len();
+    let domains: Vec<&String> = in_force
+        .policy
+        .regions
+        .values()
+        .flat_map(|region| &region.domains)
+        .collect();
+    let entry = |instance: &&Instance| {
+        let region = in_force.region(&instance.region)?;
+        let domain = domains.iter().position(|domain| **domain == instance.domain)? as u16;
+        let standing = standing(instance, roster, &in_force.policy, doubted);
+        let (name, address) = (instance.name.clone(), instance.address.clone());
+        Some(Entry {
+            name,
+            address,
+            region,
+            domain,
+            standing,
+        })
+    };
+    let mut entries: Vec<Entry> = listed.iter().filter_map(entry).collect();
+    let settings = &context.settings;
+    // Without a list the daemon can at least name itself.
+    if entries.is_empty()
+        && let Some(region) = in_force.region(&settings.region)
+    {
+        let (name, address) = (settings.instance.clone(), settings.callers.address.clone());
+        entries.push(Entry {
+            name,
+            address,
+            region,
+            domain: 0,
+            standing: Standing::Good,
+        });
+    }
+    entries
+}
+
+fn standing(instance: &Instance, roster: &Roster, policy: &Policy, doubted: bool) -> Standing {
+    if policy.instance_drained(&instance.name) || policy.domain_drained(&instance.domain) {
+        return Standing::Out;
+    }
+    let leaving = instance.state == Listed::Leaving;
+    match roster.state(&instance.name) {
+        Some(State::Left | State::Dead) => Standing::Out,
+        _ if leaving && !doubted => Standing::Out,
+        Some(State::Suspect) => Standing::Doubtful,
+        _ if leaving => Standing::Doubtful,
+        Some(State::Alive) | None => Standing::Good,
+    }
+}
+
+/// Loads of regions, summed over their failure domains.
+fn loads(in_force: &InForce, roster: &Roster) -> Vec<Load> {
+    let policy = &in_force.policy;
+    let load = |name: &String| {
+        let seen = policy.regions[name]
+            .domains
+            .iter()
+            .filter_map(|domain| roster.loads().get(domain));
+        let mut load = Load {
+            busy: 0.0,
+            slots: 0.0,
+            at: Time::ZERO,
+            drained: policy.region_drained(name),
+        };
+        for domain in seen {
+            load.busy += f64::from(domain.busy);
+            load.slots += f64::from(domain.slots);
+            load.at = load.at.max(domain.at);
+        }
+        load
+    };
+    in_force.regions.iter().map(load).collect()
+}
+
+/// Names of the living entry instances of our region, hashed; ourselves among them.
+fn region_daemons(context: &Context, roster: &Roster, in_force: &InForce) -> Vec<u64> {
+    let region = in_force.policy.regions.get(&context.settings.region);
+    let domains = region.map(|region| region.domains.as_slice()).unwrap_or_default();
+    let names = domains.iter().flat_map(|domain| roster.alive_in(domain));
+    let mut hashed: Vec<u64> = names.map(|name| hash::bytes(name.as_bytes())).collect();
+    let own = hash::bytes(context.settings.instance.as_bytes());
+    if !hashed.contains(&own) {
+        hashed.push(own);
+    }
+    hashed
+}
+
+/// The backend servers that this daemon uses: its share of those in its region, and all elsewhere.
+fn used_backends<'a>(
+    context: &Context,
+    instances: &'a [Instance],
+    roster: &Roster,
+    in_force: &InForce,
+) -> Vec<&'a Instance> {
+    let daemons = region_daemons(context, roster, in_force);
+    let own = hash::bytes(context.settings.instance.as_bytes());
+    let used = |instance: &&Instance| {
+        let backend = instance.role == Role::Backend && in_force.service(&instance.service).is_some();
+        let id = u64::from(backend_id(instance));
+        backend && subset::uses(own, &daemons, id, USERS_PER_BACKEND)
+    };
+    instances.iter().filter(used).collect()
+}
+
+fn specs(context: &Context, used: &[&Instance], roster: &Roster, in_force: &InForce) -> Vec<Spec> {
+    let settings = &context.settings;
+    let daemons = region_daemons(context, roster, in_force);
+    let own = hash::bytes(settings.instance.as_bytes());
+    let near: Vec<u64> = used
+        .iter()
+        .filter(|instance| instance.region == settings.region)
+        .map(|instance| u64::from(backend_id(instance)))
+        .collect();
+    let hosts = subset::hosts(own, &daemons, &near);
+    let hosted = |id: BackendId| {
+        near.iter()
+            .position(|near| *near == u64::from(id))
+            .is_some_and(|at| hosts[at])
+    };
+    let spec = |instance: &&Instance| {
+        let id = backend_id(instance);
+        let policy = &in_force.policy;
+        let drained = policy.instance_drained(&instance.name) || policy.domain_drained(&instance.domain);
+        let place = if instance.domain == settings.domain {
+            Place::Domain
+        } else if instance.region == settings.region {
+            Place::Region
+        } else {
+            Place::Remote(in_force.region(&instance.region)?)
+        };
+        Some(Spec {
+            id,
+            service: in_force.service(&instance.service)?,
+            place,
+            slots: instance.slots,
+            leaving: drained || instance.state == Listed::Leaving,
+            hosts: hosted(id),
+        })
+    };
+    used.iter().filter_map(spec).collect()
+}
+
+/// What we may use of other regions: our part of a part that is split between all regions that might.
+fn remotes(context: &Context, instances: &[Instance], in_force: &InForce, now: Time) -> Vec<(u16, Remote)> {
+    let share = lock(&context.keeper).share(now);
+    let own = &context.settings.region;
+    let sources = in_force.regions.len().saturating_sub(1).max(1) as f64;
+    let remote = |name: &String| {
+        let backends = instances
+            .iter()
+            .filter(|instance| instance.role == Role::Backend && instance.region == *name);
+        let slots: u32 = backends.map(|instance| instance.slots).sum();
+        let limit = (f64::from(slots) * REMOTE_PART / sources * share).floor() as u32;
+        let cap = in_force.policy.link_cap(own, name).unwrap_or(0.0);
+        Remote {
+            limit,
+            bytes_per_second: cap * LINK_PART * share,
+        }
+    };
+    let others = in_force.regions.iter().enumerate().filter(|(_, name)| *name != own);
+    others.map(|(position, name)| (position as u16, remote(name))).collect()
+}
+
+/// How long a rebuilt state may serve before it is rebuilt.
+pub const REFRESH: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/demo/src/main.rs
@@ -0,0 +1,111 @@
+//! `hemlockdemo`: a deployment on loopback under load, until stopped.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use demo::deployment::Deployment;
+use demo::{Error, Result};
+use lexopt::prelude::{Long, Short, ValueExt as _};
+use load::plan::Plan;
+use load::{run, tally};
+
+const USAGE: &str = "\
+hemlockdemo [--deployment FOLDER] [--per-second N] [--seconds N]
+
+Starts the stand-ins and the daemons of a deployment on loopback, sends real requests and prints what happened,
+until stopped (or for --seconds).
+";
+
+/// Length of one printed part of the load.
+const PART: Duration = Duration::from_secs(5);
+
+struct Options {
+    folder: PathBuf,
+    per_second: f64,
+    seconds: Option<u64>,
+}
+
+fn parse() -> std::result::Result<Option<Options>, lexopt::Error> {
+    let mut options = Options {
+        folder: PathBuf::from("deploy/bayline"),
+        per_second: 200.0,
+        seconds: None,
+    };
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("help") | Short('h') => return Ok(None),
+            Long("deployment") => options.folder = PathBuf::from(parser.value()?),
+            Long("per-second") => options.per_second = parser.value()?.parse()?,
+            Long("seconds") => options.seconds = Some(parser.value()?.parse()?),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(Some(options))
+}
+
+fn show(options: &Options) -> Result<()> {
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        let set = signal_hook::flag::register(signal, Arc::clone(&stop));
+        set.map_err(|error| Error::Start(error.to_string()))?;
+    }
+    let mut deployment = Deployment::read(&options.folder, &PathBuf::from("target/demo-logs"))?;
+    println!(
+        "demo: starting {} instances of {}",
+        deployment.instances.len(),
+        options.folder.display()
+    );
+    deployment.start_platform()?;
+    let revision = deployment.apply()?;
+    deployment.start_daemons()?;
+    deployment.wait_ready(revision)?;
+    println!("demo: all daemons ready at revision {revision}; logs in target/demo-logs");
+    println!(
+        "demo: try  target/release/hemlockctl --store {} --list {} show",
+        deployment.store, deployment.list
+    );
+    let mut plan = Plan {
+        entries: deployment.entries().map(|entry| entry.address.clone()).collect(),
+        flows: deployment.flows(options.per_second),
+        time: PART,
+        callers: 64,
+        timeout: Duration::from_secs(30),
+        resends: 2,
+        seed: 1,
+    };
+    let parts = options
+        .seconds
+        .map_or(u64::MAX, |seconds| seconds.div_ceil(PART.as_secs()));
+    for part in 1..=parts {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        plan.seed = part;
+        println!(
+            "\npart {part}, {} s:\n{}",
+            PART.as_secs(),
+            tally::table(&run::run(&plan, &stop))
+        );
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match parse().map_err(Error::from).and_then(|options| match options {
+        Some(options) => show(&options),
+        None => {
+            print!("{USAGE}");
+            Ok(())
+        }
+    }) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hemlockdemo: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -1,9 +1,9 @@
 //! The state machine of dispatch.
 
 mod pick;
-mod queue;
 #[cfg(feature = "policies")]
 pub mod policy;
+mod queue;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -75,6 +75,8 @@
         backend: BackendId,
         /// When its answer is of no use.
         deadline: Time,
+        /// Whether the request was sent before; it then gets a fresh connection.
+        again: bool,
     },
     /// Cancel an attempt; it still has to be finished.
     Cancel {
@@ -321,7 +323,12 @@
 
     /// A new request; its answer comes as an action.
     pub fn submit(&mut self, arrival: Arrival, now: Time) {
-        let Arrival { request, class, fingerprint, bytes } = arrival;
+        let Arrival {
+            request,
+            class,
+            fingerprint,
+            bytes,
+        } = arrival;
         self.hedges.earn();
         self.retries.earn();
         if let Some(kind) = self.refusal(class, fingerprint, now) {
@@ -357,7 +364,9 @@
 
     /// An attempt ended.
     pub fn finish(&mut self, attempt: u64, ending: Ending, now: Time) {
-        let Some(ended) = self.attempts.remove(&attempt) else { return };
+        let Some(ended) = self.attempts.remove(&attempt) else {
+            return;
+        };
         self.timers.remove(&(ended.late_at, Timer::Late(attempt)));
         self.settle(&ended, ending, now);
         self.conclude(attempt, &ended, ending, now);
@@ -391,7 +400,12 @@
     }
 
     fn index(&mut self) {
-        let services = self.backends.values().map(|backend| backend.spec.service).max().map_or(0, |most| most + 1);
+        let services = self
+            .backends
+            .values()
+            .map(|backend| backend.spec.service)
+            .max()
+            .map_or(0, |most| most + 1);
         self.tiers = vec![[Vec::new(), Vec::new()]; usize::from(services)];
         for (id, backend) in &self.backends {
             let tier = usize::from(matches!(backend.spec.place, Place::Remote(_)));
@@ -428,14 +442,23 @@
     fn cancel_all(&mut self, attempts: &[u64]) {
         for attempt in attempts {
             if let Some(live) = self.attempts.get(attempt) {
-                self.actions.push(Action::Cancel { attempt: *attempt, backend: live.backend });
+                self.actions.push(Action::Cancel {
+                    attempt: *attempt,
+                    backend: live.backend,
+                });
             }
         }
     }
 
     fn expire(&mut self, request: u64) {
-        let Some(state) = self.requests.get(&request) else { return };
-        let kind = if state.live.is_empty() { Kind::Expired } else { Kind::BackendTimeout };
+        let Some(state) = self.requests.get(&request) else {
+            return;
+        };
+        let kind = if state.live.is_empty() {
+            Kind::Expired
+        } else {
+            Kind::BackendTimeout
+        };
         self.refuse(request, kind);
     }
 
@@ -445,12 +468,12 @@
         class.in_flight -= 1;
         let waits = class.spec.may_wait;
         let bytes = if let Ending::Answered(bytes) = ending { bytes } else { 0 };
-        if let Some((region, reserved)) = ended.reserved {
-            if let Some(channel) = self.channels.get_mut(&region) {
-                channel.in_flight -= 1;
-                if matches!(ending, Ending::Answered(_)) {
-                    channel.bucket.charge(bytes as f64 - reserved, now);
-                }
+        if let Some((region, reserved)) = ended.reserved
+            && let Some(channel) = self.channels.get_mut(&region)
+        {
+            channel.in_flight -= 1;
+            if matches!(ending, Ending::Answered(_)) {
+                channel.bucket.charge(bytes as f64 - reserved, now);
             }
         }
         let may_eject = self.may_eject(ended.backend);
@@ -460,7 +483,9 @@
         if matches!(ending, Ending::Answered(_)) {
             class.note(latency, bytes);
         }
-        let Some(backend) = self.backends.get_mut(&ended.backend) else { return };
+        let Some(backend) = self.backends.get_mut(&ended.backend) else {
+            return;
+        };
         backend.in_flight -= 1;
         backend.waiting_in_flight -= u32::from(waits);
         backend.late -= u32::from(ended.late);
@@ -482,7 +507,9 @@
             self.note_loss(ended, attempt, now);
         }
         let request = ended.request;
-        let Some(state) = self.requests.get_mut(&request) else { return };
+        let Some(state) = self.requests.get_mut(&request) else {
+            return;
+        };
         state.live.retain(|live| *live != attempt);
         if ending == Ending::Shed {
             state.barred.retain(|barred| *barred != ended.backend);
@@ -508,7 +535,9 @@
 
     /// Sends a request again if that is safe, allowed and of use; otherwise answers with `kind`.
     fn again(&mut self, request: u64, kind: Kind, now: Time) {
-        let Some(state) = self.requests.get_mut(&request) else { return };
+        let Some(state) = self.requests.get_mut(&request) else {
+            return;
+        };
         let unknown = kind.answer().outcome == Outcome::Unknown;
         if unknown {
             state.touched = Some(kind);
@@ -528,7 +557,9 @@
     }
 
     fn note_loss(&mut self, ended: &Attempt, attempt: u64, now: Time) {
-        let Some(state) = self.requests.get(&ended.request) else { return };
+        let Some(state) = self.requests.get(&ended.request) else {
+            return;
+        };
         let loss = base::hash::pair(self.salt, attempt);
         let fingerprint = state.fingerprint;
         self.poison.note(fingerprint, loss, now);
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -41,35 +41,60 @@
 
     /// Starts an attempt of `request` at `backend`.
     pub(super) fn start(&mut self, request: u64, backend: BackendId, now: Time) {
-        let Some(state) = self.requests.get(&request) else { return };
+        let Some(state) = self.requests.get(&request) else {
+            return;
+        };
         let (index, bytes, deadline) = (state.class, state.bytes, state.deadline);
         let class = &mut self.classes[index];
         class.in_flight += 1;
         let late_at = now + class.late_after();
         let waits = class.spec.may_wait;
         let answer_bytes = class.size();
-        let Some(server) = self.backends.get_mut(&backend) else { return };
+        let Some(server) = self.backends.get_mut(&backend) else {
+            return;
+        };
         server.in_flight += 1;
         server.waiting_in_flight += u32::from(waits);
         let place = server.spec.place;
         let reserved = self.reserve(place, bytes as f64, answer_bytes, now);
         self.next_attempt += 1;
         let attempt = self.next_attempt;
-        let started = Attempt { request, class: index, backend, started: now, late_at, late: false, reserved };
+        let started = Attempt {
+            request,
+            class: index,
+            backend,
+            started: now,
+            late_at,
+            late: false,
+            reserved,
+        };
         self.attempts.insert(attempt, started);
         self.timers.insert((late_at, Timer::Late(attempt)));
-        if let Some(state) = self.requests.get_mut(&request) {
-            state.live.push(attempt);
-            state.tries += 1;
-            state.barred.push(backend);
-        }
-        self.actions.push(Action::Start { request, attempt, backend, deadline });
+        let Some(state) = self.requests.get_mut(&request) else {
+            return;
+        };
+        state.live.push(attempt);
+        state.tries += 1;
+        state.barred.push(backend);
+        let again = state.tries > 1;
+        self.actions.push(Action::Start {
+            request,
+            attempt,
+            backend,
+            deadline,
+            again,
+        });
     }
 
     /// An attempt is late: the server is marked, and the request hedged if that is allowed.
     pub(super) fn late(&mut self, attempt: u64, now: Time) {
-        let may_eject = self.attempts.get(&attempt).is_some_and(|live| self.may_eject(live.backend));
-        let Some(live) = self.attempts.get_mut(&attempt) else { return };
+        let may_eject = self
+            .attempts
+            .get(&attempt)
+            .is_some_and(|live| self.may_eject(live.backend));
+        let Some(live) = self.attempts.get_mut(&attempt) else {
+            return;
+        };
         live.late = true;
         let (request, class, backend) = (live.request, live.class, live.backend);
         if let Some(server) = self.backends.get_mut(&backend) {
@@ -80,7 +105,9 @@
             return;
         }
         let spec = &self.classes[class].spec;
-        let Some(state) = self.requests.get(&request) else { return };
+        let Some(state) = self.requests.get(&request) else {
+            return;
+        };
         if !spec.idempotent || spec.may_wait || state.hedged || state.live.len() != 1 || state.queued {
             return;
         }
@@ -96,11 +123,18 @@
 
     /// Whether one more server of the tier may be ejected.
     pub(super) fn may_eject(&self, backend: BackendId) -> bool {
-        let Some(server) = self.backends.get(&backend) else { return false };
+        let Some(server) = self.backends.get(&backend) else {
+            return false;
+        };
         let tier = usize::from(matches!(server.spec.place, Place::Remote(_)));
-        let Some(tiers) = self.tiers.get(usize::from(server.spec.service)) else { return false };
+        let Some(tiers) = self.tiers.get(usize::from(server.spec.service)) else {
+            return false;
+        };
         let members = &tiers[tier];
-        let suspects = members.iter().filter(|id| self.backends.get(id).is_some_and(Backend::suspect)).count();
+        let suspects = members
+            .iter()
+            .filter(|id| self.backends.get(id).is_some_and(Backend::suspect))
+            .count();
         (suspects + 1) as f64 <= members.len() as f64 * EJECTED_PART
     }
 
@@ -108,7 +142,9 @@
     pub(super) fn impossible(&self, request: u64) -> Option<Kind> {
         let state = self.requests.get(&request)?;
         let service = usize::from(self.classes[state.class].spec.service);
-        let Some(tiers) = self.tiers.get(service) else { return Some(Kind::NoBackend) };
+        let Some(tiers) = self.tiers.get(service) else {
+            return Some(Kind::NoBackend);
+        };
         let ids = || tiers.iter().flatten().filter_map(|id| self.backends.get(id));
         let serves = |server: &&Backend| !server.leaving() && !state.barred.contains(&server.spec.id);
         let reached = |server: &&Backend| !server.closed(state.deadline);
@@ -156,7 +192,11 @@
         if !self.usable(server, state, now) {
             return;
         }
-        let distance = if server.spec.place == Place::Region { DOMAIN_COST } else { 0.0 };
+        let distance = if server.spec.place == Place::Region {
+            DOMAIN_COST
+        } else {
+            0.0
+        };
         let score = (server.load(now) + 1.0) * server.ratio() + distance;
         if best.is_none_or(|(lowest, _)| score < lowest) {
             *best = Some((score, id));
@@ -201,7 +241,9 @@
     }
 
     fn others_usable(&self, server: &Backend, now: Time) -> bool {
-        let Some(tiers) = self.tiers.get(usize::from(server.spec.service)) else { return false };
+        let Some(tiers) = self.tiers.get(usize::from(server.spec.service)) else {
+            return false;
+        };
         let healthy = |id: &BackendId| {
             let other = self.backends.get(id);
             other.is_some_and(|other| !other.suspect() && !other.leaving() && !other.closed(now))
@@ -211,10 +253,12 @@
 
     /// Whether work may leave the region: it has nothing there, or would wait too long.
     fn remote_allowed(&self, service: usize, state: &Request, now: Time) -> bool {
-        let Some(tiers) = self.tiers.get(service) else { return false };
+        let Some(tiers) = self.tiers.get(service) else {
+            return false;
+        };
         let serves = |id: &BackendId| {
             let server = self.backends.get(id);
-            server.is_some_and(|server| !server.leaving() && !(server.suspect() && server.closed(now)))
+            server.is_some_and(|server| !(server.leaving() || server.suspect() && server.closed(now)))
         };
         if !tiers[0].iter().any(serves) {
             return true;
@@ -228,7 +272,9 @@
     /// Whether the link and the other region have room within our share.
     fn channel_open(&self, place: Place, state: &Request, now: Time) -> bool {
         let Place::Remote(region) = place else { return true };
-        let Some(channel) = self.channels.get(&region) else { return false };
+        let Some(channel) = self.channels.get(&region) else {
+            return false;
+        };
         let most = self.classes[state.class].size().max(state.bytes as f64);
         channel.in_flight < channel.limit && channel.bucket.clone().level(now) >= most
     }
--- a/crates/dispatch/src/engine/queue.rs
+++ b/crates/dispatch/src/engine/queue.rs
@@ -27,7 +27,9 @@
 
     /// Puts a request into its queue: first if it was tried before.
     pub(super) fn enqueue(&mut self, request: u64, first: bool) {
-        let Some(state) = self.requests.get_mut(&request) else { return };
+        let Some(state) = self.requests.get_mut(&request) else {
+            return;
+        };
         state.queued = true;
         self.queued += 1;
         let queue = &mut self.classes[state.class].queue;
@@ -92,14 +94,18 @@
 
     /// Whether a request that was never sent cannot finish any more.
     fn hopeless(&self, request: u64, now: Time) -> bool {
-        let Some(state) = self.requests.get(&request) else { return false };
+        let Some(state) = self.requests.get(&request) else {
+            return false;
+        };
         let half = self.classes[state.class].typical() / 2;
         now + half > state.deadline
     }
 
     fn head_aged(&self, class: usize, now: Time) -> bool {
         let head = self.classes[class].queue.front();
-        let arrived = head.and_then(|request| self.requests.get(request)).map(|state| state.arrived);
+        let arrived = head
+            .and_then(|request| self.requests.get(request))
+            .map(|state| state.arrived);
         arrived.is_some_and(|arrived| self.classes[class].aged(arrived, now))
     }
 
@@ -107,17 +113,23 @@
     fn displace(&mut self, class: usize) -> bool {
         let rank = self.classes[class].spec.rank;
         let worse = |index: &&usize| self.classes[**index].spec.rank > rank && !self.classes[**index].queue.is_empty();
-        let Some(victim) = self.order.iter().rev().find(worse).copied() else { return false };
-        let Some(request) = self.classes[victim].queue.back().copied() else { return false };
+        let Some(victim) = self.order.iter().rev().find(worse).copied() else {
+            return false;
+        };
+        let Some(request) = self.classes[victim].queue.back().copied() else {
+            return false;
+        };
         self.refuse(request, Kind::QueueFull);
         true
     }
 
     fn look_again(&mut self, now: Time) {
         let next = now + LOOK_AGAIN;
-        let planned = self.timers.range((now, Timer::Late(0))..).take(8).any(|(at, timer)| {
-            *timer == Timer::Look && *at <= next
-        });
+        let planned = self
+            .timers
+            .range((now, Timer::Late(0))..)
+            .take(8)
+            .any(|(at, timer)| *timer == Timer::Look && *at <= next);
         if !planned {
             self.timers.insert((next, Timer::Look));
         }
--- a/crates/dispatch/src/poison.rs
+++ b/crates/dispatch/src/poison.rs
@@ -29,7 +29,10 @@
 impl Poison {
     /// Remembers each loss for `kept`.
     pub const fn new(kept: Duration) -> Self {
-        Self { kept, records: BTreeMap::new() }
+        Self {
+            kept,
+            records: BTreeMap::new(),
+        }
     }
 
     /// Notes that the loss with the unique number `loss` happened to `fingerprint`.
@@ -55,7 +58,11 @@
     pub fn losses(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
         let pairs = |(fingerprint, record): (&u64, &Record)| {
             let fingerprint = *fingerprint;
-            record.losses.iter().map(move |loss| (fingerprint, *loss)).collect::<Vec<_>>()
+            record
+                .losses
+                .iter()
+                .map(move |loss| (fingerprint, *loss))
+                .collect::<Vec<_>>()
         };
         self.records.iter().flat_map(pairs)
     }
@@ -67,7 +74,11 @@
         let kept = self.kept;
         self.records.retain(|_, record| now.since(record.seen) < kept);
         if self.records.len() >= MOST {
-            let oldest = self.records.iter().min_by_key(|(_, record)| record.seen).map(|(key, _)| *key);
+            let oldest = self
+                .records
+                .iter()
+                .min_by_key(|(_, record)| record.seen)
+                .map(|(key, _)| *key);
             oldest.map(|key| self.records.remove(&key));
         }
     }
--- a/crates/dispatch/src/subset.rs
+++ b/crates/dispatch/src/subset.rs
@@ -13,7 +13,10 @@
         return true;
     }
     let own = hash::pair(backend, daemon);
-    let better = daemons.iter().filter(|other| hash::pair(backend, **other) > own).count();
+    let better = daemons
+        .iter()
+        .filter(|other| hash::pair(backend, **other) > own)
+        .count();
     better < most
 }
 
@@ -24,7 +27,9 @@
 pub fn hosts(daemon: u64, daemons: &[u64], backends: &[u64]) -> Vec<bool> {
     let mut sorted = daemons.to_vec();
     sorted.sort_unstable();
-    let Ok(own) = sorted.binary_search(&daemon) else { return vec![false; backends.len()] };
+    let Ok(own) = sorted.binary_search(&daemon) else {
+        return vec![false; backends.len()];
+    };
     let mut order: Vec<usize> = (0..backends.len()).collect();
     order.sort_unstable_by_key(|index| backends[*index]);
     let mut hosted = vec![false; backends.len()];
--- a/crates/fakes/src/cli.rs
+++ b/crates/fakes/src/cli.rs
@@ -52,8 +52,11 @@
 
     /// The number of option `name`, or `default`.
     pub fn number(&self, name: &str, default: u64) -> Result<u64> {
-        let Some(text) = self.values.get(name) else { return Ok(default) };
-        text.parse().map_err(|_source| Error::Number(name.to_owned(), text.clone()))
+        let Some(text) = self.values.get(name) else {
+            return Ok(default);
+        };
+        text.parse()
+            .map_err(|_source| Error::Number(name.to_owned(), text.clone()))
     }
 }
 
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -18,7 +18,7 @@
 /// Times a piece of news is passed on, for each doubling of the members.
 const SPREAD: u32 = 2;
 /// How long the record of a dead or departed member is kept.
-const GRAVE: Duration = Duration::from_secs(600);
+const GRAVE: Duration = Duration::from_mins(10);
 
 /// Times of the membership protocol.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -89,7 +89,9 @@
     /// Takes the platform's list.
     pub fn list(&mut self, instances: &[Instance]) {
         let entries = instances.iter().filter(|instance| instance.role == Role::Entry);
-        self.listed = entries.map(|instance| (instance.name.clone(), instance.clone())).collect();
+        self.listed = entries
+            .map(|instance| (instance.name.clone(), instance.clone()))
+            .collect();
     }
 
     /// Entry instances in the platform's list, by name.
@@ -116,8 +118,14 @@
         let dead_too = self.targets.chance(DEAD_CHANCE);
         let own = &self.own.name;
         let members = &self.members;
-        let gone = |name: &str| members.get(name).is_some_and(|member| member.record.state >= State::Dead);
-        let names = members.keys().chain(self.listed.keys().filter(|name| !members.contains_key(*name)));
+        let gone = |name: &str| {
+            members
+                .get(name)
+                .is_some_and(|member| member.record.state >= State::Dead)
+        };
+        let names = members
+            .keys()
+            .chain(self.listed.keys().filter(|name| !members.contains_key(*name)));
         let allowed = |name: &str| name != own && (dead_too || !gone(name));
         let name = self.targets.next(names, allowed)?;
         let address = self.address(&name)?.to_owned();
@@ -128,7 +136,10 @@
     pub fn some(&mut self, most: usize) -> Vec<(String, String)> {
         let alive: Vec<String> = self.alive().map(str::to_owned).collect();
         let chosen = self.targets.some(alive, most);
-        chosen.into_iter().filter_map(|name| Some((name.clone(), self.address(&name)?.to_owned()))).collect()
+        chosen
+            .into_iter()
+            .filter_map(|name| Some((name.clone(), self.address(&name)?.to_owned())))
+            .collect()
     }
 
     /// Where peers reach the member `name`.
@@ -148,7 +159,13 @@
         });
         let losses = losses.collect();
         self.losses.retain(|(_, times)| *times > 0);
-        Message { from: self.own.clone(), revision, records, loads, losses }
+        Message {
+            from: self.own.clone(),
+            revision,
+            records,
+            loads,
+            losses,
+        }
     }
 
     /// Takes in a message that came at `now`.
@@ -186,7 +203,12 @@
             (Some(member), _) => member,
             (None, Some(listed)) => {
                 let record = unheard(listed);
-                let member = Member { record, changed: now, heard: None, spread: 0 };
+                let member = Member {
+                    record,
+                    changed: now,
+                    heard: None,
+                    spread: 0,
+                };
                 self.members.entry(name.to_owned()).or_insert(member)
             }
             (None, None) => return,
@@ -221,7 +243,10 @@
 
     /// Names of the other members that live, suspects among them.
     pub fn alive(&self) -> impl Iterator<Item = &str> {
-        let living = self.members.values().filter(|member| member.record.state <= State::Suspect);
+        let living = self
+            .members
+            .values()
+            .filter(|member| member.record.state <= State::Suspect);
         living.map(|member| member.record.name.as_str())
     }
 
@@ -264,7 +289,12 @@
             }
             Some(_) => {}
             None => {
-                let member = Member { record: record.clone(), changed: now, heard: None, spread };
+                let member = Member {
+                    record: record.clone(),
+                    changed: now,
+                    heard: None,
+                    spread,
+                };
                 self.members.insert(record.name.clone(), member);
             }
         }
@@ -284,8 +314,12 @@
 
     /// Records for a message: those passed on least first.
     fn news(&mut self) -> Vec<Record> {
-        let mut waiting: Vec<(u32, String)> =
-            self.members.values().filter(|member| member.spread > 0).map(|member| (member.spread, member.record.name.clone())).collect();
+        let mut waiting: Vec<(u32, String)> = self
+            .members
+            .values()
+            .filter(|member| member.spread > 0)
+            .map(|member| (member.spread, member.record.name.clone()))
+            .collect();
         waiting.sort_unstable_by(|one, other| other.cmp(one));
         let mut records = Vec::new();
         for (_, name) in waiting.into_iter().take(RECORDS) {
--- a/crates/ledger/src/kept.rs
+++ b/crates/ledger/src/kept.rs
@@ -14,7 +14,12 @@
 impl<A: Clone> Kept<A> {
     /// Keeps at most `most_bytes` of answers.
     pub const fn new(most_bytes: u64) -> Self {
-        Self { most_bytes, bytes: 0, answers: BTreeMap::new(), order: VecDeque::new() }
+        Self {
+            most_bytes,
+            bytes: 0,
+            answers: BTreeMap::new(),
+            order: VecDeque::new(),
+        }
     }
 
     /// Keeps an answer of `bytes` bytes; one larger than the bound is not kept.
@@ -27,7 +32,9 @@
         self.answers.insert(key, (answer, bytes));
         self.order.push_back(key);
         while self.bytes > self.most_bytes {
-            let Some(oldest) = self.order.front().copied() else { return };
+            let Some(oldest) = self.order.front().copied() else {
+                return;
+            };
             self.remove(oldest);
         }
     }
--- a/crates/ledger/src/make.rs
+++ b/crates/ledger/src/make.rs
@@ -65,7 +65,11 @@
 impl Maker {
     /// Makes a claim for `incarnation` until `give_up`; `unsent` says that the ledger remembers the key as unsent.
     pub const fn new(incarnation: u64, unsent: bool, give_up: Time) -> Self {
-        Self { incarnation, unsent, give_up }
+        Self {
+            incarnation,
+            unsent,
+            give_up,
+        }
     }
 
     /// The first call.
--- a/crates/ledger/src/table.rs
+++ b/crates/ledger/src/table.rs
@@ -70,6 +70,8 @@
     state: State,
     fingerprint: u64,
     session: bool,
+    /// Whether a claim under our name may stand in the store.
+    stored: bool,
     changed: Time,
 }
 
@@ -98,7 +100,13 @@
     /// An empty ledger of the daemon's incarnation `incarnation`.
     pub const fn new(incarnation: u64, limits: Limits) -> Self {
         let kept = Kept::new(limits.answer_bytes);
-        Self { incarnation, limits, entries: BTreeMap::new(), sessions: 0, kept }
+        Self {
+            incarnation,
+            limits,
+            entries: BTreeMap::new(),
+            sessions: 0,
+            kept,
+        }
     }
 
     /// A request with `key` came; `session` says that the key belongs to a session of this incarnation.
@@ -123,13 +131,31 @@
         self.make_room(now);
         let state = if session { State::Running } else { State::Claiming };
         self.sessions += usize::from(session);
-        self.entries.insert(key, Entry { state, fingerprint, session, changed: now });
+        self.entries.insert(
+            key,
+            Entry {
+                state,
+                fingerprint,
+                session,
+                stored: false,
+                changed: now,
+            },
+        );
         if session { Step::Run } else { Step::Claim }
     }
 
+    /// The claim of `key` is about to be sent to the store.
+    pub fn claiming(&mut self, key: u128) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.stored = true;
+        }
+    }
+
     /// The store answered the claim of `key`; called once for each [`Step::Claim`].
     pub fn claimed(&mut self, key: u128, held: Held, now: Time) -> Step<A> {
-        let Some(entry) = self.entries.get_mut(&key) else { return Step::Refuse(Kind::AlreadyClaimed) };
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return Step::Refuse(Kind::AlreadyClaimed);
+        };
         if entry.state != State::Claiming {
             return self.again(key);
         }
@@ -141,6 +167,9 @@
             }
             Held::Silent => {
                 entry.state = State::Idle;
+                if !entry.stored {
+                    self.remove(key);
+                }
                 Step::Refuse(Kind::ClaimUnavailable)
             }
             Held::Other(claim) if claim.fingerprint != entry.fingerprint => {
@@ -164,7 +193,9 @@
     /// Such a claim may be replaced by compare-and-swap at its revision, and counts as ours only once that is done:
     /// a peer that was told [`Word::NeverRun`] may be taking it over at the same revision.
     pub fn unsent(&self, key: u128) -> bool {
-        self.entries.get(&key).is_some_and(|entry| entry.state == State::Claiming)
+        self.entries
+            .get(&key)
+            .is_some_and(|entry| entry.state == State::Claiming)
     }
 
     /// A request that ran, or was to run, got its whole answer.
@@ -176,13 +207,19 @@
     /// A request ended with an error; `true` if its claim should be deleted from the store.
     pub fn failed(&mut self, key: u128, kind: Kind, now: Time) -> bool {
         let unknown = kind.answer().outcome == Outcome::Unknown;
-        let Some(entry) = self.entries.get_mut(&key) else { return false };
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return false;
+        };
         if entry.state != State::Running {
             return false;
         }
         entry.changed = now;
         entry.state = if unknown { State::Done } else { State::Idle };
-        !unknown && !entry.session
+        let release = !unknown && !entry.session;
+        if !unknown && entry.session {
+            self.remove(key);
+        }
+        release
     }
 
     /// The claim of a key that never ran is gone from the store.
@@ -195,7 +232,9 @@
 
     /// What a peer that holds a claim of ours may be told; a key that never ran is given up for good.
     pub fn word(&mut self, key: u128, now: Time) -> Word<A> {
-        let Some(entry) = self.entries.get_mut(&key) else { return Word::Unknown };
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return Word::Unknown;
+        };
         match entry.state {
             State::Claiming | State::Running => Word::Running,
             State::Done => self.kept.get(key).map_or(Word::Unknown, Word::Ran),
@@ -218,7 +257,10 @@
     }
 
     fn again(&mut self, key: u128) -> Step<A> {
-        let given_up = self.entries.get(&key).is_some_and(|entry| entry.state == State::GivenUp);
+        let given_up = self
+            .entries
+            .get(&key)
+            .is_some_and(|entry| entry.state == State::GivenUp);
         match self.kept.get(key) {
             Some(answer) => Step::Replay(answer),
             None if given_up => {
@@ -254,7 +296,10 @@
             return;
         }
         self.forget_old(now);
-        let stored = self.entries.iter().filter(|(_, entry)| !entry.session && entry.state == State::Done);
+        let stored = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| !entry.session && entry.state == State::Done);
         let mut oldest: Vec<(Time, u128)> = stored.map(|(key, entry)| (entry.changed, *key)).collect();
         oldest.sort_unstable();
         for (_, key) in oldest.into_iter().take(MOST_STORED / 8) {
@@ -266,7 +311,12 @@
         let kept = self.limits.kept;
         let settled = |state| matches!(state, State::Done | State::Idle | State::GivenUp);
         let old = |entry: &Entry| now.since(entry.changed) >= kept && settled(entry.state);
-        let keys: Vec<u128> = self.entries.iter().filter(|(_, entry)| old(entry)).map(|(key, _)| *key).collect();
+        let keys: Vec<u128> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| old(entry))
+            .map(|(key, _)| *key)
+            .collect();
         for key in keys {
             self.remove(key);
         }
--- a/crates/steer/src/grant.rs
+++ b/crates/steer/src/grant.rs
@@ -13,11 +13,11 @@
 /// Slots of a region; a daemon at most needs one, so this bounds the entry instances that share links.
 pub const SLOTS: u32 = 256;
 /// Time to live of a holder's lease: longer than an outage of the store that we go on through.
-pub const LEASE: Duration = Duration::from_secs(7_200);
+pub const LEASE: Duration = Duration::from_hours(2);
 /// Part of the lease in which slots are used; the rest covers clocks that run at different speeds.
 const USED_PART: f64 = 0.9;
 /// Time between renewals.
-pub const RENEWAL: Duration = Duration::from_secs(900);
+pub const RENEWAL: Duration = Duration::from_mins(15);
 /// Time between looks for a fairer part.
 pub const REVIEW: Duration = Duration::from_secs(30);
 
@@ -55,7 +55,13 @@
 impl Keeper {
     /// A keeper that holds nothing.
     pub const fn new() -> Self {
-        Self { held: BTreeMap::new(), leased: false, valid_until: Time::ZERO, renewed: Time::ZERO, reviewed: None }
+        Self {
+            held: BTreeMap::new(),
+            leased: false,
+            valid_until: Time::ZERO,
+            renewed: Time::ZERO,
+            reviewed: None,
+        }
     }
 
     /// The part of the whole that may be used at `now`, from zero to one.
@@ -126,6 +132,13 @@
         if extra == 0 {
             return Plan::Rest;
         }
-        Plan::Drop(self.held.iter().rev().take(extra).map(|(number, revision)| (*number, *revision)).collect())
+        Plan::Drop(
+            self.held
+                .iter()
+                .rev()
+                .take(extra)
+                .map(|(number, revision)| (*number, *revision))
+                .collect(),
+        )
     }
 }
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -64,12 +64,17 @@
     /// Everyone stays at home.
     pub fn home(regions: usize) -> Self {
         let row = |from: usize| (0..regions).map(|to| f64::from(u8::from(from == to))).collect();
-        Self { parts: (0..regions).map(row).collect(), open: vec![true; regions] }
+        Self {
+            parts: (0..regions).map(row).collect(),
+            open: vec![true; regions],
+        }
     }
 
     /// The region of a block whose home is `home` and whose hash maps to `unit`, from zero to one.
     pub fn region(&self, home: RegionId, unit: f64) -> RegionId {
-        let Some(row) = self.parts.get(usize::from(home)) else { return home };
+        let Some(row) = self.parts.get(usize::from(home)) else {
+            return home;
+        };
         let mut left = unit - row[usize::from(home)];
         if left < 0.0 {
             return home;
@@ -90,7 +95,11 @@
 
     /// The part of `from`'s callers that goes to `to`.
     pub fn part(&self, from: RegionId, to: RegionId) -> f64 {
-        self.parts.get(usize::from(from)).and_then(|row| row.get(usize::from(to))).copied().unwrap_or(0.0)
+        self.parts
+            .get(usize::from(from))
+            .and_then(|row| row.get(usize::from(to)))
+            .copied()
+            .unwrap_or(0.0)
     }
 }
 
@@ -116,8 +125,16 @@
 impl Controller {
     /// A controller for `regions` regions whose callers keep answers for `kept`.
     pub fn new(regions: usize, kept: Duration, now: Time) -> Self {
-        let region = Region { stepped: now, updated: now, ..Region::default() };
-        Self { regions: vec![region; regions], shares: Shares::home(regions), settle: kept + STALE }
+        let region = Region {
+            stepped: now,
+            updated: now,
+            ..Region::default()
+        };
+        Self {
+            regions: vec![region; regions],
+            shares: Shares::home(regions),
+            settle: kept + STALE,
+        }
     }
 
     /// The shares in force.
@@ -186,6 +203,11 @@
 fn room(from: usize, loads: &[Load], now: Time) -> f64 {
     let sources = loads.len().saturating_sub(1).max(1) as f64;
     let demand = loads[from].busy.max(1.0);
-    let spare: f64 = loads.iter().enumerate().filter(|(to, _)| *to != from).map(|(_, load)| load.spare(now)).sum();
+    let spare: f64 = loads
+        .iter()
+        .enumerate()
+        .filter(|(to, _)| *to != from)
+        .map(|(_, load)| load.spare(now))
+        .sum();
     spare / sources / demand
 }
--- a/crates/steer/src/table.rs
+++ b/crates/steer/src/table.rs
@@ -89,7 +89,9 @@
                 return;
             }
             open.pop();
-            let Some(after) = block.last().checked_add(1) else { continue };
+            let Some(after) = block.last().checked_add(1) else {
+                continue;
+            };
             let outer = open.last().filter(|outer| outer.last() >= after);
             self.push(after, outer.map_or(NONE, |outer| outer.region));
         }
