Prove dispatch and the ledger by property tests with fixed seeds

Cause: the engine and the ledger had no proof. Fix: two distinct usable servers. Ledger: 20,000 schedules, no key run twice; three wrong methods are each caught by the same check.

--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -124,7 +124,6 @@
                 return Ok(whole);
             }
             Step::Refuse(kind) => return Err(kind),
-            Step::Ask(_) => return Err(Kind::StillRunning),
         }
     }
     let outgoing = Arc::new(Outgoing {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -117,7 +117,7 @@
             list: Mutex::new((Vec::new(), None)),
             agents: Agents::new(Duration::from_millis(settings.dispatch.connect_ms)),
             driver: Driver::new(Engine::new(Vec::new(), limits, incarnation)),
-            ledger: Mutex::new(Ledger::new(incarnation, keys)),
+            ledger: Mutex::new(Ledger::new(keys)),
             span: Mutex::new(None),
             burn: Mutex::new(BTreeMap::new()),
             metrics: Metrics::new(),
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -7,8 +7,8 @@
 use base::hash;
 use base::time::Time;
 use ledger::claim::Claim;
-use ledger::make::{Call, Maker, Progress, Reply};
-use ledger::table::{Held, Step, Word};
+use ledger::make::{Call, Held, Maker, Progress, Reply, Word};
+use ledger::table::Step;
 use store::{Change, Commit, Error, Lease, Store as _, key};
 
 use crate::Context;
@@ -61,19 +61,19 @@
         return Ok(());
     }
     lock(&context.ledger).claiming(order.key);
-    let progress = make(context, order, deadline);
-    let now = context.now();
-    if let Progress::Ours(revision) = &progress {
+    let held = make(context, order, deadline);
+    if let Held::Ours(revision) = &held {
         *lock(&order.revision) = Some(*revision);
     }
-    match lock(&context.ledger).claimed(order.key, progress.held(), now) {
+    let now = context.now();
+    match lock(&context.ledger).claimed(order.key, held, now) {
         Step::Run => Ok(()),
         Step::Refuse(kind) => Err(kind),
         Step::Replay(whole) => {
             *lock(&order.earlier) = Some(whole);
             Err(Kind::AlreadyClaimed)
         }
-        Step::Ask(_) | Step::Claim => Err(later(order)),
+        Step::Claim => Err(Kind::ClaimUnavailable),
     }
 }
 
@@ -104,73 +104,40 @@
     lock(&context.ledger).word(key, now)
 }
 
-/// The answer when a peer runs or ran the order: its word was kept in `make`.
-fn later(order: &Order) -> Kind {
-    if lock(&order.earlier).is_some() {
-        Kind::AlreadyClaimed
-    } else {
-        Kind::StillRunning
-    }
-}
-
-/// Makes the claim at the store; another's claim is taken over if that daemon says that it never ran.
-fn make(context: &Arc<Context>, order: &Order, deadline: Time) -> Progress {
+/// Makes the claim at the store, asking the claimant if there is another.
+fn make(context: &Arc<Context>, order: &Order, deadline: Time) -> Held<Arc<Whole>> {
     let give_up = deadline - Duration::from_millis(CLAIM_MARGIN_MS);
     let unsent = lock(&context.ledger).unsent(order.key);
-    let maker = Maker::new(context.incarnation, unsent, give_up);
+    let maker = Maker::new(context.incarnation, order.fingerprint, unsent, give_up);
     let mut progress = maker.first();
     loop {
         match progress {
             Progress::Call(call) => {
-                let reply = call_store(context, order, call);
+                let reply = perform(context, order, call);
                 progress = maker.next(reply, context.now());
             }
-            Progress::Other(claim, revision) if claim.incarnation != context.incarnation => {
-                match ask(context, order, &claim) {
-                    Word::NeverRun if context.now() < give_up => progress = Progress::Call(Call::Write(revision)),
-                    Word::NeverRun => return Progress::Silent,
-                    Word::Ran(whole) => {
-                        *lock(&order.earlier) = Some(whole);
-                        return Progress::Other(claim, revision);
-                    }
-                    Word::Running => return Progress::Other(claim, revision),
-                    Word::Unknown => {
-                        // The claimant itself cannot be asked: as if the key had been ours and forgotten.
-                        let forgotten = Claim {
-                            incarnation: context.incarnation,
-                            ..claim
-                        };
-                        return Progress::Other(forgotten, revision);
-                    }
-                }
-            }
-            ended => return ended,
+            Progress::End(held) => return held,
         }
     }
 }
 
-fn ask(context: &Arc<Context>, order: &Order, claim: &Claim) -> Word<Arc<Whole>> {
-    if claim.fingerprint != order.fingerprint {
-        return Word::Running;
-    }
-    peers::client::word(context, &claim.peers, claim.incarnation, order.key)
-}
-
-fn call_store(context: &Context, order: &Order, call: Call) -> Reply {
+fn perform(context: &Arc<Context>, order: &Order, call: Call) -> Reply<Arc<Whole>> {
     let name = key::claim(order.key);
     let reply = match call {
         Call::Write(expect) => write(context, order, &name, expect),
         Call::Read => read(context, &name),
+        Call::Ask(claim, revision) => {
+            let word = peers::client::word(context, &claim.peers, claim.incarnation, order.key);
+            return Reply::Said(word, revision);
+        }
     };
-    let result = match reply {
-        Reply::Unsent | Reply::Lost => "failed",
-        Reply::Written(_) | Reply::Conflict | Reply::Found(_) => "ok",
-    };
+    let failed = matches!(reply, Reply::Unsent | Reply::Lost);
+    let result = if failed { "failed" } else { "ok" };
     context.metrics.store_calls.with_label_values(&["claim", result]).inc();
     reply
 }
 
-fn write(context: &Context, order: &Order, name: &str, expect: u64) -> Reply {
+fn write(context: &Context, order: &Order, name: &str, expect: u64) -> Reply<Arc<Whole>> {
     let Ok(lease) = lease(context) else {
         return Reply::Unsent;
     };
@@ -192,7 +159,7 @@
     }
 }
 
-fn read(context: &Context, name: &str) -> Reply {
+fn read(context: &Context, name: &str) -> Reply<Arc<Whole>> {
     match context.store.read(name) {
         Ok(None) => Reply::Found(None),
         Ok(Some(entry)) => match Claim::parse(&entry.value) {
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -28,8 +28,8 @@
 }
 
 /// What the daemon at `address` says of a key that its incarnation `incarnation` claimed. Blocks.
-pub fn word(context: &Arc<Context>, address: &str, incarnation: u64, key: u128) -> ledger::table::Word<Arc<Whole>> {
-    use ledger::table::Word as Known;
+pub fn word(context: &Arc<Context>, address: &str, incarnation: u64, key: u128) -> ledger::make::Word<Arc<Whole>> {
+    use ledger::make::Word as Known;
     let Some(client) = client(context, address) else {
         return Known::Unknown;
     };
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -52,10 +52,10 @@
             return Ok(Word::Unknown);
         };
         Ok(match orders::word(&self.context, key) {
-            ledger::table::Word::Ran(whole) => Word::Ran(whole.as_ref().clone().into()),
-            ledger::table::Word::Running => Word::Running,
-            ledger::table::Word::NeverRun => Word::NeverRun,
-            ledger::table::Word::Unknown => Word::Unknown,
+            ledger::make::Word::Ran(whole) => Word::Ran(whole.as_ref().clone().into()),
+            ledger::make::Word::Running => Word::Running,
+            ledger::make::Word::NeverRun => Word::NeverRun,
+            ledger::make::Word::Unknown => Word::Unknown,
         })
     }
 }
--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -13,7 +13,7 @@
 use crate::error::{Error, Result};
 
 /// Longest time for the daemons to become ready.
-const READY: Duration = Duration::from_secs(60);
+const READY: Duration = Duration::from_mins(1);
 /// Time between two looks at their readiness.
 const LOOK: Duration = Duration::from_millis(50);
 
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -10,8 +10,10 @@
 
 /// Time's worth of a link's rate that may pass in one burst.
 pub(super) const LINK_BURST: Duration = Duration::from_millis(100);
-/// Random servers looked at before all are.
-const SAMPLES: usize = 2;
+/// Usable servers that are compared.
+const CHOICES: u32 = 2;
+/// Random servers looked at to find them.
+const SAMPLES: usize = 8;
 /// Servers looked at when no sample will do.
 const SCANNED: usize = 32;
 /// Wait from which another region is worth its way.
@@ -173,9 +175,17 @@
             return None;
         }
         let mut best: Option<(f64, BackendId)> = None;
+        let mut compared = 0;
         for _ in 0..SAMPLES {
             let id = members[self.rng.usize(..members.len())];
-            self.consider(id, state, now, &mut best);
+            // A server is not compared with itself.
+            if best.is_some_and(|(_, known)| known == id) {
+                continue;
+            }
+            compared += u32::from(self.consider(id, state, now, &mut best));
+            if compared == CHOICES {
+                break;
+            }
         }
         if best.is_none() {
             let start = self.rng.usize(..members.len());
@@ -187,10 +197,11 @@
         best.map(|(_, id)| id)
     }
 
-    fn consider(&self, id: BackendId, state: &Request, now: Time, best: &mut Option<(f64, BackendId)>) {
-        let Some(server) = self.backends.get(&id) else { return };
+    /// Takes a server into the comparison if it is usable; says whether it is.
+    fn consider(&self, id: BackendId, state: &Request, now: Time, best: &mut Option<(f64, BackendId)>) -> bool {
+        let Some(server) = self.backends.get(&id) else { return false };
         if !self.usable(server, state, now) {
-            return;
+            return false;
         }
         let distance = if server.spec.place == Place::Region {
             DOMAIN_COST
@@ -201,6 +212,7 @@
         if best.is_none_or(|(lowest, _)| score < lowest) {
             *best = Some((score, id));
         }
+        true
     }
 
     fn usable(&self, server: &Backend, state: &Request, now: Time) -> bool {
--- /dev/null
+++ b/crates/dispatch/tests/properties.rs
@@ -0,0 +1,128 @@
+//! Random interleavings of requests, endings, reports, drains and time.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{BULK, World, backend};
+use dispatch::Ending;
+use dispatch::backend::Place;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Send(usize),
+    Resend(usize, u64),
+    End(usize, Ending),
+    Pass(u16),
+    Report(u32, u32),
+    Leave(u32, bool),
+}
+
+fn ending() -> impl Strategy<Value = Ending> {
+    prop_oneof![
+        6 => Just(Ending::Answered(500)),
+        2 => Just(Ending::Shed),
+        1 => Just(Ending::Unreachable),
+        2 => Just(Ending::Lost),
+        1 => Just(Ending::Timeout),
+        1 => Just(Ending::Cut),
+        1 => Just(Ending::TooLarge),
+    ]
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        8 => (0_usize..3).prop_map(Event::Send),
+        2 => (0_usize..3, 0_u64..3).prop_map(|(class, fingerprint)| Event::Resend(class, fingerprint)),
+        8 => (any::<usize>(), ending()).prop_map(|(which, ending)| Event::End(which, ending)),
+        6 => (0_u16..400).prop_map(Event::Pass),
+        2 => (1_u32..7, 0_u32..6).prop_map(|(id, load)| Event::Report(id, load)),
+        1 => (1_u32..5, any::<bool>()).prop_map(|(id, leaving)| Event::Leave(id, leaving)),
+    ]
+}
+
+fn play(world: &mut World, event: Event, specs: &mut [dispatch::backend::Spec]) {
+    match event {
+        Event::Send(class) => drop(world.send(class)),
+        Event::Resend(class, fingerprint) => drop(world.send_as(class, fingerprint)),
+        Event::End(which, ending) => {
+            let Some(index) = which.checked_rem(world.live.len()) else { return };
+            let attempt = *world.live.keys().nth(index).expect("the index is within the map");
+            let ending = if world.live[&attempt].cancelled { Ending::Cancelled } else { ending };
+            world.end(attempt, ending);
+        }
+        Event::Pass(millis) => world.pass(Duration::from_millis(millis.into())),
+        Event::Report(id, load) => world.report(id, load, false),
+        Event::Leave(id, leaving) => {
+            specs.iter_mut().filter(|spec| spec.id == id).for_each(|spec| spec.leaving = leaving);
+            let now = world.now;
+            world.engine.set_backends(specs.to_vec(), now);
+            // What was started by this is taken in by the next event.
+            world.pass(Duration::ZERO);
+        }
+    }
+}
+
+/// The world itself asserts after each action: an order is sent again only if it did not run, "not run" is
+/// true, an answer belongs to its request, and the other region's limit holds.
+#[test]
+fn every_request_ends_once_and_truly() {
+    let cases = std::env::var("HEMLOCK_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(3_000);
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]);
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let schedules = (prop::collection::vec(event(), 1..150), any::<u64>());
+    let outcome = runner.run(&schedules, |(schedule, seed)| {
+        let mut specs = vec![
+            backend(1, Place::Domain),
+            backend(2, Place::Domain),
+            backend(3, Place::Region),
+            backend(4, Place::Region),
+            backend(5, Place::Remote(1)),
+            backend(6, Place::Remote(1)),
+        ];
+        let mut world = World::new(specs.clone(), seed);
+        world.set_remote(2, 1e7);
+        for event in schedule {
+            play(&mut world, event, &mut specs);
+        }
+        world.finish();
+        prop_assert!(!world.waiting_limit_broken, "two waiting requests on one server");
+        prop_assert_eq!(world.engine.open(), 0);
+        prop_assert_eq!(world.engine.in_flight(), 0);
+        for (request, trace) in &world.traces {
+            prop_assert_eq!(trace.answers.len(), 1, "request {} of class {}", request, trace.class);
+        }
+        Ok(())
+    });
+    if let Err(error) = outcome {
+        panic!("{error}");
+    }
+}
+
+#[test]
+fn waiting_work_finishes_under_constant_load() {
+    let specs = (1..=4).map(|id| backend(id, Place::Domain)).collect();
+    let mut world = World::new(specs, 1);
+    let bulk: Vec<u64> = (0..4).map(|_| world.send(BULK)).collect();
+    for _ in 0..60_000 {
+        world.send(common::LOOKUP);
+        world.send(common::LOOKUP);
+        world.pass(Duration::from_millis(10));
+        let due: Vec<u64> = world
+            .live
+            .iter()
+            .filter(|(_, live)| world.now.since(live.started) >= Duration::from_millis(50))
+            .map(|(attempt, _)| *attempt)
+            .collect();
+        for attempt in due {
+            world.end(attempt, Ending::Answered(100));
+        }
+    }
+    world.finish();
+    for request in bulk {
+        assert!(common::refused(&world, request).is_none(), "bulk request {request} did not finish");
+    }
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod table;
 
 pub use claim::Claim;
-pub use table::{Held, Ledger, Step};
+pub use make::{Held, Maker};
+pub use table::{Ledger, Step};
--- a/crates/ledger/src/table.rs
+++ b/crates/ledger/src/table.rs
@@ -6,8 +6,8 @@
 use base::error::{Kind, Outcome};
 use base::time::Time;
 
-use crate::claim::Claim;
 use crate::kept::Kept;
+use crate::make::{Held, Word};
 
 /// Keys of claims in the store remembered at most; what is forgotten counts as perhaps run.
 const MOST_STORED: usize = 65_536;
@@ -21,36 +21,10 @@
     Run,
     /// Answer with the answer of an earlier send.
     Replay(A),
-    /// Ask the daemon that claimed it; do not run it.
-    Ask(Claim),
     /// Refuse it.
     Refuse(Kind),
 }
 
-/// What the store said to a claim.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Held {
-    /// The claim is ours, made now.
-    Ours,
-    /// The key is claimed already, as stated.
-    Other(Claim),
-    /// The store said nothing that can be relied on.
-    Silent,
-}
-
-/// What another daemon can say of a key it claimed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Word<A> {
-    /// It ran, and this was the answer.
-    Ran(A),
-    /// It runs now.
-    Running,
-    /// It was never run here and never will be under this claim.
-    NeverRun,
-    /// It may have run.
-    Unknown,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     /// The claim is being made.
@@ -89,7 +63,6 @@
 /// One daemon's keys.
 #[derive(Debug, Clone)]
 pub struct Ledger<A> {
-    incarnation: u64,
     limits: Limits,
     entries: BTreeMap<u128, Entry>,
     sessions: usize,
@@ -97,11 +70,10 @@
 }
 
 impl<A: Clone> Ledger<A> {
-    /// An empty ledger of the daemon's incarnation `incarnation`.
-    pub const fn new(incarnation: u64, limits: Limits) -> Self {
+    /// An empty ledger.
+    pub const fn new(limits: Limits) -> Self {
         let kept = Kept::new(limits.answer_bytes);
         Self {
-            incarnation,
             limits,
             entries: BTreeMap::new(),
             sessions: 0,
@@ -151,40 +123,30 @@
         }
     }
 
-    /// The store answered the claim of `key`; called once for each [`Step::Claim`].
-    pub fn claimed(&mut self, key: u128, held: Held, now: Time) -> Step<A> {
-        let Some(entry) = self.entries.get_mut(&key) else {
-            return Step::Refuse(Kind::AlreadyClaimed);
-        };
+    /// The claim of `key` has come to `held`; called once for each [`Step::Claim`].
+    pub fn claimed(&mut self, key: u128, held: Held<A>, now: Time) -> Step<A> {
+        let Some(entry) = self.entries.get_mut(&key) else { return Step::Refuse(Kind::AlreadyClaimed) };
         if entry.state != State::Claiming {
-            return self.again(key);
+            return Step::Refuse(Kind::AlreadyClaimed);
         }
         entry.changed = now;
         match held {
-            Held::Ours => {
+            Held::Ours(_) => {
                 entry.state = State::Running;
-                Step::Run
+                return Step::Run;
             }
-            Held::Silent => {
+            Held::Silent if entry.stored => {
                 entry.state = State::Idle;
-                if !entry.stored {
-                    self.remove(key);
-                }
-                Step::Refuse(Kind::ClaimUnavailable)
-            }
-            Held::Other(claim) if claim.fingerprint != entry.fingerprint => {
-                self.entries.remove(&key);
-                Step::Refuse(Kind::KeyReused)
-            }
-            Held::Other(claim) if claim.incarnation == self.incarnation => {
-                // Our own claim, of which no record says that nothing was sent.
-                entry.state = State::Done;
-                self.again(key)
-            }
-            Held::Other(claim) => {
-                self.entries.remove(&key);
-                Step::Ask(claim)
+                return Step::Refuse(Kind::ClaimUnavailable);
             }
+            _ => self.remove(key),
+        }
+        match held {
+            Held::Ran(answer) => Step::Replay(answer),
+            Held::Busy => Step::Refuse(Kind::StillRunning),
+            Held::Reused => Step::Refuse(Kind::KeyReused),
+            Held::Silent => Step::Refuse(Kind::ClaimUnavailable),
+            Held::Taken | Held::Ours(_) => Step::Refuse(Kind::AlreadyClaimed),
         }
     }
 
--- /dev/null
+++ b/crates/ledger/tests/once.rs
@@ -0,0 +1,320 @@
+//! At most once, under random interleavings of sends, deaths, lost answers and late writes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::error::Kind;
+use base::time::Time;
+use fakes::state::State;
+use ledger::claim::Claim;
+use ledger::make::{Call, Held, Maker, Progress, Reply, Word};
+use ledger::table::{Ledger, Limits, Step};
+use proptest::prelude::*;
+use proptest::strategy::ValueTree as _;
+use store::{Change, Commit, key};
+
+const NODES: usize = 3;
+const KEYS: u128 = 2;
+const FINGERPRINT: u64 = 7;
+const LIMITS: Limits = Limits { kept: Duration::from_hours(24), session_keys: 8, answer_bytes: 1_000 };
+const NEVER: Time = Time::MAX;
+
+/// How a claim is made; all but the first are wrong on purpose, to show that the check sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Method {
+    Product,
+    /// A lost answer is taken for a success.
+    AssumeWritten,
+    /// A claim of ours that stands in the store is taken without being written anew.
+    TrustOwnClaim,
+    /// The claimant's silence is taken for "never run".
+    AssumeNeverRun,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    Down,
+    LoseAnswer,
+    LoseRequest,
+    /// The write takes effect later, after the client gave up on it.
+    Late,
+}
+
+#[derive(Debug, Clone)]
+enum Stage {
+    New,
+    Calling(Maker, Call),
+    Ready(u64),
+    Over,
+}
+
+#[derive(Debug, Clone)]
+struct Send {
+    node: usize,
+    incarnation: u64,
+    key: u128,
+    stage: Stage,
+}
+
+struct World {
+    method: Method,
+    store: State,
+    nodes: Vec<(u64, Ledger<u64>)>,
+    sends: Vec<Send>,
+    late: Vec<Change>,
+    runs: BTreeMap<u128, u32>,
+    next_incarnation: u64,
+}
+
+/// One step of the schedule.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Send(usize, u128),
+    Step(usize, Fault, u8),
+    Kill(usize),
+    DeliverLate(usize),
+}
+
+impl World {
+    fn new(method: Method) -> Self {
+        let nodes = (1..=NODES as u64).map(|incarnation| (incarnation, Ledger::new(LIMITS))).collect();
+        let (sends, late, runs) = (Vec::new(), Vec::new(), BTreeMap::new());
+        Self { method, store: State::new(), nodes, sends, late, runs, next_incarnation: 100 }
+    }
+
+    fn play(&mut self, event: Event) {
+        match event {
+            Event::Send(node, key) => {
+                let incarnation = self.nodes[node].0;
+                self.sends.push(Send { node, incarnation, key, stage: Stage::New });
+            }
+            Event::Step(which, fault, ending) => {
+                if let Some(index) = which.checked_rem(self.sends.len()) {
+                    self.step(index, fault, ending);
+                }
+            }
+            Event::Kill(node) => {
+                self.next_incarnation += 1;
+                self.nodes[node] = (self.next_incarnation, Ledger::new(LIMITS));
+            }
+            Event::DeliverLate(which) => {
+                if let Some(index) = which.checked_rem(self.late.len()) {
+                    let change = self.late.remove(index);
+                    self.store.commit(&[change], Time::ZERO);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, index: usize, fault: Fault, ending: u8) {
+        let send = self.sends[index].clone();
+        if self.nodes[send.node].0 != send.incarnation {
+            self.sends[index].stage = Stage::Over;
+            return;
+        }
+        self.sends[index].stage = match send.stage.clone() {
+            Stage::New => self.begin(&send),
+            Stage::Calling(maker, call) => {
+                let reply = self.call(&send, &call, fault);
+                self.reply(&send, maker, reply)
+            }
+            Stage::Ready(revision) => self.run(&send, revision, fault, ending),
+            Stage::Over => Stage::Over,
+        };
+    }
+
+    fn begin(&mut self, send: &Send) -> Stage {
+        let ledger = &mut self.nodes[send.node].1;
+        match ledger.begin(send.key, FINGERPRINT, false, Time::ZERO) {
+            Step::Claim => {
+                ledger.claiming(send.key);
+                let maker = Maker::new(send.incarnation, FINGERPRINT, ledger.unsent(send.key), NEVER);
+                let Progress::Call(call) = maker.first::<u64>() else { unreachable!("the first step is a call") };
+                Stage::Calling(maker, call)
+            }
+            Step::Run => unreachable!("no session here"),
+            Step::Replay(_) | Step::Refuse(_) => Stage::Over,
+        }
+    }
+
+    fn call(&mut self, send: &Send, call: &Call, fault: Fault) -> Reply<u64> {
+        let name = key::claim(send.key);
+        match call {
+            Call::Write(expect) => {
+                let claim = Claim { incarnation: send.incarnation, fingerprint: FINGERPRINT, peers: String::new() };
+                let change = Change::set(&name, *expect, claim.to_bytes());
+                self.write(change, fault)
+            }
+            Call::Read => match fault {
+                Fault::None => {
+                    let found = self.store.range(&name, None, Time::ZERO).pop();
+                    Reply::Found(found.map(|entry| {
+                        let claim = Claim::parse(&entry.value).expect("claims are written whole");
+                        (claim, entry.revision)
+                    }))
+                }
+                _ => Reply::Unsent,
+            },
+            Call::Ask(claim, revision) => {
+                let word = self.ask(claim, send.key, fault);
+                Reply::Said(word, *revision)
+            }
+        }
+    }
+
+    fn ask(&mut self, claim: &Claim, key: u128, fault: Fault) -> Word<u64> {
+        let claimant = self.nodes.iter_mut().find(|(incarnation, _)| *incarnation == claim.incarnation);
+        match (claimant, fault) {
+            (Some((_, ledger)), Fault::None | Fault::Late) => ledger.word(key, Time::ZERO),
+            // The question arrives and the answer is lost.
+            (Some((_, ledger)), Fault::LoseAnswer) => {
+                ledger.word(key, Time::ZERO);
+                Word::Unknown
+            }
+            _ if self.method == Method::AssumeNeverRun => Word::NeverRun,
+            _ => Word::Unknown,
+        }
+    }
+
+    fn write(&mut self, change: Change, fault: Fault) -> Reply<u64> {
+        match fault {
+            Fault::Down => Reply::Unsent,
+            Fault::LoseRequest => Reply::Lost,
+            Fault::Late => {
+                self.late.push(change);
+                Reply::Lost
+            }
+            Fault::LoseAnswer => {
+                self.store.commit(&[change], Time::ZERO);
+                Reply::Lost
+            }
+            Fault::None => match self.store.commit(&[change], Time::ZERO) {
+                Commit::Done(revision) => Reply::Written(revision),
+                Commit::Conflict => Reply::Conflict,
+            },
+        }
+    }
+
+    fn reply(&mut self, send: &Send, maker: Maker, reply: Reply<u64>) -> Stage {
+        let own = |claim: &Claim| claim.incarnation == send.incarnation;
+        let progress = match (self.method, &reply) {
+            (Method::AssumeWritten, Reply::Lost) => Progress::End(Held::Ours(0)),
+            (Method::TrustOwnClaim, Reply::Found(Some((claim, revision)))) if own(claim) => {
+                Progress::End(Held::Ours(*revision))
+            }
+            _ => maker.next(reply, Time::ZERO),
+        };
+        match progress {
+            Progress::Call(call) => Stage::Calling(maker, call),
+            Progress::End(held) => {
+                let revision = if let Held::Ours(revision) = held { revision } else { 0 };
+                match self.nodes[send.node].1.claimed(send.key, held, Time::ZERO) {
+                    Step::Run => Stage::Ready(revision),
+                    Step::Claim | Step::Replay(_) | Step::Refuse(_) => Stage::Over,
+                }
+            }
+        }
+    }
+
+    /// The backend server runs the request, loses it, or sheds it.
+    fn run(&mut self, send: &Send, revision: u64, fault: Fault, ending: u8) -> Stage {
+        if ending % 3 == 2 {
+            let release = self.nodes[send.node].1.failed(send.key, Kind::Shed, Time::ZERO);
+            assert!(release, "a claim that never ran is released");
+            let deleted = self.write(Change::delete(&key::claim(send.key), revision), fault);
+            if matches!(deleted, Reply::Written(_)) {
+                self.nodes[send.node].1.released(send.key);
+            }
+            return Stage::Over;
+        }
+        *self.runs.entry(send.key).or_default() += 1;
+        let ledger = &mut self.nodes[send.node].1;
+        if ending.is_multiple_of(3) {
+            ledger.ran(send.key, 1, 10, Time::ZERO);
+        } else {
+            ledger.failed(send.key, Kind::BackendLost, Time::ZERO);
+        }
+        Stage::Over
+    }
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        4 => Just(Fault::None),
+        1 => Just(Fault::Down),
+        2 => Just(Fault::LoseAnswer),
+        1 => Just(Fault::LoseRequest),
+        2 => Just(Fault::Late),
+    ]
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        3 => (0..NODES, 0..KEYS).prop_map(|(node, key)| Event::Send(node, key)),
+        12 => (any::<usize>(), fault(), any::<u8>()).prop_map(|(which, fault, ending)| Event::Step(which, fault, ending)),
+        1 => (0..NODES).prop_map(Event::Kill),
+        2 => any::<usize>().prop_map(Event::DeliverLate),
+    ]
+}
+
+/// The schedule in which some key ran twice, if one of `cases` schedules did that.
+fn doubled(method: Method, cases: u32, seed: u64) -> Option<Vec<Event>> {
+    let rng = proptest::test_runner::TestRng::from_seed(
+        proptest::test_runner::RngAlgorithm::ChaCha,
+        &std::array::from_fn::<u8, 32, _>(|at| seed.to_le_bytes()[at % 8]),
+    );
+    let mut runner = proptest::test_runner::TestRunner::new_with_rng(ProptestConfig::default(), rng);
+    let schedules = prop::collection::vec(event(), 1..120);
+    (0..cases).find_map(|_| {
+        let schedule = schedules.new_tree(&mut runner).expect("the strategy always gives a value").current();
+        let mut world = World::new(method);
+        for event in &schedule {
+            world.play(*event);
+        }
+        world.runs.values().any(|runs| *runs > 1).then_some(schedule)
+    })
+}
+
+fn cases() -> u32 {
+    let more = std::env::var("HEMLOCK_CASES").ok().and_then(|text| text.parse().ok());
+    more.unwrap_or(20_000)
+}
+
+#[test]
+fn no_key_runs_twice() {
+    let schedule = doubled(Method::Product, cases(), 1);
+    assert!(schedule.is_none(), "a key ran twice: {schedule:?}");
+}
+
+/// Each wrong method is caught by the same check, so the check can fail.
+#[rstest::rstest]
+#[case::a_lost_answer_is_assumed(Method::AssumeWritten)]
+#[case::an_own_claim_is_trusted(Method::TrustOwnClaim)]
+#[case::silence_is_taken_for_never_run(Method::AssumeNeverRun)]
+fn the_check_sees_wrong_methods(#[case] method: Method) {
+    assert!(doubled(method, 20_000, 1).is_some(), "{method:?} was not caught");
+}
+
+#[test]
+fn a_shed_order_runs_at_another_entry() {
+    let mut world = World::new(Method::Product);
+    let shed_then_ok = [
+        Event::Send(0, 0),
+        Event::Step(0, Fault::None, 0),
+        Event::Step(0, Fault::None, 0),
+        // Shed, and the deletion of the claim is lost on its way.
+        Event::Step(0, Fault::LoseRequest, 2),
+        Event::Send(1, 0),
+        Event::Step(1, Fault::None, 0),
+        Event::Step(1, Fault::None, 0),
+        Event::Step(1, Fault::None, 0),
+        Event::Step(1, Fault::None, 0),
+        Event::Step(1, Fault::None, 0),
+        Event::Step(1, Fault::None, 0),
+    ];
+    for event in shed_then_ok {
+        world.play(event);
+    }
+    assert_eq!(world.runs.get(&0), Some(&1));
+}
