--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -13,6 +13,7 @@
 use dispatch::subset;
 use fleet::message::State;
 use fleet::roster::Roster;
+use steer::grant;
 use steer::shift::{Load, Shares};
 use steer::view::{Entry, Standing};
 use steer::{Table, View};
@@ -21,10 +22,6 @@
 use crate::context::lock;
 use crate::policies::InForce;
 
-/// Part of a region's slots that other regions may use, all together.
-const REMOTE_PART: f64 = 0.5;
-/// Part of a link's cap that is handed out.
-const LINK_PART: f64 = 0.85;
 /// Daemons of a region that may use one backend server, so that its connections are not used up.
 const USERS_PER_BACKEND: usize = 64;
 
@@ -251,18 +248,13 @@
 fn remotes(context: &Context, instances: &[Instance], in_force: &InForce, now: Time) -> Vec<(u16, Remote)> {
     let share = lock(&context.keeper).share(now);
     let own = &context.settings.region;
-    let sources = in_force.regions.len().saturating_sub(1).max(1) as f64;
+    let sources = in_force.regions.len().saturating_sub(1);
     let remote = |name: &String| {
-        let backends = instances
-            .iter()
-            .filter(|instance| instance.role == Role::Backend && instance.region == *name);
+        let backends = instances.iter().filter(|instance| instance.role == Role::Backend && instance.region == *name);
         let slots: u32 = backends.map(|instance| instance.slots).sum();
-        let limit = (f64::from(slots) * REMOTE_PART / sources * share).floor() as u32;
         let cap = in_force.policy.link_cap(own, name).unwrap_or(0.0);
-        Remote {
-            limit,
-            bytes_per_second: cap * LINK_PART * share,
-        }
+        let allowed = grant::allowance(slots, sources, cap, share);
+        Remote { limit: allowed.requests, bytes_per_second: allowed.bytes_per_second }
     };
     let others = in_force.regions.iter().enumerate().filter(|(_, name)| *name != own);
     others.map(|(position, name)| (position as u16, remote(name))).collect()
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -32,8 +32,6 @@
     record: Record,
     /// When its state last changed here.
     changed: Time,
-    /// When it last spoke to us itself.
-    heard: Option<Time>,
     /// Times its record is still to be passed on.
     spread: u32,
 }
@@ -171,9 +169,7 @@
     /// Takes in a message that came at `now`.
     pub fn merge(&mut self, message: &Message, now: Time) {
         self.note(&message.from, now);
-        if let Some(member) = self.members.get_mut(&message.from.name) {
-            member.heard = Some(now);
-        }
+        self.note_speaker(&message.from);
         for record in &message.records {
             self.note(record, now);
         }
@@ -206,7 +202,6 @@
                 let member = Member {
                     record,
                     changed: now,
-                    heard: None,
                     spread: 0,
                 };
                 self.members.entry(name.to_owned()).or_insert(member)
@@ -292,7 +287,6 @@
                 let member = Member {
                     record: record.clone(),
                     changed: now,
-                    heard: None,
                     spread,
                 };
                 self.members.insert(record.name.clone(), member);
@@ -300,6 +294,15 @@
         }
     }
 
+    /// Lets a speaker that is believed gone hear of it, so that it can object.
+    fn note_speaker(&mut self, speaker: &Record) {
+        let spread = self.spread();
+        let member = self.members.get_mut(&speaker.name);
+        if let Some(member) = member.filter(|member| member.record.state > speaker.state) {
+            member.spread = spread + 1;
+        }
+    }
+
     /// Contradicts what is wrongly said of us, and notices a successor.
     fn note_own(&mut self, record: &Record) {
         if record.incarnation > self.own.incarnation {
--- /dev/null
+++ b/crates/fleet/tests/roster.rs
@@ -0,0 +1,187 @@
+//! Membership under deaths, pauses, partitions and wrong words; on virtual time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::time::Time;
+use fleet::copy::{Copy, Holder};
+use fleet::message::{Record, State};
+use fleet::roster::{Roster, Times};
+use rstest::rstest;
+
+const TIMES: Times = Times { suspect: Duration::from_secs(3) };
+const POLICY: &str = "[regions.r]\ndomains = [\"d\"]\n[classes.c]\nservice = \"s\"\npaths = [\"/c\"]\nidempotent = true\nrank = 0\ntarget_ms = 1\ntarget_share = 0.9\ndeadline_ms = 1\n";
+
+fn record(name: &str, incarnation: u64) -> Record {
+    let (peers, domain) = (name.to_owned(), "d".to_owned());
+    Record { name: name.to_owned(), incarnation, beat: 0, state: State::Alive, peers, domain }
+}
+
+/// Daemons that exchange once a second, each with whom it likes.
+struct Fleet {
+    rosters: BTreeMap<String, Roster>,
+    dead: Vec<String>,
+    cut: Vec<String>,
+    now: Time,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let mut rosters = BTreeMap::new();
+        for number in 0..count {
+            let name = format!("n{number}");
+            let mut roster = Roster::new(record(&name, 1), TIMES, number as u64);
+            for other in (0..count).filter(|other| *other != number) {
+                let mut hello = Roster::new(record(&format!("n{other}"), 1), TIMES, 0);
+                roster.merge(&hello.message(0, Time::ZERO), Time::ZERO);
+            }
+            rosters.insert(name, roster);
+        }
+        Self { rosters, dead: Vec::new(), cut: Vec::new(), now: Time::from_millis(1) }
+    }
+
+    fn seconds(&mut self, seconds: u64) {
+        for _ in 0..seconds {
+            self.now = self.now + Duration::from_secs(1);
+            let names: Vec<String> = self.rosters.keys().cloned().collect();
+            for name in names {
+                self.exchange(&name);
+            }
+        }
+    }
+
+    fn exchange(&mut self, name: &str) {
+        if self.dead.iter().any(|dead| dead == name) {
+            return;
+        }
+        let now = self.now;
+        let roster = self.rosters.get_mut(name).expect("the name is known");
+        roster.tick(now);
+        let Some((target, _)) = roster.target(now) else { return };
+        let separated = self.cut.contains(&name.to_owned()) != self.cut.contains(&target);
+        if self.dead.contains(&target) || separated || !self.rosters.contains_key(&target) {
+            return self.rosters.get_mut(name).expect("the name is known").failed(&target, now);
+        }
+        let message = self.rosters.get_mut(name).expect("the name is known").message(0, now);
+        let peer = self.rosters.get_mut(&target).expect("the target is known");
+        peer.merge(&message, now);
+        let answer = peer.message(0, now);
+        self.rosters.get_mut(name).expect("the name is known").merge(&answer, now);
+    }
+
+    fn believed(&self, name: &str) -> Vec<Option<State>> {
+        let others = self.rosters.iter().filter(|(own, _)| *own != name && !self.dead.contains(own));
+        others.map(|(_, roster)| roster.state(name)).collect()
+    }
+}
+
+#[rstest]
+#[case(7)]
+#[case(60)]
+fn the_dead_are_known_everywhere_within_seconds(#[case] count: usize) {
+    let mut fleet = Fleet::new(count);
+    fleet.seconds(5);
+    fleet.dead.push("n3".to_owned());
+    fleet.seconds(14);
+    assert!(fleet.believed("n3").iter().all(|state| *state == Some(State::Dead)), "{:?}", fleet.believed("n3"));
+    for other in ["n0", "n1", "n2"] {
+        assert!(fleet.believed(other).iter().all(|state| *state != Some(State::Dead)), "{other} is not dead");
+    }
+}
+
+#[test]
+fn a_cut_domain_goes_on_and_joins_again() {
+    let mut fleet = Fleet::new(8);
+    fleet.cut = vec!["n0".to_owned(), "n1".to_owned(), "n2".to_owned()];
+    fleet.seconds(60);
+    let inside = &fleet.rosters["n0"];
+    assert_eq!(inside.state("n1"), Some(State::Alive));
+    assert_eq!(inside.state("n5"), Some(State::Dead));
+    assert!(inside.reads_store(3), "someone in the cut part reads the store");
+    fleet.cut.clear();
+    fleet.seconds(60);
+    for name in ["n0", "n5"] {
+        assert!(fleet.believed(name).iter().all(|state| *state == Some(State::Alive)), "{name}: {:?}", fleet.believed(name));
+    }
+}
+
+#[test]
+fn a_paused_daemon_does_not_speak_for_its_successor() {
+    let mut observer = Roster::new(record("o", 1), TIMES, 0);
+    let mut old = Roster::new(record("x", 10), TIMES, 1);
+    let mut new = Roster::new(record("x", 20), TIMES, 2);
+    let now = Time::from_millis(1);
+    observer.merge(&old.message(0, now), now);
+    observer.merge(&new.message(0, now), now);
+    old.leave();
+    observer.merge(&old.message(0, now), now);
+    assert_eq!(observer.state("x"), Some(State::Alive), "the old one's farewell does not count");
+    old.merge(&observer.message(0, now), now);
+    assert!(old.superseded());
+    assert!(!new.superseded());
+}
+
+#[test]
+fn the_accused_objects() {
+    let now = Time::from_millis(1);
+    let mut observer = Roster::new(record("o", 1), TIMES, 0);
+    let mut accused = Roster::new(record("x", 1), TIMES, 1);
+    observer.merge(&accused.message(0, now), now);
+    observer.failed("x", now);
+    accused.merge(&observer.message(0, now), now);
+    observer.merge(&accused.message(0, now), now);
+    assert_eq!(observer.state("x"), Some(State::Alive));
+    observer.tick(now + Duration::from_mins(1));
+    assert_eq!(observer.state("x"), Some(State::Alive));
+}
+
+#[test]
+fn a_leaver_is_out_at_once() {
+    let now = Time::from_millis(1);
+    let mut observer = Roster::new(record("o", 1), TIMES, 0);
+    let mut leaver = Roster::new(record("x", 1), TIMES, 1);
+    observer.merge(&leaver.message(0, now), now);
+    leaver.leave();
+    observer.merge(&leaver.message(0, now), now);
+    assert_eq!(observer.state("x"), Some(State::Left));
+    assert_eq!(observer.alive().count(), 0);
+}
+
+#[rstest]
+#[case::newer(7, 8, true)]
+#[case::same(7, 7, false)]
+#[case::older(7, 6, false)]
+fn a_policy_never_steps_back(#[case] have: u64, #[case] offered: u64, #[case] taken: bool) {
+    let mut holder = Holder::new();
+    holder.offer(Copy::new(have, POLICY.to_owned())).expect("the policy is good");
+    let result = holder.offer(Copy::new(offered, POLICY.to_owned()));
+    assert_eq!(result.expect("the policy is good").is_some(), taken);
+    assert_eq!(holder.revision(), have.max(offered));
+}
+
+#[test]
+fn a_damaged_copy_changes_nothing_and_is_asked_for_again() {
+    let mut holder = Holder::new();
+    let mut copy = Copy::new(3, POLICY.to_owned());
+    copy.text.push('#');
+    assert!(holder.offer(copy).is_err());
+    assert_eq!(holder.revision(), 0);
+    assert!(holder.wants(3), "another peer may have it whole");
+}
+
+#[test]
+fn an_old_copy_under_a_new_revision_is_damaged() {
+    let mut holder = Holder::new();
+    let mut copy = Copy::new(3, POLICY.to_owned());
+    copy.revision = 9;
+    assert!(holder.offer(copy).is_err());
+}
+
+#[test]
+fn an_invalid_policy_changes_nothing_and_is_not_asked_for_again() {
+    let mut holder = Holder::new();
+    assert!(holder.offer(Copy::new(3, "regions = 5".to_owned())).is_err());
+    assert_eq!(holder.revision(), 0);
+    assert!(!holder.wants(3));
+    assert!(holder.wants(4));
+}
--- /dev/null
+++ b/crates/replay/src/world.rs
@@ -0,0 +1,622 @@
+//! The replay itself: engines of all entry instances over modelled servers, in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use base::error::Kind;
+use base::hash;
+use base::time::Time;
+use dispatch::backend::{Place, Report, Spec};
+use dispatch::engine::{Arrival, Limits, Remote, policy::Policy};
+use dispatch::{Action, Ending, Engine, Verdict, subset};
+use steer::grant;
+use steer::shift::Shares;
+use steer::view::{Entry, Standing, View};
+use steer::{Table, answer, table};
+
+use crate::outcome::{Class, Outcome};
+use crate::server::{Job, JobId, Server, Started};
+use crate::site::Site;
+use crate::trace::{Trace, What};
+
+/// Time between two load reports of a server.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+/// Age of load reports unless the trace says otherwise.
+const REPORT_LAG: Duration = Duration::from_millis(500);
+/// Time until the death of an instance or an announced leave is known to all.
+const NEWS: Duration = Duration::from_secs(3);
+/// How long callers keep a look-up's answer.
+const KEPT: Duration = Duration::from_secs(10);
+/// Time a server that crashed is away.
+const CRASH_AWAY: Duration = Duration::from_secs(5);
+/// Sends of a poisonous request, with this pause between them.
+const POISON_SENDS: u32 = 6;
+/// Pause between two sends of a poisonous request.
+const POISON_PAUSE: Duration = Duration::from_secs(2);
+/// Limits of an engine, as in the daemon's defaults.
+const LIMITS: Limits = Limits { queued: 512, in_flight: 128, poison: Duration::from_mins(10) };
+/// Limits of a plain policy: none that matter.
+const PLAIN: Limits = Limits { queued: 1 << 20, in_flight: 1 << 20, poison: Duration::from_mins(10) };
+
+#[derive(Debug, Clone, PartialEq)]
+enum Event {
+    Trace(usize),
+    Arrive(usize),
+    Reach(JobId),
+    Done(JobId),
+    Answered(JobId, Ending),
+    CancelReach(JobId),
+    Wake(usize),
+    Reports,
+    Known(String),
+    Revive(usize),
+    Poison(usize, u32),
+}
+
+/// A request of the trace.
+#[derive(Debug, Clone)]
+struct Request {
+    class: usize,
+    region: usize,
+    work: Duration,
+    bytes: u64,
+    caller: u32,
+    poison: bool,
+    sent: Time,
+    entry: usize,
+    arrived: Time,
+    tried: bool,
+    runs: u32,
+    over: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Attempt {
+    request: usize,
+    server: usize,
+}
+
+/// One replay.
+pub struct World<'a> {
+    site: &'a Site,
+    policy: Policy,
+    now: Time,
+    events: BTreeMap<(Time, u64), Event>,
+    sequence: u64,
+    engines: Vec<Engine>,
+    wakes: Vec<Option<Time>>,
+    servers: Vec<Server>,
+    known_gone: BTreeSet<String>,
+    left: BTreeMap<usize, Time>,
+    dead_regions: BTreeSet<String>,
+    requests: Vec<Request>,
+    attempts: BTreeMap<JobId, Attempt>,
+    cache: BTreeMap<u32, (Vec<usize>, Time)>,
+    lag: Duration,
+    reports: bool,
+    view: View,
+    table: Table,
+    open: usize,
+    outcome: Outcome,
+    link: BTreeMap<(usize, usize, u64), f64>,
+    busy: Vec<(Time, f64, u64, f64)>,
+}
+
+impl<'a> World<'a> {
+    /// A world of `site` whose entry instances choose by `policy`.
+    pub fn new(site: &'a Site, policy: Policy, seed: u64) -> Self {
+        let steered = policy == Policy::Steered;
+        let limits = if steered { LIMITS } else { PLAIN };
+        let engine = |index: usize| {
+            let mut engine = Engine::new(site.specs(), limits, hash::pair(seed, index as u64));
+            engine.set_policy(policy);
+            engine
+        };
+        let server = |connections: u32, slots: u32| Server::new(slots as usize, connections as usize);
+        let servers = site.servers.iter().map(|instance| server(instance.connections, instance.slots)).collect();
+        let mut world = Self {
+            site,
+            policy,
+            now: Time::from_millis(1_000),
+            events: BTreeMap::new(),
+            sequence: 0,
+            engines: (0..site.entries.len()).map(engine).collect(),
+            wakes: vec![None; site.entries.len()],
+            servers,
+            known_gone: BTreeSet::new(),
+            left: BTreeMap::new(),
+            dead_regions: BTreeSet::new(),
+            requests: Vec::new(),
+            attempts: BTreeMap::new(),
+            cache: BTreeMap::new(),
+            lag: REPORT_LAG,
+            reports: true,
+            view: View::default(),
+            table: home_table(site),
+            open: 0,
+            outcome: Outcome { headroom: 1.0, ..Outcome::default() },
+            link: BTreeMap::new(),
+            busy: vec![(Time::ZERO, 0.0, 0, 0.0); site.regions.len()],
+        };
+        for class in &site.classes {
+            world.outcome.classes.insert(class.clone(), Class::new());
+        }
+        world.learn();
+        world
+    }
+
+    /// Replays `trace` to its end and until all work is over.
+    pub fn run(mut self, trace: &Trace) -> Outcome {
+        let start = self.now;
+        for (index, event) in trace.events.iter().enumerate() {
+            self.plan(start + event.at.since(Time::ZERO), Event::Trace(index));
+        }
+        let last = trace.events.last().map_or(start, |event| start + event.at.since(Time::ZERO));
+        self.plan(start, Event::Reports);
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            self.now = self.now.max(at);
+            if at > last && self.open == 0 {
+                break;
+            }
+            self.play(event, trace);
+        }
+        self.finish()
+    }
+
+    fn play(&mut self, event: Event, trace: &Trace) {
+        match event {
+            Event::Trace(index) => self.trace(&trace.events[index].what),
+            Event::Arrive(request) => self.arrive(request),
+            Event::Reach(id) => self.reach(id),
+            Event::Done(id) => self.done(id),
+            Event::Answered(id, ending) => self.answered(id, ending),
+            Event::CancelReach(id) => self.cancel(id),
+            Event::Wake(entry) => self.wake(entry),
+            Event::Reports => self.report(),
+            Event::Known(name) => {
+                self.known_gone.insert(name);
+                self.learn();
+            }
+            Event::Revive(server) => self.servers[server].up = true,
+            Event::Poison(request, sends) => self.poison_again(request, sends),
+        }
+    }
+
+    fn plan(&mut self, at: Time, event: Event) {
+        self.sequence += 1;
+        self.events.insert((at, self.sequence), event);
+    }
+
+    fn trace(&mut self, what: &What) {
+        match what {
+            What::Send { class, region, work_us, bytes, caller } => {
+                let request = self.request(class, region, Duration::from_micros(*work_us), *bytes, *caller);
+                self.send(request);
+            }
+            What::Poison { class, region, caller } => {
+                let mut request = self.request(class, region, Duration::from_millis(1), 100, *caller);
+                request.poison = true;
+                self.send(request);
+                self.plan(self.now + POISON_PAUSE, Event::Poison(self.requests.len() - 1, 1));
+            }
+            What::Slow(name, factor) => {
+                let found = self.site.servers.iter().position(|server| server.name == *name);
+                found.into_iter().for_each(|index| self.servers[index].slow = *factor);
+            }
+            What::Lag(ms) => self.lag = Duration::from_millis(*ms),
+            What::Reports(on) => self.reports = *on,
+            What::Region(region, up) => self.region(region, *up),
+            What::Leave(name) => {
+                let found = self.site.servers.iter().position(|server| server.name == *name);
+                found.into_iter().for_each(|index| drop(self.left.insert(index, self.now)));
+                self.plan(self.now + NEWS, Event::Known(name.clone()));
+            }
+        }
+    }
+
+    fn request(&self, class: &str, region: &str, work: Duration, bytes: u64, caller: u32) -> Request {
+        Request {
+            class: self.site.classes.iter().position(|name| name == class).unwrap_or(0),
+            region: self.site.region(region).unwrap_or(0),
+            work,
+            bytes,
+            caller,
+            poison: false,
+            sent: self.now,
+            entry: 0,
+            arrived: self.now,
+            tried: false,
+            runs: 0,
+            over: false,
+        }
+    }
+
+    /// A caller sends: it uses its kept answer, and goes down the list past dead instances.
+    fn send(&mut self, mut request: Request) {
+        let class = self.site.classes[request.class].clone();
+        if let Some(class) = self.outcome.classes.get_mut(&class) {
+            class.sent += 1;
+        }
+        self.open += 1;
+        let entry = self.entry(request.caller, request.region);
+        let Some(entry) = entry else {
+            self.requests.push(request);
+            return self.note_refused(self.requests.len() - 1, Kind::Unreachable);
+        };
+        request.entry = entry;
+        self.requests.push(request);
+        self.plan(self.now + self.site.to_callers, Event::Arrive(self.requests.len() - 1));
+    }
+
+    fn entry(&mut self, caller: u32, region: usize) -> Option<usize> {
+        let alive = |world: &Self, entry: &usize| !world.dead_regions.contains(&world.site.entries[*entry].region);
+        let kept = self.cache.get(&caller).filter(|(_, until)| *until > self.now).cloned();
+        let found = kept.and_then(|(entries, _)| entries.into_iter().find(|entry| alive(self, entry)));
+        if found.is_some() {
+            return found;
+        }
+        let address = ((region as u32 + 1) << 24) | (caller << 8);
+        let shares = Shares::home(self.site.regions.len());
+        let answer = answer::look_up(&self.table, &self.view, &shares, address, 3);
+        let entries: Vec<usize> = answer.positions().iter().map(|position| usize::from(*position)).collect();
+        self.cache.insert(caller, (entries.clone(), self.now + KEPT));
+        entries.into_iter().find(|entry| alive(self, entry))
+    }
+
+    fn arrive(&mut self, index: usize) {
+        let now = self.now;
+        let request = &mut self.requests[index];
+        request.arrived = now;
+        let entry = request.entry;
+        let fingerprint = if request.poison { u64::from(request.caller) } else { hash::pair(index as u64, 7) };
+        let arrival = Arrival { request: index as u64, class: request.class, fingerprint, bytes: 200 };
+        self.engines[entry].submit(arrival, now);
+        self.settle(entry);
+    }
+
+    /// Carries out what an engine decided.
+    fn settle(&mut self, entry: usize) {
+        let losses = self.engines[entry].take_losses();
+        if !losses.is_empty() {
+            let now = self.now;
+            self.engines.iter_mut().for_each(|engine| engine.merge_losses(&losses, now));
+        }
+        for action in self.engines[entry].take() {
+            match action {
+                Action::Start { request, attempt, backend, .. } => {
+                    self.started(entry, request as usize, attempt, backend as usize);
+                }
+                Action::Cancel { attempt, backend } => {
+                    let away = self.distance(entry, backend as usize);
+                    self.plan(self.now + away, Event::CancelReach((entry, attempt)));
+                }
+                Action::Answer { request, verdict } => self.verdict(request as usize, verdict),
+            }
+        }
+        let wake = self.engines[entry].wake();
+        if let Some(at) = wake.filter(|_| wake != self.wakes[entry]) {
+            self.wakes[entry] = wake;
+            self.plan(at, Event::Wake(entry));
+        }
+    }
+
+    fn started(&mut self, entry: usize, request: usize, attempt: u64, server: usize) {
+        self.outcome.attempts += 1;
+        self.outcome.tried += u64::from(!self.requests[request].tried);
+        self.requests[request].tried = true;
+        if let Some(left) = self.left.get(&server) {
+            let after = self.now.since(*left).as_secs_f64() * 1_000.0;
+            self.outcome.drain_ms = self.outcome.drain_ms.max(after);
+        }
+        self.attempts.insert((entry, attempt), Attempt { request, server });
+        let away = self.distance(entry, server);
+        self.plan(self.now + away, Event::Reach((entry, attempt)));
+    }
+
+    fn reach(&mut self, id: JobId) {
+        let Some(attempt) = self.attempts.get(&id).copied() else { return };
+        let away = self.distance(id.0, attempt.server);
+        if !self.servers[attempt.server].up {
+            return self.plan(self.now + away, Event::Answered(id, Ending::Unreachable));
+        }
+        let request = &self.requests[attempt.request];
+        let bulk = self.site.policy.classes[&self.site.classes[request.class]].may_wait;
+        let job = Job { id, work: request.work, bulk, came: self.now };
+        self.note_foreign(id.0, attempt.server);
+        match self.servers[attempt.server].arrive(job, self.now) {
+            None => self.plan(self.now + away, Event::Answered(id, Ending::Shed)),
+            Some(started) => self.begin(attempt.server, &started),
+        }
+    }
+
+    fn begin(&mut self, server: usize, started: &[Started]) {
+        self.note_busy(server);
+        for Started { job, done } in started {
+            self.plan(*done, Event::Done(job.id));
+            let Some(attempt) = self.attempts.get(&job.id) else { continue };
+            let request = &mut self.requests[attempt.request];
+            request.runs += 1;
+            let name = &self.site.classes[request.class];
+            let idempotent = self.site.policy.classes[name].idempotent;
+            self.outcome.twice += u64::from(!idempotent && request.runs == 2);
+            let waited = (self.now.since(request.arrived).as_micros() as u64).max(1);
+            let behind = self.servers[server].bulk() > 0 && !job.bulk;
+            let here = self.now.since(job.came).as_micros() as u64;
+            if let Some(class) = self.outcome.classes.get_mut(name) {
+                class.wait.saturating_record(waited);
+                if behind {
+                    class.behind_bulk_us = class.behind_bulk_us.max(here);
+                }
+            }
+        }
+    }
+
+    fn done(&mut self, id: JobId) {
+        let Some(attempt) = self.attempts.get(&id).copied() else { return };
+        if !self.servers[attempt.server].runs(id) {
+            return;
+        }
+        if self.requests[attempt.request].poison {
+            return self.crash(attempt.server);
+        }
+        let started = self.servers[attempt.server].leave(id, self.now);
+        self.begin(attempt.server, &started);
+        let bytes = self.requests[attempt.request].bytes;
+        let away = self.distance(id.0, attempt.server);
+        self.note_link(id.0, attempt.server, bytes);
+        self.plan(self.now + away, Event::Answered(id, Ending::Answered(bytes)));
+    }
+
+    fn crash(&mut self, server: usize) {
+        self.outcome.crashed += 1;
+        for id in self.servers[server].die() {
+            let away = self.distance(id.0, server);
+            self.plan(self.now + away, Event::Answered(id, Ending::Lost));
+        }
+        self.plan(self.now + CRASH_AWAY, Event::Revive(server));
+    }
+
+    fn answered(&mut self, id: JobId, ending: Ending) {
+        if self.attempts.remove(&id).is_none() {
+            return;
+        }
+        let now = self.now;
+        self.engines[id.0].finish(id.1, ending, now);
+        self.settle(id.0);
+    }
+
+    fn cancel(&mut self, id: JobId) {
+        let Some(attempt) = self.attempts.get(&id).copied() else { return };
+        let started = self.servers[attempt.server].leave(id, self.now);
+        self.begin(attempt.server, &started);
+        let away = self.distance(id.0, attempt.server);
+        self.plan(self.now + away, Event::Answered(id, Ending::Cancelled));
+    }
+
+    fn wake(&mut self, entry: usize) {
+        self.wakes[entry] = None;
+        let now = self.now;
+        self.engines[entry].tick(now);
+        self.settle(entry);
+    }
+
+    fn verdict(&mut self, index: usize, verdict: Verdict) {
+        match verdict {
+            Verdict::Refuse(kind) => self.note_refused(index, kind),
+            Verdict::Relay(_) => {
+                let back = self.now + self.site.to_callers;
+                self.close(index);
+                let request = &self.requests[index];
+                let name = &self.site.classes[request.class];
+                let latency = back.since(request.sent);
+                let good = latency.as_millis() as u64 <= self.site.policy.classes[name].target_ms;
+                self.outcome.last = self.outcome.last.max(back);
+                if let Some(class) = self.outcome.classes.get_mut(name) {
+                    class.complete += 1;
+                    class.good += u64::from(good);
+                    class.latency.saturating_record((latency.as_micros() as u64).max(1));
+                }
+            }
+        }
+    }
+
+    fn note_refused(&mut self, index: usize, kind: Kind) {
+        self.close(index);
+        let name = &self.site.classes[self.requests[index].class];
+        if let Some(class) = self.outcome.classes.get_mut(name) {
+            class.refused(kind);
+        }
+    }
+
+    fn close(&mut self, index: usize) {
+        self.open -= usize::from(!self.requests[index].over);
+        self.requests[index].over = true;
+    }
+
+    /// The caller of a poisonous request tries again, at whichever entry instance it is sent to.
+    fn poison_again(&mut self, index: usize, sends: u32) {
+        if sends >= POISON_SENDS {
+            return;
+        }
+        let mut request = self.requests[index].clone();
+        self.cache.remove(&request.caller);
+        request.sent = self.now;
+        request.over = false;
+        request.tried = false;
+        request.region = sends as usize % self.site.regions.len();
+        self.send(request);
+        self.plan(self.now + POISON_PAUSE, Event::Poison(self.requests.len() - 1, sends + 1));
+    }
+
+    fn region(&mut self, region: &str, up: bool) {
+        let inside: Vec<usize> =
+            (0..self.servers.len()).filter(|index| self.site.servers[*index].region == region).collect();
+        if up {
+            self.dead_regions.remove(region);
+            self.known_gone.remove(region);
+            for index in inside {
+                self.servers[index].up = true;
+                self.servers[index].cold_since = Some(self.now);
+            }
+            return self.learn();
+        }
+        self.dead_regions.insert(region.to_owned());
+        let gone: Vec<usize> = (0..self.site.entries.len()).filter(|entry| self.site.entries[*entry].region == region).collect();
+        for index in inside {
+            for id in self.servers[index].die() {
+                self.plan(self.now, Event::Answered(id, Ending::Lost));
+            }
+        }
+        // Callers of the dead entry instances learn nothing; their requests are broken off.
+        let broken: Vec<usize> = (0..self.requests.len())
+            .filter(|index| !self.requests[*index].over && gone.contains(&self.requests[*index].entry))
+            .collect();
+        for index in broken {
+            self.note_refused(index, Kind::BackendLost);
+        }
+        self.plan(self.now + NEWS, Event::Known(region.to_owned()));
+    }
+
+    /// Gives every engine the world as it is known now.
+    fn learn(&mut self) {
+        let now = self.now;
+        let site = self.site;
+        let gone = |names: [&String; 2]| names.iter().any(|name| self.known_gone.contains(*name));
+        let entries = site.entries.iter().map(|entry| Entry {
+            name: entry.name.clone(),
+            address: entry.address.clone(),
+            region: site.region(&entry.region).unwrap_or(0) as u16,
+            domain: hash::bytes(entry.domain.as_bytes()) as u16,
+            standing: if gone([&entry.region, &entry.name]) { Standing::Out } else { Standing::Good },
+        });
+        self.view = View::new(entries.collect(), site.regions.len());
+        for (index, entry) in site.entries.iter().enumerate() {
+            let live = |other: &&base::instance::Instance| other.region == entry.region && !gone([&other.region, &other.name]);
+            let daemons: Vec<u64> =
+                site.entries.iter().filter(live).map(|other| hash::bytes(other.name.as_bytes())).collect();
+            let near: Vec<u64> = (0..site.servers.len() as u64)
+                .filter(|server| site.servers[*server as usize].region == entry.region)
+                .collect();
+            let hosts = subset::hosts(hash::bytes(entry.name.as_bytes()), &daemons, &near);
+            let spec = |(position, server): (usize, &base::instance::Instance)| Spec {
+                id: position as u32,
+                service: site.services.iter().position(|service| *service == server.service).unwrap_or(0) as u16,
+                place: place(site, entry, server),
+                slots: server.slots,
+                leaving: gone([&server.region, &server.name]),
+                hosts: near.iter().position(|id| *id == position as u64).is_some_and(|at| hosts[at]),
+            };
+            let specs = site.servers.iter().enumerate().map(spec).collect();
+            let share = 1.0 / daemons.len().max(1) as f64;
+            for (position, region) in site.regions.iter().enumerate().filter(|(_, region)| **region != entry.region) {
+                let slots = site.servers.iter().filter(|server| server.region == *region).map(|server| server.slots).sum();
+                let cap = site.policy.link_cap(&entry.region, region).unwrap_or(0.0);
+                let allowed = grant::allowance(slots, site.regions.len() - 1, cap, share);
+                let remote = Remote { limit: allowed.requests, bytes_per_second: allowed.bytes_per_second };
+                self.engines[index].set_remote(position as u16, remote, now);
+            }
+            self.engines[index].set_backends(specs, now);
+        }
+        for entry in 0..site.entries.len() {
+            self.settle(entry);
+        }
+    }
+
+    fn report(&mut self) {
+        self.plan(self.now + REPORT_EVERY, Event::Reports);
+        if !self.reports || self.policy != Policy::Steered {
+            return;
+        }
+        let at = self.now - self.lag;
+        for index in 0..self.servers.len() {
+            if !self.servers[index].up {
+                continue;
+            }
+            let load = self.servers[index].load_at(at);
+            let draining = self.left.contains_key(&index);
+            let report = Report { load, draining, at };
+            for entry in 0..self.engines.len() {
+                if self.site.entries[entry].region == self.site.servers[index].region {
+                    self.engines[entry].report(index as u32, report, self.now);
+                    self.settle(entry);
+                }
+            }
+        }
+    }
+
+    fn distance(&self, entry: usize, server: usize) -> Duration {
+        self.site.distance(&self.site.entries[entry], &self.site.servers[server])
+    }
+
+    fn note_link(&mut self, entry: usize, server: usize, bytes: u64) {
+        let from = self.site.region(&self.site.servers[server].region).unwrap_or(0);
+        let to = self.site.region(&self.site.entries[entry].region).unwrap_or(0);
+        if from == to {
+            return;
+        }
+        let second = self.now.as_millis() / 1_000;
+        let used = self.link.entry((from, to, second)).or_default();
+        *used += bytes as f64;
+        let cap = self.site.policy.link_cap(&self.site.regions[from], &self.site.regions[to]).unwrap_or(0.0);
+        self.outcome.link = self.outcome.link.max(*used / cap.max(1.0));
+    }
+
+    fn note_foreign(&mut self, entry: usize, server: usize) {
+        let region = &self.site.servers[server].region;
+        if self.site.entries[entry].region == *region {
+            return;
+        }
+        let foreign = self.attempts.iter().filter(|((entry, _), attempt)| {
+            self.site.servers[attempt.server].region == *region && self.site.entries[*entry].region != *region
+        });
+        let slots: u32 =
+            self.site.servers.iter().filter(|server| server.region == *region).map(|server| server.slots).sum();
+        self.outcome.foreign = self.outcome.foreign.max(foreign.count() as f64 / f64::from(slots.max(1)));
+    }
+
+    /// Averages the busy slots of a region over each second.
+    fn note_busy(&mut self, server: usize) {
+        let name = &self.site.servers[server].region;
+        let region = self.site.region(name).unwrap_or(0);
+        let inside = || (0..self.servers.len()).filter(|index| self.site.servers[*index].region == *name);
+        let busy: usize = inside().map(|index| self.servers[index].busy()).sum();
+        let slots: u32 = inside().map(|index| self.site.servers[index].slots).sum();
+        let second = self.now.as_millis() / 1_000;
+        let (since, level, current, sum) = self.busy[region];
+        let sum = sum + level * self.now.since(since).as_secs_f64();
+        if second != current {
+            let used = sum / (second - current).max(1) as f64 / f64::from(slots.max(1));
+            if current > 0 {
+                self.outcome.headroom = self.outcome.headroom.min((1.0 - used).max(0.0));
+            }
+            self.busy[region] = (self.now, busy as f64, second, 0.0);
+        } else {
+            self.busy[region] = (self.now, busy as f64, current, sum);
+        }
+    }
+
+    fn finish(mut self) -> Outcome {
+        for index in 0..self.requests.len() {
+            if !self.requests[index].over {
+                self.note_refused(index, Kind::BackendLost);
+            }
+        }
+        self.outcome
+    }
+}
+
+fn place(site: &Site, entry: &base::instance::Instance, server: &base::instance::Instance) -> Place {
+    if entry.domain == server.domain {
+        Place::Domain
+    } else if entry.region == server.region {
+        Place::Region
+    } else {
+        Place::Remote(site.region(&server.region).unwrap_or(0) as u16)
+    }
+}
+
+/// Each region's callers live in a block of their own.
+fn home_table(site: &Site) -> Table {
+    let block = |region: usize| table::Block { first: (region as u32 + 1) << 24, length: 8, region: region as u16 };
+    Table::new((0..site.regions.len()).map(block).collect())
+}
--- a/crates/steer/src/grant.rs
+++ b/crates/steer/src/grant.rs
@@ -21,6 +21,29 @@
 /// Time between looks for a fairer part.
 pub const REVIEW: Duration = Duration::from_secs(30);
 
+/// Part of a region's slots that other regions may use, all together.
+const REMOTE_PART: f64 = 0.5;
+/// Part of a link's cap that is handed out.
+const LINK_PART: f64 = 0.85;
+
+/// What a daemon may use of another region and of the link to it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Allowance {
+    /// Requests in flight there at most.
+    pub requests: u32,
+    /// Bytes a second over the link.
+    pub bytes_per_second: f64,
+}
+
+/// The allowance of a daemon that holds `share` of its region's grants.
+///
+/// The other region has `slots`, may be used from `sources` regions, and the link's cap is `cap` bytes a second.
+/// Summed over all daemons, requests stay within half of the slots and bytes below the cap.
+pub fn allowance(slots: u32, sources: usize, cap: f64, share: f64) -> Allowance {
+    let requests = f64::from(slots) * REMOTE_PART / sources.max(1) as f64 * share;
+    Allowance { requests: requests.floor() as u32, bytes_per_second: cap * LINK_PART * share }
+}
+
 /// What a keeper wants done at the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Plan {
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -103,16 +103,28 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct Region {
     /// Part moved away because of load.
     moved: f64,
     /// Part moved away because of a drain.
     drained: f64,
+    /// What the others could take when the first step was made, in slots; their later reports only hold a
+    /// step back, since a report that does not show our steps may be frozen or wrong.
+    room: Vec<f64>,
+    /// Our own load when the first step was made, in slots.
+    demand: f64,
     stepped: Time,
     updated: Time,
 }
 
+impl Region {
+    /// The largest part that fits into what the others could take.
+    fn most(&self) -> f64 {
+        (self.room.iter().sum::<f64>() / self.demand.max(1.0)).min(1.0)
+    }
+}
+
 /// Moves callers between regions, step by step.
 #[derive(Debug, Clone)]
 pub struct Controller {
@@ -125,16 +137,8 @@
 impl Controller {
     /// A controller for `regions` regions whose callers keep answers for `kept`.
     pub fn new(regions: usize, kept: Duration, now: Time) -> Self {
-        let region = Region {
-            stepped: now,
-            updated: now,
-            ..Region::default()
-        };
-        Self {
-            regions: vec![region; regions],
-            shares: Shares::home(regions),
-            settle: kept + STALE,
-        }
+        let region = Region { stepped: now, updated: now, ..Region::default() };
+        Self { regions: vec![region; regions], shares: Shares::home(regions), settle: kept + STALE }
     }
 
     /// The shares in force.
@@ -165,14 +169,18 @@
 
     fn step_load(&mut self, from: usize, loads: &[Load], now: Time) {
         let load = &loads[from];
-        let settled = now.since(self.regions[from].stepped) >= self.settle;
-        if !settled || !load.fresh(now) {
+        let region = &mut self.regions[from];
+        if now.since(region.stepped) < self.settle || !load.fresh(now) {
             return;
         }
-        let region = &mut self.regions[from];
         if load.share() > HIGH_WATER {
-            let room = room(from, loads, now);
-            region.moved = (region.moved + STEP.min(room)).min(1.0);
+            if region.moved <= 0.0 {
+                region.room = rooms(from, loads, now);
+                region.demand = load.busy;
+            }
+            let others_full = rooms(from, loads, now).iter().sum::<f64>() <= 0.0;
+            let most = if others_full { region.moved } else { region.most() };
+            region.moved = (region.moved + STEP).min(most);
             region.stepped = now;
         } else if load.share() < LOW_WATER && region.moved > 0.0 {
             region.moved = (region.moved - STEP).max(0.0);
@@ -180,34 +188,42 @@
         }
     }
 
-    /// The row of `from`: what moves goes to the others by their spare capacity.
+    /// The row of `from`: what moves goes to the others by what they can take.
     fn row(&self, from: usize, loads: &[Load], now: Time) -> Vec<f64> {
         let region = &self.regions[from];
-        let away = region.moved.max(region.drained);
-        let spare = |to: usize| if to == from { 0.0 } else { loads[to].spare(now) };
-        let total: f64 = (0..loads.len()).map(spare).sum();
-        let fallback = |to: usize| f64::from(u8::from(to != from && !loads[to].drained));
-        let others: f64 = (0..loads.len()).map(fallback).sum();
-        let part = |to: usize| match (total > 0.0, others > 0.0) {
-            (true, _) => away * spare(to) / total,
-            (false, true) => region.drained * fallback(to) / others,
-            (false, false) => 0.0,
-        };
-        let mut row: Vec<f64> = (0..loads.len()).map(part).collect();
+        let mut row = vec![0.0; loads.len()];
+        if region.drained > region.moved {
+            let spare = rooms(from, loads, now);
+            let open = |to: usize| f64::from(u8::from(to != from && !loads[to].drained));
+            let even: Vec<f64> = (0..loads.len()).map(open).collect();
+            let known = spare.iter().sum::<f64>() > 0.0;
+            spread(&mut row, region.drained, if known { &spare } else { &even });
+        } else {
+            let open: Vec<f64> =
+                region.room.iter().zip(loads).map(|(room, load)| if load.drained { 0.0 } else { *room }).collect();
+            // What a drained region was to take stays at home.
+            let left = open.iter().sum::<f64>() / region.room.iter().sum::<f64>().max(f64::EPSILON);
+            spread(&mut row, region.moved * left, &open);
+        }
         row[from] = 1.0 - row.iter().sum::<f64>();
         row
     }
 }
 
-/// The largest part of `from`'s callers that the others can take, with each one's spare split between all.
-fn room(from: usize, loads: &[Load], now: Time) -> f64 {
+/// Spreads `part` over `row` by `weights`; without any weight nothing moves.
+fn spread(row: &mut [f64], part: f64, weights: &[f64]) {
+    let total: f64 = weights.iter().sum();
+    if total <= 0.0 {
+        return;
+    }
+    for (cell, weight) in row.iter_mut().zip(weights) {
+        *cell = part * weight / total;
+    }
+}
+
+/// What each other region can take from `from`, in slots: its spare ones, split between all that may come.
+fn rooms(from: usize, loads: &[Load], now: Time) -> Vec<f64> {
     let sources = loads.len().saturating_sub(1).max(1) as f64;
-    let demand = loads[from].busy.max(1.0);
-    let spare: f64 = loads
-        .iter()
-        .enumerate()
-        .filter(|(to, _)| *to != from)
-        .map(|(_, load)| load.spare(now))
-        .sum();
-    spare / sources / demand
+    let room = |(to, load): (usize, &Load)| if to == from { 0.0 } else { load.spare(now) / sources };
+    loads.iter().enumerate().map(room).collect()
 }
--- /dev/null
+++ b/crates/steer/tests/answers.rs
@@ -0,0 +1,202 @@
+//! Look-ups: home regions, drains, wrong lists and shifts.
+
+use std::time::Duration;
+
+use base::time::Time;
+use proptest::prelude::*;
+use rstest::rstest;
+use steer::answer::look_up;
+use steer::shift::{Controller, HIGH_WATER, Load, RAMP, Shares};
+use steer::table::{Block, Table};
+use steer::view::{Entry, Standing, View};
+
+const KEPT: Duration = Duration::from_secs(10);
+const START: Time = Time::from_millis(1_000_000);
+
+fn entry(region: u16, domain: u16, number: usize, standing: Standing) -> Entry {
+    let name = format!("r{region}d{domain}e{number}");
+    Entry { address: format!("127.0.0.{number}:7000"), name, region, domain: region * 2 + domain, standing }
+}
+
+fn view(standing: impl Fn(u16, u16) -> Standing) -> View {
+    let all = (0..3).flat_map(|region| (0..2).flat_map(move |domain| (0..2).map(move |number| (region, domain, number))));
+    let entries = all.map(|(region, domain, number)| entry(region, domain, number, standing(region, domain)));
+    View::new(entries.collect(), 3)
+}
+
+fn table() -> Table {
+    let block = |second: u32, region| Block { first: (10 << 24) | (second << 16), length: 16, region };
+    Table::new(vec![block(1, 0), block(2, 1), block(3, 2)])
+}
+
+fn address(second: u32, host: u32) -> u32 {
+    (10 << 24) | (second << 16) | host
+}
+
+fn first_region(view: &View, shares: &Shares, address: u32) -> u16 {
+    let answer = look_up(&table(), view, shares, address, 3);
+    view.entry(answer.positions()[0]).expect("the answer names entries").region
+}
+
+#[test]
+fn callers_get_their_home_first_two_domains_and_another_region() {
+    let view = view(|_, _| Standing::Good);
+    for host in (0..65_536).step_by(97) {
+        let answer = look_up(&table(), &view, &Shares::home(3), address(2, host), 3);
+        let named: Vec<&Entry> = answer.positions().iter().filter_map(|position| view.entry(*position)).collect();
+        assert_eq!(named.len(), 3);
+        assert_eq!((named[0].region, named[1].region), (1, 1));
+        assert_ne!(named[0].domain, named[1].domain);
+        assert_ne!(named[2].region, 1);
+    }
+}
+
+#[test]
+fn entries_share_the_callers() {
+    let view = view(|_, _| Standing::Good);
+    let mut counts = [0_u32; 12];
+    for host in 0..65_536 {
+        let answer = look_up(&table(), &view, &Shares::home(3), address(1, host), 3);
+        counts[usize::from(answer.positions()[0])] += 1;
+    }
+    let used: Vec<u32> = counts.into_iter().filter(|count| *count > 0).collect();
+    assert_eq!(used.len(), 4);
+    assert!(used.iter().all(|count| *count > 65_536 / 8), "{used:?}");
+}
+
+#[rstest]
+#[case::a_domain_is_out(|_, domain| if domain == 0 { Standing::Out } else { Standing::Good }, 0)]
+#[case::a_region_is_out(|region, _| if region == 0 { Standing::Out } else { Standing::Good }, 1)]
+#[case::all_of_a_region_doubted(|region, _| if region == 0 { Standing::Doubtful } else { Standing::Good }, 0)]
+#[case::everything_doubted(|_, _| Standing::Doubtful, 0)]
+fn what_is_out_is_not_named(#[case] standing: fn(u16, u16) -> Standing, #[case] lowest: u16) {
+    let view = view(standing);
+    for host in (0..65_536).step_by(97) {
+        let answer = look_up(&table(), &view, &Shares::home(3), address(1, host), 3);
+        assert!(!answer.positions().is_empty());
+        for position in answer.positions() {
+            let named = view.entry(*position).expect("positions are valid");
+            assert_ne!(named.standing, Standing::Out);
+        }
+        let first = view.entry(answer.positions()[0]).expect("positions are valid");
+        assert!(first.region >= lowest);
+    }
+}
+
+#[test]
+fn a_block_keeps_its_entries_when_another_entry_goes() {
+    let before = view(|_, _| Standing::Good);
+    let after = view(|region, domain| if (region, domain) == (0, 1) { Standing::Out } else { Standing::Good });
+    let mut kept = 0;
+    let mut moved = 0;
+    for host in (0..65_536).step_by(256) {
+        let first = |view: &View| {
+            let answer = look_up(&table(), view, &Shares::home(3), address(1, host), 3);
+            view.entry(answer.positions()[0]).map(|entry| entry.name.clone())
+        };
+        let (old, new) = (first(&before), first(&after));
+        if old.as_ref().is_some_and(|name| name.contains("d0")) {
+            if old == new { kept += 1 } else { moved += 1 }
+        }
+    }
+    assert_eq!(moved, 0, "{kept} blocks stayed");
+}
+
+fn load(busy: f64, drained: bool, now: Time) -> Load {
+    Load { busy, slots: 100.0, at: now, drained }
+}
+
+/// Runs a controller for `seconds` on what `busy` says.
+fn run(controller: &mut Controller, from: u64, seconds: u64, loads: impl Fn(Time) -> Vec<Load>) {
+    for second in from..from + seconds {
+        let now = START + Duration::from_secs(second);
+        controller.update(&loads(now), now);
+    }
+}
+
+#[test]
+fn a_drained_region_loses_its_callers_step_by_step() {
+    let mut controller = Controller::new(3, KEPT, START);
+    let mut last = 1.0;
+    for second in 0..=RAMP.as_secs() {
+        let now = START + Duration::from_secs(second);
+        controller.update(&[load(10.0, true, now), load(10.0, false, now), load(10.0, false, now)], now);
+        let home = controller.shares().part(0, 0);
+        assert!(last - home <= 0.06, "no more than a twentieth moves in a second");
+        last = home;
+    }
+    assert!(last.abs() < 1e-9, "{last} of the callers are left");
+    let view = view(|_, _| Standing::Good);
+    assert!((0..256).all(|host| first_region(&view, controller.shares(), address(1, host << 8)) != 0));
+}
+
+#[test]
+fn a_shift_fits_into_what_the_others_have() {
+    // All regions step on the same stale reports, and nothing they do shows before the reports change.
+    let mut controller = Controller::new(3, KEPT, START);
+    run(&mut controller, 0, 600, |now| vec![load(95.0, false, now), load(95.0, false, now), load(70.0, false, now)]);
+    let shares = controller.shares();
+    let arrived = 95.0 * shares.part(0, 2) + 95.0 * shares.part(1, 2);
+    assert!(arrived <= 100.0 - 70.0, "{arrived} slots' worth of work was sent to 30 free ones");
+    assert!(arrived > 1.0, "some of the excess moves");
+}
+
+#[rstest]
+#[case::steady(50.0)]
+#[case::between_the_marks(75.0)]
+fn a_region_within_its_marks_keeps_its_callers(#[case] busy: f64) {
+    let mut controller = Controller::new(3, KEPT, START);
+    run(&mut controller, 0, 300, |now| vec![load(busy, false, now); 3]);
+    assert_eq!(controller.shares(), &Shares::home(3));
+}
+
+#[test]
+fn stale_reports_move_nothing() {
+    let mut controller = Controller::new(3, KEPT, START);
+    run(&mut controller, 100, 300, |_| vec![load(95.0, false, START), load(10.0, false, START), load(10.0, false, START)]);
+    assert!((controller.shares().part(0, 0) - 1.0).abs() < 1e-9);
+}
+
+#[test]
+fn callers_come_back_slowly() {
+    let mut controller = Controller::new(3, KEPT, START);
+    let hot = |now| vec![load(95.0, false, now), load(10.0, false, now), load(10.0, false, now)];
+    run(&mut controller, 0, 200, hot);
+    let moved = 1.0 - controller.shares().part(0, 0);
+    assert!(moved > 0.1, "{moved} moved");
+    run(&mut controller, 200, 20, |now| vec![load(HIGH_WATER * 90.0, false, now); 3]);
+    assert!((1.0 - controller.shares().part(0, 0) - moved).abs() < 0.051, "no swing back between the marks");
+    run(&mut controller, 220, 600, |now| vec![load(30.0, false, now); 3]);
+    assert!((controller.shares().part(0, 0) - 1.0).abs() < 1e-9);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// The table says the same as a search for the longest prefix.
+    #[test]
+    fn the_longest_prefix_wins(raw in prop::collection::vec((0_u32..64, 24_u8..=32, 0_u16..5), 0..30), probes in prop::collection::vec(0_u32..70_000, 20)) {
+        let base = 10 << 24;
+        let blocks: Vec<Block> = raw
+            .iter()
+            .map(|(at, length, region)| {
+                let mask = u32::MAX.checked_shl(32 - u32::from(*length)).unwrap_or(0);
+                Block { first: (base + at * 37) & mask, length: *length, region: *region }
+            })
+            .collect();
+        let table = Table::new(blocks.clone());
+        for probe in probes {
+            let address = base + probe % 4_000;
+            let covers = |block: &&Block| {
+                let mask = u32::MAX.checked_shl(32 - u32::from(block.length)).unwrap_or(0);
+                address & mask == block.first
+            };
+            let longest = blocks.iter().filter(covers).map(|block| block.length).max();
+            let expected: Vec<u16> = blocks.iter().filter(covers).filter(|block| Some(block.length) == longest).map(|block| block.region).collect();
+            match table.home(address) {
+                None => prop_assert!(expected.is_empty()),
+                Some(region) => prop_assert!(expected.contains(&region)),
+            }
+        }
+    }
+}
