--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -250,11 +250,16 @@
     let own = &context.settings.region;
     let sources = in_force.regions.len().saturating_sub(1);
     let remote = |name: &String| {
-        let backends = instances.iter().filter(|instance| instance.role == Role::Backend && instance.region == *name);
+        let backends = instances
+            .iter()
+            .filter(|instance| instance.role == Role::Backend && instance.region == *name);
         let slots: u32 = backends.map(|instance| instance.slots).sum();
         let cap = in_force.policy.link_cap(own, name).unwrap_or(0.0);
         let allowed = grant::allowance(slots, sources, cap, share);
-        Remote { limit: allowed.requests, bytes_per_second: allowed.bytes_per_second }
+        Remote {
+            limit: allowed.requests,
+            bytes_per_second: allowed.bytes_per_second,
+        }
     };
     let others = in_force.regions.iter().enumerate().filter(|(_, name)| *name != own);
     others.map(|(position, name)| (position as u16, remote(name))).collect()
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -13,7 +13,11 @@
 /// Time without work after a shed request.
 const SHED_PAUSE: Duration = Duration::from_millis(50);
 /// Age at which a report of others' work counts for nothing.
-const REPORT_LIFE: Duration = Duration::from_secs(5);
+const REPORT_LIFE: Duration = Duration::from_secs(10);
+/// Part of a new report in the running average.
+const REPORT_PART: f64 = 0.3;
+/// Time over which our own attempts in flight are averaged.
+const OWN_WINDOW: Duration = Duration::from_secs(3);
 /// Answers for each further slot a starting server gets.
 const ANSWERS_PER_SLOT: u32 = 2;
 /// Part of a new latency in the running average.
@@ -75,8 +79,11 @@
     /// Our attempts in flight that are late.
     pub late: u32,
     report: Option<Report>,
-    /// Our own attempts in flight when the report was true.
-    own_at_report: u32,
+    /// Running average of the reported load, in requests.
+    reported: f64,
+    /// Running average of our own attempts in flight, in requests.
+    own: f64,
+    own_noted: Time,
     ratio: f64,
     late_in_row: u32,
     ejections: u32,
@@ -96,7 +103,9 @@
             waiting_in_flight: 0,
             late: 0,
             report: None,
-            own_at_report: 0,
+            reported: 0.0,
+            own: 0.0,
+            own_noted: Time::ZERO,
             ratio: 1.0,
             late_in_row: 0,
             ejections: 0,
@@ -111,10 +120,34 @@
         if self.report.is_some_and(|known| known.at > report.at) {
             return;
         }
-        self.own_at_report = self.in_flight;
+        let load = f64::from(report.load);
+        let part = if self.report.is_some() { REPORT_PART } else { 1.0 };
+        self.reported += part * (load - self.reported);
         self.report = Some(report);
     }
 
+    /// One of our attempts starts there.
+    pub fn start(&mut self, waits: bool, now: Time) {
+        self.note_own(now);
+        self.in_flight += 1;
+        self.waiting_in_flight += u32::from(waits);
+    }
+
+    /// One of our attempts ended there.
+    pub fn end(&mut self, waits: bool, late: bool, now: Time) {
+        self.note_own(now);
+        self.in_flight -= 1;
+        self.waiting_in_flight -= u32::from(waits);
+        self.late -= u32::from(late);
+    }
+
+    /// Averages our own attempts over about the time that reports are averaged over.
+    fn note_own(&mut self, now: Time) {
+        let passed = now.since(self.own_noted).as_secs_f64() / OWN_WINDOW.as_secs_f64();
+        self.own += (1.0 - (-passed).exp()) * (f64::from(self.in_flight) - self.own);
+        self.own_noted = now;
+    }
+
     /// Whether it takes no new work for good.
     pub fn leaving(&self) -> bool {
         self.spec.leaving || self.report.is_some_and(|report| report.draining)
@@ -138,12 +171,13 @@
         self.spec.slots.min(1 + self.answered / ANSWERS_PER_SLOT)
     }
 
-    /// The work of other daemons there, as far as known; fades with the report's age.
+    /// The work of other daemons there on average, as far as known; fades with the report's age.
+    ///
+    /// A report is old when it comes and work is short, so single reports say nothing of the moment.
     pub fn others(&self, now: Time) -> f64 {
         let Some(report) = self.report else { return 0.0 };
         let age = now.since(report.at).as_secs_f64() / REPORT_LIFE.as_secs_f64();
-        let others = f64::from(report.load.saturating_sub(self.own_at_report));
-        others * (1.0 - age).max(0.0)
+        (self.reported - self.own).max(0.0) * (1.0 - age).max(0.0)
     }
 
     /// All work there, as far as known.
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -28,7 +28,7 @@
 /// Attempts of one request at most, hedges included.
 const MOST_TRIES: usize = 4;
 /// Time after which waiting requests are looked at again.
-const LOOK_AGAIN: Duration = Duration::from_millis(5);
+const LOOK_AGAIN: Duration = Duration::from_millis(2);
 
 /// What happened to an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -183,6 +183,8 @@
     requests: BTreeMap<u64, Request>,
     attempts: BTreeMap<u64, Attempt>,
     timers: BTreeSet<(Time, Timer)>,
+    /// When waiting requests are looked at again.
+    looking: Option<Time>,
     next_attempt: u64,
     queued: usize,
     hedges: Budget,
@@ -210,6 +212,7 @@
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             timers: BTreeSet::new(),
+            looking: None,
             next_attempt: 0,
             queued: 0,
             hedges: Budget::new(HEDGE_PART, HEDGES_SAVED),
@@ -350,8 +353,15 @@
         };
         self.requests.insert(request, state);
         self.timers.insert((deadline, Timer::Deadline(request)));
+        let first = self.classes[class].queue.is_empty();
         self.enqueue(request, false);
-        self.pump(now);
+        // Behind others that wait there is nothing to try: they could not be placed.
+        if first {
+            self.pump_class(class, now);
+        }
+        if self.queued > 0 {
+            self.look_again(now);
+        }
     }
 
     /// The caller went away: nothing more is done for the request.
@@ -375,6 +385,7 @@
 
     /// Does what is due at `now`.
     pub fn tick(&mut self, now: Time) {
+        let mut look = false;
         while let Some((at, timer)) = self.timers.first().copied() {
             if at > now {
                 break;
@@ -383,10 +394,13 @@
             match timer {
                 Timer::Late(attempt) => self.late(attempt, now),
                 Timer::Deadline(request) => self.expire(request),
-                Timer::Look => {}
+                Timer::Look => look = true,
             }
         }
-        self.pump(now);
+        if look {
+            self.looking = None;
+            self.pump(now);
+        }
     }
 
     /// When `tick` has something to do next.
@@ -486,9 +500,7 @@
         let Some(backend) = self.backends.get_mut(&ended.backend) else {
             return;
         };
-        backend.in_flight -= 1;
-        backend.waiting_in_flight -= u32::from(waits);
-        backend.late -= u32::from(ended.late);
+        backend.end(waits, ended.late, now);
         match ending {
             Ending::Answered(_) => {
                 let ratio = latency.as_secs_f64() / typical.as_secs_f64();
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -20,6 +20,8 @@
 const REMOTE_WORTH: Duration = Duration::from_millis(30);
 /// Cost of a server in another failure domain, in requests.
 const DOMAIN_COST: f64 = 0.2;
+/// Cost of a server that another daemon hosts, in requests: we see less of what goes on there.
+const SHARED_COST: f64 = 1.0;
 /// Part of a tier's servers that may be ejected at once.
 const EJECTED_PART: f64 = 0.5;
 /// Requests beyond its slots that a server is trusted to queue when all reports say it is full.
@@ -55,8 +57,7 @@
         let Some(server) = self.backends.get_mut(&backend) else {
             return;
         };
-        server.in_flight += 1;
-        server.waiting_in_flight += u32::from(waits);
+        server.start(waits, now);
         let place = server.spec.place;
         let reserved = self.reserve(place, bytes as f64, answer_bytes, now);
         self.next_attempt += 1;
@@ -199,7 +200,9 @@
 
     /// Takes a server into the comparison if it is usable; says whether it is.
     fn consider(&self, id: BackendId, state: &Request, now: Time, best: &mut Option<(f64, BackendId)>) -> bool {
-        let Some(server) = self.backends.get(&id) else { return false };
+        let Some(server) = self.backends.get(&id) else {
+            return false;
+        };
         if !self.usable(server, state, now) {
             return false;
         }
@@ -208,7 +211,8 @@
         } else {
             0.0
         };
-        let score = (server.load(now) + 1.0) * server.ratio() + distance;
+        let shared = if server.spec.hosts { 0.0 } else { SHARED_COST };
+        let score = (server.load(now) + 1.0) * server.ratio() + distance + shared;
         if best.is_none_or(|(lowest, _)| score < lowest) {
             *best = Some((score, id));
         }
--- a/crates/dispatch/src/engine/queue.rs
+++ b/crates/dispatch/src/engine/queue.rs
@@ -67,7 +67,7 @@
         class.typical() * ahead / running
     }
 
-    fn pump_class(&mut self, class: usize, now: Time) {
+    pub(super) fn pump_class(&mut self, class: usize, now: Time) {
         while let Some(request) = self.classes[class].queue.front().copied() {
             if self.attempts.len() >= self.limits.in_flight {
                 return;
@@ -123,14 +123,11 @@
         true
     }
 
-    fn look_again(&mut self, now: Time) {
-        let next = now + LOOK_AGAIN;
-        let planned = self
-            .timers
-            .range((now, Timer::Late(0))..)
-            .take(8)
-            .any(|(at, timer)| *timer == Timer::Look && *at <= next);
-        if !planned {
+    /// Plans a look at what waits: other daemons' work ends without our knowing.
+    pub(super) fn look_again(&mut self, now: Time) {
+        if self.looking.is_none() {
+            let next = now + LOOK_AGAIN;
+            self.looking = Some(next);
             self.timers.insert((next, Timer::Look));
         }
     }
--- a/crates/ledger/src/table.rs
+++ b/crates/ledger/src/table.rs
@@ -125,7 +125,9 @@
 
     /// The claim of `key` has come to `held`; called once for each [`Step::Claim`].
     pub fn claimed(&mut self, key: u128, held: Held<A>, now: Time) -> Step<A> {
-        let Some(entry) = self.entries.get_mut(&key) else { return Step::Refuse(Kind::AlreadyClaimed) };
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return Step::Refuse(Kind::AlreadyClaimed);
+        };
         if entry.state != State::Claiming {
             return Step::Refuse(Kind::AlreadyClaimed);
         }
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -12,7 +12,7 @@
 use replay::{Error, Result, Trace};
 
 const USAGE: &str = "\
-hemlockreplay [--site FOLDER]... [--case NAME]... [--seed N] [--out FOLDER]
+hemlockreplay [--site FOLDER]... [--case NAME]... [--seed N] [--out FOLDER] [--ours-only]
 hemlockreplay --site FOLDER --trace FILE
 hemlockreplay --site FOLDER --case NAME --print
 
@@ -36,11 +36,15 @@
     out: Option<PathBuf>,
     seed: u64,
     print: bool,
+    ours_only: bool,
     help: bool,
 }
 
 fn parse() -> std::result::Result<Options, lexopt::Error> {
-    let mut options = Options { seed: 1, ..Options::default() };
+    let mut options = Options {
+        seed: 1,
+        ..Options::default()
+    };
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
@@ -51,6 +55,7 @@
             Long("out") => options.out = Some(PathBuf::from(parser.value()?)),
             Long("seed") => options.seed = parser.value()?.parse()?,
             Long("print") => options.print = true,
+            Long("ours-only") => options.ours_only = true,
             other => return Err(other.unexpected()),
         }
     }
@@ -69,20 +74,29 @@
     found.ok_or_else(|| format!("--case: `{name}` is none of {}", known.join(", ")).into())
 }
 
-fn replay(site: &Site, case: &str, trace: &Trace, seed: u64) -> Vec<Row> {
+fn replay(site: &Site, case: &str, trace: &Trace, options: &Options) -> Vec<Row> {
     let class = |waits: bool| {
-        let named = site.policy.classes.iter().find(|(_, class)| class.idempotent && class.may_wait == waits);
+        let named = site
+            .policy
+            .classes
+            .iter()
+            .find(|(_, class)| class.idempotent && class.may_wait == waits);
         named.map(|(name, _)| name.clone()).unwrap_or_default()
     };
     let row = |(name, policy): &(&str, Policy)| Row {
         site: site.name.clone(),
         case: case.to_owned(),
         policy: (*name).to_owned(),
-        outcome: World::new(site, *policy, seed).run(trace),
+        outcome: World::new(site, *policy, options.seed).run(trace),
         short: class(false),
         bulk: class(true),
     };
-    POLICIES.iter().map(row).collect()
+    let policies = if options.ours_only {
+        &POLICIES[..1]
+    } else {
+        &POLICIES[..]
+    };
+    policies.iter().map(row).collect()
 }
 
 fn run(options: &Options) -> Result<()> {
@@ -92,7 +106,7 @@
         if let Some(path) = &options.trace {
             let name = path.display().to_string();
             let text = std::fs::read_to_string(path).map_err(|error| Error::File(name.clone(), error.to_string()))?;
-            rows.extend(replay(&site, "trace", &Trace::parse(&name, &text)?, options.seed));
+            rows.extend(replay(&site, "trace", &Trace::parse(&name, &text)?, options));
             continue;
         }
         for case in &options.cases {
@@ -101,7 +115,7 @@
                 print!("{}", trace.to_text());
                 return Ok(());
             }
-            rows.extend(replay(&site, case.as_str(), &trace, options.seed));
+            rows.extend(replay(&site, case.as_str(), &trace, options));
         }
     }
     print!("{}", table::text(&rows));
@@ -117,7 +131,9 @@
     file("outcomes.csv".to_owned(), table::csv(rows))?;
     let mut sites: Vec<&str> = rows.iter().map(|row| row.site.as_str()).collect();
     sites.dedup();
-    sites.into_iter().try_for_each(|site| file(format!("p99-{site}.svg"), table::svg(rows, site)))
+    sites
+        .into_iter()
+        .try_for_each(|site| file(format!("p99-{site}.svg"), table::svg(rows, site)))
 }
 
 fn main() -> ExitCode {
--- a/crates/replay/src/table.rs
+++ b/crates/replay/src/table.rs
@@ -22,17 +22,22 @@
 }
 
 const HEAD: [&str; 16] = [
-    "site", "case", "policy", "good", "p50", "p99", "p99.9", "wait99", "behind", "refused", "unknown", "bulk",
-    "extra", "link", "foreign", "twice",
+    "site", "case", "policy", "good", "p50", "p99", "p99.9", "wait99", "behind", "refused", "unknown", "bulk", "extra",
+    "link", "foreign", "twice",
 ];
 
 /// Cells of a row, in the order of the head; times in milliseconds, parts in per cent.
 fn cells(row: &Row) -> Vec<String> {
     let outcome = &row.outcome;
-    let Some(short) = outcome.classes.get(&row.short) else { return Vec::new() };
+    let Some(short) = outcome.classes.get(&row.short) else {
+        return Vec::new();
+    };
     let per_cent = |part: f64| format!("{:.2}", part * 100.0);
     let sum = |count: fn(&crate::outcome::Class) -> u64| outcome.classes.values().map(count).sum::<u64>();
-    let bulk = outcome.classes.get(&row.bulk).map_or(0.0, |bulk| bulk.complete as f64 / bulk.sent.max(1) as f64);
+    let bulk = outcome
+        .classes
+        .get(&row.bulk)
+        .map_or(0.0, |bulk| bulk.complete as f64 / bulk.sent.max(1) as f64);
     vec![
         row.site.clone(),
         row.case.clone(),
@@ -95,7 +100,11 @@
     let rows: Vec<&Row> = rows.iter().filter(|row| row.site == site).collect();
     let mut bars = String::new();
     for (index, row) in rows.iter().enumerate() {
-        let p99 = row.outcome.classes.get(&row.short).map_or(0.0, |class| class.latency_ms(0.99));
+        let p99 = row
+            .outcome
+            .classes
+            .get(&row.short)
+            .map_or(0.0, |class| class.latency_ms(0.99));
         let length = WIDTH * ((1.0 + p99).ln() / (1.0 + SCALE_MS).ln()).min(1.0);
         let top = BAR * index as f64;
         let colour = if row.policy == "ours" { "#1b6e3c" } else { "#999" };
--- a/crates/steer/src/grant.rs
+++ b/crates/steer/src/grant.rs
@@ -41,7 +41,10 @@
 /// Summed over all daemons, requests stay within half of the slots and bytes below the cap.
 pub fn allowance(slots: u32, sources: usize, cap: f64, share: f64) -> Allowance {
     let requests = f64::from(slots) * REMOTE_PART / sources.max(1) as f64 * share;
-    Allowance { requests: requests.floor() as u32, bytes_per_second: cap * LINK_PART * share }
+    Allowance {
+        requests: requests.floor() as u32,
+        bytes_per_second: cap * LINK_PART * share,
+    }
 }
 
 /// What a keeper wants done at the store.
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -137,8 +137,16 @@
 impl Controller {
     /// A controller for `regions` regions whose callers keep answers for `kept`.
     pub fn new(regions: usize, kept: Duration, now: Time) -> Self {
-        let region = Region { stepped: now, updated: now, ..Region::default() };
-        Self { regions: vec![region; regions], shares: Shares::home(regions), settle: kept + STALE }
+        let region = Region {
+            stepped: now,
+            updated: now,
+            ..Region::default()
+        };
+        Self {
+            regions: vec![region; regions],
+            shares: Shares::home(regions),
+            settle: kept + STALE,
+        }
     }
 
     /// The shares in force.
@@ -199,8 +207,12 @@
             let known = spare.iter().sum::<f64>() > 0.0;
             spread(&mut row, region.drained, if known { &spare } else { &even });
         } else {
-            let open: Vec<f64> =
-                region.room.iter().zip(loads).map(|(room, load)| if load.drained { 0.0 } else { *room }).collect();
+            let open: Vec<f64> = region
+                .room
+                .iter()
+                .zip(loads)
+                .map(|(room, load)| if load.drained { 0.0 } else { *room })
+                .collect();
             // What a drained region was to take stays at home.
             let left = open.iter().sum::<f64>() / region.room.iter().sum::<f64>().max(f64::EPSILON);
             spread(&mut row, region.moved * left, &open);
--- a/crates/steer/tests/grants.rs
+++ b/crates/steer/tests/grants.rs
@@ -49,9 +49,20 @@
 
 impl World {
     fn new(fenced: bool) -> Self {
-        let daemon = |token| Daemon { keeper: Keeper::new(), lease: None, token };
+        let daemon = |token| Daemon {
+            keeper: Keeper::new(),
+            lease: None,
+            token,
+        };
         let daemons = (0..DAEMONS as u64).map(daemon).collect();
-        Self { store: State::new(), daemons, late: Vec::new(), now: Time::from_millis(1), tokens: 100, fenced }
+        Self {
+            store: State::new(),
+            daemons,
+            late: Vec::new(),
+            now: Time::from_millis(1),
+            tokens: 100,
+            fenced,
+        }
     }
 
     fn play(&mut self, event: Event) {
@@ -66,7 +77,11 @@
             }
             Event::Restart(which) => {
                 self.tokens += 1;
-                self.daemons[which] = Daemon { keeper: Keeper::new(), lease: None, token: self.tokens };
+                self.daemons[which] = Daemon {
+                    keeper: Keeper::new(),
+                    lease: None,
+                    token: self.tokens,
+                };
             }
         }
     }
@@ -107,14 +122,23 @@
         let end = format!("{prefix}~");
         let entries = self.store.range(&prefix, Some(&end), self.now);
         let token = format!("{} {}", self.daemons[which].token, lease.0).into_bytes();
-        let number = |key: &str| key.rsplit('/').next().and_then(|text| text.parse::<u32>().ok()).expect("slot keys end in numbers");
+        let number = |key: &str| {
+            key.rsplit('/')
+                .next()
+                .and_then(|text| text.parse::<u32>().ok())
+                .expect("slot keys end in numbers")
+        };
         let held: BTreeSet<u32> = self.daemons[which].keeper.held().collect();
         let known: BTreeSet<u32> = entries.iter().map(|entry| number(&entry.key)).collect();
-        let ours = entries.iter().filter(|entry| entry.value == token && !held.contains(&number(&entry.key)));
+        let ours = entries
+            .iter()
+            .filter(|entry| entry.value == token && !held.contains(&number(&entry.key)));
         let ours = ours.map(|entry| (number(&entry.key), entry.revision));
         let free = (0..SLOTS).filter(|slot| !known.contains(slot)).map(|slot| (slot, 0));
         let wanted: Vec<(u32, u64)> = ours.chain(free).take(count as usize).collect();
-        let set = |(slot, expect): &(u32, u64)| Change::set(&key::grant(REGION, *slot), *expect, token.clone()).with_lease(lease);
+        let set = |(slot, expect): &(u32, u64)| {
+            Change::set(&key::grant(REGION, *slot), *expect, token.clone()).with_lease(lease)
+        };
         let changes: Vec<Change> = wanted.iter().map(set).collect();
         if let Some(revision) = self.commit(changes, fault) {
             for (slot, _) in wanted {
@@ -165,7 +189,11 @@
 /// The largest sum of shares seen in `cases` schedules.
 fn most_used(fenced: bool, cases: u32) -> f64 {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[5; 32]);
-    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
     let most = std::cell::Cell::new(0.0_f64);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let ran = runner.run(&prop::collection::vec(event(), 1..200), |schedule| {
