--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -20,8 +20,6 @@
 const REMOTE_WORTH: Duration = Duration::from_millis(30);
 /// Cost of a server in another failure domain, in requests.
 const DOMAIN_COST: f64 = 0.2;
-/// Cost of a server that another daemon hosts, in requests: we see less of what goes on there.
-const SHARED_COST: f64 = 1.0;
 /// Part of a tier's servers that may be ejected at once.
 const EJECTED_PART: f64 = 0.5;
 /// Requests beyond its slots that a server is trusted to queue when all reports say it is full.
@@ -211,8 +209,7 @@
         } else {
             0.0
         };
-        let shared = if server.spec.hosts { 0.0 } else { SHARED_COST };
-        let score = (server.load(now) + 1.0) * server.ratio() + distance + shared;
+        let score = (server.load(now) + 1.0) * server.ratio() + distance;
         if best.is_none_or(|(lowest, _)| score < lowest) {
             *best = Some((score, id));
         }
