--- a/crates/dispatch/src/class.rs
+++ b/crates/dispatch/src/class.rs
@@ -16,7 +16,9 @@
 /// Part by which the largest answer size fades with each answer.
 const SIZE_FADE: f64 = 0.995;
 /// An attempt that takes this many times the typical latency is late.
-pub const LATE: u32 = 4;
+const LATE: u32 = 4;
+/// The same for an attempt at a server that must prove itself.
+const LATE_ON_TRIAL: u32 = 2;
 
 /// What operators declare of a class, as far as dispatch needs it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -82,9 +84,9 @@
         self.typical
     }
 
-    /// Age from which an attempt is late.
-    pub fn late_after(&self) -> Duration {
-        self.typical * LATE
+    /// Age from which an attempt is late; sooner at a server on `trial`.
+    pub fn late_after(&self, trial: bool) -> Duration {
+        self.typical * if trial { LATE_ON_TRIAL } else { LATE }
     }
 
     /// A size that answers seldom pass, in bytes.
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -49,12 +49,12 @@
         let (index, bytes, deadline) = (state.class, state.bytes, state.deadline);
         let class = &mut self.classes[index];
         class.in_flight += 1;
-        let late_at = now + class.late_after();
         let waits = class.spec.may_wait;
         let answer_bytes = class.size();
         let Some(server) = self.backends.get_mut(&backend) else {
             return;
         };
+        let late_at = now + class.late_after(server.suspect());
         server.start(waits, now);
         let place = server.spec.place;
         let reserved = self.reserve(place, bytes as f64, answer_bytes, now);
