--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -149,12 +149,7 @@
             Self::StillRunning => (409, Unknown, Some(1), false),
             Self::Internal => (500, Unknown, None, true),
         };
-        Answer {
-            status,
-            outcome,
-            retry_after_s,
-            close,
-        }
+        Answer { status, outcome, retry_after_s, close }
     }
 
     /// The short name on the wire, in logs and in metrics.
--- a/crates/base/src/rate.rs
+++ b/crates/base/src/rate.rs
@@ -14,12 +14,7 @@
 impl Bucket {
     /// A full bucket that refills `per_second` units a second and holds at most `burst` units.
     pub const fn new(per_second: f64, burst: f64, now: Time) -> Self {
-        Self {
-            per_second,
-            burst,
-            level: burst,
-            filled: now,
-        }
+        Self { per_second, burst, level: burst, filled: now }
     }
 
     /// Takes `units` if they are there; says whether it did.
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -26,24 +26,9 @@
 
 /// Multi-window, multi-burn-rate alerts for a budget of thirty days.
 pub const RULES: [Rule; 3] = [
-    Rule {
-        name: "page-fast",
-        long_s: 3_600,
-        short_s: 300,
-        rate: 14.4,
-    },
-    Rule {
-        name: "page-slow",
-        long_s: 21_600,
-        short_s: 1_800,
-        rate: 6.0,
-    },
-    Rule {
-        name: "ticket",
-        long_s: 259_200,
-        short_s: 21_600,
-        rate: 1.0,
-    },
+    Rule { name: "page-fast", long_s: 3_600, short_s: 300, rate: 14.4 },
+    Rule { name: "page-slow", long_s: 21_600, short_s: 1_800, rate: 6.0 },
+    Rule { name: "ticket", long_s: 259_200, short_s: 21_600, rate: 1.0 },
 ];
 
 /// Counts of one class in one region.
@@ -66,22 +51,13 @@
     pub fn new(class: &str, region: &str, target_share: f64, series: &mut Series, now: Time) -> Self {
         let windows = WINDOWS_S.iter().map(|seconds| series.window(*seconds, now)).collect();
         let minutes = series.minutes(now);
-        Self {
-            class: class.to_owned(),
-            region: region.to_owned(),
-            target_share,
-            windows,
-            minutes,
-        }
+        Self { class: class.to_owned(), region: region.to_owned(), target_share, windows, minutes }
     }
 
     /// Burn rate over a window; 1 uses up the budget exactly over its period.
     pub fn rate(&self, seconds: u64) -> f64 {
         let index = WINDOWS_S.iter().position(|window| *window == seconds);
-        let count = index
-            .and_then(|index| self.windows.get(index))
-            .copied()
-            .unwrap_or_default();
+        let count = index.and_then(|index| self.windows.get(index)).copied().unwrap_or_default();
         count.bad_part() / (1.0 - self.target_share).max(f64::EPSILON)
     }
 
@@ -119,9 +95,7 @@
                 None => drop(merged.insert(key, line.clone())),
             }
         }
-        Self {
-            lines: merged.into_values().collect(),
-        }
+        Self { lines: merged.into_values().collect() }
     }
 
     /// The report as a table.
@@ -132,10 +106,7 @@
         );
         for line in &self.lines {
             let total = line.windows.last().map_or(0, |count| count.total);
-            let rates: Vec<String> = WINDOWS_S
-                .iter()
-                .map(|seconds| format!("{:>7.2}", line.rate(*seconds)))
-                .collect();
+            let rates: Vec<String> = WINDOWS_S.iter().map(|seconds| format!("{:>7.2}", line.rate(*seconds))).collect();
             let alerts = line.alerts().join(",");
             let alerts = if alerts.is_empty() { "-" } else { &alerts };
             let target = line.target_share * 100.0;
--- a/crates/burn/src/series.rs
+++ b/crates/burn/src/series.rs
@@ -46,11 +46,7 @@
 
 impl Ring {
     fn new(seconds: u64, length: usize) -> Self {
-        Self {
-            seconds,
-            counts: vec![Count::default(); length],
-            newest: 0,
-        }
+        Self { seconds, counts: vec![Count::default(); length], newest: 0 }
     }
 
     /// Empties the buckets that time has passed over.
@@ -67,19 +63,14 @@
 
     fn note(&mut self, good: bool, now: Time) {
         let index = self.advance(now);
-        self.counts[index].add(Count {
-            good: u64::from(good),
-            total: 1,
-        });
+        self.counts[index].add(Count { good: u64::from(good), total: 1 });
     }
 
     /// The newest `buckets` buckets, newest first.
     fn last(&mut self, buckets: usize, now: Time) -> Vec<Count> {
         let index = self.advance(now);
         let length = self.counts.len();
-        (0..buckets.min(length))
-            .map(|step| self.counts[(index + length - step) % length])
-            .collect()
+        (0..buckets.min(length)).map(|step| self.counts[(index + length - step) % length]).collect()
     }
 }
 
@@ -99,10 +90,7 @@
 impl Series {
     /// No answers yet.
     pub fn new() -> Self {
-        Self {
-            fine: Ring::new(FINE_S, FINE),
-            coarse: Ring::new(COARSE_S, COARSE),
-        }
+        Self { fine: Ring::new(FINE_S, FINE), coarse: Ring::new(COARSE_S, COARSE) }
     }
 
     /// Counts one answer.
@@ -114,11 +102,7 @@
     /// Answers of the last `seconds` seconds, to the nearest bucket.
     pub fn window(&mut self, seconds: u64, now: Time) -> Count {
         let fine = seconds <= FINE_S * FINE as u64;
-        let (ring, length) = if fine {
-            (&mut self.fine, FINE_S)
-        } else {
-            (&mut self.coarse, COARSE_S)
-        };
+        let (ring, length) = if fine { (&mut self.fine, FINE_S) } else { (&mut self.coarse, COARSE_S) };
         let counts = ring.last(seconds.div_ceil(length) as usize, now);
         let mut sum = Count::default();
         for count in counts {
--- a/crates/config/src/configs/list.rs
+++ b/crates/config/src/configs/list.rs
@@ -19,11 +19,7 @@
 
 impl Default for List {
     fn default() -> Self {
-        Self {
-            address: "127.0.0.1:7901".to_owned(),
-            poll_ms: 1_000,
-            timeout_ms: 1_000,
-        }
+        Self { address: "127.0.0.1:7901".to_owned(), poll_ms: 1_000, timeout_ms: 1_000 }
     }
 }
 
--- a/crates/config/src/configs/mod.rs
+++ b/crates/config/src/configs/mod.rs
@@ -51,10 +51,7 @@
 impl Settings {
     /// Reads and checks the settings in `path`.
     pub fn read(path: &Path) -> Result<Self> {
-        let text = fs::read_to_string(path).map_err(|source| Error::Read {
-            path: path.to_owned(),
-            source,
-        })?;
+        let text = fs::read_to_string(path).map_err(|source| Error::Read { path: path.to_owned(), source })?;
         Self::parse(&path.display().to_string(), &text)
     }
 
@@ -66,11 +63,7 @@
     }
 
     fn check(&self, name: &str) -> Result<()> {
-        let places = [
-            ("instance", &self.instance),
-            ("domain", &self.domain),
-            ("region", &self.region),
-        ];
+        let places = [("instance", &self.instance), ("domain", &self.domain), ("region", &self.region)];
         for (key, value) in places {
             if value.is_empty() {
                 return Err(Error::value(name, key, "must be given; set it to a short unique name"));
@@ -78,11 +71,7 @@
         }
         let levels = ["", "error", "warn", "info", "debug", "trace"];
         if !levels.contains(&self.log.as_str()) {
-            return Err(Error::value(
-                name,
-                "log",
-                "must be one of error, warn, info, debug, trace",
-            ));
+            return Err(Error::value(name, "log", "must be one of error, warn, info, debug, trace"));
         }
         self.callers.check(name)?;
         self.operators.check(name)?;
@@ -97,11 +86,7 @@
 fn check_address(name: &str, key: &str, value: &str) -> Result<()> {
     match value.parse::<std::net::SocketAddr>() {
         Ok(_) => Ok(()),
-        Err(_) => Err(Error::value(
-            name,
-            key,
-            format!("`{value}` is no IP:PORT; write it like 127.0.0.1:7001"),
-        )),
+        Err(_) => Err(Error::value(name, key, format!("`{value}` is no IP:PORT; write it like 127.0.0.1:7001"))),
     }
 }
 
@@ -110,9 +95,5 @@
     if (low..=high).contains(&value) {
         return Ok(());
     }
-    Err(Error::value(
-        name,
-        key,
-        format!("is {value}; set it from {low} to {high}"),
-    ))
+    Err(Error::value(name, key, format!("is {value}; set it from {low} to {high}")))
 }
--- a/crates/config/src/configs/operators.rs
+++ b/crates/config/src/configs/operators.rs
@@ -15,9 +15,7 @@
 
 impl Default for Operators {
     fn default() -> Self {
-        Self {
-            address: "127.0.0.1:7100".to_owned(),
-        }
+        Self { address: "127.0.0.1:7100".to_owned() }
     }
 }
 
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -39,17 +39,10 @@
 impl Error {
     /// A complaint about one value.
     pub fn value(name: &str, key: impl Into<String>, advice: impl Into<String>) -> Self {
-        Self::Value {
-            name: name.to_owned(),
-            key: key.into(),
-            advice: advice.into(),
-        }
+        Self::Value { name: name.to_owned(), key: key.into(), advice: advice.into() }
     }
 
     pub(crate) fn parse(name: &str, source: &toml::de::Error) -> Self {
-        Self::Parse {
-            name: name.to_owned(),
-            text: source.to_string().trim_end().to_owned(),
-        }
+        Self::Parse { name: name.to_owned(), text: source.to_string().trim_end().to_owned() }
     }
 }
--- a/crates/config/src/policy/block.rs
+++ b/crates/config/src/policy/block.rs
@@ -33,11 +33,7 @@
             return Err(Error::value(name, format!("{key}.prefix"), advice));
         }
         if !regions.contains_key(&self.region) {
-            return Err(Error::value(
-                name,
-                format!("{key}.region"),
-                format!("`{}` is no region", self.region),
-            ));
+            return Err(Error::value(name, format!("{key}.region"), format!("`{}` is no region", self.region)));
         }
         Ok(())
     }
--- a/crates/config/src/policy/class.rs
+++ b/crates/config/src/policy/class.rs
@@ -39,25 +39,13 @@
             return Err(Error::value(name, format!("{key}.service"), "must name a service"));
         }
         if self.paths.is_empty() {
-            return Err(Error::value(
-                name,
-                format!("{key}.paths"),
-                "must name one path at least",
-            ));
+            return Err(Error::value(name, format!("{key}.paths"), "must name one path at least"));
         }
         if let Some(path) = self.paths.iter().find(|path| !path.starts_with('/')) {
-            return Err(Error::value(
-                name,
-                format!("{key}.paths"),
-                format!("`{path}` must start with /"),
-            ));
+            return Err(Error::value(name, format!("{key}.paths"), format!("`{path}` must start with /")));
         }
         if !(self.target_share > 0.0 && self.target_share < 1.0) {
-            return Err(Error::value(
-                name,
-                format!("{key}.target_share"),
-                "must lie between 0 and 1, like 0.999",
-            ));
+            return Err(Error::value(name, format!("{key}.target_share"), "must lie between 0 and 1, like 0.999"));
         }
         if self.target_ms == 0 || self.target_ms > self.deadline_ms {
             let advice = "must be above zero and at most deadline_ms";
--- a/crates/config/src/policy/link.rs
+++ b/crates/config/src/policy/link.rs
@@ -41,11 +41,7 @@
             ));
         }
         if self.between[0] == self.between[1] {
-            return Err(Error::value(
-                name,
-                format!("{key}.between"),
-                "names one region twice; name two regions",
-            ));
+            return Err(Error::value(name, format!("{key}.between"), "names one region twice; name two regions"));
         }
         if !(self.cap_mbit > 0.0 && self.cap_mbit.is_finite()) {
             return Err(Error::value(name, format!("{key}.cap_mbit"), "must be above zero"));
--- a/crates/config/src/policy/mod.rs
+++ b/crates/config/src/policy/mod.rs
@@ -45,10 +45,7 @@
 impl Policy {
     /// Reads and checks the policy in `path`.
     pub fn read(path: &Path) -> Result<Self> {
-        let text = fs::read_to_string(path).map_err(|source| Error::Read {
-            path: path.to_owned(),
-            source,
-        })?;
+        let text = fs::read_to_string(path).map_err(|source| Error::Read { path: path.to_owned(), source })?;
         Self::parse(&path.display().to_string(), &text)
     }
 
@@ -61,10 +58,7 @@
 
     /// The policy as TOML.
     pub fn to_text(&self) -> Result<String> {
-        toml::to_string(self).map_err(|source| Error::Parse {
-            name: "policy".to_owned(),
-            text: source.to_string(),
-        })
+        toml::to_string(self).map_err(|source| Error::Parse { name: "policy".to_owned(), text: source.to_string() })
     }
 
     /// Checks all values and references.
@@ -128,15 +122,11 @@
             let length = class.covers(path)?;
             Some((length, name.as_str(), class))
         });
-        covers
-            .max_by_key(|(length, _, _)| *length)
-            .map(|(_, name, class)| (name, class))
+        covers.max_by_key(|(length, _, _)| *length).map(|(_, name, class)| (name, class))
     }
 
     fn drained(&self, scope: Scope, name: &str) -> bool {
-        self.drains
-            .iter()
-            .any(|drain| drain.scope == scope && drain.name == name)
+        self.drains.iter().any(|drain| drain.scope == scope && drain.name == name)
     }
 
     fn check_domains(&self, name: &str) -> Result<()> {
@@ -148,11 +138,7 @@
             }
             for domain in &value.domains {
                 if !seen.insert(domain) {
-                    return Err(Error::value(
-                        name,
-                        key,
-                        format!("`{domain}` is named twice; name each once"),
-                    ));
+                    return Err(Error::value(name, key, format!("`{domain}` is named twice; name each once")));
                 }
             }
         }
@@ -169,11 +155,7 @@
             for path in &value.paths {
                 if !paths.insert(path) {
                     let key = format!("classes.{class}.paths");
-                    return Err(Error::value(
-                        name,
-                        key,
-                        format!("`{path}` belongs to two classes; keep one"),
-                    ));
+                    return Err(Error::value(name, key, format!("`{path}` belongs to two classes; keep one")));
                 }
             }
         }
@@ -198,10 +180,6 @@
         if domains.any(|domain| !self.domain_drained(domain)) {
             return Ok(());
         }
-        Err(Error::value(
-            name,
-            "drains",
-            "would drain every failure domain; end one drain first",
-        ))
+        Err(Error::value(name, "drains", "would drain every failure domain; end one drain first"))
     }
 }
--- a/crates/ctl/src/change.rs
+++ b/crates/ctl/src/change.rs
@@ -61,10 +61,7 @@
             None => found = revision,
         }
     }
-    Err(Error::Conflict {
-        expected: found,
-        found: read(store)?.1,
-    })
+    Err(Error::Conflict { expected: found, found: read(store)?.1 })
 }
 
 /// Replaces the policy if it is at `expected`, as the change `id`.
@@ -76,10 +73,7 @@
     policy.changes = before.changes;
     match write(store, id, policy, expected)? {
         Some(done) => Ok(done),
-        None => Err(Error::Conflict {
-            expected,
-            found: read(store)?.1,
-        }),
+        None => Err(Error::Conflict { expected, found: read(store)?.1 }),
     }
 }
 
@@ -127,10 +121,7 @@
             Err(error) => reason = error.to_string(),
         }
     }
-    Err(Error::Unknown {
-        id: id.to_owned(),
-        reason,
-    })
+    Err(Error::Unknown { id: id.to_owned(), reason })
 }
 
 fn parse(entry: &Entry) -> Result<Policy> {
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -100,10 +100,7 @@
             match argument {
                 Long("help") | Short('h') => return Ok(command),
                 Long("version") | Short('V') => {
-                    return Ok(Self {
-                        verb: Verb::Version,
-                        ..command
-                    });
+                    return Ok(Self { verb: Verb::Version, ..command });
                 }
                 Long("json") => command.json = true,
                 Long("store") => command.store = text(&mut parser)?,
@@ -125,8 +122,7 @@
 }
 
 fn number(name: &str, text: &str) -> Result<u64> {
-    text.parse()
-        .map_err(|_source| Error::Usage(format!("{name}: `{text}` is no whole number")))
+    text.parse().map_err(|_source| Error::Usage(format!("{name}: `{text}` is no whole number")))
 }
 
 fn verb(given: Words) -> Result<Verb> {
@@ -153,8 +149,6 @@
         "region" => Ok(Scope::Region),
         "domain" => Ok(Scope::Domain),
         "instance" => Ok(Scope::Instance),
-        other => Err(Error::Usage(format!(
-            "`{other}` is no scope; use region, domain or instance"
-        ))),
+        other => Err(Error::Usage(format!("`{other}` is no scope; use region, domain or instance"))),
     }
 }
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -14,11 +14,8 @@
 
 /// An agent for short calls.
 pub fn agent() -> ureq::Agent {
-    let config = ureq::Agent::config_builder()
-        .timeout_global(Some(TIMEOUT))
-        .proxy(None)
-        .http_status_as_error(false)
-        .build();
+    let config =
+        ureq::Agent::config_builder().timeout_global(Some(TIMEOUT)).proxy(None).http_status_as_error(false).build();
     config.into()
 }
 
@@ -34,10 +31,7 @@
 pub fn entries(agent: &ureq::Agent, list: &str) -> Result<Vec<Instance>> {
     let read = get::<Vec<Instance>>(agent, &format!("http://{list}/instances"));
     let instances = read.map_err(|reason| Error::Failed(format!("list at {list}: {reason}; check --list")))?;
-    Ok(instances
-        .into_iter()
-        .filter(|instance| instance.role == Role::Entry)
-        .collect())
+    Ok(instances.into_iter().filter(|instance| instance.role == Role::Entry).collect())
 }
 
 /// Asks each of `entries` for the JSON at `path`; all at once.
@@ -47,20 +41,10 @@
 {
     /// Daemons asked by one thread.
     const PART: usize = 32;
-    let one = |entry: &Instance| {
-        (
-            entry.name.clone(),
-            get(agent, &format!("http://{}{path}", entry.operators)),
-        )
-    };
+    let one = |entry: &Instance| (entry.name.clone(), get(agent, &format!("http://{}{path}", entry.operators)));
     std::thread::scope(|scope| {
-        let parts: Vec<_> = entries
-            .chunks(PART)
-            .map(|part| scope.spawn(move || part.iter().map(one).collect::<Vec<_>>()))
-            .collect();
-        parts
-            .into_iter()
-            .flat_map(|part| part.join().unwrap_or_default())
-            .collect()
+        let parts: Vec<_> =
+            entries.chunks(PART).map(|part| scope.spawn(move || part.iter().map(one).collect::<Vec<_>>())).collect();
+        parts.into_iter().flat_map(|part| part.join().unwrap_or_default()).collect()
     })
 }
--- a/crates/ctl/src/verbs/check.rs
+++ b/crates/ctl/src/verbs/check.rs
@@ -12,12 +12,8 @@
 
 /// Checks the file at `path`; what it is shows in its keys.
 pub fn run(path: &Path) -> Result<String> {
-    let text = std::fs::read_to_string(path).map_err(|source| {
-        Error::Policy(config::Error::Read {
-            path: path.to_owned(),
-            source,
-        })
-    })?;
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| Error::Policy(config::Error::Read { path: path.to_owned(), source }))?;
     let name = path.display().to_string();
     if POLICY_KEYS.iter().any(|key| text.contains(key)) {
         let policy = Policy::parse(&name, &text)?;
--- a/crates/ctl/src/verbs/drain.rs
+++ b/crates/ctl/src/verbs/drain.rs
@@ -6,10 +6,7 @@
 
 /// Announces the drain of `name`.
 pub fn announce(policy: &mut Policy, scope: Scope, name: &str) -> Result<()> {
-    let drain = Drain {
-        scope,
-        name: name.to_owned(),
-    };
+    let drain = Drain { scope, name: name.to_owned() };
     if !policy.drains.contains(&drain) {
         policy.drains.push(drain);
     }
--- a/crates/ctl/src/verbs/mod.rs
+++ b/crates/ctl/src/verbs/mod.rs
@@ -71,7 +71,5 @@
     if policy.changes.iter().any(|change| change == id) {
         return said(command, id, &Done::Before(revision));
     }
-    Err(Error::Failed(format!(
-        "the change {id} is not among the latest of revision {revision}: it took no effect"
-    )))
+    Err(Error::Failed(format!("the change {id} is not among the latest of revision {revision}: it took no effect")))
 }
--- a/crates/ctl/src/verbs/report.rs
+++ b/crates/ctl/src/verbs/report.rs
@@ -13,11 +13,8 @@
     let agent = fleet::agent();
     let entries = fleet::entries(&agent, &command.list)?;
     let answers = fleet::ask::<Report>(&agent, &entries, "/burn");
-    let silent: Vec<&str> = answers
-        .iter()
-        .filter(|(_, answer)| answer.is_err())
-        .map(|(name, _)| name.as_str())
-        .collect();
+    let silent: Vec<&str> =
+        answers.iter().filter(|(_, answer)| answer.is_err()).map(|(name, _)| name.as_str()).collect();
     let reports: Vec<&Report> = answers.iter().filter_map(|(_, answer)| answer.as_ref().ok()).collect();
     let merged = Report::merge(reports);
     if let Some(path) = html {
--- a/crates/ctl/src/verbs/show.rs
+++ b/crates/ctl/src/verbs/show.rs
@@ -52,16 +52,8 @@
     let entries = fleet::entries(&agent, &command.list)?;
     let answers = fleet::ask::<Decisions>(&agent, &entries, "/decisions");
     let lines = answers.into_iter().map(|(instance, answer)| match answer {
-        Ok(decisions) => Line {
-            instance,
-            answer: Some(decisions),
-            silent: None,
-        },
-        Err(reason) => Line {
-            instance,
-            answer: None,
-            silent: Some(reason),
-        },
+        Ok(decisions) => Line { instance, answer: Some(decisions), silent: None },
+        Err(reason) => Line { instance, answer: None, silent: Some(reason) },
     });
     let summary = sum_up(lines.collect());
     if command.json {
@@ -72,27 +64,15 @@
 }
 
 fn sum_up(daemons: Vec<Line>) -> Summary {
-    let revisions = daemons
-        .iter()
-        .filter_map(|line| line.answer.as_ref().map(|answer| answer.revision));
+    let revisions = daemons.iter().filter_map(|line| line.answer.as_ref().map(|answer| answer.revision));
     let newest = revisions.clone().max().unwrap_or(0);
     let oldest = revisions.min().unwrap_or(0);
     let named = |keep: &dyn Fn(&Line) -> bool| -> Vec<String> {
-        daemons
-            .iter()
-            .filter(|line| keep(line))
-            .map(|line| line.instance.clone())
-            .collect()
+        daemons.iter().filter(|line| keep(line)).map(|line| line.instance.clone()).collect()
     };
     let behind = named(&|line| line.answer.as_ref().is_some_and(|answer| answer.revision < newest));
     let silent = named(&|line| line.silent.is_some());
-    Summary {
-        newest,
-        oldest,
-        behind,
-        silent,
-        daemons,
-    }
+    Summary { newest, oldest, behind, silent, daemons }
 }
 
 fn table(summary: &Summary) -> String {
@@ -103,17 +83,8 @@
     for line in &summary.daemons {
         text.push_str(&row(line));
     }
-    let Summary {
-        newest,
-        oldest,
-        behind,
-        silent,
-        ..
-    } = summary;
-    text.push_str(&format!(
-        "revision: newest {newest}, oldest {oldest}, behind {}\n",
-        behind.len()
-    ));
+    let Summary { newest, oldest, behind, silent, .. } = summary;
+    text.push_str(&format!("revision: newest {newest}, oldest {oldest}, behind {}\n", behind.len()));
     if !behind.is_empty() {
         text.push_str(&format!("behind: {}\n", behind.join(", ")));
     }
@@ -125,17 +96,9 @@
 
 fn row(line: &Line) -> String {
     let Some(answer) = &line.answer else {
-        return format!(
-            "{:<16} no answer: {}\n",
-            line.instance,
-            line.silent.as_deref().unwrap_or_default()
-        );
+        return format!("{:<16} no answer: {}\n", line.instance, line.silent.as_deref().unwrap_or_default());
     };
-    let living = answer
-        .members
-        .iter()
-        .filter(|member| matches!(member.state.as_str(), "alive" | "suspect"))
-        .count();
+    let living = answer.members.iter().filter(|member| matches!(member.state.as_str(), "alive" | "suspect")).count();
     let ready = if answer.ready.ready { "yes" } else { "no" };
     format!(
         "{:<16} {:<18} {:<14} {:>9} {ready:<6} {living:>7} {:>6.1}% {:>6} {:>7.1}s  {}\n",
--- a/crates/ctl/src/verbs/target.rs
+++ b/crates/ctl/src/verbs/target.rs
@@ -8,10 +8,7 @@
 pub fn set(policy: &mut Policy, name: &str, key: &str, value: &str) -> Result<()> {
     let known: Vec<String> = policy.classes.keys().cloned().collect();
     let Some(class) = policy.classes.get_mut(name) else {
-        return Err(Error::Usage(format!(
-            "`{name}` is no class; known are {}",
-            known.join(", ")
-        )));
+        return Err(Error::Usage(format!("`{name}` is no class; known are {}", known.join(", "))));
     };
     let wrong = || Error::Usage(format!("`{value}` is no value for {key}"));
     match key {
--- a/crates/daemon/src/backends/agents.rs
+++ b/crates/daemon/src/backends/agents.rs
@@ -22,10 +22,7 @@
 impl Agents {
     /// Pools whose connections are made within `connect`.
     pub const fn new(connect: Duration) -> Self {
-        Self {
-            connect,
-            pools: Mutex::new(BTreeMap::new()),
-        }
+        Self { connect, pools: Mutex::new(BTreeMap::new()) }
     }
 
     /// An agent for `backend`; a `fresh` one makes a new connection and keeps none.
@@ -34,10 +31,7 @@
             return http::agent(self.connect, 0);
         }
         let mut pools = lock(&self.pools);
-        pools
-            .entry(backend)
-            .or_insert_with(|| http::agent(self.connect, POOLED))
-            .clone()
+        pools.entry(backend).or_insert_with(|| http::agent(self.connect, POOLED)).clone()
     }
 
     /// Drops the pool of `backend`: one of its connections went silent or broke, so the others may have too.
--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -51,12 +51,7 @@
     let url = format!("http://{address}/cancel?id={}", attempt_id(context, attempt));
     context.runtime.spawn_blocking(move || {
         let agent = http::agent(CANCEL_TIMEOUT, 0);
-        let sent = agent
-            .post(&url)
-            .config()
-            .timeout_global(Some(CANCEL_TIMEOUT))
-            .build()
-            .send_empty();
+        let sent = agent.post(&url).config().timeout_global(Some(CANCEL_TIMEOUT)).build().send_empty();
         if let Err(error) = sent {
             log::debug!("dispatch: cancel skipped url={url} reason={:?}", error.to_string());
         }
@@ -64,12 +59,7 @@
 }
 
 fn run(context: &Arc<Context>, outgoing: &Outgoing, sending: Sending) -> (Ending, Option<Arc<Whole>>) {
-    let Sending {
-        attempt,
-        backend,
-        deadline,
-        again,
-    } = sending;
+    let Sending { attempt, backend, deadline, again } = sending;
     if let Some(order) = &outgoing.order
         && let Err(kind) = orders::claim(context, order, deadline)
     {
@@ -87,17 +77,15 @@
     let agent = context.agents.get(backend, fresh);
     let id = attempt_id(context, attempt);
     let max_bytes = context.settings.dispatch.max_answer_bytes;
-    match http::send(&agent, &address, outgoing, &id, limit, max_bytes) {
+    let route = http::Route { address: &address, id: &id, fresh, limit, max_bytes };
+    match http::send(&agent, outgoing, route) {
         Ok(whole) if whole.status == 499 => (Ending::Cancelled, None),
         Ok(whole) => (Ending::Answered(whole.bytes()), Some(Arc::new(whole))),
         Err(ending) => {
             if matches!(ending, Ending::Lost | Ending::Timeout | Ending::Cut) {
                 context.agents.renew(backend);
             }
-            log::debug!(
-                "dispatch: attempt ended request={} server={address} ending={ending:?}",
-                outgoing.number
-            );
+            log::debug!("dispatch: attempt ended request={} server={address} ending={ending:?}", outgoing.number);
             (ending, None)
         }
     }
--- a/crates/daemon/src/backends/http.rs
+++ b/crates/daemon/src/backends/http.rs
@@ -41,32 +41,36 @@
     config.into()
 }
 
-/// Sends `outgoing` to `address` as attempt `id`, to be answered within `limit`.
-pub fn send(
-    agent: &ureq::Agent,
-    address: &str,
-    outgoing: &Outgoing,
-    id: &str,
-    limit: Duration,
-    max_bytes: u64,
-) -> Result<Whole, Ending> {
+/// Where and how an attempt is sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Route<'a> {
+    /// The server, `IP:PORT`.
+    pub address: &'a str,
+    /// The attempt's id, for cancellation.
+    pub id: &'a str,
+    /// Whether the connection serves this attempt only.
+    pub fresh: bool,
+    /// Time for the whole answer.
+    pub limit: Duration,
+    /// Largest answer, in bytes.
+    pub max_bytes: u64,
+}
+
+/// Sends `outgoing` along `route`.
+pub fn send(agent: &ureq::Agent, outgoing: &Outgoing, route: Route<'_>) -> Result<Whole, Ending> {
+    let Route { address, id, fresh, limit, max_bytes } = route;
     let mut builder = ureq::http::Request::builder()
         .method(outgoing.method.as_str())
         .uri(format!("http://{address}{}", outgoing.target));
     for (name, value) in &outgoing.headers {
         builder = builder.header(name, value);
     }
-    builder = builder
-        .header("x-request-id", id)
-        .header("x-deadline-ms", limit.as_millis().to_string());
-    let request = builder
-        .body(outgoing.body.to_vec())
-        .map_err(|_source| Ending::Withheld(Kind::Malformed))?;
-    let request = agent
-        .configure_request(request)
-        .timeout_global(Some(limit))
-        .allow_non_standard_methods(true)
-        .build();
+    if fresh {
+        builder = builder.header("connection", "close");
+    }
+    builder = builder.header("x-request-id", id).header("x-deadline-ms", limit.as_millis().to_string());
+    let request = builder.body(outgoing.body.to_vec()).map_err(|_source| Ending::Withheld(Kind::Malformed))?;
+    let request = agent.configure_request(request).timeout_global(Some(limit)).allow_non_standard_methods(true).build();
     let response = agent.run(request).map_err(|error| ending(&error))?;
     receive(response, outgoing, max_bytes)
 }
@@ -77,10 +81,7 @@
     max_bytes: u64,
 ) -> Result<Whole, Ending> {
     let status = response.status().as_u16();
-    let not_run = response
-        .headers()
-        .get("x-outcome")
-        .is_some_and(|value| value == "not-run");
+    let not_run = response.headers().get("x-outcome").is_some_and(|value| value == "not-run");
     if not_run && matches!(status, 429 | 503) {
         return Err(Ending::Shed);
     }
@@ -95,11 +96,7 @@
     // The library's limit is an error only past it.
     let read = response.body_mut().with_config().limit(max_bytes).read_to_vec();
     match read {
-        Ok(body) => Ok(Whole {
-            status,
-            headers,
-            body: body.into(),
-        }),
+        Ok(body) => Ok(Whole { status, headers, body: body.into() }),
         Err(ureq::Error::BodyExceedsLimit(_)) => Err(Ending::TooLarge),
         Err(ureq::Error::Timeout(_)) => Err(Ending::Timeout),
         Err(_) => Err(Ending::Cut),
--- a/crates/daemon/src/backends/probe.rs
+++ b/crates/daemon/src/backends/probe.rs
@@ -34,11 +34,8 @@
 
 fn start(context: &Arc<Context>) -> kernel::Started {
     let pause = Duration::from_millis(context.settings.dispatch.probe_ms);
-    let config = ureq::Agent::config_builder()
-        .timeout_global(Some(TIMEOUT))
-        .proxy(None)
-        .max_idle_connections(0)
-        .build();
+    let config =
+        ureq::Agent::config_builder().timeout_global(Some(TIMEOUT)).proxy(None).max_idle_connections(0).build();
     let agent: ureq::Agent = config.into();
     let context = Arc::clone(context);
     let running = Loop::start("probe", move || {
@@ -60,23 +57,16 @@
     let parts = near.chunks(near.len().div_ceil(READERS).max(1));
     let read = |instance: &&Instance| probe(context, agent, instance);
     let loads: Vec<(String, u32, u32)> = std::thread::scope(|scope| {
-        let readers: Vec<_> = parts
-            .map(|part| scope.spawn(move || part.iter().filter_map(read).collect::<Vec<_>>()))
-            .collect();
-        readers
-            .into_iter()
-            .flat_map(|reader| reader.join().unwrap_or_default())
-            .collect()
+        let readers: Vec<_> =
+            parts.map(|part| scope.spawn(move || part.iter().filter_map(read).collect::<Vec<_>>())).collect();
+        readers.into_iter().flat_map(|reader| reader.join().unwrap_or_default()).collect()
     });
     sum_up(context, &loads);
 }
 
 fn probe(context: &Arc<Context>, agent: &ureq::Agent, instance: &Instance) -> Option<(String, u32, u32)> {
     let url = format!("http://{}/load", instance.address);
-    let read = agent
-        .get(&url)
-        .call()
-        .and_then(|mut response| response.body_mut().read_to_vec());
+    let read = agent.get(&url).call().and_then(|mut response| response.body_mut().read_to_vec());
     let load = read.ok().and_then(|bytes| serde_json::from_slice::<Load>(&bytes).ok());
     let Some(load) = load else {
         log::debug!("probe: report skipped server={}", instance.name);
@@ -84,14 +74,8 @@
     };
     let now = context.now();
     let at = now - Duration::from_millis(load.age_ms);
-    let report = Report {
-        load: load.busy + load.queued,
-        draining: load.draining,
-        at,
-    };
-    context
-        .driver
-        .with(context, |engine| engine.report(view::backend_id(instance), report, now));
+    let report = Report { load: load.busy + load.queued, draining: load.draining, at };
+    context.driver.with(context, |engine| engine.report(view::backend_id(instance), report, now));
     Some((instance.domain.clone(), report.load, instance.slots))
 }
 
@@ -100,11 +84,7 @@
     let now = context.now();
     let mut sums: std::collections::BTreeMap<&str, Seen> = std::collections::BTreeMap::new();
     for (domain, busy, slots) in loads {
-        let sum = sums.entry(domain).or_insert(Seen {
-            busy: 0,
-            slots: 0,
-            at: now,
-        });
+        let sum = sums.entry(domain).or_insert(Seen { busy: 0, slots: 0, at: now });
         sum.busy += busy;
         sum.slots += slots;
     }
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -41,16 +41,9 @@
     let now = context.now();
     let latency = now.since(start);
     context.metrics.requests.with_label_values(&[&class, result]).inc();
-    context
-        .metrics
-        .latency
-        .with_label_values(&[&class])
-        .observe(latency.as_secs_f64());
+    context.metrics.latency.with_label_values(&[&class]).observe(latency.as_secs_f64());
     note_burn(context, &class, &outcome, latency);
-    log::debug!(
-        "callers: answered class={class} result={result} ms={}",
-        latency.as_millis()
-    );
+    log::debug!("callers: answered class={class} result={result} ms={}", latency.as_millis());
     outcome.map_or_else(reply::error, |whole| reply::whole(&whole))
 }
 
@@ -78,20 +71,14 @@
     let headers = &parts.headers;
     if headers.contains_key(TRANSFER_ENCODING) {
         let both = headers.contains_key(CONTENT_LENGTH);
-        return Err(if both {
-            Kind::AmbiguousFraming
-        } else {
-            Kind::LengthRequired
-        });
+        return Err(if both { Kind::AmbiguousFraming } else { Kind::LengthRequired });
     }
     if headers.get_all(CONTENT_LENGTH).iter().count() > 1 {
         return Err(Kind::AmbiguousFraming);
     }
     let settings = &context.settings.callers;
     let limit = settings.max_body_bytes;
-    let declared = headers
-        .get(CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    let declared = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
     if declared.unwrap_or(0) > limit {
         return Err(Kind::BodyTooLarge);
     }
@@ -105,17 +92,9 @@
 }
 
 async fn dispatch(context: &Arc<Context>, class: usize, idempotent: bool, parts: &Parts, body: Bytes) -> Outcome {
-    let target = parts
-        .uri
-        .path_and_query()
-        .map_or("/", |target| target.as_str())
-        .to_owned();
+    let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     let fingerprint = fingerprint(parts.method.as_str(), &target, &body);
-    let order = if idempotent {
-        None
-    } else {
-        Some(order(context, parts, fingerprint)?)
-    };
+    let order = if idempotent { None } else { Some(order(context, parts, fingerprint)?) };
     if let Some(order) = &order {
         match orders::begin(context, order) {
             Step::Claim | Step::Run => {}
@@ -138,10 +117,7 @@
     if outgoing.order.is_some() {
         return run_order(context, outgoing, class, fingerprint).await;
     }
-    let mut guard = Guard {
-        context: Arc::clone(context),
-        request: Some(outgoing.number),
-    };
+    let mut guard = Guard { context: Arc::clone(context), request: Some(outgoing.number) };
     let outcome = context.driver.submit(context, outgoing, class, fingerprint).await;
     guard.request = None;
     outcome.unwrap_or(Err(Kind::Internal))
@@ -151,10 +127,7 @@
 async fn run_order(context: &Arc<Context>, outgoing: Arc<Outgoing>, class: usize, fingerprint: u64) -> Outcome {
     let shared = Arc::clone(context);
     let task = context.runtime.spawn(async move {
-        let outcome = shared
-            .driver
-            .submit(&shared, Arc::clone(&outgoing), class, fingerprint)
-            .await;
+        let outcome = shared.driver.submit(&shared, Arc::clone(&outgoing), class, fingerprint).await;
         let outcome = outcome.unwrap_or(Err(Kind::Internal));
         let Some(order) = &outgoing.order else { return outcome };
         orders::withdraw(&shared, order);
@@ -179,9 +152,7 @@
 
 fn order(context: &Context, parts: &Parts, fingerprint: u64) -> Result<Order, Kind> {
     let text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
-    let key = text(KEY)
-        .filter(|key| !key.is_empty() && key.len() <= MAX_KEY_BYTES)
-        .ok_or(Kind::KeyMissing)?;
+    let key = text(KEY).filter(|key| !key.is_empty() && key.len() <= MAX_KEY_BYTES).ok_or(Kind::KeyMissing)?;
     let session = text(SESSION);
     if session.is_some_and(|session| session != context.session()) {
         // Only the incarnation that the session belongs to knows whether the key ran.
@@ -205,9 +176,7 @@
     let passed = parts.headers.iter().filter(|(name, _)| {
         **name != CONTENT_LENGTH && **name != HOST && !hop_header(name.as_str()) && name.as_str() != "x-request-id"
     });
-    passed
-        .filter_map(|(name, value)| Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned())))
-        .collect()
+    passed.filter_map(|(name, value)| Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))).collect()
 }
 
 /// Counts an answer against its class's target; errors of the caller do not count.
--- a/crates/daemon/src/callers/lookup.rs
+++ b/crates/daemon/src/callers/lookup.rs
@@ -37,22 +37,13 @@
     let in_force = context.policy();
     let most = context.settings.callers.answer_entries as usize;
     let found = steer::answer::look_up(&steering.table, &steering.view, &steering.shares, address, most);
-    let entries = found
-        .positions()
-        .iter()
-        .filter_map(|position| steering.view.entry(*position));
-    let entries: Vec<Entry<'_>> = entries
-        .map(|entry| Entry {
-            instance: &entry.name,
-            address: &entry.address,
-        })
-        .collect();
+    let entries = found.positions().iter().filter_map(|position| steering.view.entry(*position));
+    let entries: Vec<Entry<'_>> =
+        entries.map(|entry| Entry { instance: &entry.name, address: &entry.address }).collect();
     if entries.is_empty() {
         return reply::error(Kind::NoBackend);
     }
-    let region = found
-        .region
-        .and_then(|region| in_force.regions.get(usize::from(region)));
+    let region = found.region.and_then(|region| in_force.regions.get(usize::from(region)));
     reply::json(&Answer {
         entries,
         ttl_s: context.settings.callers.answer_ttl_s,
@@ -64,14 +55,8 @@
 
 /// The caller's address: as named, or as connected.
 fn address(query: Option<&str>, peer: IpAddr) -> Option<u32> {
-    let pairs = query
-        .unwrap_or_default()
-        .split('&')
-        .filter_map(|pair| pair.split_once('='));
-    let named = pairs
-        .into_iter()
-        .find(|(name, _)| *name == "client")
-        .map(|(_, value)| value);
+    let pairs = query.unwrap_or_default().split('&').filter_map(|pair| pair.split_once('='));
+    let named = pairs.into_iter().find(|(name, _)| *name == "client").map(|(_, value)| value);
     let address = match named {
         Some(text) => text.parse::<Ipv4Addr>().ok()?,
         None => match peer {
--- a/crates/daemon/src/callers/reply.rs
+++ b/crates/daemon/src/callers/reply.rs
@@ -28,11 +28,7 @@
 /// The answer that `kind` gives.
 pub fn error(kind: Kind) -> Reply {
     let answer = kind.answer();
-    let body = Body {
-        error: kind.as_str(),
-        outcome: answer.outcome.as_str(),
-        advice: kind.advice(),
-    };
+    let body = Body { error: kind.as_str(), outcome: answer.outcome.as_str(), advice: kind.advice() };
     let mut reply = json(&body);
     *reply.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = reply.headers_mut();
@@ -56,9 +52,7 @@
             reply.headers_mut().append(name, value);
         }
     }
-    reply
-        .headers_mut()
-        .insert(OUTCOME, HeaderValue::from_static("complete"));
+    reply.headers_mut().insert(OUTCOME, HeaderValue::from_static("complete"));
     reply
 }
 
@@ -66,8 +60,6 @@
 pub fn json<T: Serialize>(value: &T) -> Reply {
     let text = serde_json::to_vec(value).unwrap_or_default();
     let mut reply = Response::new(Full::new(text.into()));
-    reply
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     reply
 }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -88,9 +88,7 @@
             peers: settings.fleet.address.clone(),
             domain: settings.domain.clone(),
         };
-        let times = Times {
-            suspect: Duration::from_millis(settings.fleet.suspect_ms),
-        };
+        let times = Times { suspect: Duration::from_millis(settings.fleet.suspect_ms) };
         let timeout = Duration::from_millis(settings.platform.timeout_ms);
         let limits = Limits {
             queued: settings.dispatch.max_queued as usize,
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -89,12 +89,7 @@
         fingerprint: u64,
     ) -> oneshot::Receiver<Outcome> {
         let (reply, outcome) = oneshot::channel();
-        let arrival = Arrival {
-            request: outgoing.number,
-            class,
-            fingerprint,
-            bytes: outgoing.body.len() as u64,
-        };
+        let arrival = Arrival { request: outgoing.number, class, fingerprint, bytes: outgoing.body.len() as u64 };
         lock(&self.pending).insert(outgoing.number, Pending { outgoing, reply });
         let now = context.now();
         self.with(context, |engine| engine.submit(arrival, now));
@@ -145,22 +140,9 @@
 
     fn perform(&self, context: &Arc<Context>, action: Action) {
         match action {
-            Action::Start {
-                request,
-                attempt,
-                backend,
-                deadline,
-                again,
-            } => {
-                let outgoing = lock(&self.pending)
-                    .get(&request)
-                    .map(|pending| Arc::clone(&pending.outgoing));
-                let sending = attempt::Sending {
-                    attempt,
-                    backend,
-                    deadline,
-                    again,
-                };
+            Action::Start { request, attempt, backend, deadline, again } => {
+                let outgoing = lock(&self.pending).get(&request).map(|pending| Arc::clone(&pending.outgoing));
+                let sending = attempt::Sending { attempt, backend, deadline, again };
                 attempt::start(context, outgoing, sending);
             }
             Action::Cancel { attempt, backend } => attempt::cancel(context, attempt, backend),
--- a/crates/daemon/src/grants.rs
+++ b/crates/daemon/src/grants.rs
@@ -44,11 +44,7 @@
         turn(&shared, &held_lease);
         TURN
     })?;
-    Ok(Box::new(Grants {
-        running,
-        context: Arc::clone(context),
-        lease,
-    }))
+    Ok(Box::new(Grants { running, context: Arc::clone(context), lease }))
 }
 
 fn turn(context: &Context, held_lease: &std::sync::Mutex<Option<Lease>>) {
@@ -85,11 +81,7 @@
     let region = in_force.policy.regions.get(&context.settings.region);
     let domains = region.map(|region| region.domains.as_slice()).unwrap_or_default();
     let roster = lock(&context.roster);
-    domains
-        .iter()
-        .map(|domain| roster.alive_in(domain).count())
-        .sum::<usize>()
-        .max(1)
+    domains.iter().map(|domain| roster.alive_in(domain).count()).sum::<usize>().max(1)
 }
 
 /// Our mark on a slot; it names the lease, so that slots of an earlier lease are not taken for ours.
@@ -107,22 +99,13 @@
     };
     let token = token(context, lease);
     let held: BTreeSet<u32> = lock(&context.keeper).held().collect();
-    let known: BTreeMap<u32, &Entry> = entries
-        .iter()
-        .filter_map(|entry| Some((slot_number(&entry.key)?, entry)))
-        .collect();
-    let ours = known
-        .iter()
-        .filter(|(number, entry)| entry.value == token && !held.contains(number));
+    let known: BTreeMap<u32, &Entry> =
+        entries.iter().filter_map(|entry| Some((slot_number(&entry.key)?, entry))).collect();
+    let ours = known.iter().filter(|(number, entry)| entry.value == token && !held.contains(number));
     let ours = ours.map(|(number, entry)| (*number, entry.revision));
     let start = (context.incarnation % u64::from(SLOTS)) as u32;
-    let free = (0..SLOTS)
-        .map(|step| (start + step) % SLOTS)
-        .filter(|number| !known.contains_key(number));
-    let wanted: Vec<(u32, u64)> = ours
-        .chain(free.map(|number| (number, 0)))
-        .take(count as usize)
-        .collect();
+    let free = (0..SLOTS).map(|step| (start + step) % SLOTS).filter(|number| !known.contains_key(number));
+    let wanted: Vec<(u32, u64)> = ours.chain(free.map(|number| (number, 0))).take(count as usize).collect();
     let set = |(number, expect): &(u32, u64)| {
         Change::set(&key::grant(region, *number), *expect, token.clone()).with_lease(lease)
     };
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -78,11 +78,7 @@
             context.settings.fleet.address,
             readiness.ready
         );
-        Ok(Self {
-            context,
-            kernel,
-            runtime,
-        })
+        Ok(Self { context, kernel, runtime })
     }
 
     /// What the plug-ins share.
--- a/crates/daemon/src/lister.rs
+++ b/crates/daemon/src/lister.rs
@@ -22,10 +22,7 @@
     let timeout = Duration::from_millis(settings.timeout_ms);
     let pause = Duration::from_millis(settings.poll_ms);
     let url = format!("http://{}/instances", settings.address);
-    let config = ureq::Agent::config_builder()
-        .timeout_global(Some(timeout))
-        .proxy(None)
-        .build();
+    let config = ureq::Agent::config_builder().timeout_global(Some(timeout)).proxy(None).build();
     let agent: ureq::Agent = config.into();
     let context = Arc::clone(context);
     let running = Loop::start("list", move || {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -5,9 +5,7 @@
 };
 
 /// Bounds of latency buckets, in seconds.
-const LATENCY_S: [f64; 14] = [
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 30.0,
-];
+const LATENCY_S: [f64; 14] = [0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 30.0];
 
 /// All counters.
 #[derive(Debug)]
@@ -52,36 +50,17 @@
         register(&registry, latency.clone());
         Self {
             lookups: counter(&registry, "hemlock_lookups_total", "Look-ups answered"),
-            requests: counters(
-                &registry,
-                "hemlock_requests_total",
-                "Requests answered",
-                &["class", "result"],
-            ),
+            requests: counters(&registry, "hemlock_requests_total", "Requests answered", &["class", "result"]),
             latency,
             attempts: counters(&registry, "hemlock_attempts_total", "Attempts ended", &["ending"]),
             queued: gauge(&registry, "hemlock_queued", "Requests that wait"),
             in_flight: gauge(&registry, "hemlock_in_flight", "Attempts in flight"),
             connections: gauge(&registry, "hemlock_connections", "Connections of callers"),
             policy_revision: gauge(&registry, "hemlock_policy_revision", "Revision of the policy in force"),
-            policy_refused: counter(
-                &registry,
-                "hemlock_policy_refused_total",
-                "Copies of the policy refused",
-            ),
-            exchanges: counters(
-                &registry,
-                "hemlock_exchanges_total",
-                "Exchanges with peers",
-                &["result"],
-            ),
+            policy_refused: counter(&registry, "hemlock_policy_refused_total", "Copies of the policy refused"),
+            exchanges: counters(&registry, "hemlock_exchanges_total", "Exchanges with peers", &["result"]),
             members: gauge(&registry, "hemlock_members", "Members believed to live"),
-            store_calls: counters(
-                &registry,
-                "hemlock_store_calls_total",
-                "Calls to the store",
-                &["purpose", "result"],
-            ),
+            store_calls: counters(&registry, "hemlock_store_calls_total", "Calls to the store", &["purpose", "result"]),
             grants: gauge(&registry, "hemlock_grant_slots", "Slots of the region's grants held"),
             replays: counter(&registry, "hemlock_replays_total", "Answers given again from memory"),
             registry,
@@ -105,9 +84,7 @@
 }
 
 fn register<C: prometheus::core::Collector + 'static>(registry: &Registry, collector: C) {
-    registry
-        .register(Box::new(collector))
-        .expect("each name is registered once");
+    registry.register(Box::new(collector)).expect("each name is registered once");
 }
 
 fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -39,10 +39,7 @@
             answer(&shared, request);
         }
     };
-    std::thread::Builder::new()
-        .name("operators".to_owned())
-        .spawn(body)
-        .map_err(|error| error.to_string())?;
+    std::thread::Builder::new().name("operators".to_owned()).spawn(body).map_err(|error| error.to_string())?;
     Ok(Box::new(Port(server)))
 }
 
@@ -75,10 +72,7 @@
     if in_force.revision == 0 && !in_force.policy.regions.is_empty() {
         missing.push("policy of the settings only");
     }
-    Readiness {
-        ready,
-        reasons: missing,
-    }
+    Readiness { ready, reasons: missing }
 }
 
 fn answer(context: &Arc<Context>, mut request: Request) {
@@ -96,11 +90,7 @@
         "/metrics" => text(200, context.metrics.render(), "text/plain; version=0.0.4"),
         "/decisions" => json(200, &decisions(context)),
         "/burn" => json(200, &burn_report(context)),
-        _ => text(
-            404,
-            b"try /health /ready /metrics /decisions /burn\n".to_vec(),
-            "text/plain",
-        ),
+        _ => text(404, b"try /health /ready /metrics /decisions /burn\n".to_vec(), "text/plain"),
     };
     if let Err(error) = request.respond(response) {
         log::debug!("operators: answer skipped reason={:?}", error.to_string());
@@ -113,11 +103,7 @@
 }
 
 fn json<T: Serialize>(status: u16, value: &T) -> Response<std::io::Cursor<Vec<u8>>> {
-    text(
-        status,
-        serde_json::to_vec_pretty(value).unwrap_or_default(),
-        "application/json",
-    )
+    text(status, serde_json::to_vec_pretty(value).unwrap_or_default(), "application/json")
 }
 
 #[derive(Debug, Serialize)]
@@ -175,12 +161,7 @@
     drop(roster);
     let regions = in_force.regions.len() as u16;
     let row = |from: u16| (0..regions).map(|to| steering.shares.part(from, to)).collect();
-    let name = |id: u32| {
-        steering
-            .backends
-            .get(&id)
-            .map_or_else(|| id.to_string(), |known| known.name.clone())
-    };
+    let name = |id: u32| steering.backends.get(&id).map_or_else(|| id.to_string(), |known| known.name.clone());
     let backends = context.driver.look(|engine| {
         let backend = |server: &dispatch::backend::Backend| Backend {
             name: name(server.spec.id),
@@ -224,9 +205,7 @@
         let target = in_force.policy.classes.get(class)?;
         Some(Line::new(class, region, target.target_share, series, now))
     };
-    Report {
-        lines: series.iter_mut().filter_map(line).collect(),
-    }
+    Report { lines: series.iter_mut().filter_map(line).collect() }
 }
 
 /// How often prepared state is rebuilt at least; shown to operators by its effects.
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -15,9 +15,7 @@
 /// A client of the peer at `address`.
 pub fn client(context: &Context, address: &str) -> Option<HttpClient> {
     let timeout = Duration::from_millis(context.settings.fleet.timeout_ms);
-    let builder = HttpClientBuilder::default()
-        .request_timeout(timeout)
-        .max_response_size(MAX_BYTES);
+    let builder = HttpClientBuilder::default().request_timeout(timeout).max_response_size(MAX_BYTES);
     match builder.build(format!("http://{address}")) {
         Ok(client) => Some(client),
         Err(error) => {
@@ -33,19 +31,14 @@
     let Some(client) = client(context, address) else {
         return Known::Unknown;
     };
-    let asked = context
-        .runtime
-        .block_on(client.word(incarnation, format!("{key:032x}")));
+    let asked = context.runtime.block_on(client.word(incarnation, format!("{key:032x}")));
     match asked {
         Ok(Word::Ran(packed)) => Known::Ran(Arc::new(packed.into())),
         Ok(Word::Running) => Known::Running,
         Ok(Word::NeverRun) => Known::NeverRun,
         Ok(Word::Unknown) => Known::Unknown,
         Err(error) => {
-            log::debug!(
-                "orders: claimant silent address={address} reason={:?}",
-                error.to_string()
-            );
+            log::debug!("orders: claimant silent address={address} reason={:?}", error.to_string());
             Known::Unknown
         }
     }
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -53,9 +53,10 @@
     let now = context.now();
     lock(&context.roster).merge(message, now);
     if !message.losses.is_empty() {
-        context
-            .driver
-            .with(context, |engine| engine.merge_losses(&message.losses, now));
+        let news = context.driver.with(context, |engine| engine.merge_losses(&message.losses, now));
+        if !news.is_empty() {
+            super::tell_losses(context, &news);
+        }
     }
     if lock(&context.holder).wants(message.revision) {
         let address = message.from.peers.clone();
@@ -97,10 +98,7 @@
             }
         }
         Ok(None) => log::debug!("peers: policy skipped, not newer peer={address}"),
-        Err(error) => log::debug!(
-            "peers: policy not fetched peer={address} reason={:?}",
-            error.to_string()
-        ),
+        Err(error) => log::debug!("peers: policy not fetched peer={address} reason={:?}", error.to_string()),
     }
 }
 
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -79,17 +79,10 @@
         .max_response_body_size(MAX_BYTES)
         .http_only()
         .build();
-    let calls = Calls {
-        context: Arc::clone(context),
-    };
+    let calls = Calls { context: Arc::clone(context) };
     let built = context.runtime.block_on(async move {
-        let server = jsonrpsee::server::Server::builder()
-            .set_config(config)
-            .build(&address)
-            .await;
-        server
-            .map(|server| server.start(calls.into_rpc()))
-            .map_err(|error| (address, error))
+        let server = jsonrpsee::server::Server::builder().set_config(config).build(&address).await;
+        server.map(|server| server.start(calls.into_rpc())).map_err(|error| (address, error))
     });
     let handle = built.map_err(|(address, error)| {
         format!("key `fleet.address`: cannot listen at {address}: {error}; choose a free address")
--- a/crates/daemon/src/plugin.rs
+++ b/crates/daemon/src/plugin.rs
@@ -40,10 +40,7 @@
                 nap(turn(), &seen);
             }
         };
-        thread::Builder::new()
-            .name(name.to_owned())
-            .spawn(body)
-            .map_err(|error| error.to_string())?;
+        thread::Builder::new().name(name.to_owned()).spawn(body).map_err(|error| error.to_string())?;
         Ok(Self { stop })
     }
 
--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -41,30 +41,17 @@
         let services = extend(&before.services, policy.classes.values().map(|class| &class.service));
         let regions = policy.regions.keys().cloned().collect();
         let table = Arc::new(steer::Table::from_policy(&policy));
-        Self {
-            revision,
-            policy,
-            classes,
-            services,
-            regions,
-            table,
-        }
+        Self { revision, policy, classes, services, regions, table }
     }
 
     /// The position of a service.
     pub fn service(&self, name: &str) -> Option<u16> {
-        self.services
-            .iter()
-            .position(|service| service == name)
-            .map(|position| position as u16)
+        self.services.iter().position(|service| service == name).map(|position| position as u16)
     }
 
     /// The position of a region.
     pub fn region(&self, name: &str) -> Option<u16> {
-        self.regions
-            .iter()
-            .position(|region| region == name)
-            .map(|position| position as u16)
+        self.regions.iter().position(|region| region == name).map(|position| position as u16)
     }
 
     /// The position of a class.
@@ -112,10 +99,7 @@
             false
         }
         Err(error) => {
-            log::warn!(
-                "policy: refused revision={revision} source={source} reason={:?}",
-                error.to_string()
-            );
+            log::warn!("policy: refused revision={revision} source={source} reason={:?}", error.to_string());
             context.metrics.policy_refused.inc();
             false
         }
@@ -144,10 +128,7 @@
         let kept = Duration::from_secs(context.settings.callers.answer_kept_s);
         *lock(&context.controller) = Controller::new(next.regions.len(), kept, now);
     }
-    *context
-        .in_force
-        .write()
-        .unwrap_or_else(std::sync::PoisonError::into_inner) = Arc::clone(&next);
+    *context.in_force.write().unwrap_or_else(std::sync::PoisonError::into_inner) = Arc::clone(&next);
     context.metrics.policy_revision.set(revision as i64);
     context.driver.with(context, |engine| engine.set_classes(next.specs()));
     view::refresh(context);
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -65,22 +65,12 @@
     drop(controller);
     let used = used_backends(context, &instances, &roster, &in_force);
     let specs = specs(context, &used, &roster, &in_force);
-    let backends: BTreeMap<BackendId, Instance> = used
-        .into_iter()
-        .map(|instance| (backend_id(instance), instance.clone()))
-        .collect();
+    let backends: BTreeMap<BackendId, Instance> =
+        used.into_iter().map(|instance| (backend_id(instance), instance.clone())).collect();
     context.agents.keep(|backend| backends.contains_key(&backend));
     let table = Arc::clone(&in_force.table);
-    let steering = Arc::new(Steering {
-        table,
-        view,
-        shares,
-        backends,
-    });
-    *context
-        .steering
-        .write()
-        .unwrap_or_else(std::sync::PoisonError::into_inner) = steering;
+    let steering = Arc::new(Steering { table, view, shares, backends });
+    *context.steering.write().unwrap_or_else(std::sync::PoisonError::into_inner) = steering;
     let remotes = remotes(context, &instances, &in_force, now);
     context.driver.with(context, |engine| {
         for (region, remote) in remotes {
@@ -91,34 +81,17 @@
 }
 
 fn entries(instances: &[Instance], roster: &Roster, in_force: &InForce, context: &Context) -> Vec<Entry> {
-    let listed: Vec<&Instance> = instances
-        .iter()
-        .filter(|instance| instance.role == Role::Entry)
-        .collect();
-    let leaving = listed
-        .iter()
-        .filter(|instance| instance.state == Listed::Leaving)
-        .count();
+    let listed: Vec<&Instance> = instances.iter().filter(|instance| instance.role == Role::Entry).collect();
+    let leaving = listed.iter().filter(|instance| instance.state == Listed::Leaving).count();
     // A list that takes most entry instances away at once is doubted.
     let doubted = leaving * 2 > listed.len();
-    let domains: Vec<&String> = in_force
-        .policy
-        .regions
-        .values()
-        .flat_map(|region| &region.domains)
-        .collect();
+    let domains: Vec<&String> = in_force.policy.regions.values().flat_map(|region| &region.domains).collect();
     let entry = |instance: &&Instance| {
         let region = in_force.region(&instance.region)?;
         let domain = domains.iter().position(|domain| **domain == instance.domain)? as u16;
         let standing = standing(instance, roster, &in_force.policy, doubted);
         let (name, address) = (instance.name.clone(), instance.address.clone());
-        Some(Entry {
-            name,
-            address,
-            region,
-            domain,
-            standing,
-        })
+        Some(Entry { name, address, region, domain, standing })
     };
     let mut entries: Vec<Entry> = listed.iter().filter_map(entry).collect();
     let settings = &context.settings;
@@ -127,13 +100,7 @@
         && let Some(region) = in_force.region(&settings.region)
     {
         let (name, address) = (settings.instance.clone(), settings.callers.address.clone());
-        entries.push(Entry {
-            name,
-            address,
-            region,
-            domain: 0,
-            standing: Standing::Good,
-        });
+        entries.push(Entry { name, address, region, domain: 0, standing: Standing::Good });
     }
     entries
 }
@@ -156,16 +123,8 @@
 fn loads(in_force: &InForce, roster: &Roster) -> Vec<Load> {
     let policy = &in_force.policy;
     let load = |name: &String| {
-        let seen = policy.regions[name]
-            .domains
-            .iter()
-            .filter_map(|domain| roster.loads().get(domain));
-        let mut load = Load {
-            busy: 0.0,
-            slots: 0.0,
-            at: Time::ZERO,
-            drained: policy.region_drained(name),
-        };
+        let seen = policy.regions[name].domains.iter().filter_map(|domain| roster.loads().get(domain));
+        let mut load = Load { busy: 0.0, slots: 0.0, at: Time::ZERO, drained: policy.region_drained(name) };
         for domain in seen {
             load.busy += f64::from(domain.busy);
             load.slots += f64::from(domain.slots);
@@ -216,11 +175,7 @@
         .map(|instance| u64::from(backend_id(instance)))
         .collect();
     let hosts = subset::hosts(own, &daemons, &near);
-    let hosted = |id: BackendId| {
-        near.iter()
-            .position(|near| *near == u64::from(id))
-            .is_some_and(|at| hosts[at])
-    };
+    let hosted = |id: BackendId| near.iter().position(|near| *near == u64::from(id)).is_some_and(|at| hosts[at]);
     let spec = |instance: &&Instance| {
         let id = backend_id(instance);
         let policy = &in_force.policy;
@@ -250,16 +205,11 @@
     let own = &context.settings.region;
     let sources = in_force.regions.len().saturating_sub(1);
     let remote = |name: &String| {
-        let backends = instances
-            .iter()
-            .filter(|instance| instance.role == Role::Backend && instance.region == *name);
+        let backends = instances.iter().filter(|instance| instance.role == Role::Backend && instance.region == *name);
         let slots: u32 = backends.map(|instance| instance.slots).sum();
         let cap = in_force.policy.link_cap(own, name).unwrap_or(0.0);
         let allowed = grant::allowance(slots, sources, cap, share);
-        Remote {
-            limit: allowed.requests,
-            bytes_per_second: allowed.bytes_per_second,
-        }
+        Remote { limit: allowed.requests, bytes_per_second: allowed.bytes_per_second }
     };
     let others = in_force.regions.iter().enumerate().filter(|(_, name)| *name != own);
     others.map(|(position, name)| (position as u16, remote(name))).collect()
--- a/crates/daemon/src/whole.rs
+++ b/crates/daemon/src/whole.rs
@@ -35,20 +35,12 @@
 
 impl From<Whole> for Packed {
     fn from(whole: Whole) -> Self {
-        Self {
-            status: whole.status,
-            headers: whole.headers,
-            body: store::wire::Bytes(whole.body.to_vec()),
-        }
+        Self { status: whole.status, headers: whole.headers, body: store::wire::Bytes(whole.body.to_vec()) }
     }
 }
 
 impl From<Packed> for Whole {
     fn from(packed: Packed) -> Self {
-        Self {
-            status: packed.status,
-            headers: packed.headers,
-            body: packed.body.0.into(),
-        }
+        Self { status: packed.status, headers: packed.headers, body: packed.body.0.into() }
     }
 }
--- /dev/null
+++ b/crates/daemon/tests/port.rs
@@ -0,0 +1,182 @@
+//! The callers' port against silent, slow, endless and ambiguous requests; one daemon in this process.
+
+use std::io::{Read as _, Write as _};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use base::instance::{Instance, Role, State};
+use config::configs::Settings;
+use daemon::life::Daemon;
+use fakes::backend::{Running, Setup};
+use rstest::rstest;
+
+const POLICY: &str = "[regions.r]\ndomains = [\"d\"]\n\
+[classes.lookup]\nservice = \"s\"\npaths = [\"/stock\"]\nidempotent = true\nrank = 1\ntarget_ms = 100\ntarget_share = 0.99\ndeadline_ms = 2000\n\
+[classes.order]\nservice = \"s\"\npaths = [\"/orders\"]\nidempotent = false\nrank = 0\ntarget_ms = 100\ntarget_share = 0.99\ndeadline_ms = 2000\n";
+
+struct World {
+    backend: Running,
+    _list: fakes::list::Running,
+    _store: fakes::store::Running,
+    daemon: Option<Daemon>,
+    address: String,
+}
+
+impl World {
+    fn new(net: u8) -> Self {
+        let backend = Running::start("127.0.0.1:0", Setup::new("b").with_work_ms(5)).expect("the stand-in starts");
+        let store = fakes::store::Running::start("127.0.0.1:0").expect("the stand-in starts");
+        let instance = Instance {
+            name: "b".to_owned(),
+            role: Role::Backend,
+            service: "s".to_owned(),
+            region: "r".to_owned(),
+            domain: "d".to_owned(),
+            address: backend.address(),
+            peers: String::new(),
+            operators: String::new(),
+            slots: 3,
+            connections: 10,
+            state: State::Live,
+        };
+        let list = fakes::list::Running::start("127.0.0.1:0", vec![instance], Duration::ZERO).expect("it starts");
+        let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let policy = folder.join(format!("port-{net}.toml"));
+        std::fs::write(&policy, POLICY).expect("the file can be written");
+        let text = format!(
+            "instance = \"e\"\ndomain = \"d\"\nregion = \"r\"\npolicy = \"{}\"\n\
+[callers]\naddress = \"127.0.{net}.1:7000\"\nheader_timeout_ms = 300\nbody_timeout_ms = 300\nmax_body_bytes = 1000\nmax_connections = 8\nanswer_kept_s = 0\n\
+[operators]\naddress = \"127.0.{net}.1:7100\"\n[fleet]\naddress = \"127.0.{net}.1:7200\"\n\
+[platform]\naddress = \"{}\"\n[list]\naddress = \"{}\"\npoll_ms = 50\n",
+            policy.display(),
+            store.address(),
+            list.address()
+        );
+        let settings = Settings::parse("test", &text).expect("the settings are good");
+        let address = settings.callers.address.clone();
+        let daemon = Daemon::start(settings).expect("the daemon starts");
+        let world = Self { backend, _list: list, _store: store, daemon: Some(daemon), address };
+        while !world.talk("GET /stock HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").starts_with("HTTP/1.1 200") {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        world
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(&self.address).expect("the port is open");
+        stream.set_read_timeout(Some(Duration::from_secs(30))).expect("the option is known");
+        stream
+    }
+
+    /// Sends `text` and reads until the daemon closes.
+    fn talk(&self, text: &str) -> String {
+        let mut stream = self.connect();
+        stream.write_all(text.as_bytes()).expect("the daemon reads");
+        let mut answer = Vec::new();
+        drop(stream.read_to_end(&mut answer));
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        if let Some(daemon) = self.daemon.take() {
+            daemon.stop();
+        }
+    }
+}
+
+#[test]
+fn bad_requests_get_a_clear_error_and_run_nothing() {
+    let world = World::new(51);
+    let before = world.backend.served();
+    let cases = [
+        ("POST /stock HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", "411", "length-required"),
+        (
+            "POST /stock HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            "411",
+            "length-required",
+        ),
+        ("POST /stock HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab", "400", ""),
+        ("POST /stock HTTP/1.1\r\nhost: x\r\ncontent-length: 5000\r\n\r\n", "413", "body-too-large"),
+        ("GET /nowhere HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n", "404", "unknown-route"),
+        ("POST /orders HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 0\r\n\r\n", "428", "key-missing"),
+        ("GET /lookup?client=here HTTP/1.1\r\nhost: x\r\n\r\n", "400", "malformed"),
+        ("nonsense\r\n\r\n", "400", ""),
+    ];
+    for (text, status, error) in cases {
+        let answer = world.talk(text);
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{text:?}: {answer:?}");
+        assert!(answer.contains(error), "{text:?}: {answer:?}");
+    }
+    assert_eq!(world.backend.served(), before, "nothing was run");
+}
+
+#[test]
+fn slow_and_endless_senders_are_let_go() {
+    let world = World::new(52);
+    let slow_body = world.talk("POST /stock HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\nab");
+    assert!(slow_body.starts_with("HTTP/1.1 408"), "{slow_body:?}");
+    // A header that never comes, or never ends, ends the connection.
+    assert_eq!(world.talk("GET /stock HTTP/1.1\r\n"), "");
+    let endless = format!("GET /stock HTTP/1.1\r\nhost: x\r\nx: {}", "y".repeat(100_000));
+    let mut stream = world.connect();
+    drop(stream.write_all(endless.as_bytes()));
+    let mut answer = Vec::new();
+    drop(stream.read_to_end(&mut answer));
+    assert!(!String::from_utf8_lossy(&answer).contains(" 200 "));
+    // Silent callers in every place do not keep others out for good.
+    let silent: Vec<TcpStream> = (0..8).map(|_| world.connect()).collect();
+    assert!(world.talk("GET /stock HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").starts_with("HTTP/1.1 200"));
+    drop(silent);
+}
+
+#[rstest]
+#[case::cut("{\"cut\":true}", 53, "502", "answer-cut")]
+#[case::silent("{\"silent\":true}", 54, "504", "backend-timeout")]
+#[case::shed("{\"shed\":true}", 55, "503", "not-run")]
+#[case::dead("{\"dead\":true}", 56, "502", "backend-lost")]
+fn an_order_that_went_wrong_is_told_truly(
+    #[case] faults: &str,
+    #[case] net: u8,
+    #[case] status: &str,
+    #[case] word: &str,
+) {
+    let world = World::new(net);
+    world.backend.set_faults(serde_json::from_str(faults).expect("the faults are good"));
+    let answer = world.talk(
+        "POST /orders HTTP/1.1\r\nhost: x\r\nconnection: close\r\nidempotency-key: k\r\ncontent-length: 0\r\n\r\n",
+    );
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer:?}");
+    assert!(answer.contains(word), "{answer:?}");
+    assert!(world.backend.runs().get("k").copied().unwrap_or(0) <= 1);
+}
+
+#[test]
+fn a_session_runs_orders_without_the_store() {
+    let world = World::new(57);
+    let lookup = world.talk("GET /lookup HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    let session = lookup.split("\"session\":\"").nth(1).and_then(|rest| rest.split('"').next()).expect("it is named");
+    world._store.set_faults(fakes::store::Faults { down: true, ..fakes::store::Faults::default() });
+    let order = |session: &str| {
+        world.talk(&format!("POST /orders HTTP/1.1\r\nhost: x\r\nconnection: close\r\nidempotency-key: k\r\nidempotency-session: {session}\r\ncontent-length: 0\r\n\r\n"))
+    };
+    let first = order(session);
+    assert!(first.starts_with("HTTP/1.1 200"), "{first:?}");
+    assert_eq!(order(session), first, "the same whole answer");
+    let foreign = order("0000000000000001");
+    assert!(foreign.contains("already-claimed"), "{foreign:?}");
+    assert_eq!(world.backend.runs().get("k"), Some(&1));
+}
+
+#[test]
+fn an_address_in_use_is_named() {
+    let world = World::new(58);
+    let text = format!(
+        "instance = \"f\"\ndomain = \"d\"\nregion = \"r\"\n[callers]\naddress = \"{}\"\n[operators]\naddress = \"127.0.58.2:7100\"\n[fleet]\naddress = \"127.0.58.2:7200\"\n",
+        world.address
+    );
+    let settings = Settings::parse("test", &text).expect("the settings are good");
+    let error = Daemon::start(settings).expect_err("the address is taken").to_string();
+    assert!(error.contains("callers.address") && error.contains(&world.address), "{error}");
+}
--- a/crates/demo/src/children.rs
+++ b/crates/demo/src/children.rs
@@ -21,10 +21,7 @@
 impl Children {
     /// Starts programs from the folder `programs`.
     pub fn new(programs: &Path) -> Self {
-        Self {
-            programs: programs.to_owned(),
-            running: BTreeMap::new(),
-        }
+        Self { programs: programs.to_owned(), running: BTreeMap::new() }
     }
 
     /// Starts from the folder that the present program was built into.
@@ -40,22 +37,13 @@
 
     /// Starts `program` under `name`; its standard error goes to `log` if given.
     pub fn start(&mut self, name: &str, program: &str, arguments: &[&str], log: Option<&Path>) -> Result<()> {
-        let failed = |reason: String| Error::Program {
-            program: program.to_owned(),
-            reason,
-        };
+        let failed = |reason: String| Error::Program { program: program.to_owned(), reason };
         let errors = match log {
-            Some(path) => std::fs::File::create(path)
-                .map_err(|error| failed(error.to_string()))?
-                .into(),
+            Some(path) => std::fs::File::create(path).map_err(|error| failed(error.to_string()))?.into(),
             None => Stdio::inherit(),
         };
         let mut command = Command::new(self.programs.join(program));
-        command
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(errors);
+        command.args(arguments).stdin(Stdio::null()).stdout(Stdio::null()).stderr(errors);
         let child = command.spawn().map_err(|error| failed(error.to_string()))?;
         self.running.insert(name.to_owned(), child);
         Ok(())
@@ -76,10 +64,7 @@
         let Some(id) = self.id(name) else {
             return Err(Error::Start(format!("{name} does not run")));
         };
-        let sent = Command::new("kill")
-            .arg(format!("-{signal}"))
-            .arg(id.to_string())
-            .status();
+        let sent = Command::new("kill").arg(format!("-{signal}")).arg(id.to_string()).status();
         match sent {
             Ok(status) if status.success() => Ok(()),
             other => Err(Error::Start(format!("{name}: signal {signal} not sent: {other:?}"))),
--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -38,10 +38,7 @@
     /// Reads the deployment in `folder`; logs go to `logs`.
     pub fn read(folder: &Path, logs: &Path) -> Result<Self> {
         let path = folder.join("instances.json");
-        let wrong = |reason: String| Error::File {
-            path: path.clone(),
-            reason,
-        };
+        let wrong = |reason: String| Error::File { path: path.clone(), reason };
         let text = std::fs::read(&path).map_err(|error| wrong(error.to_string()))?;
         let instances: Vec<Instance> = serde_json::from_slice(&text).map_err(|error| wrong(error.to_string()))?;
         let policy = Policy::read(&folder.join("policy.toml")).map_err(|error| Error::Start(error.to_string()))?;
@@ -65,14 +62,7 @@
     pub fn start_platform(&mut self) -> Result<()> {
         self.start_store()?;
         let instances = self.folder.join("instances.json");
-        let list = [
-            "--address",
-            &self.list,
-            "--instances",
-            &instances.to_string_lossy(),
-            "--lag-ms",
-            "1000",
-        ];
+        let list = ["--address", &self.list, "--instances", &instances.to_string_lossy(), "--lag-ms", "1000"];
         self.children.start("list", "fakelist", &list, None)?;
         for instance in self.instances.clone() {
             if instance.role == Role::Backend {
@@ -84,21 +74,13 @@
 
     /// Starts the store.
     pub fn start_store(&mut self) -> Result<()> {
-        self.children
-            .start("store", "fakestore", &["--address", &self.store], None)
+        self.children.start("store", "fakestore", &["--address", &self.store], None)
     }
 
     /// Starts one backend server.
     pub fn start_backend(&mut self, instance: &Instance) -> Result<()> {
         let slots = instance.slots.to_string();
-        let arguments = [
-            "--name",
-            &instance.name,
-            "--address",
-            &instance.address,
-            "--slots",
-            &slots,
-        ];
+        let arguments = ["--name", &instance.name, "--address", &instance.address, "--slots", &slots];
         self.children.start(&instance.name, "fakebackend", &arguments, None)
     }
 
@@ -106,8 +88,7 @@
     pub fn start_daemon(&mut self, name: &str) -> Result<()> {
         let settings = self.folder.join(format!("{name}.toml"));
         let log = self.logs.join(format!("{name}.log"));
-        self.children
-            .start(name, "hemlockd", &[&settings.to_string_lossy()], Some(&log))
+        self.children.start(name, "hemlockd", &[&settings.to_string_lossy()], Some(&log))
     }
 
     /// Starts all daemons.
@@ -163,11 +144,7 @@
             } else {
                 0.04
             };
-            let query = if waits {
-                "?work_ms=1000&bytes=200000"
-            } else {
-                "?work_ms=20"
-            };
+            let query = if waits { "?work_ms=1000&bytes=200000" } else { "?work_ms=20" };
             Flow {
                 name: name.clone(),
                 method: if class.idempotent { "GET" } else { "POST" }.to_owned(),
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -29,11 +29,7 @@
 }
 
 fn parse() -> std::result::Result<Option<Options>, lexopt::Error> {
-    let mut options = Options {
-        folder: PathBuf::from("deploy/bayline"),
-        per_second: 200.0,
-        seconds: None,
-    };
+    let mut options = Options { folder: PathBuf::from("deploy/bayline"), per_second: 200.0, seconds: None };
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
@@ -54,20 +50,13 @@
         set.map_err(|error| Error::Start(error.to_string()))?;
     }
     let mut deployment = Deployment::read(&options.folder, &PathBuf::from("target/demo-logs"))?;
-    println!(
-        "demo: starting {} instances of {}",
-        deployment.instances.len(),
-        options.folder.display()
-    );
+    println!("demo: starting {} instances of {}", deployment.instances.len(), options.folder.display());
     deployment.start_platform()?;
     let revision = deployment.apply()?;
     deployment.start_daemons()?;
     deployment.wait_ready(revision)?;
     println!("demo: all daemons ready at revision {revision}; logs in target/demo-logs");
-    println!(
-        "demo: try  target/release/hemlockctl --store {} --list {} show",
-        deployment.store, deployment.list
-    );
+    println!("demo: try  target/release/hemlockctl --store {} --list {} show", deployment.store, deployment.list);
     let mut plan = Plan {
         entries: deployment.entries().map(|entry| entry.address.clone()).collect(),
         flows: deployment.flows(options.per_second),
@@ -77,19 +66,13 @@
         resends: 2,
         seed: 1,
     };
-    let parts = options
-        .seconds
-        .map_or(u64::MAX, |seconds| seconds.div_ceil(PART.as_secs()));
+    let parts = options.seconds.map_or(u64::MAX, |seconds| seconds.div_ceil(PART.as_secs()));
     for part in 1..=parts {
         if stop.load(Ordering::Relaxed) {
             break;
         }
         plan.seed = part;
-        println!(
-            "\npart {part}, {} s:\n{}",
-            PART.as_secs(),
-            tally::table(&run::run(&plan, &stop))
-        );
+        println!("\npart {part}, {} s:\n{}", PART.as_secs(), tally::table(&run::run(&plan, &stop)));
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/demo/tests/processes.rs
@@ -0,0 +1,177 @@
+//! What only real processes and sockets show: kills, freezes and planned stops under load.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{PATIENCE, Site, flow, until};
+use load::answer::Ending;
+use rstest::rstest;
+
+#[rstest]
+#[case("bayline", 31)]
+#[case("onfot", 32)]
+fn every_class_comes_back_whole(#[case] name: &str, #[case] net: u8) {
+    let mut site = Site::start(name, net);
+    let mut flows = site.deployment.flows(100.0);
+    flows.iter_mut().for_each(|flow| flow.per_second = flow.per_second.max(5.0));
+    let plan = site.plan(flows, 3, 32);
+    let tallies = site.load(&plan, |_| {});
+    assert_eq!(tallies.len(), 4);
+    for (name, tally) in tallies {
+        let all: u64 = Ending::ALL.iter().map(|ending| tally.count(*ending)).sum();
+        assert!(all > 0);
+        assert_eq!(tally.count(Ending::Complete), all, "{name}: {:?}", tally.endings);
+    }
+}
+
+#[test]
+fn lookups_go_on_when_an_entry_a_backend_and_the_store_die() {
+    let mut site = Site::start("bayline", 33);
+    let plan = site.plan(vec![flow("lookup", "GET", "/stock?work_ms=10", 100.0)], 9, 32);
+    let (entry, backend) = (site.entry(0).name, site.backends()[0].name.clone());
+    let tallies = site.load(&plan, |deployment| {
+        for victim in [entry.as_str(), backend.as_str(), "store"] {
+            std::thread::sleep(Duration::from_secs(2));
+            deployment.children.kill(victim);
+        }
+    });
+    let lookups = &tallies["lookup"];
+    assert_eq!(lookups.endings.len(), 1, "{:?}", lookups.endings);
+    assert!(lookups.count(Ending::Complete) > 0);
+}
+
+#[test]
+fn a_planned_stop_cuts_no_request() {
+    let mut site = Site::start("bayline", 34);
+    let flows = vec![
+        flow("lookup", "GET", "/stock?work_ms=20", 150.0),
+        flow("order", "POST", "/orders?work_ms=100", 20.0),
+        flow("catalogue", "GET", "/catalogue?work_ms=1500&bytes=100000", 2.0),
+    ];
+    let mut plan = site.plan(flows, 10, 48);
+    plan.resends = 0;
+    let leaver = site.entry(3).name;
+    let tallies = site.load(&plan, |deployment| {
+        std::thread::sleep(Duration::from_secs(3));
+        deployment.children.signal(&leaver, "TERM").expect("the daemon runs");
+        let code = deployment.children.wait(&leaver, PATIENCE);
+        assert_eq!(code, Some(0), "the daemon ends by itself");
+    });
+    for (name, tally) in tallies {
+        assert_eq!(tally.endings.keys().collect::<Vec<_>>(), [&Ending::Complete], "{name}: {:?}", tally.endings);
+    }
+}
+
+#[test]
+fn no_order_runs_twice_while_entries_are_killed_and_frozen() {
+    let mut site = Site::start("bayline", 35);
+    let plan = site.plan(vec![flow("order", "POST", "/orders?work_ms=150", 60.0)], 10, 48);
+    let (killed, frozen) = (site.entry(1).name, site.entry(4).name);
+    site.load(&plan, |deployment| {
+        std::thread::sleep(Duration::from_secs(2));
+        deployment.children.kill(&killed);
+        std::thread::sleep(Duration::from_secs(2));
+        deployment.children.signal(&frozen, "STOP").expect("the daemon runs");
+        std::thread::sleep(Duration::from_secs(3));
+        deployment.children.signal(&frozen, "CONT").expect("the daemon runs");
+    });
+    let runs = site.runs();
+    assert!(runs.len() > 100, "only {} orders ran", runs.len());
+    let twice: Vec<_> = runs.iter().filter(|(_, count)| **count > 1).collect();
+    assert!(twice.is_empty(), "ran twice: {twice:?}");
+}
+
+#[test]
+fn an_order_is_answered_again_at_another_entry_and_not_run_without_the_store() {
+    let site = Site::start("onfot", 36);
+    let (here, there) = (site.entry(0).address, site.entry(6).address);
+    let first = site.send(&here, "POST", "/bales?work_ms=10", Some("k1")).expect("an answer comes");
+    assert_eq!((first.0, first.1.as_str()), (200, "complete"));
+    let again = site.send(&there, "POST", "/bales?work_ms=10", Some("k1")).expect("an answer comes");
+    assert_eq!(again, first, "the same whole answer");
+    let other = site.send(&there, "POST", "/bales?work_ms=11", Some("k1")).expect("an answer comes");
+    assert_eq!((other.0, other.1.as_str()), (422, "not-run"));
+    let keyless = site.send(&here, "POST", "/bales?work_ms=10", None).expect("an answer comes");
+    assert_eq!((keyless.0, keyless.1.as_str()), (428, "not-run"));
+    site.fault(&site.deployment.store, "{\"down\":true}");
+    let refused = site.send(&here, "POST", "/bales?work_ms=10", Some("k2")).expect("an answer comes");
+    assert_eq!((refused.0, refused.1.as_str()), (503, "not-run"));
+    let lookup = site.send(&here, "GET", "/stock?work_ms=10", None).expect("an answer comes");
+    assert_eq!(lookup.0, 200);
+    site.fault(&site.deployment.store, "{}");
+    let later = site.send(&there, "POST", "/bales?work_ms=10", Some("k2")).expect("an answer comes");
+    assert_eq!((later.0, later.1.as_str()), (200, "complete"));
+    let runs = site.runs();
+    assert_eq!((runs.get("k1"), runs.get("k2")), (Some(&1), Some(&1)));
+}
+
+#[test]
+fn an_order_is_not_run_again_when_its_entry_died() {
+    let mut site = Site::start("bayline", 37);
+    let (here, there) = (site.entry(0), site.entry(6));
+    let first = site.send(&here.address, "POST", "/orders?work_ms=10", Some("k")).expect("an answer comes");
+    assert_eq!(first.0, 200);
+    site.deployment.children.kill(&here.name);
+    let again = site.send(&there.address, "POST", "/orders?work_ms=10", Some("k")).expect("an answer comes");
+    assert_eq!((again.0, again.1.as_str()), (409, "unknown"));
+    assert_eq!(site.runs().get("k"), Some(&1));
+}
+
+#[test]
+fn a_change_reaches_every_daemon_and_survives_restarts_without_the_store() {
+    let mut site = Site::start("bayline", 38);
+    let store = store::Client::new(&site.deployment.store, Duration::from_secs(5));
+    let done = ctl::change::edit(&store, "drain", |policy| {
+        policy.drains.push(config::policy::Drain { scope: config::policy::Scope::Domain, name: "wi-b".to_owned() });
+        Ok(())
+    });
+    let revision = done.expect("the store works").revision();
+    site.deployment.wait_ready(revision).expect("every daemon has it in force");
+    site.deployment.children.kill("store");
+    let domain: Vec<String> =
+        site.deployment.entries().filter(|entry| entry.domain == "mi-a").map(|entry| entry.name.clone()).collect();
+    assert_eq!(domain.len(), 2);
+    for name in &domain {
+        site.deployment.children.kill(name);
+    }
+    for name in &domain {
+        site.deployment.start_daemon(name).expect("the daemon starts");
+    }
+    site.deployment.wait_ready(revision).expect("peers give it the policy in force");
+    // Look-ups leave the drained failure domain out.
+    let drained = site.deployment.entries().find(|entry| entry.domain == "wi-b").expect("it has an entry").clone();
+    let lookup = |address: &str| site.send(address, "GET", "/lookup?client=10.3.4.5", None).expect("an answer comes").2;
+    until("no answer names the drained entry", || !lookup(&site.entry(0).address).contains(&drained.address));
+}
+
+#[test]
+fn a_silent_backend_server_is_passed_over() {
+    let mut site = Site::start("bayline", 39);
+    let silent: Vec<String> = site.backends().iter().take(4).map(|backend| backend.address.clone()).collect();
+    for address in &silent {
+        site.fault(address, "{\"silent\":true}");
+    }
+    let plan = site.plan(vec![flow("lookup", "GET", "/stock?work_ms=10", 60.0)], 5, 32);
+    let tallies = site.load(&plan, |_| {});
+    assert_eq!(tallies["lookup"].endings.keys().collect::<Vec<_>>(), [&Ending::Complete]);
+}
+
+#[test]
+fn a_poisonous_request_stops_two_servers_at_most() {
+    let mut site = Site::start("bayline", 40);
+    let entries: Vec<String> = site.deployment.entries().map(|entry| entry.address.clone()).collect();
+    for entry in &entries {
+        let answer = site.send(entry, "GET", "/stock?crash=1", None);
+        assert!(answer.is_ok_and(|(status, _, _)| status >= 400), "the caller gets an error each time");
+        // The caller comes back after the time that the answer names.
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    let backends = site.backends();
+    let dead = backends
+        .iter()
+        .filter(|backend| site.deployment.children.wait(&backend.name, Duration::from_millis(100)).is_some());
+    let dead = dead.count();
+    assert!(dead >= 1, "the request does stop servers");
+    assert!(dead <= 2, "{dead} servers were stopped");
+}
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -235,9 +235,7 @@
         if self.closed(now) && self.trial {
             return;
         }
-        let time = EJECTION
-            .saturating_mul(1 << self.ejections.min(5))
-            .min(LONGEST_EJECTION);
+        let time = EJECTION.saturating_mul(1 << self.ejections.min(5)).min(LONGEST_EJECTION);
         self.ejections += 1;
         self.trial = true;
         self.late_in_row = 0;
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -11,11 +11,7 @@
 impl Budget {
     /// A full budget of `most` units that earns `earned_per_request` for each request.
     pub const fn new(earned_per_request: f64, most: f64) -> Self {
-        Self {
-            earned_per_request,
-            most,
-            level: most,
-        }
+        Self { earned_per_request, most, level: most }
     }
 
     /// Earns for one request.
--- a/crates/dispatch/src/class.rs
+++ b/crates/dispatch/src/class.rs
@@ -70,8 +70,7 @@
         if self.latencies.len() == SAMPLES {
             self.latencies.pop_front();
         }
-        self.latencies
-            .push_back(latency.as_micros().min(u128::from(u32::MAX)) as u32);
+        self.latencies.push_back(latency.as_micros().min(u128::from(u32::MAX)) as u32);
         self.fresh += 1;
         if self.fresh >= REFRESH || self.latencies.len() < REFRESH {
             self.fresh = 0;
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -287,11 +287,10 @@
         self.pump(now);
     }
 
-    /// Takes in losses that peers saw.
-    pub fn merge_losses(&mut self, losses: &[(u64, u64)], now: Time) {
-        for (fingerprint, loss) in losses {
-            self.poison.note(*fingerprint, *loss, now);
-        }
+    /// Takes in losses that peers saw; gives those that were news, to be passed on.
+    pub fn merge_losses(&mut self, losses: &[(u64, u64)], now: Time) -> Vec<(u64, u64)> {
+        let news = losses.iter().filter(|(fingerprint, loss)| self.poison.note(*fingerprint, *loss, now));
+        news.copied().collect()
     }
 
     /// Losses seen here since the last call, for peers.
@@ -326,12 +325,7 @@
 
     /// A new request; its answer comes as an action.
     pub fn submit(&mut self, arrival: Arrival, now: Time) {
-        let Arrival {
-            request,
-            class,
-            fingerprint,
-            bytes,
-        } = arrival;
+        let Arrival { request, class, fingerprint, bytes } = arrival;
         self.hedges.earn();
         self.retries.earn();
         if let Some(kind) = self.refusal(class, fingerprint, now) {
@@ -414,12 +408,7 @@
     }
 
     fn index(&mut self) {
-        let services = self
-            .backends
-            .values()
-            .map(|backend| backend.spec.service)
-            .max()
-            .map_or(0, |most| most + 1);
+        let services = self.backends.values().map(|backend| backend.spec.service).max().map_or(0, |most| most + 1);
         self.tiers = vec![[Vec::new(), Vec::new()]; usize::from(services)];
         for (id, backend) in &self.backends {
             let tier = usize::from(matches!(backend.spec.place, Place::Remote(_)));
@@ -456,10 +445,7 @@
     fn cancel_all(&mut self, attempts: &[u64]) {
         for attempt in attempts {
             if let Some(live) = self.attempts.get(attempt) {
-                self.actions.push(Action::Cancel {
-                    attempt: *attempt,
-                    backend: live.backend,
-                });
+                self.actions.push(Action::Cancel { attempt: *attempt, backend: live.backend });
             }
         }
     }
@@ -468,11 +454,7 @@
         let Some(state) = self.requests.get(&request) else {
             return;
         };
-        let kind = if state.live.is_empty() {
-            Kind::Expired
-        } else {
-            Kind::BackendTimeout
-        };
+        let kind = if state.live.is_empty() { Kind::Expired } else { Kind::BackendTimeout };
         self.refuse(request, kind);
     }
 
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -60,15 +60,7 @@
         let reserved = self.reserve(place, bytes as f64, answer_bytes, now);
         self.next_attempt += 1;
         let attempt = self.next_attempt;
-        let started = Attempt {
-            request,
-            class: index,
-            backend,
-            started: now,
-            late_at,
-            late: false,
-            reserved,
-        };
+        let started = Attempt { request, class: index, backend, started: now, late_at, late: false, reserved };
         self.attempts.insert(attempt, started);
         self.timers.insert((late_at, Timer::Late(attempt)));
         let Some(state) = self.requests.get_mut(&request) else {
@@ -78,21 +70,12 @@
         state.tries += 1;
         state.barred.push(backend);
         let again = state.tries > 1;
-        self.actions.push(Action::Start {
-            request,
-            attempt,
-            backend,
-            deadline,
-            again,
-        });
+        self.actions.push(Action::Start { request, attempt, backend, deadline, again });
     }
 
     /// An attempt is late: the server is marked, and the request hedged if that is allowed.
     pub(super) fn late(&mut self, attempt: u64, now: Time) {
-        let may_eject = self
-            .attempts
-            .get(&attempt)
-            .is_some_and(|live| self.may_eject(live.backend));
+        let may_eject = self.attempts.get(&attempt).is_some_and(|live| self.may_eject(live.backend));
         let Some(live) = self.attempts.get_mut(&attempt) else {
             return;
         };
@@ -132,10 +115,7 @@
             return false;
         };
         let members = &tiers[tier];
-        let suspects = members
-            .iter()
-            .filter(|id| self.backends.get(id).is_some_and(Backend::suspect))
-            .count();
+        let suspects = members.iter().filter(|id| self.backends.get(id).is_some_and(Backend::suspect)).count();
         (suspects + 1) as f64 <= members.len() as f64 * EJECTED_PART
     }
 
@@ -204,11 +184,7 @@
         if !self.usable(server, state, now) {
             return false;
         }
-        let distance = if server.spec.place == Place::Region {
-            DOMAIN_COST
-        } else {
-            0.0
-        };
+        let distance = if server.spec.place == Place::Region { DOMAIN_COST } else { 0.0 };
         let score = (server.load(now) + 1.0) * server.ratio() + distance;
         if best.is_none_or(|(lowest, _)| score < lowest) {
             *best = Some((score, id));
--- a/crates/dispatch/src/engine/policy.rs
+++ b/crates/dispatch/src/engine/policy.rs
@@ -31,9 +31,7 @@
         let service = usize::from(self.classes[state.class].spec.service);
         let [near, far] = self.tiers.get(service)?;
         let usable = |ids: &[BackendId]| -> Vec<BackendId> {
-            let open = ids
-                .iter()
-                .filter(|id| self.backends.get(id).is_some_and(|server| !server.spec.leaving));
+            let open = ids.iter().filter(|id| self.backends.get(id).is_some_and(|server| !server.spec.leaving));
             open.copied().collect()
         };
         let mut members = usable(near);
@@ -49,9 +47,7 @@
             Policy::LeastInFlight => {
                 let start = self.rng.usize(..count);
                 members.rotate_left(start);
-                members
-                    .into_iter()
-                    .min_by_key(|id| self.backends.get(id).map_or(0, |server| server.in_flight))
+                members.into_iter().min_by_key(|id| self.backends.get(id).map_or(0, |server| server.in_flight))
             }
             Policy::Random | Policy::Steered => Some(members[self.rng.usize(..count)]),
         }
--- a/crates/dispatch/src/engine/queue.rs
+++ b/crates/dispatch/src/engine/queue.rs
@@ -103,9 +103,7 @@
 
     fn head_aged(&self, class: usize, now: Time) -> bool {
         let head = self.classes[class].queue.front();
-        let arrived = head
-            .and_then(|request| self.requests.get(request))
-            .map(|state| state.arrived);
+        let arrived = head.and_then(|request| self.requests.get(request)).map(|state| state.arrived);
         arrived.is_some_and(|arrived| self.classes[class].aged(arrived, now))
     }
 
--- a/crates/dispatch/src/poison.rs
+++ b/crates/dispatch/src/poison.rs
@@ -29,18 +29,18 @@
 impl Poison {
     /// Remembers each loss for `kept`.
     pub const fn new(kept: Duration) -> Self {
-        Self {
-            kept,
-            records: BTreeMap::new(),
-        }
+        Self { kept, records: BTreeMap::new() }
     }
 
-    /// Notes that the loss with the unique number `loss` happened to `fingerprint`.
-    pub fn note(&mut self, fingerprint: u64, loss: u64, now: Time) {
+    /// Notes that the loss with the unique number `loss` happened to `fingerprint`; says whether that is news.
+    pub fn note(&mut self, fingerprint: u64, loss: u64, now: Time) -> bool {
         self.forget(now);
         let record = self.records.entry(fingerprint).or_default();
-        record.losses.insert(loss);
-        record.seen = now;
+        let news = record.losses.insert(loss);
+        if news {
+            record.seen = now;
+        }
+        news
     }
 
     /// A request with `fingerprint` was answered whole: its losses were not its doing.
@@ -58,11 +58,7 @@
     pub fn losses(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
         let pairs = |(fingerprint, record): (&u64, &Record)| {
             let fingerprint = *fingerprint;
-            record
-                .losses
-                .iter()
-                .map(move |loss| (fingerprint, *loss))
-                .collect::<Vec<_>>()
+            record.losses.iter().map(move |loss| (fingerprint, *loss)).collect::<Vec<_>>()
         };
         self.records.iter().flat_map(pairs)
     }
@@ -74,11 +70,7 @@
         let kept = self.kept;
         self.records.retain(|_, record| now.since(record.seen) < kept);
         if self.records.len() >= MOST {
-            let oldest = self
-                .records
-                .iter()
-                .min_by_key(|(_, record)| record.seen)
-                .map(|(key, _)| *key);
+            let oldest = self.records.iter().min_by_key(|(_, record)| record.seen).map(|(key, _)| *key);
             oldest.map(|key| self.records.remove(&key));
         }
     }
--- a/crates/dispatch/src/subset.rs
+++ b/crates/dispatch/src/subset.rs
@@ -13,10 +13,7 @@
         return true;
     }
     let own = hash::pair(backend, daemon);
-    let better = daemons
-        .iter()
-        .filter(|other| hash::pair(backend, **other) > own)
-        .count();
+    let better = daemons.iter().filter(|other| hash::pair(backend, **other) > own).count();
     better < most
 }
 
--- a/crates/dispatch/tests/cases.rs
+++ b/crates/dispatch/tests/cases.rs
@@ -33,11 +33,7 @@
     world.end(first, ending);
     world.pass(Duration::from_millis(100));
     assert_eq!(!world.attempts_of(order).is_empty(), again);
-    assert_eq!(
-        refused(&world, order).is_some(),
-        !again,
-        "an order given up on is answered at once"
-    );
+    assert_eq!(refused(&world, order).is_some(), !again, "an order given up on is answered at once");
 }
 
 #[rstest]
@@ -83,11 +79,7 @@
     let first = world.send_as(LOOKUP, 99);
     world.end(only_attempt(&world, first), Ending::Lost);
     world.end(only_attempt(&world, first), Ending::Lost);
-    assert_eq!(
-        refused(&world, first),
-        Some(Kind::BackendLost),
-        "it ran, so it is no `not run`"
-    );
+    assert_eq!(refused(&world, first), Some(Kind::BackendLost), "it ran, so it is no `not run`");
     let again = world.send_as(LOOKUP, 99);
     assert_eq!(refused(&world, again), Some(Kind::Poisoned));
     let other = world.send_as(LOOKUP, 98);
@@ -96,10 +88,7 @@
 
 #[test]
 fn losses_at_two_entry_instances_add_up() {
-    let (mut here, mut there) = (
-        world(3),
-        World::new((1..=3).map(|id| backend(id, Place::Domain)).collect(), 8),
-    );
+    let (mut here, mut there) = (world(3), World::new((1..=3).map(|id| backend(id, Place::Domain)).collect(), 8));
     for world in [&mut here, &mut there] {
         let order = world.send_as(ORDER, 99);
         world.end(only_attempt(world, order), Ending::Lost);
@@ -148,20 +137,14 @@
     assert_eq!(world.live.len(), 4, "one for each server");
     for _ in 0..8 {
         let lookup = world.send(LOOKUP);
-        assert!(
-            !world.attempts_of(lookup).is_empty(),
-            "a lookup never waits behind bulk"
-        );
+        assert!(!world.attempts_of(lookup).is_empty(), "a lookup never waits behind bulk");
     }
 }
 
 #[test]
 fn a_full_queue_drops_what_may_be_lost_first() {
     let mut world = world(0);
-    let specs = vec![dispatch::backend::Spec {
-        slots: 1,
-        ..backend(1, Place::Domain)
-    }];
+    let specs = vec![dispatch::backend::Spec { slots: 1, ..backend(1, Place::Domain) }];
     let now = world.now;
     world.engine.set_backends(specs, now);
     world.pass(Duration::ZERO);
@@ -169,10 +152,7 @@
     let bulk: Vec<u64> = (0..common::LIMITS.queued).map(|_| world.send(BULK)).collect();
     let order = world.send(ORDER);
     assert_eq!(refused(&world, order), None);
-    assert_eq!(
-        refused(&world, *bulk.last().expect("bulk was sent")),
-        Some(Kind::QueueFull)
-    );
+    assert_eq!(refused(&world, *bulk.last().expect("bulk was sent")), Some(Kind::QueueFull));
     assert!(!world.attempts_of(running).is_empty());
 }
 
@@ -188,11 +168,7 @@
         let attempts = world.attempts_of(lookup);
         hedged += attempts.len().saturating_sub(1);
         for attempt in attempts {
-            let ending = if world.live[&attempt].cancelled {
-                Ending::Cancelled
-            } else {
-                Ending::Answered(10)
-            };
+            let ending = if world.live[&attempt].cancelled { Ending::Cancelled } else { Ending::Answered(10) };
             world.end(attempt, ending);
         }
     }
@@ -262,9 +238,6 @@
         }
     }
     assert!(hosts.iter().all(|count| *count == 1));
-    let users = names
-        .iter()
-        .filter(|daemon| subset::uses(**daemon, &names, ids[0], 64))
-        .count();
+    let users = names.iter().filter(|daemon| subset::uses(**daemon, &names, ids[0], 64)).count();
     assert_eq!(users, names.len().min(64));
 }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -15,44 +15,18 @@
 pub const ORDER: usize = 1;
 pub const BULK: usize = 2;
 
-pub const LIMITS: Limits = Limits {
-    queued: 64,
-    in_flight: 64,
-    poison: Duration::from_mins(10),
-};
+pub const LIMITS: Limits = Limits { queued: 64, in_flight: 64, poison: Duration::from_mins(10) };
 
 pub fn classes() -> Vec<class::Spec> {
-    let lookup = class::Spec {
-        service: 0,
-        idempotent: true,
-        rank: 1,
-        deadline: Duration::from_secs(1),
-        may_wait: false,
-    };
-    let order = class::Spec {
-        idempotent: false,
-        rank: 0,
-        deadline: Duration::from_secs(4),
-        ..lookup.clone()
-    };
-    let bulk = class::Spec {
-        rank: 2,
-        deadline: Duration::from_mins(1),
-        may_wait: true,
-        ..lookup.clone()
-    };
+    let lookup =
+        class::Spec { service: 0, idempotent: true, rank: 1, deadline: Duration::from_secs(1), may_wait: false };
+    let order = class::Spec { idempotent: false, rank: 0, deadline: Duration::from_secs(4), ..lookup.clone() };
+    let bulk = class::Spec { rank: 2, deadline: Duration::from_mins(1), may_wait: true, ..lookup.clone() };
     vec![lookup, order, bulk]
 }
 
 pub fn backend(id: BackendId, place: Place) -> Spec {
-    Spec {
-        id,
-        service: 0,
-        place,
-        slots: 3,
-        leaving: false,
-        hosts: true,
-    }
+    Spec { id, service: 0, place, slots: 3, leaving: false, hosts: true }
 }
 
 /// What is known of one attempt.
@@ -90,10 +64,7 @@
     pub fn new(backends: Vec<Spec>, seed: u64) -> Self {
         let mut engine = Engine::new(classes(), LIMITS, seed);
         let now = Time::from_millis(1_000);
-        let remote = backends
-            .iter()
-            .filter(|spec| matches!(spec.place, Place::Remote(_)))
-            .map(|spec| spec.id);
+        let remote = backends.iter().filter(|spec| matches!(spec.place, Place::Remote(_))).map(|spec| spec.id);
         let remote = remote.collect();
         engine.set_backends(backends, now);
         Self {
@@ -110,14 +81,7 @@
 
     pub fn set_remote(&mut self, limit: u32, bytes_per_second: f64) {
         self.remote_limit = limit;
-        self.engine.set_remote(
-            1,
-            Remote {
-                limit,
-                bytes_per_second,
-            },
-            self.now,
-        );
+        self.engine.set_remote(1, Remote { limit, bytes_per_second }, self.now);
         self.settle();
     }
 
@@ -129,22 +93,8 @@
     pub fn send_as(&mut self, class: usize, fingerprint: u64) -> u64 {
         self.next += 1;
         let request = self.next;
-        self.traces.insert(
-            request,
-            Trace {
-                class,
-                ..Trace::default()
-            },
-        );
-        self.engine.submit(
-            Arrival {
-                request,
-                class,
-                fingerprint,
-                bytes: 100,
-            },
-            self.now,
-        );
+        self.traces.insert(request, Trace { class, ..Trace::default() });
+        self.engine.submit(Arrival { request, class, fingerprint, bytes: 100 }, self.now);
         self.settle();
         request
     }
@@ -160,15 +110,7 @@
     }
 
     pub fn report(&mut self, backend: BackendId, load: u32, draining: bool) {
-        self.engine.report(
-            backend,
-            Report {
-                load,
-                draining,
-                at: self.now,
-            },
-            self.now,
-        );
+        self.engine.report(backend, Report { load, draining, at: self.now }, self.now);
         self.settle();
     }
 
@@ -199,11 +141,7 @@
     }
 
     pub fn attempts_of(&self, request: u64) -> Vec<u64> {
-        self.live
-            .iter()
-            .filter(|(_, live)| live.request == request)
-            .map(|(attempt, _)| *attempt)
-            .collect()
+        self.live.iter().filter(|(_, live)| live.request == request).map(|(attempt, _)| *attempt).collect()
     }
 
     pub fn answer(&self, request: u64) -> Option<Verdict> {
@@ -213,12 +151,7 @@
     fn settle(&mut self) {
         for action in self.engine.take() {
             match action {
-                Action::Start {
-                    request,
-                    attempt,
-                    backend,
-                    ..
-                } => self.started(request, attempt, backend),
+                Action::Start { request, attempt, backend, .. } => self.started(request, attempt, backend),
                 Action::Cancel { attempt, .. } => {
                     if let Some(live) = self.live.get_mut(&attempt) {
                         live.cancelled = true;
@@ -240,38 +173,18 @@
         assert!(trace.attempts.insert(attempt), "attempt {attempt} is new");
         if class == ORDER {
             assert_eq!(trace.may_have_run, 0, "an order that may have run is not sent again");
-            assert!(
-                self.attempts_of(request).is_empty(),
-                "an order has one attempt at a time"
-            );
+            assert!(self.attempts_of(request).is_empty(), "an order has one attempt at a time");
         }
         if class == BULK {
-            let bulk = self
-                .live
-                .values()
-                .filter(|live| live.backend == backend && self.traces[&live.request].class == BULK);
+            let bulk =
+                self.live.values().filter(|live| live.backend == backend && self.traces[&live.request].class == BULK);
             self.waiting_limit_broken |= bulk.count() > 0;
         }
         let started = self.now;
-        self.live.insert(
-            attempt,
-            Live {
-                request,
-                backend,
-                started,
-                cancelled: false,
-            },
-        );
+        self.live.insert(attempt, Live { request, backend, started, cancelled: false });
         if self.remote.contains(&backend) {
-            let remote = self
-                .live
-                .values()
-                .filter(|live| self.remote.contains(&live.backend))
-                .count();
-            assert!(
-                remote as u32 <= self.remote_limit,
-                "{remote} in flight in the other region"
-            );
+            let remote = self.live.values().filter(|live| self.remote.contains(&live.backend)).count();
+            assert!(remote as u32 <= self.remote_limit, "{remote} in flight in the other region");
         }
     }
 }
@@ -281,10 +194,7 @@
         Verdict::Relay(attempt) => assert!(trace.attempts.contains(&attempt), "the answer is the request's own"),
         Verdict::Refuse(kind) => {
             let not_run = kind.answer().outcome == Outcome::NotRun;
-            assert!(
-                !not_run || (trace.may_have_run == 0 && running == 0),
-                "{kind} says not run, but it may have"
-            );
+            assert!(!not_run || (trace.may_have_run == 0 && running == 0), "{kind} says not run, but it may have");
         }
     }
 }
--- a/crates/dispatch/tests/properties.rs
+++ b/crates/dispatch/tests/properties.rs
@@ -52,20 +52,13 @@
                 return;
             };
             let attempt = *world.live.keys().nth(index).expect("the index is within the map");
-            let ending = if world.live[&attempt].cancelled {
-                Ending::Cancelled
-            } else {
-                ending
-            };
+            let ending = if world.live[&attempt].cancelled { Ending::Cancelled } else { ending };
             world.end(attempt, ending);
         }
         Event::Pass(millis) => world.pass(Duration::from_millis(millis.into())),
         Event::Report(id, load) => world.report(id, load, false),
         Event::Leave(id, leaving) => {
-            specs
-                .iter_mut()
-                .filter(|spec| spec.id == id)
-                .for_each(|spec| spec.leaving = leaving);
+            specs.iter_mut().filter(|spec| spec.id == id).for_each(|spec| spec.leaving = leaving);
             let now = world.now;
             world.engine.set_backends(specs.to_vec(), now);
             // What was started by this is taken in by the next event.
@@ -78,16 +71,9 @@
 /// true, an answer belongs to its request, and the other region's limit holds.
 #[test]
 fn every_request_ends_once_and_truly() {
-    let cases = std::env::var("HEMLOCK_CASES")
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(1_000);
+    let cases = std::env::var("HEMLOCK_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(1_000);
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]);
-    let config = Config {
-        cases,
-        failure_persistence: None,
-        ..Config::default()
-    };
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
     let mut runner = TestRunner::new_with_rng(config, rng);
     let schedules = (prop::collection::vec(event(), 1..150), any::<u64>());
     let outcome = runner.run(&schedules, |(schedule, seed)| {
@@ -139,9 +125,6 @@
     }
     world.finish();
     for request in bulk {
-        assert!(
-            common::refused(&world, request).is_none(),
-            "bulk request {request} did not finish"
-        );
+        assert!(common::refused(&world, request).is_none(), "bulk request {request} did not finish");
     }
 }
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -79,14 +79,7 @@
 
 impl Default for Faults {
     fn default() -> Self {
-        Self {
-            slow: 1.0,
-            draining: false,
-            silent: false,
-            cut: false,
-            shed: false,
-            dead: false,
-        }
+        Self { slow: 1.0, draining: false, silent: false, cut: false, shed: false, dead: false }
     }
 }
 
@@ -133,9 +126,7 @@
 
 impl std::fmt::Debug for Running {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Running")
-            .field("address", &self.address())
-            .finish_non_exhaustive()
+        f.debug_struct("Running").field("address", &self.address()).finish_non_exhaustive()
     }
 }
 
@@ -154,10 +145,7 @@
             runs: BTreeMap::new(),
             served: 0,
         };
-        let cell = Arc::new(Cell {
-            shared: Mutex::new(shared),
-            freed: Condvar::new(),
-        });
+        let cell = Arc::new(Cell { shared: Mutex::new(shared), freed: Condvar::new() });
         let handle = Arc::clone(&cell);
         http::serve(Arc::clone(&server), move |request| answer(request, &handle));
         Ok(Self { server, cell })
@@ -207,10 +195,7 @@
         }
         shared.queued += 1;
         while shared.busy >= shared.setup.slots {
-            shared = self
-                .freed
-                .wait(shared)
-                .expect("no handler panics while holding the server");
+            shared = self.freed.wait(shared).expect("no handler panics while holding the server");
         }
         shared.queued -= 1;
         shared.busy += 1;
@@ -233,28 +218,16 @@
         let now = Instant::now();
         let lag = Duration::from_millis(self.setup.report_lag_ms);
         self.reports.push((now, self.busy, self.queued));
-        let visible = self
-            .reports
-            .iter()
-            .rposition(|(made, _, _)| now.duration_since(*made) >= lag);
+        let visible = self.reports.iter().rposition(|(made, _, _)| now.duration_since(*made) >= lag);
         self.reports.drain(..visible.unwrap_or(0));
     }
 
     fn load(&self, now: Instant) -> Load {
         let lag = Duration::from_millis(self.setup.report_lag_ms);
-        let visible = self
-            .reports
-            .iter()
-            .rfind(|(made, _, _)| now.duration_since(*made) >= lag);
+        let visible = self.reports.iter().rfind(|(made, _, _)| now.duration_since(*made) >= lag);
         let (busy, queued) = visible.map_or((0, 0), |(_, busy, queued)| (*busy, *queued));
         let age_ms = self.setup.report_lag_ms;
-        Load {
-            busy,
-            queued,
-            slots: self.setup.slots,
-            draining: self.faults.draining,
-            age_ms,
-        }
+        Load { busy, queued, slots: self.setup.slots, draining: self.faults.draining, age_ms }
     }
 
     fn work_time(&self, asked_ms: Option<u64>) -> Duration {
@@ -350,17 +323,14 @@
 
 /// Says that nothing was run.
 fn shed(request: Request) {
-    let response = Response::from_data(Vec::new())
-        .with_status_code(503)
-        .with_header(http::make_header("x-outcome", "not-run"));
+    let response =
+        Response::from_data(Vec::new()).with_status_code(503).with_header(http::make_header("x-outcome", "not-run"));
     drop(request.respond(response));
 }
 
 /// Answers with the request's own words, so that callers can tell whose answer it is.
 fn reply(request: Request, url: &str, body: &[u8], cell: &Cell, cut: bool) {
-    let size: usize = http::query(url, "bytes")
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(0);
+    let size: usize = http::query(url, "bytes").and_then(|text| text.parse().ok()).unwrap_or(0);
     let echo = http::header(&request, "x-echo").unwrap_or_default().to_owned();
     let name = cell.lock().setup.name.clone();
     let text = format!("echo={echo} body={:016x} server={name}\n", base::hash::bytes(body));
--- a/crates/fakes/src/cli.rs
+++ b/crates/fakes/src/cli.rs
@@ -55,8 +55,7 @@
         let Some(text) = self.values.get(name) else {
             return Ok(default);
         };
-        text.parse()
-            .map_err(|_source| Error::Number(name.to_owned(), text.clone()))
+        text.parse().map_err(|_source| Error::Number(name.to_owned(), text.clone()))
     }
 }
 
--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -22,10 +22,7 @@
 
 /// The value of the header `name`, if given.
 pub fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
-    let named = request
-        .headers()
-        .iter()
-        .find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name));
+    let named = request.headers().iter().find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name));
     named.map(|header| header.value.as_str())
 }
 
--- a/crates/fakes/src/list.rs
+++ b/crates/fakes/src/list.rs
@@ -42,11 +42,7 @@
     }
 
     fn change(&mut self, name: &str, instance: Option<Instance>, now: Instant) {
-        self.pending.push(Pending {
-            shown: now + self.lag,
-            name: name.to_owned(),
-            instance,
-        });
+        self.pending.push(Pending { shown: now + self.lag, name: name.to_owned(), instance });
     }
 }
 
@@ -58,9 +54,7 @@
 
 impl std::fmt::Debug for Running {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Running")
-            .field("address", &self.address())
-            .finish_non_exhaustive()
+        f.debug_struct("Running").field("address", &self.address()).finish_non_exhaustive()
     }
 }
 
@@ -68,16 +62,8 @@
     /// Starts a list at `address` that shows `instances` at once and later changes after `lag`.
     pub fn start(address: &str, instances: Vec<Instance>, lag: Duration) -> std::io::Result<Self> {
         let server = Arc::new(Server::http(address).map_err(std::io::Error::other)?);
-        let shown = instances
-            .into_iter()
-            .map(|instance| (instance.name.clone(), instance))
-            .collect();
-        let shared = Arc::new(Mutex::new(Shared {
-            lag,
-            shown,
-            pending: Vec::new(),
-            down: false,
-        }));
+        let shown = instances.into_iter().map(|instance| (instance.name.clone(), instance)).collect();
+        let shared = Arc::new(Mutex::new(Shared { lag, shown, pending: Vec::new(), down: false }));
         let handle = Arc::clone(&shared);
         http::serve(Arc::clone(&server), move |request| {
             answer(request, &handle);
--- a/crates/fakes/src/state.rs
+++ b/crates/fakes/src/state.rs
@@ -39,12 +39,8 @@
         self.expire(now);
         let inside = |key: &str| end.map_or(key == first, |end| key < end);
         let from = self.values.range(first.to_owned()..).take_while(|(key, _)| inside(key));
-        from.map(|(key, value)| Entry {
-            key: key.clone(),
-            value: value.bytes.clone(),
-            revision: value.revision,
-        })
-        .collect()
+        from.map(|(key, value)| Entry { key: key.clone(), value: value.bytes.clone(), revision: value.revision })
+            .collect()
     }
 
     /// Makes all changes or none.
@@ -95,11 +91,7 @@
     fn apply(&mut self, change: &Change) {
         match &change.value {
             Some(bytes) => {
-                let value = Value {
-                    bytes: bytes.clone(),
-                    revision: self.revision,
-                    lease: change.lease,
-                };
+                let value = Value { bytes: bytes.clone(), revision: self.revision, lease: change.lease };
                 self.values.insert(change.key.clone(), value);
             }
             None => {
@@ -112,8 +104,7 @@
         let leases = &mut self.leases;
         leases.retain(|_, term| term.ends > now);
         let before = self.values.len();
-        self.values
-            .retain(|_, value| value.lease.is_none_or(|lease| leases.contains_key(&lease)));
+        self.values.retain(|_, value| value.lease.is_none_or(|lease| leases.contains_key(&lease)));
         if self.values.len() < before {
             self.revision += 1;
         }
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -51,9 +51,7 @@
 
 impl std::fmt::Debug for Running {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Running")
-            .field("address", &self.address())
-            .finish_non_exhaustive()
+        f.debug_struct("Running").field("address", &self.address()).finish_non_exhaustive()
     }
 }
 
@@ -61,11 +59,8 @@
     /// Starts a store at `address`.
     pub fn start(address: &str) -> std::io::Result<Self> {
         let server = Arc::new(Server::http(address).map_err(std::io::Error::other)?);
-        let shared = Arc::new(Mutex::new(Shared {
-            state: State::new(),
-            faults: Faults::default(),
-            counts: BTreeMap::new(),
-        }));
+        let shared =
+            Arc::new(Mutex::new(Shared { state: State::new(), faults: Faults::default(), counts: BTreeMap::new() }));
         let handle = Arc::clone(&shared);
         let start = Instant::now();
         http::serve(Arc::clone(&server), move |request| {
@@ -180,13 +175,7 @@
         return cut(request);
     }
     let succeeded = matches!(commit, Commit::Done(_));
-    http::answer_json(
-        request,
-        &TxnResponse {
-            header: Header { revision },
-            succeeded,
-        },
-    );
+    http::answer_json(request, &TxnResponse { header: Header { revision }, succeeded });
 }
 
 /// Pairs each step with its condition; `None` if they do not pair up or a value is too large.
@@ -194,12 +183,7 @@
     if asked.compare.len() != asked.success.len() {
         return None;
     }
-    asked
-        .compare
-        .iter()
-        .zip(&asked.success)
-        .map(|(compare, op)| change(compare.mod_revision.0, op))
-        .collect()
+    asked.compare.iter().zip(&asked.success).map(|(compare, op)| change(compare.mod_revision.0, op)).collect()
 }
 
 fn change(expect: u64, op: &Op) -> Option<Change> {
@@ -209,21 +193,11 @@
             return None;
         }
         let lease = (put.lease.0 > 0).then_some(Lease(put.lease.0));
-        return Some(Change {
-            key,
-            expect,
-            value: Some(put.value.0.clone()),
-            lease,
-        });
+        return Some(Change { key, expect, value: Some(put.value.0.clone()), lease });
     }
     let delete = op.request_delete_range.as_ref()?;
     let key = String::from_utf8(delete.key.0.clone()).ok()?;
-    Some(Change {
-        key,
-        expect,
-        value: None,
-        lease: None,
-    })
+    Some(Change { key, expect, value: None, lease: None })
 }
 
 fn range(shared: &Mutex<Shared>, asked: &RangeRequest, now: Time) -> RangeResponse {
@@ -239,26 +213,15 @@
         mod_revision: Number(entry.revision),
         lease: Number(0),
     });
-    RangeResponse {
-        header: Header { revision },
-        kvs: kvs.collect(),
-    }
+    RangeResponse { header: Header { revision }, kvs: kvs.collect() }
 }
 
 fn grant(shared: &Mutex<Shared>, asked: &GrantRequest, now: Time) -> LeaseResponse {
     let lease = lock(shared).state.grant(Duration::from_secs(asked.ttl.0), now);
-    LeaseResponse {
-        id: Number(lease.0),
-        ttl: asked.ttl,
-    }
+    LeaseResponse { id: Number(lease.0), ttl: asked.ttl }
 }
 
 fn renew(shared: &Mutex<Shared>, asked: &LeaseRequest, now: Time) -> RenewResponse {
     let alive = lock(shared).state.renew(Lease(asked.id.0), now);
-    RenewResponse {
-        result: LeaseResponse {
-            id: asked.id,
-            ttl: Number(u64::from(alive)),
-        },
-    }
+    RenewResponse { result: LeaseResponse { id: asked.id, ttl: Number(u64::from(alive)) } }
 }
--- a/crates/fleet/src/copy.rs
+++ b/crates/fleet/src/copy.rs
@@ -41,10 +41,7 @@
         if self.sum != sum(self.revision, &self.text) {
             return Err(Error::Damaged(self.revision));
         }
-        Ok(Policy::parse(
-            &format!("policy revision {}", self.revision),
-            &self.text,
-        )?)
+        Ok(Policy::parse(&format!("policy revision {}", self.revision), &self.text)?)
     }
 }
 
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -42,14 +42,7 @@
     /// Takes in a load from a message that came at `now`.
     pub fn merge(&mut self, load: &Load, now: Time) {
         let at = now - Duration::from_millis(load.age_ms);
-        self.note(
-            &load.domain,
-            Seen {
-                busy: load.busy,
-                slots: load.slots,
-                at,
-            },
-        );
+        self.note(&load.domain, Seen { busy: load.busy, slots: load.slots, at });
     }
 
     /// The load of a failure domain.
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -87,9 +87,7 @@
     /// Takes the platform's list.
     pub fn list(&mut self, instances: &[Instance]) {
         let entries = instances.iter().filter(|instance| instance.role == Role::Entry);
-        self.listed = entries
-            .map(|instance| (instance.name.clone(), instance.clone()))
-            .collect();
+        self.listed = entries.map(|instance| (instance.name.clone(), instance.clone())).collect();
     }
 
     /// Entry instances in the platform's list, by name.
@@ -116,14 +114,8 @@
         let dead_too = self.targets.chance(DEAD_CHANCE);
         let own = &self.own.name;
         let members = &self.members;
-        let gone = |name: &str| {
-            members
-                .get(name)
-                .is_some_and(|member| member.record.state >= State::Dead)
-        };
-        let names = members
-            .keys()
-            .chain(self.listed.keys().filter(|name| !members.contains_key(*name)));
+        let gone = |name: &str| members.get(name).is_some_and(|member| member.record.state >= State::Dead);
+        let names = members.keys().chain(self.listed.keys().filter(|name| !members.contains_key(*name)));
         let allowed = |name: &str| name != own && (dead_too || !gone(name));
         let name = self.targets.next(names, allowed)?;
         let address = self.address(&name)?.to_owned();
@@ -134,10 +126,7 @@
     pub fn some(&mut self, most: usize) -> Vec<(String, String)> {
         let alive: Vec<String> = self.alive().map(str::to_owned).collect();
         let chosen = self.targets.some(alive, most);
-        chosen
-            .into_iter()
-            .filter_map(|name| Some((name.clone(), self.address(&name)?.to_owned())))
-            .collect()
+        chosen.into_iter().filter_map(|name| Some((name.clone(), self.address(&name)?.to_owned()))).collect()
     }
 
     /// Where peers reach the member `name`.
@@ -157,13 +146,7 @@
         });
         let losses = losses.collect();
         self.losses.retain(|(_, times)| *times > 0);
-        Message {
-            from: self.own.clone(),
-            revision,
-            records,
-            loads,
-            losses,
-        }
+        Message { from: self.own.clone(), revision, records, loads, losses }
     }
 
     /// Takes in a message that came at `now`.
@@ -199,11 +182,7 @@
             (Some(member), _) => member,
             (None, Some(listed)) => {
                 let record = unheard(listed);
-                let member = Member {
-                    record,
-                    changed: now,
-                    spread: 0,
-                };
+                let member = Member { record, changed: now, spread: 0 };
                 self.members.entry(name.to_owned()).or_insert(member)
             }
             (None, None) => return,
@@ -238,10 +217,7 @@
 
     /// Names of the other members that live, suspects among them.
     pub fn alive(&self) -> impl Iterator<Item = &str> {
-        let living = self
-            .members
-            .values()
-            .filter(|member| member.record.state <= State::Suspect);
+        let living = self.members.values().filter(|member| member.record.state <= State::Suspect);
         living.map(|member| member.record.name.as_str())
     }
 
@@ -284,11 +260,7 @@
             }
             Some(_) => {}
             None => {
-                let member = Member {
-                    record: record.clone(),
-                    changed: now,
-                    spread,
-                };
+                let member = Member { record: record.clone(), changed: now, spread };
                 self.members.insert(record.name.clone(), member);
             }
         }
--- a/crates/fleet/src/target.rs
+++ b/crates/fleet/src/target.rs
@@ -10,10 +10,7 @@
 impl Targets {
     /// Equal seeds make equal orders.
     pub fn new(seed: u64) -> Self {
-        Self {
-            order: Vec::new(),
-            rng: fastrand::Rng::with_seed(seed),
-        }
+        Self { order: Vec::new(), rng: fastrand::Rng::with_seed(seed) }
     }
 
     /// The next member for which `allowed` holds; `members` refills the round.
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -9,21 +9,12 @@
 use fleet::roster::{Roster, Times};
 use rstest::rstest;
 
-const TIMES: Times = Times {
-    suspect: Duration::from_secs(3),
-};
+const TIMES: Times = Times { suspect: Duration::from_secs(3) };
 const POLICY: &str = "[regions.r]\ndomains = [\"d\"]\n[classes.c]\nservice = \"s\"\npaths = [\"/c\"]\nidempotent = true\nrank = 0\ntarget_ms = 1\ntarget_share = 0.9\ndeadline_ms = 1\n";
 
 fn record(name: &str, incarnation: u64) -> Record {
     let (peers, domain) = (name.to_owned(), "d".to_owned());
-    Record {
-        name: name.to_owned(),
-        incarnation,
-        beat: 0,
-        state: State::Alive,
-        peers,
-        domain,
-    }
+    Record { name: name.to_owned(), incarnation, beat: 0, state: State::Alive, peers, domain }
 }
 
 /// Daemons that exchange once a second, each with whom it likes.
@@ -46,12 +37,7 @@
             }
             rosters.insert(name, roster);
         }
-        Self {
-            rosters,
-            dead: Vec::new(),
-            cut: Vec::new(),
-            now: Time::from_millis(1),
-        }
+        Self { rosters, dead: Vec::new(), cut: Vec::new(), now: Time::from_millis(1) }
     }
 
     fn seconds(&mut self, seconds: u64) {
@@ -74,27 +60,17 @@
         let Some((target, _)) = roster.target(now) else { return };
         let separated = self.cut.contains(&name.to_owned()) != self.cut.contains(&target);
         if self.dead.contains(&target) || separated || !self.rosters.contains_key(&target) {
-            return self
-                .rosters
-                .get_mut(name)
-                .expect("the name is known")
-                .failed(&target, now);
+            return self.rosters.get_mut(name).expect("the name is known").failed(&target, now);
         }
         let message = self.rosters.get_mut(name).expect("the name is known").message(0, now);
         let peer = self.rosters.get_mut(&target).expect("the target is known");
         peer.merge(&message, now);
         let answer = peer.message(0, now);
-        self.rosters
-            .get_mut(name)
-            .expect("the name is known")
-            .merge(&answer, now);
+        self.rosters.get_mut(name).expect("the name is known").merge(&answer, now);
     }
 
     fn believed(&self, name: &str) -> Vec<Option<State>> {
-        let others = self
-            .rosters
-            .iter()
-            .filter(|(own, _)| *own != name && !self.dead.contains(own));
+        let others = self.rosters.iter().filter(|(own, _)| *own != name && !self.dead.contains(own));
         others.map(|(_, roster)| roster.state(name)).collect()
     }
 }
@@ -107,16 +83,9 @@
     fleet.seconds(5);
     fleet.dead.push("n3".to_owned());
     fleet.seconds(14);
-    assert!(
-        fleet.believed("n3").iter().all(|state| *state == Some(State::Dead)),
-        "{:?}",
-        fleet.believed("n3")
-    );
+    assert!(fleet.believed("n3").iter().all(|state| *state == Some(State::Dead)), "{:?}", fleet.believed("n3"));
     for other in ["n0", "n1", "n2"] {
-        assert!(
-            fleet.believed(other).iter().all(|state| *state != Some(State::Dead)),
-            "{other} is not dead"
-        );
+        assert!(fleet.believed(other).iter().all(|state| *state != Some(State::Dead)), "{other} is not dead");
     }
 }
 
@@ -150,11 +119,7 @@
     observer.merge(&new.message(0, now), now);
     old.leave();
     observer.merge(&old.message(0, now), now);
-    assert_eq!(
-        observer.state("x"),
-        Some(State::Alive),
-        "the old one's farewell does not count"
-    );
+    assert_eq!(observer.state("x"), Some(State::Alive), "the old one's farewell does not count");
     old.merge(&observer.message(0, now), now);
     assert!(old.superseded());
     assert!(!new.superseded());
@@ -192,9 +157,7 @@
 #[case::older(7, 6, false)]
 fn a_policy_never_steps_back(#[case] have: u64, #[case] offered: u64, #[case] taken: bool) {
     let mut holder = Holder::new();
-    holder
-        .offer(Copy::new(have, POLICY.to_owned()))
-        .expect("the policy is good");
+    holder.offer(Copy::new(have, POLICY.to_owned())).expect("the policy is good");
     let result = holder.offer(Copy::new(offered, POLICY.to_owned()));
     assert_eq!(result.expect("the policy is good").is_some(), taken);
     assert_eq!(holder.revision(), have.max(offered));
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -71,10 +71,7 @@
                 Ok(part) => kernel.parts.push((plugin.name, part)),
                 Err(reason) => {
                     kernel.close();
-                    return Err(Error {
-                        plugin: plugin.name,
-                        reason,
-                    });
+                    return Err(Error { plugin: plugin.name, reason });
                 }
             }
         }
--- a/crates/ledger/src/claim.rs
+++ b/crates/ledger/src/claim.rs
@@ -31,11 +31,7 @@
         let incarnation = number().ok_or_else(error)?;
         let fingerprint = number().ok_or_else(error)?;
         let peers = words.next().ok_or_else(error)?.to_owned();
-        Ok(Self {
-            incarnation,
-            fingerprint,
-            peers,
-        })
+        Ok(Self { incarnation, fingerprint, peers })
     }
 
     /// The store's bytes.
--- a/crates/ledger/src/kept.rs
+++ b/crates/ledger/src/kept.rs
@@ -14,12 +14,7 @@
 impl<A: Clone> Kept<A> {
     /// Keeps at most `most_bytes` of answers.
     pub const fn new(most_bytes: u64) -> Self {
-        Self {
-            most_bytes,
-            bytes: 0,
-            answers: BTreeMap::new(),
-            order: VecDeque::new(),
-        }
+        Self { most_bytes, bytes: 0, answers: BTreeMap::new(), order: VecDeque::new() }
     }
 
     /// Keeps an answer of `bytes` bytes; one larger than the bound is not kept.
--- a/crates/ledger/src/make.rs
+++ b/crates/ledger/src/make.rs
@@ -84,12 +84,7 @@
 impl Maker {
     /// Makes a claim for `incarnation` until `give_up`; `unsent` says that the ledger remembers the key as unsent.
     pub const fn new(incarnation: u64, fingerprint: u64, unsent: bool, give_up: Time) -> Self {
-        Self {
-            incarnation,
-            fingerprint,
-            unsent,
-            give_up,
-        }
+        Self { incarnation, fingerprint, unsent, give_up }
     }
 
     /// The first call.
--- a/crates/ledger/src/table.rs
+++ b/crates/ledger/src/table.rs
@@ -73,12 +73,7 @@
     /// An empty ledger.
     pub const fn new(limits: Limits) -> Self {
         let kept = Kept::new(limits.answer_bytes);
-        Self {
-            limits,
-            entries: BTreeMap::new(),
-            sessions: 0,
-            kept,
-        }
+        Self { limits, entries: BTreeMap::new(), sessions: 0, kept }
     }
 
     /// A request with `key` came; `session` says that the key belongs to a session of this incarnation.
@@ -103,16 +98,7 @@
         self.make_room(now);
         let state = if session { State::Running } else { State::Claiming };
         self.sessions += usize::from(session);
-        self.entries.insert(
-            key,
-            Entry {
-                state,
-                fingerprint,
-                session,
-                stored: false,
-                changed: now,
-            },
-        );
+        self.entries.insert(key, Entry { state, fingerprint, session, stored: false, changed: now });
         if session { Step::Run } else { Step::Claim }
     }
 
@@ -157,9 +143,7 @@
     /// Such a claim may be replaced by compare-and-swap at its revision, and counts as ours only once that is done:
     /// a peer that was told [`Word::NeverRun`] may be taking it over at the same revision.
     pub fn unsent(&self, key: u128) -> bool {
-        self.entries
-            .get(&key)
-            .is_some_and(|entry| entry.state == State::Claiming)
+        self.entries.get(&key).is_some_and(|entry| entry.state == State::Claiming)
     }
 
     /// A request that ran, or was to run, got its whole answer.
@@ -221,10 +205,7 @@
     }
 
     fn again(&mut self, key: u128) -> Step<A> {
-        let given_up = self
-            .entries
-            .get(&key)
-            .is_some_and(|entry| entry.state == State::GivenUp);
+        let given_up = self.entries.get(&key).is_some_and(|entry| entry.state == State::GivenUp);
         match self.kept.get(key) {
             Some(answer) => Step::Replay(answer),
             None if given_up => {
@@ -260,10 +241,7 @@
             return;
         }
         self.forget_old(now);
-        let stored = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| !entry.session && entry.state == State::Done);
+        let stored = self.entries.iter().filter(|(_, entry)| !entry.session && entry.state == State::Done);
         let mut oldest: Vec<(Time, u128)> = stored.map(|(key, entry)| (entry.changed, *key)).collect();
         oldest.sort_unstable();
         for (_, key) in oldest.into_iter().take(MOST_STORED / 8) {
@@ -275,12 +253,7 @@
         let kept = self.limits.kept;
         let settled = |state| matches!(state, State::Done | State::Idle | State::GivenUp);
         let old = |entry: &Entry| now.since(entry.changed) >= kept && settled(entry.state);
-        let keys: Vec<u128> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| old(entry))
-            .map(|(key, _)| *key)
-            .collect();
+        let keys: Vec<u128> = self.entries.iter().filter(|(_, entry)| old(entry)).map(|(key, _)| *key).collect();
         for key in keys {
             self.remove(key);
         }
--- a/crates/ledger/tests/once.rs
+++ b/crates/ledger/tests/once.rs
@@ -16,11 +16,7 @@
 const NODES: usize = 3;
 const KEYS: u128 = 2;
 const FINGERPRINT: u64 = 7;
-const LIMITS: Limits = Limits {
-    kept: Duration::from_hours(24),
-    session_keys: 8,
-    answer_bytes: 1_000,
-};
+const LIMITS: Limits = Limits { kept: Duration::from_hours(24), session_keys: 8, answer_bytes: 1_000 };
 const NEVER: Time = Time::MAX;
 
 /// How a claim is made; all but the first are wrong on purpose, to show that the check sees it.
@@ -82,31 +78,16 @@
 
 impl World {
     fn new(method: Method) -> Self {
-        let nodes = (1..=NODES as u64)
-            .map(|incarnation| (incarnation, Ledger::new(LIMITS)))
-            .collect();
+        let nodes = (1..=NODES as u64).map(|incarnation| (incarnation, Ledger::new(LIMITS))).collect();
         let (sends, late, runs) = (Vec::new(), Vec::new(), BTreeMap::new());
-        Self {
-            method,
-            store: State::new(),
-            nodes,
-            sends,
-            late,
-            runs,
-            next_incarnation: 100,
-        }
+        Self { method, store: State::new(), nodes, sends, late, runs, next_incarnation: 100 }
     }
 
     fn play(&mut self, event: Event) {
         match event {
             Event::Send(node, key) => {
                 let incarnation = self.nodes[node].0;
-                self.sends.push(Send {
-                    node,
-                    incarnation,
-                    key,
-                    stage: Stage::New,
-                });
+                self.sends.push(Send { node, incarnation, key, stage: Stage::New });
             }
             Event::Step(which, fault, ending) => {
                 if let Some(index) = which.checked_rem(self.sends.len()) {
@@ -149,9 +130,7 @@
             Step::Claim => {
                 ledger.claiming(send.key);
                 let maker = Maker::new(send.incarnation, FINGERPRINT, ledger.unsent(send.key), NEVER);
-                let Progress::Call(call) = maker.first::<u64>() else {
-                    unreachable!("the first step is a call")
-                };
+                let Progress::Call(call) = maker.first::<u64>() else { unreachable!("the first step is a call") };
                 Stage::Calling(maker, call)
             }
             Step::Run => unreachable!("no session here"),
@@ -163,11 +142,7 @@
         let name = key::claim(send.key);
         match call {
             Call::Write(expect) => {
-                let claim = Claim {
-                    incarnation: send.incarnation,
-                    fingerprint: FINGERPRINT,
-                    peers: String::new(),
-                };
+                let claim = Claim { incarnation: send.incarnation, fingerprint: FINGERPRINT, peers: String::new() };
                 let change = Change::set(&name, *expect, claim.to_bytes());
                 self.write(change, fault)
             }
@@ -189,10 +164,7 @@
     }
 
     fn ask(&mut self, claim: &Claim, key: u128, fault: Fault) -> Word<u64> {
-        let claimant = self
-            .nodes
-            .iter_mut()
-            .find(|(incarnation, _)| *incarnation == claim.incarnation);
+        let claimant = self.nodes.iter_mut().find(|(incarnation, _)| *incarnation == claim.incarnation);
         match (claimant, fault) {
             (Some((_, ledger)), Fault::None | Fault::Late) => ledger.word(key, Time::ZERO),
             // The question arrives and the answer is lost.
@@ -295,10 +267,7 @@
     let mut runner = proptest::test_runner::TestRunner::new_with_rng(ProptestConfig::default(), rng);
     let schedules = prop::collection::vec(event(), 1..120);
     (0..cases).find_map(|_| {
-        let schedule = schedules
-            .new_tree(&mut runner)
-            .expect("the strategy always gives a value")
-            .current();
+        let schedule = schedules.new_tree(&mut runner).expect("the strategy always gives a value").current();
         let mut world = World::new(method);
         for event in &schedule {
             world.play(*event);
--- a/crates/ledger/tests/table.rs
+++ b/crates/ledger/tests/table.rs
@@ -12,11 +12,7 @@
 const KEY: u128 = 5;
 const FINGERPRINT: u64 = 9;
 const NOW: Time = Time::from_millis(1_000);
-const LIMITS: Limits = Limits {
-    kept: Duration::from_secs(10),
-    session_keys: 2,
-    answer_bytes: 100,
-};
+const LIMITS: Limits = Limits { kept: Duration::from_secs(10), session_keys: 2, answer_bytes: 100 };
 
 fn running() -> Ledger<u32> {
     let mut ledger = Ledger::new(LIMITS);
@@ -43,10 +39,7 @@
 #[test]
 fn a_resend_while_running_waits() {
     let mut ledger = running();
-    assert_eq!(
-        ledger.begin(KEY, FINGERPRINT, false, NOW),
-        Step::Refuse(Kind::StillRunning)
-    );
+    assert_eq!(ledger.begin(KEY, FINGERPRINT, false, NOW), Step::Refuse(Kind::StillRunning));
     assert_eq!(ledger.word(KEY, NOW), Word::Running);
 }
 
@@ -61,10 +54,7 @@
 #[test]
 fn a_key_reused_for_another_request_is_refused() {
     let mut ledger = running();
-    assert_eq!(
-        ledger.begin(KEY, FINGERPRINT + 1, false, NOW),
-        Step::Refuse(Kind::KeyReused)
-    );
+    assert_eq!(ledger.begin(KEY, FINGERPRINT + 1, false, NOW), Step::Refuse(Kind::KeyReused));
 }
 
 #[rstest]
@@ -75,10 +65,7 @@
 fn an_unknown_outcome_is_never_run_again(#[case] kind: Kind) {
     let mut ledger = running();
     assert!(!ledger.failed(KEY, kind, NOW), "its claim must stay");
-    assert_eq!(
-        ledger.begin(KEY, FINGERPRINT, false, NOW),
-        Step::Refuse(Kind::AlreadyClaimed)
-    );
+    assert_eq!(ledger.begin(KEY, FINGERPRINT, false, NOW), Step::Refuse(Kind::AlreadyClaimed));
     assert_eq!(ledger.word(KEY, NOW), Word::Unknown);
 }
 
@@ -95,10 +82,7 @@
     assert_eq!(ledger.begin(1, FINGERPRINT, true, NOW), Step::Run);
     assert_eq!(ledger.begin(2, FINGERPRINT, true, NOW), Step::Run);
     ledger.ran(1, 1, 10, NOW);
-    assert_eq!(
-        ledger.begin(3, FINGERPRINT, true, NOW),
-        Step::Refuse(Kind::ClaimUnavailable)
-    );
+    assert_eq!(ledger.begin(3, FINGERPRINT, true, NOW), Step::Refuse(Kind::ClaimUnavailable));
     let later = NOW + LIMITS.kept;
     assert_eq!(ledger.begin(3, FINGERPRINT, true, later), Step::Run);
 }
--- a/crates/load/src/answer.rs
+++ b/crates/load/src/answer.rs
@@ -21,14 +21,8 @@
 
 impl Ending {
     /// All endings.
-    pub const ALL: [Self; 6] = [
-        Self::Complete,
-        Self::Foreign,
-        Self::NotRun,
-        Self::Unknown,
-        Self::Refused,
-        Self::Broken,
-    ];
+    pub const ALL: [Self; 6] =
+        [Self::Complete, Self::Foreign, Self::NotRun, Self::Unknown, Self::Refused, Self::Broken];
 
     /// A short name.
     pub const fn as_str(self) -> &'static str {
@@ -51,9 +45,5 @@
         _ => {}
     }
     let head = format!("echo={echo} body={:016x} ", hash::bytes(sent));
-    if body.starts_with(head.as_bytes()) {
-        Ending::Complete
-    } else {
-        Ending::Foreign
-    }
+    if body.starts_with(head.as_bytes()) { Ending::Complete } else { Ending::Foreign }
 }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -23,18 +23,9 @@
         [name, method, path, rate, "keyed"] => (name, method, path, rate, true),
         _ => return Err(format!("--flow: `{text}` is not NAME,METHOD,PATH,PER_SECOND[,keyed]").into()),
     };
-    let per_second = rate
-        .parse()
-        .map_err(|_source| format!("--flow: `{rate}` is no number"))?;
+    let per_second = rate.parse().map_err(|_source| format!("--flow: `{rate}` is no number"))?;
     let (name, method, path) = ((*name).to_owned(), (*method).to_owned(), (*path).to_owned());
-    Ok(Flow {
-        name,
-        method,
-        path,
-        per_second,
-        keyed,
-        body_bytes: 0,
-    })
+    Ok(Flow { name, method, path, per_second, keyed, body_bytes: 0 })
 }
 
 fn parse() -> Result<Option<Plan>, lexopt::Error> {
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -64,11 +64,7 @@
                 if at >= self.time.as_secs_f64() {
                     break;
                 }
-                arrivals.push(Arrival {
-                    at: Duration::from_secs_f64(at),
-                    flow,
-                    number: 0,
-                });
+                arrivals.push(Arrival { at: Duration::from_secs_f64(at), flow, number: 0 });
             }
         }
         arrivals.sort_by_key(|arrival| arrival.at);
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -64,14 +64,7 @@
             .build();
         let client = format!("10.{}.{}.{}", 1 + number % 3, (number / 3) % 250, 1 + number % 200);
         let kept_until = Instant::now();
-        Self {
-            plan,
-            agent: config.into(),
-            client,
-            entries: Vec::new(),
-            kept_until,
-            tallies: BTreeMap::new(),
-        }
+        Self { plan, agent: config.into(), client, entries: Vec::new(), kept_until, tallies: BTreeMap::new() }
     }
 
     fn send(&mut self, arrival: &Arrival, start: Instant) {
@@ -91,10 +84,7 @@
         let latency = start.elapsed().saturating_sub(arrival.at);
         let name = &self.plan.flows[arrival.flow].name;
         let resends = sends.min(self.plan.resends);
-        self.tallies
-            .entry(name.clone())
-            .or_default()
-            .note(ending, latency, resends);
+        self.tallies.entry(name.clone()).or_default().note(ending, latency, resends);
     }
 
     fn send_once(&mut self, arrival: &Arrival, echo: &str, turn: usize) -> Ending {
@@ -114,18 +104,11 @@
         let Ok(request) = builder.body(body.clone()) else {
             return Ending::Refused;
         };
-        let request = self
-            .agent
-            .configure_request(request)
-            .allow_non_standard_methods(true)
-            .build();
+        let request = self.agent.configure_request(request).allow_non_standard_methods(true).build();
         match self.agent.run(request) {
             Err(error) => broken(&error),
             Ok(mut response) => {
-                let outcome = response
-                    .headers()
-                    .get("x-outcome")
-                    .and_then(|value| value.to_str().ok());
+                let outcome = response.headers().get("x-outcome").and_then(|value| value.to_str().ok());
                 let outcome = outcome.unwrap_or_default().to_owned();
                 match response.body_mut().with_config().limit(1 << 30).read_to_vec() {
                     Ok(answer) => judge(&outcome, &answer, echo, &body),
@@ -144,18 +127,13 @@
         for step in 0..known {
             let entry = &self.plan.entries[(turn + step) % known];
             let url = format!("http://{entry}/lookup?client={}", self.client);
-            let read = self
-                .agent
-                .get(&url)
-                .call()
-                .and_then(|mut response| response.body_mut().read_to_vec());
+            let read = self.agent.get(&url).call().and_then(|mut response| response.body_mut().read_to_vec());
             let Some(answer) = read.ok().and_then(|bytes| serde_json::from_slice::<Value>(&bytes).ok()) else {
                 continue;
             };
             let addresses = answer["entries"].as_array().into_iter().flatten();
-            let found: Vec<String> = addresses
-                .filter_map(|entry| Some(entry["address"].as_str()?.to_owned()))
-                .collect();
+            let found: Vec<String> =
+                addresses.filter_map(|entry| Some(entry["address"].as_str()?.to_owned())).collect();
             if !found.is_empty() {
                 self.entries = found;
                 let ttl = answer["ttl_s"].as_u64().unwrap_or(1);
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -32,11 +32,7 @@
     /// Nothing counted.
     pub fn new() -> Self {
         let latency = Histogram::new_with_bounds(1, LONGEST_US, 3).expect("the bounds are constant");
-        Self {
-            endings: BTreeMap::new(),
-            resends: 0,
-            latency,
-        }
+        Self { endings: BTreeMap::new(), resends: 0, latency }
     }
 
     /// Counts one request.
@@ -54,9 +50,7 @@
             *self.endings.entry(*ending).or_default() += count;
         }
         self.resends += other.resends;
-        self.latency
-            .add(&other.latency)
-            .expect("all histograms have the same bounds");
+        self.latency.add(&other.latency).expect("all histograms have the same bounds");
     }
 
     /// Requests with this ending.
@@ -71,24 +65,14 @@
     for ending in Ending::ALL {
         text.push_str(&format!(" {:>9}", ending.as_str()));
     }
-    text.push_str(&format!(
-        " {:>8} {:>9} {:>9} {:>9}\n",
-        "resends", "p50 ms", "p99 ms", "p99.9 ms"
-    ));
+    text.push_str(&format!(" {:>8} {:>9} {:>9} {:>9}\n", "resends", "p50 ms", "p99 ms", "p99.9 ms"));
     for (name, tally) in tallies {
         let ms = |quantile: f64| tally.latency.value_at_quantile(quantile) as f64 / 1_000.0;
         let mut row = format!("{name:<14}");
         for ending in Ending::ALL {
             row.push_str(&format!(" {:>9}", tally.count(ending)));
         }
-        let written = writeln!(
-            row,
-            " {:>8} {:>9.1} {:>9.1} {:>9.1}",
-            tally.resends,
-            ms(0.5),
-            ms(0.99),
-            ms(0.999)
-        );
+        let written = writeln!(row, " {:>8} {:>9.1} {:>9.1} {:>9.1}", tally.resends, ms(0.5), ms(0.99), ms(0.999));
         debug_assert!(written.is_ok(), "writing to text does not fail");
         text.push_str(&row);
     }
--- a/crates/replay/src/case.rs
+++ b/crates/replay/src/case.rs
@@ -78,12 +78,7 @@
 
     /// The case's trace for `site`.
     pub fn trace(self, site: &Site, seed: u64) -> Trace {
-        let mut maker = Maker {
-            site,
-            case: self,
-            rng: fastrand::Rng::with_seed(seed),
-            events: Vec::new(),
-        };
+        let mut maker = Maker { site, case: self, rng: fastrand::Rng::with_seed(seed), events: Vec::new() };
         for name in &site.classes {
             maker.flow(name);
         }
@@ -114,13 +109,8 @@
 
     fn flow(&mut self, name: &str) {
         let class = self.site.policy.classes[name].clone();
-        let slots: u32 = self
-            .site
-            .servers
-            .iter()
-            .filter(|server| server.service == class.service)
-            .map(|server| server.slots)
-            .sum();
+        let slots: u32 =
+            self.site.servers.iter().filter(|server| server.service == class.service).map(|server| server.slots).sum();
         let mean_ms = if class.may_wait { LONG_MS } else { SHORT_MS };
         let per_second = self.part(name) * f64::from(slots) * 1_000.0 / mean_ms;
         let mut at = 0.0;
@@ -133,13 +123,7 @@
             let region = self.site.regions[self.rng.usize(..self.site.regions.len())].clone();
             let caller = self.rng.u32(..CALLERS);
             let (work_us, bytes) = (self.work_us(mean_ms), self.bytes(class.may_wait));
-            let what = What::Send {
-                class: name.to_owned(),
-                region,
-                work_us,
-                bytes,
-                caller,
-            };
+            let what = What::Send { class: name.to_owned(), region, work_us, bytes, caller };
             self.events.push(Event { at: time(at), what });
         }
     }
@@ -188,14 +172,7 @@
             Case::Blind => self.push(FAULT_AT, What::Reports(false)),
             Case::Poison => {
                 let class = self.short();
-                self.push(
-                    FAULT_AT,
-                    What::Poison {
-                        class,
-                        region,
-                        caller: CALLERS + 1,
-                    },
-                );
+                self.push(FAULT_AT, What::Poison { class, region, caller: CALLERS + 1 });
             }
             Case::Leave => {
                 let service = self.site.policy.classes[&self.short()].service.clone();
@@ -216,20 +193,12 @@
 
     /// The class of short idempotent work.
     fn short(&self) -> String {
-        let short = self
-            .site
-            .policy
-            .classes
-            .iter()
-            .find(|(_, class)| class.idempotent && !class.may_wait);
+        let short = self.site.policy.classes.iter().find(|(_, class)| class.idempotent && !class.may_wait);
         short.map(|(name, _)| name.clone()).unwrap_or_default()
     }
 
     fn push(&mut self, at: Duration, what: What) {
-        self.events.push(Event {
-            at: time(at.as_secs_f64()),
-            what,
-        });
+        self.events.push(Event { at: time(at.as_secs_f64()), what });
     }
 }
 
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -41,10 +41,7 @@
 }
 
 fn parse() -> std::result::Result<Options, lexopt::Error> {
-    let mut options = Options {
-        seed: 1,
-        ..Options::default()
-    };
+    let mut options = Options { seed: 1, ..Options::default() };
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
@@ -76,11 +73,7 @@
 
 fn replay(site: &Site, case: &str, trace: &Trace, options: &Options) -> Vec<Row> {
     let class = |waits: bool| {
-        let named = site
-            .policy
-            .classes
-            .iter()
-            .find(|(_, class)| class.idempotent && class.may_wait == waits);
+        let named = site.policy.classes.iter().find(|(_, class)| class.idempotent && class.may_wait == waits);
         named.map(|(name, _)| name.clone()).unwrap_or_default()
     };
     let row = |(name, policy): &(&str, Policy)| Row {
@@ -91,11 +84,7 @@
         short: class(false),
         bulk: class(true),
     };
-    let policies = if options.ours_only {
-        &POLICIES[..1]
-    } else {
-        &POLICIES[..]
-    };
+    let policies = if options.ours_only { &POLICIES[..1] } else { &POLICIES[..] };
     policies.iter().map(row).collect()
 }
 
@@ -131,9 +120,7 @@
     file("outcomes.csv".to_owned(), table::csv(rows))?;
     let mut sites: Vec<&str> = rows.iter().map(|row| row.site.as_str()).collect();
     sites.dedup();
-    sites
-        .into_iter()
-        .try_for_each(|site| file(format!("p99-{site}.svg"), table::svg(rows, site)))
+    sites.into_iter().try_for_each(|site| file(format!("p99-{site}.svg"), table::svg(rows, site)))
 }
 
 fn main() -> ExitCode {
--- a/crates/replay/src/server.rs
+++ b/crates/replay/src/server.rs
@@ -111,10 +111,7 @@
         while self.history.len() > 1 && self.history[1].0 <= at {
             self.history.pop_front();
         }
-        self.history
-            .front()
-            .filter(|(when, _)| *when <= at)
-            .map_or(0, |(_, load)| *load)
+        self.history.front().filter(|(when, _)| *when <= at).map_or(0, |(_, load)| *load)
     }
 
     fn next(&mut self, now: Time) -> Vec<Started> {
@@ -124,13 +121,9 @@
             self.running.push(job);
             let cold = self.cold_since.is_some_and(|since| now.since(since) < COLD);
             let factor = self.slow * if cold { COLD_FACTOR } else { 1.0 };
-            started.push(Started {
-                job,
-                done: now + job.work.mul_f64(factor),
-            });
+            started.push(Started { job, done: now + job.work.mul_f64(factor) });
         }
-        self.history
-            .push_back((now, (self.running.len() + self.waiting.len()) as u32));
+        self.history.push_back((now, (self.running.len() + self.waiting.len()) as u32));
         started
     }
 }
--- a/crates/replay/src/site.rs
+++ b/crates/replay/src/site.rs
@@ -37,10 +37,7 @@
 impl Site {
     /// Reads the deployment in `folder`.
     pub fn read(folder: &Path) -> Result<Self> {
-        let name = folder
-            .file_name()
-            .map(|name| name.to_string_lossy().into_owned())
-            .unwrap_or_default();
+        let name = folder.file_name().map(|name| name.to_string_lossy().into_owned()).unwrap_or_default();
         let wrong = |error: &dyn std::fmt::Display| Error::File(folder.display().to_string(), error.to_string());
         let policy = Policy::read(&folder.join("policy.toml")).map_err(|error| wrong(&error))?;
         let text = std::fs::read(folder.join("instances.json")).map_err(|error| wrong(&error))?;
@@ -69,11 +66,7 @@
         let spec = |name: &String| {
             let class = &self.policy.classes[name];
             class::Spec {
-                service: self
-                    .services
-                    .iter()
-                    .position(|service| *service == class.service)
-                    .unwrap_or(0) as u16,
+                service: self.services.iter().position(|service| *service == class.service).unwrap_or(0) as u16,
                 idempotent: class.idempotent,
                 rank: class.rank,
                 deadline: Duration::from_millis(class.deadline_ms),
--- a/crates/replay/src/table.rs
+++ b/crates/replay/src/table.rs
@@ -34,10 +34,7 @@
     };
     let per_cent = |part: f64| format!("{:.2}", part * 100.0);
     let sum = |count: fn(&crate::outcome::Class) -> u64| outcome.classes.values().map(count).sum::<u64>();
-    let bulk = outcome
-        .classes
-        .get(&row.bulk)
-        .map_or(0.0, |bulk| bulk.complete as f64 / bulk.sent.max(1) as f64);
+    let bulk = outcome.classes.get(&row.bulk).map_or(0.0, |bulk| bulk.complete as f64 / bulk.sent.max(1) as f64);
     vec![
         row.site.clone(),
         row.case.clone(),
@@ -100,11 +97,7 @@
     let rows: Vec<&Row> = rows.iter().filter(|row| row.site == site).collect();
     let mut bars = String::new();
     for (index, row) in rows.iter().enumerate() {
-        let p99 = row
-            .outcome
-            .classes
-            .get(&row.short)
-            .map_or(0.0, |class| class.latency_ms(0.99));
+        let p99 = row.outcome.classes.get(&row.short).map_or(0.0, |class| class.latency_ms(0.99));
         let length = WIDTH * ((1.0 + p99).ln() / (1.0 + SCALE_MS).ln()).min(1.0);
         let top = BAR * index as f64;
         let colour = if row.policy == "ours" { "#1b6e3c" } else { "#999" };
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -79,11 +79,8 @@
             if line.is_empty() || line.starts_with('#') {
                 continue;
             }
-            let wrong = |reason: &str| Error::Line {
-                name: name.to_owned(),
-                line: index + 1,
-                reason: reason.to_owned(),
-            };
+            let wrong =
+                |reason: &str| Error::Line { name: name.to_owned(), line: index + 1, reason: reason.to_owned() };
             let event = event(line).ok_or_else(|| wrong("is no event; see docs/REPLAY.md"))?;
             if events.last().is_some_and(|last| last.at > event.at) {
                 return Err(wrong("is earlier than the line before"));
@@ -99,13 +96,7 @@
         for event in &self.events {
             let at = event.at.as_micros() as f64 / 1_000.0;
             let written = match &event.what {
-                What::Send {
-                    class,
-                    region,
-                    work_us,
-                    bytes,
-                    caller,
-                } => {
+                What::Send { class, region, work_us, bytes, caller } => {
                     let work = *work_us as f64 / 1_000.0;
                     writeln!(text, "{at} send {class} {region} {work} {bytes} {caller}")
                 }
@@ -133,11 +124,9 @@
             bytes: bytes.parse().ok()?,
             caller: caller.parse().ok()?,
         },
-        ["poison", class, region, caller] => What::Poison {
-            class: (*class).to_owned(),
-            region: (*region).to_owned(),
-            caller: caller.parse().ok()?,
-        },
+        ["poison", class, region, caller] => {
+            What::Poison { class: (*class).to_owned(), region: (*region).to_owned(), caller: caller.parse().ok()? }
+        }
         ["slow", server, factor] => What::Slow((*server).to_owned(), factor.parse().ok()?),
         ["lag", ms] => What::Lag(ms.parse().ok()?),
         ["reports", "on"] => What::Reports(true),
@@ -147,10 +136,7 @@
         ["leave", server] => What::Leave((*server).to_owned()),
         _ => return None,
     };
-    Some(Event {
-        at: Time::from_micros(micros(at)?),
-        what,
-    })
+    Some(Event { at: Time::from_micros(micros(at)?), what })
 }
 
 fn micros(text: &str) -> Option<u64> {
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -34,17 +34,9 @@
 /// Pause between two sends of a poisonous request.
 const POISON_PAUSE: Duration = Duration::from_secs(2);
 /// Limits of an engine, as in the daemon's defaults.
-const LIMITS: Limits = Limits {
-    queued: 512,
-    in_flight: 128,
-    poison: Duration::from_mins(10),
-};
+const LIMITS: Limits = Limits { queued: 512, in_flight: 128, poison: Duration::from_mins(10) };
 /// Limits of a plain policy: none that matter.
-const PLAIN: Limits = Limits {
-    queued: 1 << 20,
-    in_flight: 1 << 20,
-    poison: Duration::from_mins(10),
-};
+const PLAIN: Limits = Limits { queued: 1 << 20, in_flight: 1 << 20, poison: Duration::from_mins(10) };
 
 #[derive(Debug, Clone, PartialEq)]
 enum Event {
@@ -122,11 +114,7 @@
             engine
         };
         let server = |connections: u32, slots: u32| Server::new(slots as usize, connections as usize);
-        let servers = site
-            .servers
-            .iter()
-            .map(|instance| server(instance.connections, instance.slots))
-            .collect();
+        let servers = site.servers.iter().map(|instance| server(instance.connections, instance.slots)).collect();
         let mut world = Self {
             site,
             policy,
@@ -147,10 +135,7 @@
             view: View::default(),
             table: home_table(site),
             open: 0,
-            outcome: Outcome {
-                headroom: 1.0,
-                ..Outcome::default()
-            },
+            outcome: Outcome { headroom: 1.0, ..Outcome::default() },
             link: BTreeMap::new(),
             busy: vec![(Time::ZERO, 0.0, 0, 0.0); site.regions.len()],
         };
@@ -167,10 +152,7 @@
         for (index, event) in trace.events.iter().enumerate() {
             self.plan(start + event.at.since(Time::ZERO), Event::Trace(index));
         }
-        let last = trace
-            .events
-            .last()
-            .map_or(start, |event| start + event.at.since(Time::ZERO));
+        let last = trace.events.last().map_or(start, |event| start + event.at.since(Time::ZERO));
         self.plan(start, Event::Reports);
         while let Some(((at, _), event)) = self.events.pop_first() {
             self.now = self.now.max(at);
@@ -208,13 +190,7 @@
 
     fn trace(&mut self, what: &What) {
         match what {
-            What::Send {
-                class,
-                region,
-                work_us,
-                bytes,
-                caller,
-            } => {
+            What::Send { class, region, work_us, bytes, caller } => {
                 let request = self.request(class, region, Duration::from_micros(*work_us), *bytes, *caller);
                 self.send(request);
             }
@@ -285,11 +261,7 @@
         let address = ((region as u32 + 1) << 24) | (caller << 8);
         let shares = Shares::home(self.site.regions.len());
         let answer = answer::look_up(&self.table, &self.view, &shares, address, 3);
-        let entries: Vec<usize> = answer
-            .positions()
-            .iter()
-            .map(|position| usize::from(*position))
-            .collect();
+        let entries: Vec<usize> = answer.positions().iter().map(|position| usize::from(*position)).collect();
         self.cache.insert(caller, (entries.clone(), self.now + KEPT));
         entries.into_iter().find(|entry| alive(self, entry))
     }
@@ -299,17 +271,8 @@
         let request = &mut self.requests[index];
         request.arrived = now;
         let entry = request.entry;
-        let fingerprint = if request.poison {
-            u64::from(request.caller)
-        } else {
-            hash::pair(index as u64, 7)
-        };
-        let arrival = Arrival {
-            request: index as u64,
-            class: request.class,
-            fingerprint,
-            bytes: 200,
-        };
+        let fingerprint = if request.poison { u64::from(request.caller) } else { hash::pair(index as u64, 7) };
+        let arrival = Arrival { request: index as u64, class: request.class, fingerprint, bytes: 200 };
         self.engines[entry].submit(arrival, now);
         self.settle(entry);
     }
@@ -319,18 +282,13 @@
         let losses = self.engines[entry].take_losses();
         if !losses.is_empty() {
             let now = self.now;
-            self.engines
-                .iter_mut()
-                .for_each(|engine| engine.merge_losses(&losses, now));
+            for engine in &mut self.engines {
+                engine.merge_losses(&losses, now);
+            }
         }
         for action in self.engines[entry].take() {
             match action {
-                Action::Start {
-                    request,
-                    attempt,
-                    backend,
-                    ..
-                } => {
+                Action::Start { request, attempt, backend, .. } => {
                     self.started(entry, request as usize, attempt, backend as usize);
                 }
                 Action::Cancel { attempt, backend } => {
@@ -370,12 +328,7 @@
         }
         let request = &self.requests[attempt.request];
         let bulk = self.site.policy.classes[&self.site.classes[request.class]].may_wait;
-        let job = Job {
-            id,
-            work: request.work,
-            bulk,
-            came: self.now,
-        };
+        let job = Job { id, work: request.work, bulk, came: self.now };
         self.note_foreign(id.0, attempt.server);
         match self.servers[attempt.server].arrive(job, self.now) {
             None => self.plan(self.now + away, Event::Answered(id, Ending::Shed)),
@@ -505,16 +458,12 @@
         request.tried = false;
         request.region = sends as usize % self.site.regions.len();
         self.send(request);
-        self.plan(
-            self.now + POISON_PAUSE,
-            Event::Poison(self.requests.len() - 1, sends + 1),
-        );
+        self.plan(self.now + POISON_PAUSE, Event::Poison(self.requests.len() - 1, sends + 1));
     }
 
     fn region(&mut self, region: &str, up: bool) {
-        let inside: Vec<usize> = (0..self.servers.len())
-            .filter(|index| self.site.servers[*index].region == region)
-            .collect();
+        let inside: Vec<usize> =
+            (0..self.servers.len()).filter(|index| self.site.servers[*index].region == region).collect();
         if up {
             self.dead_regions.remove(region);
             self.known_gone.remove(region);
@@ -525,9 +474,8 @@
             return self.learn();
         }
         self.dead_regions.insert(region.to_owned());
-        let gone: Vec<usize> = (0..self.site.entries.len())
-            .filter(|entry| self.site.entries[*entry].region == region)
-            .collect();
+        let gone: Vec<usize> =
+            (0..self.site.entries.len()).filter(|entry| self.site.entries[*entry].region == region).collect();
         for index in inside {
             for id in self.servers[index].die() {
                 self.plan(self.now, Event::Answered(id, Ending::Lost));
@@ -553,61 +501,34 @@
             address: entry.address.clone(),
             region: site.region(&entry.region).unwrap_or(0) as u16,
             domain: hash::bytes(entry.domain.as_bytes()) as u16,
-            standing: if gone([&entry.region, &entry.name]) {
-                Standing::Out
-            } else {
-                Standing::Good
-            },
+            standing: if gone([&entry.region, &entry.name]) { Standing::Out } else { Standing::Good },
         });
         self.view = View::new(entries.collect(), site.regions.len());
         for (index, entry) in site.entries.iter().enumerate() {
             let live =
                 |other: &&base::instance::Instance| other.region == entry.region && !gone([&other.region, &other.name]);
-            let daemons: Vec<u64> = site
-                .entries
-                .iter()
-                .filter(live)
-                .map(|other| hash::bytes(other.name.as_bytes()))
-                .collect();
+            let daemons: Vec<u64> =
+                site.entries.iter().filter(live).map(|other| hash::bytes(other.name.as_bytes())).collect();
             let near: Vec<u64> = (0..site.servers.len() as u64)
                 .filter(|server| site.servers[*server as usize].region == entry.region)
                 .collect();
             let hosts = subset::hosts(hash::bytes(entry.name.as_bytes()), &daemons, &near);
             let spec = |(position, server): (usize, &base::instance::Instance)| Spec {
                 id: position as u32,
-                service: site
-                    .services
-                    .iter()
-                    .position(|service| *service == server.service)
-                    .unwrap_or(0) as u16,
+                service: site.services.iter().position(|service| *service == server.service).unwrap_or(0) as u16,
                 place: place(site, entry, server),
                 slots: server.slots,
                 leaving: gone([&server.region, &server.name]),
-                hosts: near
-                    .iter()
-                    .position(|id| *id == position as u64)
-                    .is_some_and(|at| hosts[at]),
+                hosts: near.iter().position(|id| *id == position as u64).is_some_and(|at| hosts[at]),
             };
             let specs = site.servers.iter().enumerate().map(spec).collect();
             let share = 1.0 / daemons.len().max(1) as f64;
-            for (position, region) in site
-                .regions
-                .iter()
-                .enumerate()
-                .filter(|(_, region)| **region != entry.region)
-            {
-                let slots = site
-                    .servers
-                    .iter()
-                    .filter(|server| server.region == *region)
-                    .map(|server| server.slots)
-                    .sum();
+            for (position, region) in site.regions.iter().enumerate().filter(|(_, region)| **region != entry.region) {
+                let slots =
+                    site.servers.iter().filter(|server| server.region == *region).map(|server| server.slots).sum();
                 let cap = site.policy.link_cap(&entry.region, region).unwrap_or(0.0);
                 let allowed = grant::allowance(slots, site.regions.len() - 1, cap, share);
-                let remote = Remote {
-                    limit: allowed.requests,
-                    bytes_per_second: allowed.bytes_per_second,
-                };
+                let remote = Remote { limit: allowed.requests, bytes_per_second: allowed.bytes_per_second };
                 self.engines[index].set_remote(position as u16, remote, now);
             }
             self.engines[index].set_backends(specs, now);
@@ -640,8 +561,7 @@
     }
 
     fn distance(&self, entry: usize, server: usize) -> Duration {
-        self.site
-            .distance(&self.site.entries[entry], &self.site.servers[server])
+        self.site.distance(&self.site.entries[entry], &self.site.servers[server])
     }
 
     fn note_link(&mut self, entry: usize, server: usize, bytes: u64) {
@@ -653,11 +573,7 @@
         let second = self.now.as_millis() / 1_000;
         let used = self.link.entry((from, to, second)).or_default();
         *used += bytes as f64;
-        let cap = self
-            .site
-            .policy
-            .link_cap(&self.site.regions[from], &self.site.regions[to])
-            .unwrap_or(0.0);
+        let cap = self.site.policy.link_cap(&self.site.regions[from], &self.site.regions[to]).unwrap_or(0.0);
         self.outcome.link = self.outcome.link.max(*used / cap.max(1.0));
     }
 
@@ -669,17 +585,9 @@
         let foreign = self.attempts.iter().filter(|((entry, _), attempt)| {
             self.site.servers[attempt.server].region == *region && self.site.entries[*entry].region != *region
         });
-        let slots: u32 = self
-            .site
-            .servers
-            .iter()
-            .filter(|server| server.region == *region)
-            .map(|server| server.slots)
-            .sum();
-        self.outcome.foreign = self
-            .outcome
-            .foreign
-            .max(foreign.count() as f64 / f64::from(slots.max(1)));
+        let slots: u32 =
+            self.site.servers.iter().filter(|server| server.region == *region).map(|server| server.slots).sum();
+        self.outcome.foreign = self.outcome.foreign.max(foreign.count() as f64 / f64::from(slots.max(1)));
     }
 
     /// Averages the busy slots of a region over each second.
@@ -725,10 +633,6 @@
 
 /// Each region's callers live in a block of their own.
 fn home_table(site: &Site) -> Table {
-    let block = |region: usize| table::Block {
-        first: (region as u32 + 1) << 24,
-        length: 8,
-        region: region as u16,
-    };
+    let block = |region: usize| table::Block { first: (region as u32 + 1) << 24, length: 8, region: region as u16 };
     Table::new((0..site.regions.len()).map(block).collect())
 }
--- /dev/null
+++ b/crates/size/src/dispatching.rs
@@ -0,0 +1,55 @@
+//! Slopes of dispatch: backend servers known to a daemon.
+
+use std::time::Duration;
+
+use base::time::Time;
+use dispatch::backend::{Place, Spec};
+use dispatch::class;
+use dispatch::engine::{Arrival, Limits};
+use dispatch::{Action, Ending, Engine};
+
+use crate::probe::{line, nanos, resident};
+
+/// Requests in flight while one is decided.
+const IN_FLIGHT: usize = 60;
+
+fn engine(servers: u32) -> Engine {
+    let spec = class::Spec { service: 0, idempotent: true, rank: 0, deadline: Duration::from_secs(1), may_wait: false };
+    let limits = Limits { queued: 512, in_flight: 128, poison: Duration::from_mins(10) };
+    let mut engine = Engine::new(vec![spec], limits, 1);
+    let server = |id| Spec { id, service: 0, place: Place::Domain, slots: 3, leaving: false, hosts: true };
+    engine.set_backends((0..servers).map(server).collect(), Time::from_millis(1));
+    engine
+}
+
+/// Prints the slopes: one request from arrival to answer, both decisions in it.
+pub fn run() {
+    for servers in [28, 500, 5_000, 50_000] {
+        let before = resident();
+        let mut engine = engine(servers);
+        let bytes = resident().saturating_sub(before);
+        let mut live = std::collections::VecDeque::new();
+        let mut now = Time::from_millis(10);
+        let mut next = 0_u64;
+        let mut one = |_| {
+            next += 1;
+            now = now + Duration::from_micros(300);
+            engine.submit(Arrival { request: next, class: 0, fingerprint: next, bytes: 100 }, now);
+            for action in engine.take() {
+                if let Action::Start { attempt, .. } = action {
+                    live.push_back(attempt);
+                }
+            }
+            if live.len() > IN_FLIGHT.min(servers as usize) {
+                let attempt = live.pop_front().unwrap_or(0);
+                engine.finish(attempt, Ending::Answered(1_000), now);
+                drop(engine.take());
+            }
+        };
+        for call in 0..20_000 {
+            one(call);
+        }
+        line("dispatch, one request in and out", servers, nanos(50_000, one), "ns");
+        line("dispatch, memory", servers, bytes as f64 / f64::from(servers), "bytes a server");
+    }
+}
--- /dev/null
+++ b/crates/size/src/policies.rs
@@ -0,0 +1,54 @@
+//! Slopes of the policy: sites and drains in one document.
+
+use config::policy::{Class, Drain, Link, Policy, Region, Scope};
+use fleet::Copy;
+use fleet::copy::Holder;
+
+use crate::probe::{line, nanos};
+
+/// A policy of `regions` regions, `domains` failure domains, full mesh of links, and `drains` drains.
+pub fn policy(regions: usize, domains: usize, drains: usize) -> Policy {
+    let mut policy = Policy::default();
+    for region in 0..regions {
+        let inside = (0..domains).filter(|domain| domain % regions == region);
+        let domains = inside.map(|domain| format!("domain-{domain:02}")).collect();
+        policy.regions.insert(format!("region-{region}"), Region { domains });
+    }
+    for one in 0..regions {
+        for other in one + 1..regions {
+            let between = [format!("region-{one}"), format!("region-{other}")];
+            policy.links.push(Link { between, cap_mbit: 10_000.0 });
+        }
+    }
+    for class in 0..8 {
+        let value = Class {
+            service: format!("service-{}", class % 3),
+            paths: vec![format!("/class-{class}")],
+            idempotent: class % 2 == 0,
+            rank: class as u8,
+            target_ms: 100,
+            target_share: 0.999,
+            deadline_ms: 1_000,
+            may_wait: false,
+        };
+        policy.classes.insert(format!("class-{class}"), value);
+    }
+    policy.drains =
+        (0..drains).map(|drain| Drain { scope: Scope::Instance, name: format!("entry-{drain:05}") }).collect();
+    (0..config::policy::CHANGES_KEPT).for_each(|change| policy.record(&format!("{change:016x}")));
+    policy
+}
+
+/// Prints the slopes.
+pub fn run() {
+    for (regions, domains, drains) in [(3, 6, 0), (9, 24, 0), (9, 24, 50), (9, 24, 500)] {
+        let text = policy(regions, domains, drains).to_text().unwrap_or_default();
+        let size = format!("{regions}/{domains}/{drains}");
+        line("policy, size", &size, text.len() as f64, "bytes");
+        let take = |call: u32| {
+            let mut holder = Holder::new();
+            holder.offer(Copy::new(u64::from(call) + 1, text.clone())).is_ok()
+        };
+        line("policy, check and put into force", &size, nanos(50, take) / 1e3, "us");
+    }
+}
--- a/crates/steer/src/answer.rs
+++ b/crates/steer/src/answer.rs
@@ -44,11 +44,7 @@
 pub fn look_up(table: &Table, view: &View, shares: &Shares, address: u32, most: usize) -> Answer {
     let most = most.clamp(1, MAX_ENTRIES);
     let block = hash::pair(u64::from(address >> BLOCK_BITS), 0);
-    let mut answer = Answer {
-        positions: [0; MAX_ENTRIES],
-        length: 0,
-        region: None,
-    };
+    let mut answer = Answer { positions: [0; MAX_ENTRIES], length: 0, region: None };
     let home = table.home(address).unwrap_or_else(|| nearest(block, view));
     let region = first_with(view, shares.region(home, hash::unit(block)), block);
     answer.region = region;
--- a/crates/steer/src/grant.rs
+++ b/crates/steer/src/grant.rs
@@ -41,10 +41,7 @@
 /// Summed over all daemons, requests stay within half of the slots and bytes below the cap.
 pub fn allowance(slots: u32, sources: usize, cap: f64, share: f64) -> Allowance {
     let requests = f64::from(slots) * REMOTE_PART / sources.max(1) as f64 * share;
-    Allowance {
-        requests: requests.floor() as u32,
-        bytes_per_second: cap * LINK_PART * share,
-    }
+    Allowance { requests: requests.floor() as u32, bytes_per_second: cap * LINK_PART * share }
 }
 
 /// What a keeper wants done at the store.
@@ -81,13 +78,7 @@
 impl Keeper {
     /// A keeper that holds nothing.
     pub const fn new() -> Self {
-        Self {
-            held: BTreeMap::new(),
-            leased: false,
-            valid_until: Time::ZERO,
-            renewed: Time::ZERO,
-            reviewed: None,
-        }
+        Self { held: BTreeMap::new(), leased: false, valid_until: Time::ZERO, renewed: Time::ZERO, reviewed: None }
     }
 
     /// The part of the whole that may be used at `now`, from zero to one.
@@ -158,13 +149,6 @@
         if extra == 0 {
             return Plan::Rest;
         }
-        Plan::Drop(
-            self.held
-                .iter()
-                .rev()
-                .take(extra)
-                .map(|(number, revision)| (*number, *revision))
-                .collect(),
-        )
+        Plan::Drop(self.held.iter().rev().take(extra).map(|(number, revision)| (*number, *revision)).collect())
     }
 }
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -64,10 +64,7 @@
     /// Everyone stays at home.
     pub fn home(regions: usize) -> Self {
         let row = |from: usize| (0..regions).map(|to| f64::from(u8::from(from == to))).collect();
-        Self {
-            parts: (0..regions).map(row).collect(),
-            open: vec![true; regions],
-        }
+        Self { parts: (0..regions).map(row).collect(), open: vec![true; regions] }
     }
 
     /// The region of a block whose home is `home` and whose hash maps to `unit`, from zero to one.
@@ -95,11 +92,7 @@
 
     /// The part of `from`'s callers that goes to `to`.
     pub fn part(&self, from: RegionId, to: RegionId) -> f64 {
-        self.parts
-            .get(usize::from(from))
-            .and_then(|row| row.get(usize::from(to)))
-            .copied()
-            .unwrap_or(0.0)
+        self.parts.get(usize::from(from)).and_then(|row| row.get(usize::from(to))).copied().unwrap_or(0.0)
     }
 }
 
@@ -137,16 +130,8 @@
 impl Controller {
     /// A controller for `regions` regions whose callers keep answers for `kept`.
     pub fn new(regions: usize, kept: Duration, now: Time) -> Self {
-        let region = Region {
-            stepped: now,
-            updated: now,
-            ..Region::default()
-        };
-        Self {
-            regions: vec![region; regions],
-            shares: Shares::home(regions),
-            settle: kept + STALE,
-        }
+        let region = Region { stepped: now, updated: now, ..Region::default() };
+        Self { regions: vec![region; regions], shares: Shares::home(regions), settle: kept + STALE }
     }
 
     /// The shares in force.
@@ -207,12 +192,8 @@
             let known = spare.iter().sum::<f64>() > 0.0;
             spread(&mut row, region.drained, if known { &spare } else { &even });
         } else {
-            let open: Vec<f64> = region
-                .room
-                .iter()
-                .zip(loads)
-                .map(|(room, load)| if load.drained { 0.0 } else { *room })
-                .collect();
+            let open: Vec<f64> =
+                region.room.iter().zip(loads).map(|(room, load)| if load.drained { 0.0 } else { *room }).collect();
             // What a drained region was to take stays at home.
             let left = open.iter().sum::<f64>() / region.room.iter().sum::<f64>().max(f64::EPSILON);
             spread(&mut row, region.moved * left, &open);
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -51,26 +51,19 @@
     /// Prepares the ranked lists of `regions` regions.
     pub fn new(entries: Vec<Entry>, regions: usize) -> Self {
         let seeds: Vec<u64> = entries.iter().map(|entry| hash::bytes(entry.name.as_bytes())).collect();
-        let lists = (0..regions)
-            .map(|region| rank_region(&entries, &seeds, region as RegionId))
-            .collect();
+        let lists = (0..regions).map(|region| rank_region(&entries, &seeds, region as RegionId)).collect();
         Self { entries, lists }
     }
 
     /// Whether a region has an entry instance to name.
     pub fn has(&self, region: RegionId) -> bool {
         let lists = self.lists.get(usize::from(region));
-        lists
-            .and_then(|lists| lists.first())
-            .is_some_and(|list| list[0] != NONE)
+        lists.and_then(|lists| lists.first()).is_some_and(|list| list[0] != NONE)
     }
 
     /// The ranked entry instances of `region` for the block hashed to `key`.
     pub fn ranked(&self, region: RegionId, key: u64) -> impl Iterator<Item = u16> + '_ {
-        let list = self
-            .lists
-            .get(usize::from(region))
-            .and_then(|lists| lists.get(key as usize % LISTS));
+        let list = self.lists.get(usize::from(region)).and_then(|lists| lists.get(key as usize % LISTS));
         let list = list.copied().unwrap_or([NONE; MAX_ENTRIES]);
         list.into_iter().take_while(|position| *position != NONE)
     }
@@ -96,9 +89,7 @@
     if usable.is_empty() {
         return Vec::new();
     }
-    (0..LISTS as u64)
-        .map(|key| rank(entries, seeds, &usable, key))
-        .collect()
+    (0..LISTS as u64).map(|key| rank(entries, seeds, &usable, key)).collect()
 }
 
 /// Positions of the entry instances of `region` that may be named.
@@ -106,10 +97,7 @@
 /// When fewer than half are good, the doubtful ones count too: a wrong list must not empty a region.
 fn usable(entries: &[Entry], region: RegionId) -> Vec<u16> {
     let with = |worst: Standing| {
-        let inside = entries
-            .iter()
-            .enumerate()
-            .filter(|(_, entry)| entry.region == region && entry.standing <= worst);
+        let inside = entries.iter().enumerate().filter(|(_, entry)| entry.region == region && entry.standing <= worst);
         inside.map(|(position, _)| position as u16).collect::<Vec<_>>()
     };
     let good = with(Standing::Good);
@@ -119,10 +107,8 @@
 
 /// The best entry instances for `key`: the second is of another failure domain if there is one.
 fn rank(entries: &[Entry], seeds: &[u64], usable: &[u16], key: u64) -> [u16; MAX_ENTRIES] {
-    let mut scored: Vec<(u64, u16)> = usable
-        .iter()
-        .map(|position| (hash::pair(key, seeds[usize::from(*position)]), *position))
-        .collect();
+    let mut scored: Vec<(u64, u16)> =
+        usable.iter().map(|position| (hash::pair(key, seeds[usize::from(*position)]), *position)).collect();
     scored.sort_unstable_by(|one, other| other.cmp(one));
     let domain = |position: u16| entries[usize::from(position)].domain;
     let first = domain(scored[0].1);
--- a/crates/steer/tests/answers.rs
+++ b/crates/steer/tests/answers.rs
@@ -15,13 +15,7 @@
 
 fn entry(region: u16, domain: u16, number: usize, standing: Standing) -> Entry {
     let name = format!("r{region}d{domain}e{number}");
-    Entry {
-        address: format!("127.0.0.{number}:7000"),
-        name,
-        region,
-        domain: region * 2 + domain,
-        standing,
-    }
+    Entry { address: format!("127.0.0.{number}:7000"), name, region, domain: region * 2 + domain, standing }
 }
 
 fn view(standing: impl Fn(u16, u16) -> Standing) -> View {
@@ -32,11 +26,7 @@
 }
 
 fn table() -> Table {
-    let block = |second: u32, region| Block {
-        first: (10 << 24) | (second << 16),
-        length: 16,
-        region,
-    };
+    let block = |second: u32, region| Block { first: (10 << 24) | (second << 16), length: 16, region };
     Table::new(vec![block(1, 0), block(2, 1), block(3, 2)])
 }
 
@@ -46,9 +36,7 @@
 
 fn first_region(view: &View, shares: &Shares, address: u32) -> u16 {
     let answer = look_up(&table(), view, shares, address, 3);
-    view.entry(answer.positions()[0])
-        .expect("the answer names entries")
-        .region
+    view.entry(answer.positions()[0]).expect("the answer names entries").region
 }
 
 #[test]
@@ -56,11 +44,7 @@
     let view = view(|_, _| Standing::Good);
     for host in (0..65_536).step_by(97) {
         let answer = look_up(&table(), &view, &Shares::home(3), address(2, host), 3);
-        let named: Vec<&Entry> = answer
-            .positions()
-            .iter()
-            .filter_map(|position| view.entry(*position))
-            .collect();
+        let named: Vec<&Entry> = answer.positions().iter().filter_map(|position| view.entry(*position)).collect();
         assert_eq!(named.len(), 3);
         assert_eq!((named[0].region, named[1].region), (1, 1));
         assert_ne!(named[0].domain, named[1].domain);
@@ -103,13 +87,7 @@
 #[test]
 fn a_block_keeps_its_entries_when_another_entry_goes() {
     let before = view(|_, _| Standing::Good);
-    let after = view(|region, domain| {
-        if (region, domain) == (0, 1) {
-            Standing::Out
-        } else {
-            Standing::Good
-        }
-    });
+    let after = view(|region, domain| if (region, domain) == (0, 1) { Standing::Out } else { Standing::Good });
     let mut kept = 0;
     let mut moved = 0;
     for host in (0..65_536).step_by(256) {
@@ -126,12 +104,7 @@
 }
 
 fn load(busy: f64, drained: bool, now: Time) -> Load {
-    Load {
-        busy,
-        slots: 100.0,
-        at: now,
-        drained,
-    }
+    Load { busy, slots: 100.0, at: now, drained }
 }
 
 /// Runs a controller for `seconds` on what `busy` says.
@@ -148,10 +121,7 @@
     let mut last = 1.0;
     for second in 0..=RAMP.as_secs() {
         let now = START + Duration::from_secs(second);
-        controller.update(
-            &[load(10.0, true, now), load(10.0, false, now), load(10.0, false, now)],
-            now,
-        );
+        controller.update(&[load(10.0, true, now), load(10.0, false, now), load(10.0, false, now)], now);
         let home = controller.shares().part(0, 0);
         assert!(last - home <= 0.06, "no more than a twentieth moves in a second");
         last = home;
@@ -165,15 +135,10 @@
 fn a_shift_fits_into_what_the_others_have() {
     // All regions step on the same stale reports, and nothing they do shows before the reports change.
     let mut controller = Controller::new(3, KEPT, START);
-    run(&mut controller, 0, 600, |now| {
-        vec![load(95.0, false, now), load(95.0, false, now), load(70.0, false, now)]
-    });
+    run(&mut controller, 0, 600, |now| vec![load(95.0, false, now), load(95.0, false, now), load(70.0, false, now)]);
     let shares = controller.shares();
     let arrived = 95.0 * shares.part(0, 2) + 95.0 * shares.part(1, 2);
-    assert!(
-        arrived <= 100.0 - 70.0,
-        "{arrived} slots' worth of work was sent to 30 free ones"
-    );
+    assert!(arrived <= 100.0 - 70.0, "{arrived} slots' worth of work was sent to 30 free ones");
     assert!(arrived > 1.0, "some of the excess moves");
 }
 
@@ -190,11 +155,7 @@
 fn stale_reports_move_nothing() {
     let mut controller = Controller::new(3, KEPT, START);
     run(&mut controller, 100, 300, |_| {
-        vec![
-            load(95.0, false, START),
-            load(10.0, false, START),
-            load(10.0, false, START),
-        ]
+        vec![load(95.0, false, START), load(10.0, false, START), load(10.0, false, START)]
     });
     assert!((controller.shares().part(0, 0) - 1.0).abs() < 1e-9);
 }
@@ -206,13 +167,8 @@
     run(&mut controller, 0, 200, hot);
     let moved = 1.0 - controller.shares().part(0, 0);
     assert!(moved > 0.1, "{moved} moved");
-    run(&mut controller, 200, 20, |now| {
-        vec![load(HIGH_WATER * 90.0, false, now); 3]
-    });
-    assert!(
-        (1.0 - controller.shares().part(0, 0) - moved).abs() < 0.051,
-        "no swing back between the marks"
-    );
+    run(&mut controller, 200, 20, |now| vec![load(HIGH_WATER * 90.0, false, now); 3]);
+    assert!((1.0 - controller.shares().part(0, 0) - moved).abs() < 0.051, "no swing back between the marks");
     run(&mut controller, 220, 600, |now| vec![load(30.0, false, now); 3]);
     assert!((controller.shares().part(0, 0) - 1.0).abs() < 1e-9);
 }
