--- a/crates/steer/tests/grants.rs
+++ b/crates/steer/tests/grants.rs
@@ -49,20 +49,9 @@
 
 impl World {
     fn new(fenced: bool) -> Self {
-        let daemon = |token| Daemon {
-            keeper: Keeper::new(),
-            lease: None,
-            token,
-        };
+        let daemon = |token| Daemon { keeper: Keeper::new(), lease: None, token };
         let daemons = (0..DAEMONS as u64).map(daemon).collect();
-        Self {
-            store: State::new(),
-            daemons,
-            late: Vec::new(),
-            now: Time::from_millis(1),
-            tokens: 100,
-            fenced,
-        }
+        Self { store: State::new(), daemons, late: Vec::new(), now: Time::from_millis(1), tokens: 100, fenced }
     }
 
     fn play(&mut self, event: Event) {
@@ -77,11 +66,7 @@
             }
             Event::Restart(which) => {
                 self.tokens += 1;
-                self.daemons[which] = Daemon {
-                    keeper: Keeper::new(),
-                    lease: None,
-                    token: self.tokens,
-                };
+                self.daemons[which] = Daemon { keeper: Keeper::new(), lease: None, token: self.tokens };
             }
         }
     }
@@ -123,16 +108,11 @@
         let entries = self.store.range(&prefix, Some(&end), self.now);
         let token = format!("{} {}", self.daemons[which].token, lease.0).into_bytes();
         let number = |key: &str| {
-            key.rsplit('/')
-                .next()
-                .and_then(|text| text.parse::<u32>().ok())
-                .expect("slot keys end in numbers")
+            key.rsplit('/').next().and_then(|text| text.parse::<u32>().ok()).expect("slot keys end in numbers")
         };
         let held: BTreeSet<u32> = self.daemons[which].keeper.held().collect();
         let known: BTreeSet<u32> = entries.iter().map(|entry| number(&entry.key)).collect();
-        let ours = entries
-            .iter()
-            .filter(|entry| entry.value == token && !held.contains(&number(&entry.key)));
+        let ours = entries.iter().filter(|entry| entry.value == token && !held.contains(&number(&entry.key)));
         let ours = ours.map(|entry| (number(&entry.key), entry.revision));
         let free = (0..SLOTS).filter(|slot| !known.contains(slot)).map(|slot| (slot, 0));
         let wanted: Vec<(u32, u64)> = ours.chain(free).take(count as usize).collect();
@@ -189,11 +169,7 @@
 /// The largest sum of shares seen in `cases` schedules.
 fn most_used(fenced: bool, cases: u32) -> f64 {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[5; 32]);
-    let config = Config {
-        cases,
-        failure_persistence: None,
-        ..Config::default()
-    };
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
     let most = std::cell::Cell::new(0.0_f64);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let ran = runner.run(&prop::collection::vec(event(), 1..200), |schedule| {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -34,11 +34,7 @@
             .max_redirects(0)
             .proxy(None)
             .build();
-        Self {
-            agent: config.into(),
-            base: format!("http://{address}"),
-            calls: AtomicU64::new(0),
-        }
+        Self { agent: config.into(), base: format!("http://{address}"), calls: AtomicU64::new(0) }
     }
 
     /// Calls made since the start.
@@ -50,11 +46,7 @@
         self.calls.fetch_add(1, Ordering::Relaxed);
         let body = serde_json::to_vec(request).map_err(|source| Error::Refused(source.to_string()))?;
         let url = format!("{}{path}", self.base);
-        let sent = self
-            .agent
-            .post(url)
-            .header("content-type", "application/json")
-            .send(&body[..]);
+        let sent = self.agent.post(url).header("content-type", "application/json").send(&body[..]);
         let mut response = sent.map_err(|source| classify(&source))?;
         let read = response.body_mut().with_config().limit(MAX_ANSWER_BYTES).read_to_vec();
         let bytes = read.map_err(|source| Error::Ambiguous(source.to_string()))?;
@@ -69,31 +61,20 @@
 
 impl Store for Client {
     fn read(&self, key: &str) -> Result<Option<Entry>> {
-        let request = RangeRequest {
-            key: key.into(),
-            range_end: Bytes::default(),
-        };
+        let request = RangeRequest { key: key.into(), range_end: Bytes::default() };
         let response: RangeResponse = self.call("/v3/kv/range", &request)?;
         Ok(entries(response).into_iter().next())
     }
 
     fn list(&self, prefix: &str) -> Result<Vec<Entry>> {
         let range_end = Bytes(prefix_end(prefix.as_bytes()));
-        let response: RangeResponse = self.call(
-            "/v3/kv/range",
-            &RangeRequest {
-                key: prefix.into(),
-                range_end,
-            },
-        )?;
+        let response: RangeResponse = self.call("/v3/kv/range", &RangeRequest { key: prefix.into(), range_end })?;
         Ok(entries(response))
     }
 
     fn commit(&self, changes: &[Change]) -> Result<Commit> {
-        let request = TxnRequest {
-            compare: changes.iter().map(compare).collect(),
-            success: changes.iter().map(op).collect(),
-        };
+        let request =
+            TxnRequest { compare: changes.iter().map(compare).collect(), success: changes.iter().map(op).collect() };
         let response: TxnResponse = self.call("/v3/kv/txn", &request)?;
         if response.succeeded {
             return Ok(Commit::Done(response.header.revision.0));
@@ -102,12 +83,7 @@
     }
 
     fn grant(&self, ttl: Duration) -> Result<Lease> {
-        let response: LeaseResponse = self.call(
-            "/v3/lease/grant",
-            &GrantRequest {
-                ttl: Number(ttl.as_secs()),
-            },
-        )?;
+        let response: LeaseResponse = self.call("/v3/lease/grant", &GrantRequest { ttl: Number(ttl.as_secs()) })?;
         Ok(Lease(response.id.0))
     }
 
@@ -131,30 +107,16 @@
     match &change.value {
         Some(value) => {
             let lease = Number(change.lease.map_or(0, |lease| lease.0));
-            Op {
-                request_put: Some(Put {
-                    key,
-                    value: Bytes(value.clone()),
-                    lease,
-                }),
-                request_delete_range: None,
-            }
+            Op { request_put: Some(Put { key, value: Bytes(value.clone()), lease }), request_delete_range: None }
         }
-        None => Op {
-            request_put: None,
-            request_delete_range: Some(Delete { key }),
-        },
+        None => Op { request_put: None, request_delete_range: Some(Delete { key }) },
     }
 }
 
 fn entries(response: RangeResponse) -> Vec<Entry> {
     let entry = |kv: crate::wire::KeyValue| {
         let key = String::from_utf8(kv.key.0).ok()?;
-        Some(Entry {
-            key,
-            value: kv.value.0,
-            revision: kv.mod_revision.0,
-        })
+        Some(Entry { key, value: kv.value.0, revision: kv.mod_revision.0 })
     };
     response.kvs.into_iter().filter_map(entry).collect()
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -44,22 +44,12 @@
 impl Change {
     /// Sets `key` to `value` if its revision is `expect`.
     pub fn set(key: &str, expect: u64, value: Vec<u8>) -> Self {
-        Self {
-            key: key.to_owned(),
-            expect,
-            value: Some(value),
-            lease: None,
-        }
+        Self { key: key.to_owned(), expect, value: Some(value), lease: None }
     }
 
     /// Deletes `key` if its revision is `expect`.
     pub fn delete(key: &str, expect: u64) -> Self {
-        Self {
-            key: key.to_owned(),
-            expect,
-            value: None,
-            lease: None,
-        }
+        Self { key: key.to_owned(), expect, value: None, lease: None }
     }
 
     /// Hangs the new value on `lease`.
