--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -64,7 +64,7 @@
     policy.drains = policy.regions.keys().map(|name| Drain { scope: Scope::Region, name: name.clone() }).collect();
     assert!(policy.check("p").is_err());
     policy.drains.pop();
-    assert!(policy.check("p").is_ok());
+    policy.check("p").expect("one region is left");
 }
 
 #[test]
@@ -96,7 +96,7 @@
         let path = file.expect("the folder can be read").path();
         match path.file_name().and_then(|name| name.to_str()) {
             Some("policy.toml") => drop(Policy::read(&path).expect("the policy is good")),
-            Some(name) if name.ends_with(".toml") => {
+            Some(name) if name.split('.').next_back() == Some("toml") => {
                 Settings::read(&path).expect("the settings are good");
                 daemons += 1;
             }
--- a/crates/ctl/tests/change.rs
+++ b/crates/ctl/tests/change.rs
@@ -82,16 +82,8 @@
     let store = Faulty::new(store(), faults);
     let result = change::edit(&store, "mine", |policy| drain(policy, "ohio"));
     assert_eq!(result.is_ok(), done, "{result:?}");
-    let (after, revision) = change::read(&store.store)
-        .map(|read| {
-            store.store.set_fault(Fault::None);
-            read
-        })
-        .or_else(|_| {
-            store.store.set_fault(Fault::None);
-            change::read(&store.store)
-        })
-        .expect("the store works again");
+    store.store.set_fault(Fault::None);
+    let (after, revision) = change::read(&store.store).expect("the store works again");
     assert_eq!(after.drains.len(), usize::from(done));
     if let Ok(done) = result {
         assert_eq!(done.revision(), revision);
--- a/crates/daemon/tests/port.rs
+++ b/crates/daemon/tests/port.rs
@@ -17,7 +17,7 @@
 struct World {
     backend: Running,
     _list: fakes::list::Running,
-    _store: fakes::store::Running,
+    store: fakes::store::Running,
     daemon: Option<Daemon>,
     address: String,
 }
@@ -55,7 +55,7 @@
         let settings = Settings::parse("test", &text).expect("the settings are good");
         let address = settings.callers.address.clone();
         let daemon = Daemon::start(settings).expect("the daemon starts");
-        let world = Self { backend, _list: list, _store: store, daemon: Some(daemon), address };
+        let world = Self { backend, _list: list, store, daemon: Some(daemon), address };
         while !world.talk("GET /stock HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").starts_with("HTTP/1.1 200") {
             std::thread::sleep(Duration::from_millis(20));
         }
@@ -157,7 +157,7 @@
     let world = World::new(57);
     let lookup = world.talk("GET /lookup HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
     let session = lookup.split("\"session\":\"").nth(1).and_then(|rest| rest.split('"').next()).expect("it is named");
-    world._store.set_faults(fakes::store::Faults { down: true, ..fakes::store::Faults::default() });
+    world.store.set_faults(fakes::store::Faults { down: true, ..fakes::store::Faults::default() });
     let order = |session: &str| {
         world.talk(&format!("POST /orders HTTP/1.1\r\nhost: x\r\nconnection: close\r\nidempotency-key: k\r\nidempotency-session: {session}\r\ncontent-length: 0\r\n\r\n"))
     };
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -78,13 +78,15 @@
 }
 
 fn main() -> ExitCode {
-    match parse().map_err(Error::from).and_then(|options| match options {
-        Some(options) => show(&options),
-        None => {
+    let result = match parse() {
+        Ok(Some(options)) => show(&options),
+        Ok(None) => {
             print!("{USAGE}");
             Ok(())
         }
-    }) {
+        Err(error) => Err(error.into()),
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("hemlockdemo: {error}");
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -168,7 +168,7 @@
     let mut holder = Holder::new();
     let mut copy = Copy::new(3, POLICY.to_owned());
     copy.text.push('#');
-    assert!(holder.offer(copy).is_err());
+    holder.offer(copy).expect_err("the copy is damaged");
     assert_eq!(holder.revision(), 0);
     assert!(holder.wants(3), "another peer may have it whole");
 }
@@ -178,13 +178,13 @@
     let mut holder = Holder::new();
     let mut copy = Copy::new(3, POLICY.to_owned());
     copy.revision = 9;
-    assert!(holder.offer(copy).is_err());
+    holder.offer(copy).expect_err("the copy is damaged");
 }
 
 #[test]
 fn an_invalid_policy_changes_nothing_and_is_not_asked_for_again() {
     let mut holder = Holder::new();
-    assert!(holder.offer(Copy::new(3, "regions = 5".to_owned())).is_err());
+    holder.offer(Copy::new(3, "regions = 5".to_owned())).expect_err("the policy is invalid");
     assert_eq!(holder.revision(), 0);
     assert!(!holder.wants(3));
     assert!(holder.wants(4));
--- a/crates/replay/src/case.rs
+++ b/crates/replay/src/case.rs
@@ -8,7 +8,7 @@
 use crate::trace::{Event, Trace, What};
 
 /// Length of a case.
-pub const LENGTH: Duration = Duration::from_secs(60);
+pub const LENGTH: Duration = Duration::from_mins(1);
 /// When a case's fault begins.
 const FAULT_AT: Duration = Duration::from_secs(15);
 /// When a case's fault ends, if it does.
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -268,6 +268,9 @@
 
     fn arrive(&mut self, index: usize) {
         let now = self.now;
+        if self.dead_regions.contains(&self.site.entries[self.requests[index].entry].region) {
+            return self.note_refused(index, Kind::BackendLost);
+        }
         let request = &mut self.requests[index];
         request.arrived = now;
         let entry = request.entry;
@@ -279,6 +282,10 @@
 
     /// Carries out what an engine decided.
     fn settle(&mut self, entry: usize) {
+        let actions = self.engines[entry].take();
+        if self.dead_regions.contains(&self.site.entries[entry].region) {
+            return;
+        }
         let losses = self.engines[entry].take_losses();
         if !losses.is_empty() {
             let now = self.now;
@@ -286,7 +293,7 @@
                 engine.merge_losses(&losses, now);
             }
         }
-        for action in self.engines[entry].take() {
+        for action in actions {
             match action {
                 Action::Start { request, attempt, backend, .. } => {
                     self.started(entry, request as usize, attempt, backend as usize);
@@ -414,6 +421,9 @@
     }
 
     fn verdict(&mut self, index: usize, verdict: Verdict) {
+        if self.requests[index].over {
+            return;
+        }
         match verdict {
             Verdict::Refuse(kind) => self.note_refused(index, kind),
             Verdict::Relay(_) => {
@@ -434,6 +444,9 @@
     }
 
     fn note_refused(&mut self, index: usize, kind: Kind) {
+        if self.requests[index].over {
+            return;
+        }
         self.close(index);
         let name = &self.site.classes[self.requests[index].class];
         if let Some(class) = self.outcome.classes.get_mut(name) {
@@ -600,15 +613,15 @@
         let second = self.now.as_millis() / 1_000;
         let (since, level, current, sum) = self.busy[region];
         let sum = sum + level * self.now.since(since).as_secs_f64();
-        if second != current {
-            let used = sum / (second - current).max(1) as f64 / f64::from(slots.max(1));
-            if current > 0 {
-                self.outcome.headroom = self.outcome.headroom.min((1.0 - used).max(0.0));
-            }
-            self.busy[region] = (self.now, busy as f64, second, 0.0);
-        } else {
+        if second == current {
             self.busy[region] = (self.now, busy as f64, current, sum);
+            return;
+        }
+        let used = sum / (second - current).max(1) as f64 / f64::from(slots.max(1));
+        if current > 0 {
+            self.outcome.headroom = self.outcome.headroom.min((1.0 - used).max(0.0));
         }
+        self.busy[region] = (self.now, busy as f64, second, 0.0);
     }
 
     fn finish(mut self) -> Outcome {
--- /dev/null
+++ b/crates/replay/tests/replay.rs
@@ -0,0 +1,150 @@
+//! Replays against stated outcomes.
+
+use std::path::{Path, PathBuf};
+
+use dispatch::engine::policy::Policy;
+use replay::case::Case;
+use replay::outcome::Outcome;
+use replay::site::Site;
+use replay::world::World;
+use replay::{Error, Trace};
+use rstest::rstest;
+
+const SEED: u64 = 1;
+/// Part of a region's slots that all other regions together may use.
+const REMOTE_PART: f64 = 0.5;
+/// Extra attempts allowed, as a part of requests.
+const EXTRA: f64 = 0.05;
+/// Lookups that must be within their target where there is capacity.
+const GOOD: f64 = 0.999;
+/// How many times the healthy p99 is allowed while servers are slowed.
+const SLOWED_P99: f64 = 1.5;
+
+fn deployment(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy").join(name)
+}
+
+fn site(name: &str) -> Site {
+    Site::read(&deployment(name)).expect("the deployment is good")
+}
+
+fn outcome(name: &str, case: Case) -> Outcome {
+    let site = site(name);
+    World::new(&site, Policy::Steered, SEED).run(&case.trace(&site, SEED))
+}
+
+#[rstest]
+#[case::steady("bayline", Case::Steady)]
+#[case::peak("bayline", Case::Peak)]
+#[case::slowed("bayline", Case::Slowed)]
+#[case::region_gone("bayline", Case::RegionGone)]
+#[case::onfot_peak("onfot", Case::Peak)]
+#[case::onfot_region_gone("onfot", Case::RegionGone)]
+#[case::onfot_slowed("onfot", Case::Slowed)]
+fn what_must_hold_holds(#[case] name: &str, #[case] case: Case) {
+    let outcome = outcome(name, case);
+    assert!(outcome.link <= 1.0, "{} of a link's cap", outcome.link);
+    assert!(outcome.foreign <= REMOTE_PART, "{} of a region's slots used by others", outcome.foreign);
+    assert_eq!(outcome.twice, 0, "orders ran twice");
+    assert!(outcome.extra() < EXTRA, "{} extra attempts", outcome.extra());
+    for (name, class) in &outcome.classes {
+        assert_eq!(class.sent, class.complete + class.not_run + class.unknown, "{name}: each request ends once");
+    }
+}
+
+#[rstest]
+#[case::bayline("bayline", Case::Steady)]
+#[case::bayline_peak("bayline", Case::Peak)]
+#[case::bayline_region_gone("bayline", Case::RegionGone)]
+#[case::onfot("onfot", Case::Steady)]
+#[case::onfot_peak("onfot", Case::Peak)]
+#[case::onfot_slowed("onfot", Case::Slowed)]
+fn lookups_meet_their_target(#[case] name: &str, #[case] case: Case) {
+    let good = outcome(name, case).classes["lookup"].good_share();
+    assert!(good >= GOOD, "{good}");
+}
+
+#[rstest]
+#[case::onfot("onfot")]
+#[ignore = "KNOWN-RED 1: bayline"]
+#[case::bayline("bayline")]
+fn slowed_servers_hardly_show(#[case] name: &str) {
+    let healthy = outcome(name, Case::Steady).classes["lookup"].latency_ms(0.99);
+    let slowed = outcome(name, Case::Slowed);
+    let p99 = slowed.classes["lookup"].latency_ms(0.99);
+    assert!(p99 <= SLOWED_P99 * healthy, "{p99} ms against {healthy} ms");
+    let good = slowed.classes["lookup"].good_share();
+    assert!(good >= GOOD, "{good}");
+}
+
+#[test]
+#[ignore = "KNOWN-RED 2"]
+fn no_lookup_waits_behind_bulk_longer_than_its_own_work() {
+    let outcome = outcome("bayline", Case::Bulk);
+    let lookup = &outcome.classes["lookup"];
+    let own_us = (lookup.latency_ms(0.5) * 1_000.0) as u64;
+    assert!(lookup.behind_bulk_us <= own_us, "{} us behind bulk, {own_us} us of its own", lookup.behind_bulk_us);
+}
+
+#[rstest]
+#[case::bayline("bayline")]
+#[case::onfot("onfot")]
+#[ignore = "KNOWN-RED 3"]
+fn a_region_that_returns_cold_hardly_shows(#[case] name: &str) {
+    let good = outcome(name, Case::Cold).classes["lookup"].good_share();
+    assert!(good >= GOOD, "{good}");
+}
+
+#[test]
+fn a_poisonous_request_stops_two_servers() {
+    assert_eq!(outcome("bayline", Case::Poison).crashed, 2);
+}
+
+#[test]
+fn a_leaving_server_gets_no_new_work_after_seconds() {
+    let outcome = outcome("bayline", Case::Leave);
+    assert!(outcome.drain_ms <= 5_000.0, "new work {} ms after the announcement", outcome.drain_ms);
+}
+
+#[test]
+fn the_same_trace_and_seed_give_the_same_outcome() {
+    let site = site("onfot");
+    let trace = Trace::parse("t", include_str!("../traces/market-day.txt")).expect("the trace is good");
+    let run = || {
+        let outcome = World::new(&site, Policy::Steered, SEED).run(&trace);
+        let lookup = &outcome.classes["lookup"];
+        (outcome.attempts, lookup.complete, lookup.latency.value_at_quantile(0.99), outcome.last)
+    };
+    assert_eq!(run(), run());
+}
+
+#[test]
+fn the_checked_in_trace_has_its_stated_outcome() {
+    let site = site("onfot");
+    let trace = Trace::parse("t", include_str!("../traces/market-day.txt")).expect("the trace is good");
+    let outcome = World::new(&site, Policy::Steered, SEED).run(&trace);
+    for (name, class) in &outcome.classes {
+        assert_eq!(class.complete, class.sent, "{name}: every request is answered");
+    }
+    assert_eq!(outcome.twice, 0);
+}
+
+#[test]
+fn a_trace_survives_its_text() {
+    let site = site("bayline");
+    let mut trace = Case::Slowed.trace(&site, SEED);
+    trace.events.truncate(500);
+    assert_eq!(Trace::parse("t", &trace.to_text()).expect("its text is good"), trace);
+}
+
+#[rstest]
+#[case::no_event("1 fly", 1)]
+#[case::backwards("2 reports off\n1 reports on", 2)]
+#[case::bad_number("# fine\n\n1 send lookup r x 5 1", 3)]
+#[case::negative("-1 reports off", 1)]
+fn bad_lines_are_named(#[case] text: &str, #[case] number: usize) {
+    match Trace::parse("t", text) {
+        Err(Error::Line { line, .. }) => assert_eq!(line, number),
+        other => panic!("{other:?}"),
+    }
+}
--- a/crates/size/src/main.rs
+++ b/crates/size/src/main.rs
@@ -12,10 +12,10 @@
 
 fn parse() -> Result<String, lexopt::Error> {
     let mut parser = lexopt::Parser::from_env();
-    let mut part = "all".to_owned();
+    let mut part = String::from("all");
     while let Some(argument) = parser.next()? {
         match argument {
-            Long("help") | Short('h') => part = "help".to_owned(),
+            Long("help") | Short('h') => part = String::from("help"),
             Value(value) => part = value.to_string_lossy().into_owned(),
             other => return Err(other.unexpected()),
         }
