--- a/crates/dispatch/tests/cases.rs
+++ b/crates/dispatch/tests/cases.rs
@@ -241,3 +241,25 @@
     let users = names.iter().filter(|daemon| subset::uses(**daemon, &names, ids[0], 64)).count();
     assert_eq!(users, names.len().min(64));
 }
+
+#[test]
+fn bytes_over_a_link_stay_within_the_share() {
+    const RATE: f64 = 1_000_000.0;
+    const ANSWER: u64 = 20_000;
+    let mut world = World::new((1..=4).map(|id| backend(id, Place::Remote(1))).collect(), 7);
+    world.set_remote(8, RATE);
+    let start = world.now;
+    let mut bytes = 0;
+    for round in 0..2_000 {
+        world.send(LOOKUP);
+        world.pass(Duration::from_millis(5));
+        let due: Vec<u64> = world.live.keys().copied().collect();
+        for attempt in due {
+            world.end(attempt, Ending::Answered(ANSWER));
+            bytes += ANSWER;
+        }
+        let most = RATE * (world.now.since(start).as_secs_f64() + 0.1) + ANSWER as f64;
+        assert!(bytes as f64 <= most, "round {round}: {bytes} bytes, {most} allowed");
+    }
+    assert!(bytes as f64 > RATE, "the link is put to use");
+}
