--- a/crates/daemon/src/backends/probe.rs
+++ b/crates/daemon/src/backends/probe.rs
@@ -1,10 +1,11 @@
 //! Reads backend servers' load reports.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::instance::{Instance, Role};
-use dispatch::backend::Report;
+use dispatch::backend::{BackendId, Report};
 use fleet::load::Seen;
 use serde::Deserialize;
 
@@ -17,6 +18,8 @@
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Threads that read reports.
 const READERS: usize = 4;
+/// Reports read in one round at most: a daemon of a large region uses hundreds of servers.
+const PROBES: usize = 24;
 
 inventory::submit! {
     Plugin(kernel::Plugin { name: "probe", stage: 40, start })
@@ -38,22 +41,26 @@
         ureq::Agent::config_builder().timeout_global(Some(TIMEOUT)).proxy(None).max_idle_connections(0).build();
     let agent: ureq::Agent = config.into();
     let context = Arc::clone(context);
+    let mut turn = 0;
     let running = Loop::start("probe", move || {
-        round(&context, &agent);
+        round(&context, &agent, turn);
+        turn += 1;
         pause
     })?;
     Ok(Box::new(running))
 }
 
-/// Reads a report from each server of our region that we use.
-fn round(context: &Arc<Context>, agent: &ureq::Agent) {
+/// Reads a report from each server of our region that we use, or from as many as one round may.
+fn round(context: &Arc<Context>, agent: &ureq::Agent, turn: usize) {
     let steering = context.steering();
     let own = &context.settings.region;
-    let near: Vec<&Instance> = steering
-        .backends
-        .values()
-        .filter(|instance| instance.region == *own && instance.role == Role::Backend)
-        .collect();
+    let inside = |instance: &&Instance| instance.region == *own && instance.role == Role::Backend;
+    let all: Vec<&Instance> = steering.backends.values().filter(inside).collect();
+    let hosted: BTreeSet<BackendId> = context.driver.look(|engine| {
+        let hosts = engine.backends().filter(|server| server.spec.hosts);
+        hosts.map(|server| server.spec.id).collect()
+    });
+    let near = chosen(all, |instance| hosted.contains(&view::backend_id(instance)), turn);
     let parts = near.chunks(near.len().div_ceil(READERS).max(1));
     let read = |instance: &&Instance| probe(context, agent, instance);
     let loads: Vec<(String, u32, u32)> = std::thread::scope(|scope| {
@@ -64,6 +71,19 @@
     sum_up(context, &loads);
 }
 
+/// The servers of one round: those that we host, then the others in turn.
+fn chosen(all: Vec<&Instance>, hosted: impl Fn(&Instance) -> bool, turn: usize) -> Vec<&Instance> {
+    if all.len() <= PROBES {
+        return all;
+    }
+    let (mut chosen, others): (Vec<&Instance>, Vec<&Instance>) = all.into_iter().partition(|instance| hosted(instance));
+    chosen.truncate(PROBES);
+    let room = PROBES - chosen.len();
+    let start = turn * room;
+    chosen.extend(others.iter().cycle().skip(start % others.len().max(1)).take(room.min(others.len())));
+    chosen
+}
+
 fn probe(context: &Arc<Context>, agent: &ureq::Agent, instance: &Instance) -> Option<(String, u32, u32)> {
     let url = format!("http://{}/load", instance.address);
     let read = agent.get(&url).call().and_then(|mut response| response.body_mut().read_to_vec());
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -15,7 +15,7 @@
 pub const ORDER: usize = 1;
 pub const BULK: usize = 2;
 
-pub const LIMITS: Limits = Limits { queued: 64, in_flight: 64, poison: Duration::from_mins(10) };
+pub const LIMITS: Limits = Limits { queued: 512, in_flight: 64, poison: Duration::from_mins(10) };
 
 pub fn classes() -> Vec<class::Spec> {
     let lookup =
--- a/crates/dispatch/tests/properties.rs
+++ b/crates/dispatch/tests/properties.rs
@@ -108,10 +108,15 @@
 fn waiting_work_finishes_under_constant_load() {
     let specs = (1..=4).map(|id| backend(id, Place::Domain)).collect();
     let mut world = World::new(specs, 1);
-    let bulk: Vec<u64> = (0..4).map(|_| world.send(BULK)).collect();
-    for _ in 0..6_000 {
-        world.send(common::LOOKUP);
-        world.send(common::LOOKUP);
+    let mut bulk = Vec::new();
+    for round in 0..7_000 {
+        if round == 200 {
+            bulk = (0..4).map(|_| world.send(BULK)).collect();
+        }
+        // Lookups alone would keep more than all slots busy.
+        for _ in 0..2 + round % 2 {
+            world.send(common::LOOKUP);
+        }
         world.pass(Duration::from_millis(10));
         let due: Vec<u64> = world
             .live
