--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -47,7 +47,7 @@
     let flows = vec![
         flow("lookup", "GET", "/stock?work_ms=20", 150.0),
         flow("order", "POST", "/orders?work_ms=100", 20.0),
-        flow("catalogue", "GET", "/catalogue?work_ms=1500&bytes=100000", 2.0),
+        flow("catalogue", "GET", "/catalogue?work_ms=3500&bytes=100000", 4.0),
     ];
     let mut plan = site.plan(flows, 10, 48);
     plan.resends = 0;
