--- a/crates/daemon/src/grants.rs
+++ b/crates/daemon/src/grants.rs
@@ -111,13 +111,16 @@
     };
     let changes: Vec<Change> = wanted.iter().map(set).collect();
     if changes.is_empty() {
-        return;
+        let now = context.now();
+        return lock(&context.keeper).retry(now);
     }
-    if let Ok(Commit::Done(revision)) = context.store.commit(&changes) {
-        let mut keeper = lock(&context.keeper);
-        for (number, _) in wanted {
-            keeper.took(number, revision);
-        }
+    let commit = context.store.commit(&changes);
+    let now = context.now();
+    let mut keeper = lock(&context.keeper);
+    match commit {
+        Ok(Commit::Done(revision)) => wanted.iter().for_each(|(number, _)| keeper.took(*number, revision)),
+        Ok(Commit::Conflict) => keeper.retry(now),
+        Err(error) => log::debug!("grants: slots not taken reason={:?}", error.to_string()),
     }
 }
 
--- a/crates/steer/src/grant.rs
+++ b/crates/steer/src/grant.rs
@@ -20,6 +20,8 @@
 pub const RENEWAL: Duration = Duration::from_mins(15);
 /// Time between looks for a fairer part.
 pub const REVIEW: Duration = Duration::from_secs(30);
+/// Time until the next look when the last one did not give what was wanted.
+const RETRY: Duration = Duration::from_secs(4);
 
 /// Part of a region's slots that other regions may use, all together.
 const REMOTE_PART: f64 = 0.5;
@@ -67,6 +69,8 @@
     valid_until: Time,
     renewed: Time,
     reviewed: Option<Time>,
+    /// Entry instances that shared the region at the last look.
+    live: usize,
 }
 
 impl Default for Keeper {
@@ -78,7 +82,14 @@
 impl Keeper {
     /// A keeper that holds nothing.
     pub const fn new() -> Self {
-        Self { held: BTreeMap::new(), leased: false, valid_until: Time::ZERO, renewed: Time::ZERO, reviewed: None }
+        Self {
+            held: BTreeMap::new(),
+            leased: false,
+            valid_until: Time::ZERO,
+            renewed: Time::ZERO,
+            reviewed: None,
+            live: 0,
+        }
     }
 
     /// The part of the whole that may be used at `now`, from zero to one.
@@ -105,10 +116,12 @@
         if now.since(self.renewed) >= RENEWAL {
             return Plan::Renew;
         }
-        if self.reviewed.is_some_and(|reviewed| now.since(reviewed) < REVIEW) {
+        let reviewed = self.reviewed.is_some_and(|reviewed| now.since(reviewed) < REVIEW);
+        if reviewed && live == self.live {
             return Plan::Rest;
         }
         self.reviewed = Some(now);
+        self.live = live;
         self.balance(live)
     }
 
@@ -127,6 +140,11 @@
         self.reviewed = None;
     }
 
+    /// The last look did not give what was wanted: another daemon was faster, or holds too much yet.
+    pub fn retry(&mut self, now: Time) {
+        self.reviewed = Some((now + RETRY) - REVIEW);
+    }
+
     /// The store says that slot `number` is ours, at `revision`.
     pub fn took(&mut self, number: u32, revision: u64) {
         if self.leased {
