Mend the time of a retry for grants in a young process

A retry was planned as now + 4 s - 30 s, which is cut off at the start of the clock in a process younger than 26 s, so it came no sooner. The time of the next look is now kept instead. Ruled out: conflicts at the store (keys listed: 128 of 256 slots free, no error logged). Test: a_newcomer_gets_its_part_within_seconds.

--- a/crates/steer/src/grant.rs
+++ b/crates/steer/src/grant.rs
@@ -68,7 +68,8 @@
     leased: bool,
     valid_until: Time,
     renewed: Time,
-    reviewed: Option<Time>,
+    /// When to look for a fairer part next.
+    next_review: Time,
     /// Entry instances that shared the region at the last look.
     live: usize,
 }
@@ -87,7 +88,7 @@
             leased: false,
             valid_until: Time::ZERO,
             renewed: Time::ZERO,
-            reviewed: None,
+            next_review: Time::ZERO,
             live: 0,
         }
     }
@@ -116,11 +117,10 @@
         if now.since(self.renewed) >= RENEWAL {
             return Plan::Renew;
         }
-        let reviewed = self.reviewed.is_some_and(|reviewed| now.since(reviewed) < REVIEW);
-        if reviewed && live == self.live {
+        if now < self.next_review && live == self.live {
             return Plan::Rest;
         }
-        self.reviewed = Some(now);
+        self.next_review = now + REVIEW;
         self.live = live;
         self.balance(live)
     }
@@ -137,12 +137,12 @@
         self.held.clear();
         self.leased = false;
         self.valid_until = Time::ZERO;
-        self.reviewed = None;
+        self.next_review = Time::ZERO;
     }
 
     /// The last look did not give what was wanted: another daemon was faster, or holds too much yet.
     pub fn retry(&mut self, now: Time) {
-        self.reviewed = Some((now + RETRY) - REVIEW);
+        self.next_review = now + RETRY;
     }
 
     /// The store says that slot `number` is ours, at `revision`.
--- a/crates/steer/tests/grants.rs
+++ b/crates/steer/tests/grants.rs
@@ -120,6 +120,10 @@
             Change::set(&key::grant(REGION, *slot), *expect, token.clone()).with_lease(lease)
         };
         let changes: Vec<Change> = wanted.iter().map(set).collect();
+        if changes.is_empty() {
+            let now = self.now;
+            return self.daemons[which].keeper.retry(now);
+        }
         if let Some(revision) = self.commit(changes, fault) {
             for (slot, _) in wanted {
                 self.daemons[which].keeper.took(slot, revision);
@@ -207,3 +211,19 @@
     world.play(Event::Turn(0, 1, Fault::Down));
     assert!(world.used() > 0.9, "an hour without the store changes nothing");
 }
+
+#[test]
+fn a_newcomer_gets_its_part_within_seconds() {
+    let mut world = World::new(true);
+    // The first takes all, since it knows of nobody else; then the second comes, seconds after the clock started.
+    for _ in 0..3 {
+        world.play(Event::Turn(0, 1, Fault::None));
+    }
+    for _ in 0..4 {
+        world.play(Event::Pass(2));
+        world.play(Event::Turn(1, 2, Fault::None));
+        world.play(Event::Turn(0, 2, Fault::None));
+    }
+    let now = world.now;
+    assert!((world.daemons[1].keeper.share(now) - 0.5).abs() < 0.01);
+}
