--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -10,7 +10,6 @@
 use crate::Context;
 use crate::context::lock;
 use crate::plugin::Plugin;
-use crate::view;
 
 /// Largest request body read and thrown away, in bytes.
 const MAX_BODY_BYTES: u64 = 65_536;
@@ -207,6 +206,3 @@
     };
     Report { lines: series.iter_mut().filter_map(line).collect() }
 }
-
-/// How often prepared state is rebuilt at least; shown to operators by its effects.
-pub const REFRESH: std::time::Duration = view::REFRESH;
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use base::hash;
 use base::instance::{Instance, Role, State as Listed};
@@ -225,6 +224,3 @@
     let others = in_force.regions.iter().enumerate().filter(|(_, name)| *name != own);
     others.map(|(position, name)| (position as u16, remote(name))).collect()
 }
-
-/// How long a rebuilt state may serve before it is rebuilt.
-pub const REFRESH: Duration = Duration::from_secs(1);
