--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -63,7 +63,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     Late(u64),
-    Hedge(u64),
     Deadline(u64),
     Look,
 }
@@ -292,7 +291,6 @@
             self.timers.remove(&(at, timer));
             match timer {
                 Timer::Late(attempt) => self.late(attempt, now),
-                Timer::Hedge(attempt) => self.hedge(attempt, now),
                 Timer::Deadline(request) => self.expire(request),
                 Timer::Look => look = true,
             }
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -5,7 +5,7 @@
 use base::error::Kind;
 use base::time::Time;
 
-use super::{Action, Attempt, Engine, LOOK_AGAIN, Request, Timer};
+use super::{Action, Attempt, Engine, Request, Timer};
 use crate::backend::{Backend, BackendId, Place};
 
 /// Time's worth of a link's rate that may pass in one burst.
@@ -73,36 +73,29 @@
         self.actions.push(Action::Start { request, attempt, backend, deadline, again });
     }
 
-    /// An attempt is late: the server is marked, and the request hedged.
+    /// An attempt is late: the server is marked, and the request hedged if that is allowed.
     pub(super) fn late(&mut self, attempt: u64, now: Time) {
         let may_eject = self.attempts.get(&attempt).is_some_and(|live| self.may_eject(live.backend));
         let Some(live) = self.attempts.get_mut(&attempt) else {
             return;
         };
         live.late = true;
-        let backend = live.backend;
+        let (request, class, backend) = (live.request, live.class, live.backend);
         if let Some(server) = self.backends.get_mut(&backend) {
             server.note_late(may_eject, now);
         }
-        self.hedge(attempt, now);
-    }
-
-    /// Sends the request of a late attempt to a second server, if that is allowed; tries again while none is free.
-    pub(super) fn hedge(&mut self, attempt: u64, now: Time) {
         #[cfg(feature = "policies")]
         if self.policy != super::policy::Policy::Steered {
             return;
         }
-        let Some(live) = self.attempts.get(&attempt) else { return };
-        let (request, spec) = (live.request, &self.classes[live.class].spec);
-        let Some(state) = self.requests.get(&request) else { return };
+        let spec = &self.classes[class].spec;
+        let Some(state) = self.requests.get(&request) else {
+            return;
+        };
         if !spec.idempotent || spec.may_wait || state.hedged || state.live.len() != 1 || state.queued {
             return;
         }
-        let Some(second) = self.pick(request, now) else {
-            self.timers.insert((now + LOOK_AGAIN, Timer::Hedge(attempt)));
-            return;
-        };
+        let Some(second) = self.pick(request, now) else { return };
         if !self.hedges.spend() {
             return;
         }
