--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -18,6 +18,8 @@
 const SCANNED: usize = 32;
 /// Wait from which another region is worth its way.
 const REMOTE_WORTH: Duration = Duration::from_millis(30);
+/// How many times as long as usual work takes at a server that another region's is better than.
+const SLOW: f64 = 3.0;
 /// Cost of a server in another failure domain, in requests.
 const DOMAIN_COST: f64 = 0.2;
 /// Part of a tier's servers that may be ejected at once.
@@ -35,10 +37,12 @@
         let state = self.requests.get(&request)?.clone();
         let service = usize::from(self.classes[state.class].spec.service);
         let near = self.pick_tier(service, 0, &state, now);
-        if near.is_some() || !self.remote_allowed(service, &state, now) {
+        let slow = near.and_then(|id| self.backends.get(&id)).is_some_and(|server| server.ratio() >= SLOW);
+        let away = if near.is_some() { slow } else { self.remote_allowed(service, &state, now) };
+        if !away || (slow && self.classes[state.class].spec.may_wait) {
             return near;
         }
-        self.pick_tier(service, 1, &state, now)
+        self.pick_tier(service, 1, &state, now).or(near)
     }
 
     /// Starts an attempt of `request` at `backend`.
