Let the stand-in's range without an end go on to the last key

Cause: the store's stand-in took an end of one zero byte for a key, though the published protocol means no end by it; listing with an empty prefix gave nothing. Ruled out: the client (it sends what the protocol says).

--- a/crates/fakes/src/state.rs
+++ b/crates/fakes/src/state.rs
@@ -6,6 +6,9 @@
 use base::time::Time;
 use store::{Change, Commit, Entry, Lease};
 
+/// The end of a range that goes on to the last key.
+const UNBOUNDED: &str = "\0";
+
 #[derive(Debug, Clone)]
 struct Value {
     bytes: Vec<u8>,
@@ -37,7 +40,7 @@
     /// The keys from `first` up to but without `end`; one key if `end` is `None`.
     pub fn range(&mut self, first: &str, end: Option<&str>, now: Time) -> Vec<Entry> {
         self.expire(now);
-        let inside = |key: &str| end.map_or(key == first, |end| key < end);
+        let inside = |key: &str| end.map_or(key == first, |end| end == UNBOUNDED || key < end);
         let from = self.values.range(first.to_owned()..).take_while(|(key, _)| inside(key));
         from.map(|(key, value)| Entry { key: key.clone(), value: value.bytes.clone(), revision: value.revision })
             .collect()
