--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -34,6 +34,8 @@
     BodyTooLarge,
     /// The caller sent its request too slowly.
     SlowSender,
+    /// This instance knows no policy yet.
+    NoPolicy,
     /// No class of work covers the path.
     UnknownRoute,
     /// A non-idempotent request came without an idempotency key.
@@ -91,12 +93,13 @@
 
 impl Kind {
     /// All kinds, in the order of declaration.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 26] = [
         Self::Malformed,
         Self::AmbiguousFraming,
         Self::LengthRequired,
         Self::BodyTooLarge,
         Self::SlowSender,
+        Self::NoPolicy,
         Self::UnknownRoute,
         Self::KeyMissing,
         Self::KeyReused,
@@ -128,6 +131,7 @@
             Self::LengthRequired => (411, NotRun, None, true),
             Self::BodyTooLarge => (413, NotRun, None, true),
             Self::SlowSender => (408, NotRun, Some(1), true),
+            Self::NoPolicy => (503, NotRun, Some(1), false),
             Self::UnknownRoute => (404, NotRun, None, false),
             Self::KeyMissing => (428, NotRun, None, false),
             Self::KeyReused => (422, NotRun, None, false),
@@ -140,7 +144,7 @@
             Self::Shed => (503, NotRun, Some(1), false),
             Self::Unreachable => (503, NotRun, Some(2), false),
             Self::ClaimUnavailable => (503, NotRun, Some(5), false),
-            Self::Poisoned => (422, NotRun, Some(60), false),
+            Self::Poisoned => (503, NotRun, Some(60), false),
             Self::BackendLost => (502, Unknown, Some(1), false),
             Self::BackendTimeout => (504, Unknown, Some(1), false),
             Self::AnswerCut => (502, Unknown, Some(1), false),
@@ -160,6 +164,7 @@
             Self::LengthRequired => "length-required",
             Self::BodyTooLarge => "body-too-large",
             Self::SlowSender => "slow-sender",
+            Self::NoPolicy => "no-policy",
             Self::UnknownRoute => "unknown-route",
             Self::KeyMissing => "key-missing",
             Self::KeyReused => "key-reused",
@@ -196,6 +201,7 @@
                 "send an Idempotency-Key header that is new for each order and repeated on each re-send"
             }
             Self::KeyReused => "use a new Idempotency-Key for a new order",
+            Self::NoPolicy => "send again after the given time, or ask the look-up for another entry instance",
             Self::Leaving => "ask the look-up for another entry instance and send again",
             Self::QueueFull | Self::Shed | Self::WontFinish | Self::Expired => "send again after the given time",
             Self::NoBackend | Self::LinkFull | Self::Unreachable => "send again after the given time",
--- a/crates/config/src/policy/class.rs
+++ b/crates/config/src/policy/class.rs
@@ -1,15 +1,24 @@
 //! A class of work and its targets.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::error::{Error, Result};
 
 /// A class of work.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
 #[serde(deny_unknown_fields)]
 pub struct Class {
-    /// The service whose backend servers run the work.
+    /// The service whose backend servers run the work; empty if `split` names several.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
     pub service: String,
+    /// Services that share the work, each with its weight.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub split: BTreeMap<String, u32>,
+    /// The host that requests name; empty for any.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub host: String,
     /// Path prefixes of the class; whole segments, each starting with `/`.
     pub paths: Vec<String>,
     /// Whether running the work twice is harmless.
@@ -25,9 +34,28 @@
     /// Whether the work may wait behind other work but must finish.
     #[serde(default)]
     pub may_wait: bool,
+    /// Backend servers that one request is sent to at most; zero for the daemon's own limit.
+    #[serde(default)]
+    pub tries: u32,
+    /// Whether backend servers work faster on an object that they handled lately.
+    #[serde(default)]
+    pub affinity: bool,
+    /// Regions that may run the work; empty for all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub regions: Vec<String>,
 }
 
 impl Class {
+    /// The services that run the work.
+    pub fn services(&self) -> impl Iterator<Item = &String> {
+        std::iter::once(&self.service).filter(|service| !service.is_empty()).chain(self.split.keys())
+    }
+
+    /// Whether requests to `host` are of this class; host names are compared without case.
+    pub fn serves(&self, host: &str) -> bool {
+        self.host.is_empty() || self.host.eq_ignore_ascii_case(host)
+    }
+
     /// The length of the longest prefix that covers `path`; `None` if none does.
     pub fn covers(&self, path: &str) -> Option<usize> {
         let matching = self.paths.iter().filter(|prefix| covers(prefix, path));
@@ -35,8 +63,11 @@
     }
 
     pub(super) fn check(&self, name: &str, key: &str) -> Result<()> {
-        if self.service.is_empty() {
-            return Err(Error::value(name, format!("{key}.service"), "must name a service"));
+        if self.service.is_empty() == self.split.is_empty() {
+            return Err(Error::value(name, format!("{key}.service"), "must name a service, or `split` several"));
+        }
+        if !self.split.is_empty() && self.split.values().all(|weight| *weight == 0) {
+            return Err(Error::value(name, format!("{key}.split"), "must give one service a weight above zero"));
         }
         if self.paths.is_empty() {
             return Err(Error::value(name, format!("{key}.paths"), "must name one path at least"));
--- a/crates/config/src/policy/drain.rs
+++ b/crates/config/src/policy/drain.rs
@@ -10,6 +10,8 @@
     Region,
     /// A failure domain with all its instances and backend servers.
     Domain,
+    /// The backend servers of a failure domain; its entry instances stay.
+    Servers,
     /// One entry instance or one backend server.
     Instance,
 }
--- a/crates/config/src/policy/mod.rs
+++ b/crates/config/src/policy/mod.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod link;
 mod region;
+mod service;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
@@ -19,6 +20,7 @@
 pub use self::drain::{Drain, Scope};
 pub use self::link::Link;
 pub use self::region::Region;
+pub use self::service::Service;
 use crate::error::{Error, Result};
 
 /// Changes that a policy remembers, so that an operator can tell whether a lost answer took effect.
@@ -36,6 +38,9 @@
     pub links: Vec<Link>,
     /// Classes of work by name.
     pub classes: BTreeMap<String, Class>,
+    /// What is declared of services, by name; a service that is not named has the usual values.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub services: BTreeMap<String, Service>,
     /// Drains in force.
     pub drains: Vec<Drain>,
     /// Home regions of callers; the longest prefix wins.
@@ -116,13 +121,18 @@
         Some(link.bytes_per_second())
     }
 
-    /// The class whose longest path prefix covers `path`.
-    pub fn class_of(&self, path: &str) -> Option<(&str, &Class)> {
-        let covers = self.classes.iter().filter_map(|(name, class)| {
+    /// The class for `host` whose longest path prefix covers `path`; a class of that very host goes first.
+    pub fn class_of(&self, host: &str, path: &str) -> Option<(&str, &Class)> {
+        let covers = self.classes.iter().filter(|(_, class)| class.serves(host)).filter_map(|(name, class)| {
             let length = class.covers(path)?;
-            Some((length, name.as_str(), class))
+            Some(((!class.host.is_empty(), length), name.as_str(), class))
         });
-        covers.max_by_key(|(length, _, _)| *length).map(|(_, name, class)| (name, class))
+        covers.max_by_key(|(order, _, _)| *order).map(|(_, name, class)| (name, class))
+    }
+
+    /// Whether the backend servers of `domain` are drained, alone or with all else there.
+    pub fn servers_drained(&self, domain: &str) -> bool {
+        self.drained(Scope::Servers, domain) || self.domain_drained(domain)
     }
 
     fn drained(&self, scope: Scope, name: &str) -> bool {
@@ -152,8 +162,13 @@
         let mut paths = BTreeSet::new();
         for (class, value) in &self.classes {
             value.check(name, &format!("classes.{class}"))?;
+            let unknown = value.regions.iter().find(|region| !self.regions.contains_key(*region));
+            if let Some(region) = unknown {
+                let key = format!("classes.{class}.regions");
+                return Err(Error::value(name, key, format!("`{region}` is no region; name one of `regions`")));
+            }
             for path in &value.paths {
-                if !paths.insert(path) {
+                if !paths.insert((&value.host, path)) {
                     let key = format!("classes.{class}.paths");
                     return Err(Error::value(name, key, format!("`{path}` belongs to two classes; keep one")));
                 }
@@ -165,7 +180,7 @@
     fn check_drain(&self, name: &str, key: &str, drain: &Drain) -> Result<()> {
         let known = match drain.scope {
             Scope::Region => self.regions.contains_key(&drain.name),
-            Scope::Domain => self.region_of(&drain.name).is_some(),
+            Scope::Domain | Scope::Servers => self.region_of(&drain.name).is_some(),
             Scope::Instance => !drain.name.is_empty(),
         };
         if known {
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -83,7 +83,7 @@
 #[case("/", None)]
 fn paths_have_classes(#[case] path: &str, #[case] class: Option<&str>) {
     let policy = Policy::parse("p", POLICY).expect("the policy is good");
-    assert_eq!(policy.class_of(path).map(|(name, _)| name), class);
+    assert_eq!(policy.class_of("", path).map(|(name, _)| name), class);
 }
 
 #[rstest]
--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -1,21 +1,31 @@
 //! One attempt at a backend server, from the claim to the ending.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::error::Kind;
 use base::time::Time;
+use bytes::Bytes;
 use dispatch::Ending;
 use dispatch::backend::BackendId;
+use h1::client::{Answer, Call, Connection, Fault};
+use h1::head;
+use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
+use http::{Method, StatusCode};
 
-use super::http;
 use crate::Context;
+use crate::backends::load;
 use crate::driver::Outgoing;
 use crate::orders;
 use crate::whole::Whole;
 
 /// Time for a cancellation to be taken.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time without an acknowledgement after which a connection to a backend server is given up.
+const SILENCE: Duration = Duration::from_millis(700);
+/// An open connection that was idle for longer may have gone silent: an order gets a fresh one.
+const ORDER_IDLE: Duration = Duration::from_secs(1);
 
 /// An attempt as the engine decided it.
 #[derive(Debug, Clone, Copy)]
@@ -30,65 +40,217 @@
     pub again: bool,
 }
 
-/// Starts an attempt; its ending goes back to the driver.
-pub fn start(context: &Arc<Context>, outgoing: Option<Arc<Outgoing>>, sending: Sending) {
-    let context = Arc::clone(context);
-    let runtime = context.runtime.clone();
-    runtime.spawn_blocking(move || {
-        let (ending, whole) = match outgoing {
-            None => (Ending::Withheld(Kind::Expired), None),
-            Some(outgoing) => run(&context, &outgoing, sending),
-        };
-        context.driver.finish(&context, sending.attempt, ending, whole);
-    });
+/// Where an attempt goes.
+struct Target {
+    address: SocketAddr,
+    name: String,
 }
 
-/// Tells a backend server that an attempt's answer is not needed any more.
+/// Runs an attempt to its end; the ending goes back to the driver.
+pub async fn run(context: Arc<Context>, outgoing: Arc<Outgoing>, sending: Sending) {
+    let (ending, whole) = ending(&context, &outgoing, sending).await;
+    log::debug!("dispatch: attempt ended request={} attempt={} ending={ending:?}", outgoing.number, sending.attempt);
+    context.driver.finish(&context, sending.attempt, ending, whole);
+}
+
+/// Tells a backend server that an attempt's answer is not needed any more, where closing the connection does not.
 pub fn cancel(context: &Arc<Context>, attempt: u64, backend: BackendId) {
-    let Some(address) = context.steering().backend_address(backend) else {
-        return;
-    };
-    let url = format!("http://{address}/cancel?id={}", attempt_id(context, attempt));
-    context.runtime.spawn_blocking(move || {
-        let agent = http::agent(CANCEL_TIMEOUT, 0);
-        let sent = agent.post(&url).config().timeout_global(Some(CANCEL_TIMEOUT)).build().send_empty();
-        if let Err(error) = sent {
-            log::debug!("dispatch: cancel skipped url={url} reason={:?}", error.to_string());
+    let Some(path) = context.dialect.cancel_path else { return };
+    let Some(target) = target(context, backend) else { return };
+    let url = format!("{path}?id={}", attempt_id(context, attempt));
+    context.runtime.spawn(async move {
+        let call = Call {
+            method: &Method::POST,
+            target: &url,
+            headers: &host(target.address),
+            body: &Bytes::new(),
+            max_answer: 0,
+        };
+        let sent = async { Connection::open(target.address, SILENCE).await.ok()?.exchange(call, |_| true).await.ok() };
+        if !matches!(tokio::time::timeout(CANCEL_TIMEOUT, sent).await, Ok(Some(_))) {
+            log::debug!("dispatch: cancel skipped server={}", target.name);
         }
     });
 }
 
-fn run(context: &Arc<Context>, outgoing: &Outgoing, sending: Sending) -> (Ending, Option<Arc<Whole>>) {
-    let Sending { attempt, backend, deadline, again } = sending;
-    if let Some(order) = &outgoing.order
-        && let Err(kind) = orders::claim(context, order, deadline)
-    {
+async fn ending(context: &Arc<Context>, outgoing: &Arc<Outgoing>, sending: Sending) -> (Ending, Option<Arc<Whole>>) {
+    if let Err(kind) = claim(context, outgoing, sending.deadline).await {
         return (Ending::Withheld(kind), None);
     }
-    let Some(address) = context.steering().backend_address(backend) else {
+    let Some(target) = target(context, sending.backend) else {
         return (Ending::Unreachable, None);
     };
-    let limit = deadline.since(context.now());
+    let limit = sending.deadline.since(context.now());
     if limit.is_zero() {
         return (Ending::Withheld(Kind::Expired), None);
     }
-    // An open connection may have gone silent: orders and second tries get a fresh one.
-    let fresh = again || !outgoing.idempotent;
-    let agent = context.agents.get(backend, fresh);
-    let id = attempt_id(context, attempt);
-    let max_bytes = context.settings.dispatch.max_answer_bytes;
-    let route = http::Route { address: &address, id: &id, fresh, limit, max_bytes };
-    match http::send(&agent, outgoing, route) {
-        Ok(whole) if whole.status == 499 => (Ending::Cancelled, None),
-        Ok(whole) => (Ending::Answered(whole.bytes()), Some(Arc::new(whole))),
-        Err(ending) => {
-            if matches!(ending, Ending::Lost | Ending::Timeout | Ending::Cut) {
-                context.agents.renew(backend);
-            }
-            log::debug!("dispatch: attempt ended request={} server={address} ending={ending:?}", outgoing.number);
-            (ending, None)
+    let Ok(connection) = connection(context, outgoing, sending, target.address).await else {
+        return (Ending::Unreachable, None);
+    };
+    let exchange = exchange(context, outgoing, sending, &target, connection);
+    let limit = sending.deadline.since(context.now());
+    match tokio::time::timeout(limit, exchange).await {
+        Ok(Ok(answer)) => judge(context, sending, answer),
+        Ok(Err(fault)) => {
+            context.pool.renew(sending.backend);
+            (failed(fault), None)
         }
+        Err(_) => (Ending::Timeout, None),
+    }
+}
+
+/// Makes sure that an order may be sent; the store is asked on a thread of its own.
+async fn claim(context: &Arc<Context>, outgoing: &Arc<Outgoing>, deadline: Time) -> Result<(), Kind> {
+    if outgoing.order.is_none() {
+        return Ok(());
+    }
+    let (context, outgoing) = (Arc::clone(context), Arc::clone(outgoing));
+    let runtime = context.runtime.clone();
+    let claim = runtime.spawn_blocking(move || match &outgoing.order {
+        Some(order) => orders::claim(&context, order, deadline),
+        None => Ok(()),
+    });
+    claim.await.unwrap_or(Err(Kind::Internal))
+}
+
+async fn connection(
+    context: &Context,
+    outgoing: &Outgoing,
+    sending: Sending,
+    address: SocketAddr,
+) -> std::io::Result<Connection> {
+    let now = context.now();
+    let most = if outgoing.idempotent { Duration::MAX } else { ORDER_IDLE };
+    let fresh = sending.again || alone(context, outgoing);
+    let open = if fresh { None } else { context.pool.take(sending.backend, most, now) };
+    if let Some(open) = open {
+        return Ok(open);
+    }
+    context.metrics.connects.inc();
+    let connect = Duration::from_millis(context.settings.dispatch.connect_ms);
+    let limit = connect.min(sending.deadline.since(now));
+    tokio::time::timeout(limit, Connection::open(address, SILENCE)).await?
+}
+
+/// Sends the request and reads its answer; a connection that can be used again goes back to the pool.
+async fn exchange(
+    context: &Context,
+    outgoing: &Outgoing,
+    sending: Sending,
+    target: &Target,
+    mut connection: Connection,
+) -> Result<Answer, Fault> {
+    let dialect = &context.dialect;
+    let headers = headers(context, outgoing, sending, target);
+    let id = headers.get(&dialect.request_id).cloned();
+    let ours = |head: &head::Response| {
+        let echoed = head.headers.get(&dialect.request_id);
+        !dialect.callers_id || echoed.is_none() || echoed == id.as_ref()
+    };
+    let call = Call {
+        method: &outgoing.method,
+        target: &outgoing.target,
+        headers: &headers,
+        body: &outgoing.body,
+        max_answer: context.settings.dispatch.max_answer_bytes as usize,
+    };
+    let answer = connection.exchange(call, ours).await?;
+    if answer.reusable {
+        context.pool.put(sending.backend, connection, answer.idle_limit(), context.now());
+    }
+    Ok(answer)
+}
+
+/// What an answer means, and the answer if it is for the caller.
+fn judge(context: &Context, sending: Sending, answer: Answer) -> (Ending, Option<Arc<Whole>>) {
+    let dialect = &context.dialect;
+    load::note(context, sending.backend, &answer.headers);
+    if answer.status == StatusCode::MISDIRECTED_REQUEST {
+        context.pool.renew(sending.backend);
+        return (Ending::Unreachable, None);
     }
+    if dialect.says_not_run(&answer.headers) {
+        return (Ending::Shed, None);
+    }
+    if dialect.cancel_path.is_some() && answer.status.as_u16() == 499 {
+        return (Ending::Cancelled, None);
+    }
+    let signed = dialect.signature.as_ref().is_none_or(|name| answer.headers.contains_key(name));
+    let framed = dialect.until_close || answer.framed;
+    if !framed || (answer.status.is_success() && (!signed || answer.headers.contains_key(CONTENT_ENCODING))) {
+        return (Ending::Cut, None);
+    }
+    let whole = whole(context, answer);
+    (Ending::Answered(whole.bytes()), Some(Arc::new(whole)))
+}
+
+fn whole(context: &Context, answer: Answer) -> Whole {
+    let mut headers = HeaderMap::with_capacity(answer.headers.len());
+    let inner = [&context.dialect.load, &context.dialect.cold_ms];
+    let kept = |name: &http::HeaderName| {
+        *name != CONTENT_LENGTH && !head::is_hop(name.as_str()) && !inner.contains(&&Some(name.clone()))
+    };
+    for (name, value) in answer.headers.iter().filter(|(name, _)| kept(name)) {
+        headers.append(name, value.clone());
+    }
+    Whole { status: answer.status, headers, body: answer.body }
+}
+
+const fn failed(fault: Fault) -> Ending {
+    match fault {
+        Fault::Unsent => Ending::Unreachable,
+        Fault::Lost => Ending::Lost,
+        Fault::Cut | Fault::Malformed => Ending::Cut,
+        Fault::TooLarge => Ending::TooLarge,
+    }
+}
+
+fn headers(context: &Context, outgoing: &Outgoing, sending: Sending, target: &Target) -> HeaderMap {
+    let dialect = &context.dialect;
+    let mut headers = outgoing.headers.clone();
+    if !headers.contains_key(HOST) {
+        headers.extend(host(target.address));
+    }
+    if !dialect.callers_id {
+        insert(&mut headers, &dialect.request_id, &attempt_id(context, sending.attempt));
+    }
+    let left = sending.deadline.since(context.now()).as_millis().max(1);
+    insert(&mut headers, &dialect.deadline_ms, &left.to_string());
+    if let Some(server) = &dialect.server {
+        insert(&mut headers, server, &target.name);
+    }
+    if alone(context, outgoing) || (dialect.alone && sending.again) {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    headers
+}
+
+/// Whether the request gets a connection that serves nothing else.
+fn alone(context: &Context, outgoing: &Outgoing) -> bool {
+    context.dialect.alone && !outgoing.idempotent
+}
+
+fn insert(headers: &mut HeaderMap, name: &http::HeaderName, value: &str) {
+    match HeaderValue::from_str(value) {
+        Ok(value) => drop(headers.insert(name, value)),
+        Err(_) => log::warn!("dispatch: header left out name={name} value={value:?}"),
+    }
+}
+
+fn host(address: SocketAddr) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    insert(&mut headers, &HOST, &address.to_string());
+    headers
+}
+
+fn target(context: &Context, backend: BackendId) -> Option<Target> {
+    let steering = context.steering();
+    let instance = steering.backends.get(&backend)?;
+    let Ok(address) = instance.address.parse() else {
+        log::warn!("dispatch: server without a usable address name={} address={}", instance.name, instance.address);
+        return None;
+    };
+    Some(Target { address, name: instance.name.clone() })
 }
 
 fn attempt_id(context: &Context, attempt: u64) -> String {
--- a/crates/daemon/src/backends/mod.rs
+++ b/crates/daemon/src/backends/mod.rs
@@ -1,6 +1,6 @@
 //! Sockets towards backend servers.
 
-pub mod agents;
 pub mod attempt;
-pub mod http;
+pub mod load;
+pub mod pool;
 pub mod probe;
--- a/crates/daemon/src/backends/probe.rs
+++ b/crates/daemon/src/backends/probe.rs
@@ -94,7 +94,7 @@
     };
     let now = context.now();
     let at = now - Duration::from_millis(load.age_ms);
-    let report = Report { load: load.busy + load.queued, draining: load.draining, at };
+    let report = Report { load: load.busy + load.queued, draining: load.draining, pace: None, at };
     context.driver.with(context, |engine| engine.report(view::backend_id(instance), report, now));
     Some((instance.domain.clone(), report.load, instance.slots))
 }
--- a/crates/daemon/src/callers/lookup.rs
+++ b/crates/daemon/src/callers/lookup.rs
@@ -6,7 +6,7 @@
 use base::error::Kind;
 use serde::Serialize;
 
-use super::reply::{self, Reply};
+use super::reply::Reply;
 use crate::Context;
 
 /// The path of look-ups.
@@ -30,7 +30,7 @@
 /// Answers a look-up; `query` may name the caller's address as `client=`.
 pub fn answer(context: &Arc<Context>, query: Option<&str>, peer: IpAddr) -> Reply {
     let Some(address) = address(query, peer) else {
-        return reply::error(Kind::Malformed);
+        return Reply::error(Kind::Malformed, &context.dialect);
     };
     context.metrics.lookups.inc();
     let steering = context.steering();
@@ -41,10 +41,10 @@
     let entries: Vec<Entry<'_>> =
         entries.map(|entry| Entry { instance: &entry.name, address: &entry.address }).collect();
     if entries.is_empty() {
-        return reply::error(Kind::NoBackend);
+        return Reply::error(Kind::NoBackend, &context.dialect);
     }
     let region = found.region.and_then(|region| in_force.regions.get(usize::from(region)));
-    reply::json(&Answer {
+    Reply::json(&Answer {
         entries,
         ttl_s: context.settings.callers.answer_ttl_s,
         region: region.map_or("", String::as_str),
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -1,6 +1,21 @@
 //! The callers' port: look-ups and requests.
 
+pub mod connection;
 pub mod forward;
 pub mod lookup;
 pub mod reply;
 pub mod server;
+
+use std::sync::Arc;
+
+use self::connection::Incoming;
+use self::reply::Reply;
+use crate::Context;
+
+/// The answer to a request on the callers' port.
+pub async fn route(context: &Arc<Context>, incoming: Incoming) -> Reply {
+    if incoming.head.path() == lookup::PATH {
+        return lookup::answer(context, incoming.head.query(), incoming.peer);
+    }
+    forward::answer(context, incoming).await
+}
--- a/crates/daemon/src/callers/reply.rs
+++ b/crates/daemon/src/callers/reply.rs
@@ -1,21 +1,26 @@
 //! Answers to callers.
 
-use std::sync::Arc;
-
 use base::error::Kind;
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
-use hyper::{Response, StatusCode};
+use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use http::{Method, StatusCode};
 use serde::Serialize;
 
+use crate::dialect::Dialect;
 use crate::whole::Whole;
 
-/// Says what a caller may conclude: `complete`, `not-run` or `unknown`.
-pub const OUTCOME: &str = "x-outcome";
-
 /// An answer with its whole body.
-pub type Reply = Response<Full<Bytes>>;
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// Whether the connection ends with it.
+    pub close: bool,
+}
 
 /// The body of an error.
 #[derive(Debug, Serialize)]
@@ -25,41 +30,53 @@
     advice: &'static str,
 }
 
-/// The answer that `kind` gives.
-pub fn error(kind: Kind) -> Reply {
-    let answer = kind.answer();
-    let body = Body { error: kind.as_str(), outcome: answer.outcome.as_str(), advice: kind.advice() };
-    let mut reply = json(&body);
-    *reply.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let headers = reply.headers_mut();
-    headers.insert(OUTCOME, HeaderValue::from_static(answer.outcome.as_str()));
-    if let Some(seconds) = answer.retry_after_s {
-        headers.insert(RETRY_AFTER, seconds.into());
+impl Reply {
+    /// `value` as JSON.
+    pub fn json<T: Serialize>(value: &T) -> Self {
+        let (status, body) = match serde_json::to_vec(value) {
+            Ok(body) => (StatusCode::OK, body),
+            Err(error) => {
+                log::error!("callers: answer not written reason={:?}", error.to_string());
+                (StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+            }
+        };
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        Self { status, headers, body: body.into(), close: false }
     }
-    if answer.close {
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+
+    /// The answer that `kind` gives.
+    pub fn error(kind: Kind, dialect: &Dialect) -> Self {
+        let answer = kind.answer();
+        let mut reply =
+            Self::json(&Body { error: kind.as_str(), outcome: answer.outcome.as_str(), advice: kind.advice() });
+        reply.status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        reply.close = answer.close;
+        if let Some(outcome) = &dialect.outcome {
+            reply.headers.insert(outcome, HeaderValue::from_static(answer.outcome.as_str()));
+        }
+        if let Some(seconds) = answer.retry_after_s {
+            reply.headers.insert(RETRY_AFTER, seconds.into());
+        }
+        reply
     }
-    reply
-}
 
-/// A backend server's whole answer.
-pub fn whole(whole: &Arc<Whole>) -> Reply {
-    let mut reply = Response::new(Full::new(whole.body.clone()));
-    *reply.status_mut() = StatusCode::from_u16(whole.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    for (name, value) in &whole.headers {
-        let name = hyper::header::HeaderName::from_bytes(name.as_bytes());
-        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
-            reply.headers_mut().append(name, value);
+    /// A backend server's whole answer.
+    pub fn whole(whole: &Whole, dialect: &Dialect) -> Self {
+        let mut headers = whole.headers.clone();
+        if let Some(outcome) = &dialect.outcome {
+            headers.insert(outcome, HeaderValue::from_static("complete"));
         }
+        Self { status: whole.status, headers, body: whole.body.clone(), close: false }
     }
-    reply.headers_mut().insert(OUTCOME, HeaderValue::from_static("complete"));
-    reply
-}
 
-/// `value` as JSON.
-pub fn json<T: Serialize>(value: &T) -> Reply {
-    let text = serde_json::to_vec(value).unwrap_or_default();
-    let mut reply = Response::new(Full::new(text.into()));
-    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    reply
+    /// Writes the answer to a request with `method`.
+    pub fn write(&self, out: &mut BytesMut, method: &Method, close: bool) {
+        let bodiless = matches!(self.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        let length = (!bodiless).then_some(self.body.len());
+        h1::encode::response(out, self.status, &self.headers, length, close);
+        if *method != Method::HEAD && !bodiless {
+            out.extend_from_slice(&self.body);
+        }
+    }
 }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -10,7 +10,7 @@
 use config::configs::Settings;
 use config::policy::Policy;
 use dispatch::Engine;
-use dispatch::engine::Limits;
+use dispatch::engine::{Extra, Limits};
 use fleet::copy::Holder;
 use fleet::message::{Record, State};
 use fleet::roster::{Roster, Times};
@@ -18,8 +18,9 @@
 use steer::grant::Keeper;
 use steer::shift::Controller;
 
-use crate::backends::agents::Agents;
+use crate::backends::pool::Pool;
 use crate::clock::{self, Clock};
+use crate::dialect::Dialect;
 use crate::driver::Driver;
 use crate::metrics::Metrics;
 use crate::orders::Span;
@@ -35,6 +36,8 @@
 pub struct Context {
     /// Settings of this daemon.
     pub settings: Settings,
+    /// What callers and backend servers call the things that cross the wire.
+    pub dialect: Arc<Dialect>,
     /// The clock.
     pub clock: Clock,
     /// Random number of this process; no two are equal.
@@ -57,8 +60,8 @@
     pub steering: RwLock<Arc<Steering>>,
     /// Instances in the platform's list, and when it was read last.
     pub list: Mutex<(Vec<Instance>, Option<Time>)>,
-    /// Connections to backend servers.
-    pub agents: Agents,
+    /// Idle connections to backend servers.
+    pub pool: Pool,
     /// Requests under way.
     pub driver: Driver,
     /// Keys of non-idempotent requests.
@@ -76,7 +79,7 @@
 
 impl Context {
     /// The state of a daemon that starts with `settings`.
-    pub fn new(settings: Settings, runtime: tokio::runtime::Handle) -> Self {
+    pub fn new(settings: Settings, dialect: Dialect, runtime: tokio::runtime::Handle) -> Self {
         let clock = Clock::new();
         let now = clock.now();
         let incarnation = fastrand::u64(1..);
@@ -94,14 +97,16 @@
             queued: settings.dispatch.max_queued as usize,
             in_flight: settings.dispatch.max_in_flight as usize,
             poison: Duration::from_secs(settings.dispatch.poison_s),
+            extra: Extra::DEFAULT,
         };
         let keys = ledger::table::Limits {
             kept: Duration::from_secs(settings.platform.claim_kept_s),
             session_keys: SESSION_KEYS,
             answer_bytes: settings.dispatch.kept_answers_bytes,
         };
-        let kept = Duration::from_secs(settings.callers.answer_kept_s);
+        let kept = Duration::from_millis(settings.callers.answer_kept_ms);
         Self {
+            dialect: Arc::new(dialect),
             clock,
             incarnation,
             runtime,
@@ -113,7 +118,7 @@
             controller: Mutex::new(Controller::new(0, kept, now)),
             steering: RwLock::new(Arc::new(Steering::default())),
             list: Mutex::new((Vec::new(), None)),
-            agents: Agents::new(Duration::from_millis(settings.dispatch.connect_ms)),
+            pool: Pool::new(),
             driver: Driver::new(Engine::new(Vec::new(), limits, incarnation)),
             ledger: Mutex::new(Ledger::new(keys)),
             span: Mutex::new(None),
@@ -140,6 +145,19 @@
         Arc::clone(&self.steering.read().unwrap_or_else(std::sync::PoisonError::into_inner))
     }
 
+    /// A port of the event loop at `address`.
+    pub fn listen(&self, address: &str) -> std::io::Result<tokio::net::TcpListener> {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let _inside = self.runtime.enter();
+        tokio::net::TcpListener::from_std(listener)
+    }
+
+    /// The system says that the settings file has changed. Settings are read at the start only.
+    pub fn reload(&self) {
+        log::info!("life: reload asked for; settings are read at the start only, restart to take new ones");
+    }
+
     /// Whether the daemon was told to stop.
     pub fn stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -6,10 +6,14 @@
 use std::time::Duration;
 
 use base::error::Kind;
+use base::time::Time;
 use bytes::Bytes;
+use dispatch::backend::{BackendId, Report};
 use dispatch::engine::Arrival;
 use dispatch::{Action, Ending, Engine, Verdict};
+use http::{HeaderMap, Method};
 use tokio::sync::{Notify, oneshot};
+use tokio::task::AbortHandle;
 
 use crate::Context;
 use crate::backends::attempt;
@@ -31,19 +35,34 @@
     /// Its number.
     pub number: u64,
     /// HTTP method.
-    pub method: String,
+    pub method: Method,
     /// Path and query.
     pub target: String,
     /// Headers that concern the backend server.
-    pub headers: Vec<(String, String)>,
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// When the caller waits no longer, if it says so.
+    pub gives_up: Option<Time>,
     /// Whether running it twice is harmless.
     pub idempotent: bool,
     /// Set for a request that must run at most once.
     pub order: Option<Order>,
 }
 
+/// What dispatch has to know of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Submission {
+    /// Its class, by position.
+    pub class: usize,
+    /// Its fingerprint: equal for a request that is sent again.
+    pub fingerprint: u64,
+    /// How long the caller waits, if it says so.
+    pub limit: Option<Duration>,
+    /// The object that it is about, hashed.
+    pub object: Option<u64>,
+}
+
 /// What a caller's request comes to.
 pub type Outcome = Result<Arc<Whole>, Kind>;
 
@@ -59,6 +78,8 @@
     engine: Mutex<Engine>,
     pending: Mutex<BTreeMap<u64, Pending>>,
     answers: Mutex<BTreeMap<u64, Arc<Whole>>>,
+    /// Attempts under way.
+    running: Mutex<BTreeMap<u64, AbortHandle>>,
     next: AtomicU64,
     changed: Notify,
 }
@@ -70,6 +91,7 @@
             engine: Mutex::new(engine),
             pending: Mutex::new(BTreeMap::new()),
             answers: Mutex::new(BTreeMap::new()),
+            running: Mutex::new(BTreeMap::new()),
             next: AtomicU64::new(1),
             changed: Notify::const_new(),
         }
@@ -85,11 +107,12 @@
         &self,
         context: &Arc<Context>,
         outgoing: Arc<Outgoing>,
-        class: usize,
-        fingerprint: u64,
+        submission: Submission,
     ) -> oneshot::Receiver<Outcome> {
         let (reply, outcome) = oneshot::channel();
-        let arrival = Arrival { request: outgoing.number, class, fingerprint, bytes: outgoing.body.len() as u64 };
+        let Submission { class, fingerprint, limit, object } = submission;
+        let bytes = outgoing.body.len() as u64;
+        let arrival = Arrival { request: outgoing.number, class, fingerprint, bytes, limit, object };
         lock(&self.pending).insert(outgoing.number, Pending { outgoing, reply });
         let now = context.now();
         self.with(context, |engine| engine.submit(arrival, now));
@@ -106,6 +129,7 @@
     /// An attempt ended; `whole` is its answer, if it has one.
     pub fn finish(&self, context: &Arc<Context>, attempt: u64, ending: Ending, whole: Option<Arc<Whole>>) {
         context.metrics.attempts.with_label_values(&[ending_name(ending)]).inc();
+        lock(&self.running).remove(&attempt);
         if let Some(whole) = whole {
             lock(&self.answers).insert(attempt, whole);
         }
@@ -141,15 +165,37 @@
     fn perform(&self, context: &Arc<Context>, action: Action) {
         match action {
             Action::Start { request, attempt, backend, deadline, again } => {
-                let outgoing = lock(&self.pending).get(&request).map(|pending| Arc::clone(&pending.outgoing));
                 let sending = attempt::Sending { attempt, backend, deadline, again };
-                attempt::start(context, outgoing, sending);
+                self.start(context, request, sending);
+            }
+            Action::Cancel { attempt, backend } => {
+                attempt::cancel(context, attempt, backend);
+                let running = lock(&self.running).remove(&attempt);
+                if let Some(running) = running {
+                    running.abort();
+                    self.finish(context, attempt, Ending::Cancelled, None);
+                }
             }
-            Action::Cancel { attempt, backend } => attempt::cancel(context, attempt, backend),
             Action::Answer { request, verdict } => self.answer(request, verdict),
         }
     }
 
+    fn start(&self, context: &Arc<Context>, request: u64, sending: attempt::Sending) {
+        let outgoing = lock(&self.pending).get(&request).map(|pending| Arc::clone(&pending.outgoing));
+        let Some(outgoing) = outgoing else {
+            return self.finish(context, sending.attempt, Ending::Withheld(Kind::Expired), None);
+        };
+        // The map is locked so that an attempt that ends at once finds itself in it.
+        let mut running = lock(&self.running);
+        let task = context.runtime.spawn(attempt::run(Arc::clone(context), outgoing, sending));
+        running.insert(sending.attempt, task.abort_handle());
+    }
+
+    /// Takes in a load report that came with an answer; it is acted on when that answer is.
+    pub fn note_report(&self, backend: BackendId, report: Report) {
+        lock(&self.engine).note_report(backend, report);
+    }
+
     fn answer(&self, request: u64, verdict: Verdict) {
         let Some(pending) = lock(&self.pending).remove(&request) else {
             return;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod callers;
 pub mod clock;
 pub mod context;
+pub mod dialect;
 pub mod driver;
 pub mod grants;
 pub mod life;
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -1,19 +1,23 @@
 //! From start to graceful stop.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use config::configs::Settings;
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
+use crate::dialect::Dialect;
 use crate::{Context, operators, plugin, policies};
 
-/// Threads that run sockets.
-const SOCKET_THREADS: usize = 2;
-/// Threads beyond those of attempts: cancellations, claims to delete.
-const SPARE_THREADS: usize = 32;
+/// Threads for calls that block: claims of orders.
+const BLOCKING_THREADS: usize = 64;
 /// Time between two looks at what is still open.
 const LOOK: Duration = Duration::from_millis(20);
+/// Time for what is left when the parts are closed.
+const LAST: Duration = Duration::from_secs(1);
+/// Exit code of a daemon that is told to stop a second time.
+const EXIT_AT_ONCE: i32 = 1;
 
 /// Why a daemon did not run.
 #[derive(Debug, thiserror::Error)]
@@ -32,22 +36,53 @@
 /// The result of running a daemon.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Runs a daemon until it is told to stop by a signal.
-pub fn run(settings: Settings) -> Result<()> {
-    let stop = Arc::new(AtomicBool::new(false));
-    let now = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        // A second signal ends the process at once.
-        signal_hook::flag::register_conditional_shutdown(signal, 1, Arc::clone(&now))?;
-        signal_hook::flag::register(signal, Arc::clone(&stop))?;
+/// Runs a daemon on this thread until it is told to stop by a signal.
+pub fn run(settings: Settings, dialect: Dialect) -> Result<()> {
+    let runtime = Builder::new_current_thread().max_blocking_threads(BLOCKING_THREADS).enable_all().build()?;
+    let mut signals = {
+        let _inside = runtime.enter();
+        Signals::new()?
+    };
+    let mut daemon = Daemon::start_on(runtime, settings, dialect)?;
+    let context = Arc::clone(&daemon.context);
+    daemon.runtime.block_on(async {
+        signals.stop(&context).await;
+        tokio::spawn(async move {
+            signals.stop(&context).await;
+            std::process::exit(EXIT_AT_ONCE);
+        });
+        stop(&daemon.context, &mut daemon.kernel).await;
+    });
+    daemon.runtime.shutdown_timeout(LAST);
+    Ok(())
+}
+
+/// Signals of the system.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    fn new() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            reload: signal(SignalKind::hangup())?,
+        })
     }
-    let daemon = Daemon::start(settings)?;
-    while !stop.load(Ordering::Relaxed) {
-        std::thread::sleep(LOOK);
+
+    /// Waits until the daemon is told to stop.
+    async fn stop(&mut self, context: &Context) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.reload.recv() => context.reload(),
+            }
+        }
     }
-    now.store(true, Ordering::Relaxed);
-    daemon.stop();
-    Ok(())
 }
 
 /// A running daemon.
@@ -55,19 +90,19 @@
 pub struct Daemon {
     context: Arc<Context>,
     kernel: kernel::Kernel,
-    runtime: tokio::runtime::Runtime,
+    runtime: Runtime,
 }
 
 impl Daemon {
-    /// Starts all plug-ins.
-    pub fn start(settings: Settings) -> Result<Self> {
-        let blocking = settings.dispatch.max_in_flight as usize + SPARE_THREADS;
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(SOCKET_THREADS)
-            .max_blocking_threads(blocking)
-            .enable_all()
-            .build()?;
-        let context = Arc::new(Context::new(settings, runtime.handle().clone()));
+    /// Starts all plug-ins on threads of their own.
+    pub fn start(settings: Settings, dialect: Dialect) -> Result<Self> {
+        let mut builder = Builder::new_multi_thread();
+        let runtime = builder.worker_threads(1).max_blocking_threads(BLOCKING_THREADS).enable_all().build()?;
+        Self::start_on(runtime, settings, dialect)
+    }
+
+    fn start_on(runtime: Runtime, settings: Settings, dialect: Dialect) -> Result<Self> {
+        let context = Arc::new(Context::new(settings, dialect, runtime.handle().clone()));
         policies::from_settings(&context)?;
         let kernel = kernel::Kernel::start(plugin::all(), &context)?;
         let readiness = operators::readiness(&context);
@@ -86,18 +121,26 @@
         &self.context
     }
 
-    /// Stops gracefully: withdraws, waits until callers forgot old answers, finishes all work, closes.
+    /// Stops gracefully.
     pub fn stop(mut self) {
-        log::info!("life: stopping");
-        self.context.stop();
-        self.kernel.withdraw();
-        std::thread::sleep(Duration::from_secs(self.context.settings.callers.answer_kept_s));
-        let drained = self.kernel.drain(LOOK, |pause| {
-            std::thread::sleep(pause);
-            true
-        });
-        self.kernel.close();
-        log::info!("life: stopped drained={drained}");
-        self.runtime.shutdown_timeout(Duration::from_secs(1));
+        self.runtime.block_on(stop(&self.context, &mut self.kernel));
+        self.runtime.shutdown_timeout(LAST);
+    }
+}
+
+/// Withdraws, waits until callers forgot old answers, finishes all work, closes.
+async fn stop(context: &Arc<Context>, kernel: &mut kernel::Kernel) {
+    let begun = context.now();
+    log::info!("life: stopping");
+    context.stop();
+    kernel.withdraw();
+    tokio::time::sleep(Duration::from_millis(context.settings.callers.answer_kept_ms)).await;
+    let limit = Duration::from_millis(context.settings.callers.stop_ms);
+    let mut drained = kernel.drained();
+    while !drained && context.now().since(begun) < limit {
+        tokio::time::sleep(LOOK).await;
+        drained = kernel.drained();
     }
+    kernel.close();
+    log::info!("life: stopped drained={drained} after_ms={}", context.now().since(begun).as_millis());
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use config::configs::Settings;
+use daemon::dialect::Dialect;
 use lexopt::prelude::{Long, Short, Value};
 
 /// Exit code of a wrong command line or wrong settings.
@@ -70,7 +71,7 @@
                 Err(error) => return fail(EXIT_USAGE, &error),
             };
             daemon::logs::start(&settings.log, &settings.instance);
-            if let Err(error) = daemon::life::run(settings) {
+            if let Err(error) = daemon::life::run(settings, Dialect::own()) {
                 return fail(EXIT_FAILED, &error);
             }
         }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -25,6 +25,8 @@
     pub in_flight: IntGauge,
     /// Connections of callers.
     pub connections: IntGauge,
+    /// Connections made to backend servers.
+    pub connects: IntCounter,
     /// Revision of the policy in force.
     pub policy_revision: IntGauge,
     /// Copies of the policy that were refused.
@@ -56,6 +58,7 @@
             queued: gauge(&registry, "hemlock_queued", "Requests that wait"),
             in_flight: gauge(&registry, "hemlock_in_flight", "Attempts in flight"),
             connections: gauge(&registry, "hemlock_connections", "Connections of callers"),
+            connects: counter(&registry, "hemlock_backend_connects_total", "Connections made to backend servers"),
             policy_revision: gauge(&registry, "hemlock_policy_revision", "Revision of the policy in force"),
             policy_refused: counter(&registry, "hemlock_policy_refused_total", "Copies of the policy refused"),
             exchanges: counters(&registry, "hemlock_exchanges_total", "Exchanges with peers", &["result"]),
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -33,7 +33,13 @@
     };
     let asked = context.runtime.block_on(client.word(incarnation, format!("{key:032x}")));
     match asked {
-        Ok(Word::Ran(packed)) => Known::Ran(Arc::new(packed.into())),
+        Ok(Word::Ran(packed)) => match Whole::try_from(packed) {
+            Ok(whole) => Known::Ran(Arc::new(whole)),
+            Err(error) => {
+                log::warn!("orders: claimant's answer not taken address={address} reason={error}");
+                Known::Unknown
+            }
+        },
         Ok(Word::Running) => Known::Running,
         Ok(Word::NeverRun) => Known::NeverRun,
         Ok(Word::Unknown) => Known::Unknown,
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -80,12 +80,14 @@
         .http_only()
         .build();
     let calls = Calls { context: Arc::clone(context) };
-    let built = context.runtime.block_on(async move {
-        let server = jsonrpsee::server::Server::builder().set_config(config).build(&address).await;
-        server.map(|server| server.start(calls.into_rpc())).map_err(|error| (address, error))
+    let _inside = context.runtime.enter();
+    let listener = std::net::TcpListener::bind(&address);
+    let built = listener.and_then(|listener| {
+        listener.set_nonblocking(true)?;
+        jsonrpsee::server::Server::builder().set_config(config).build_from_tcp(listener)
     });
-    let handle = built.map_err(|(address, error)| {
-        format!("key `fleet.address`: cannot listen at {address}: {error}; choose a free address")
-    })?;
+    let server = built
+        .map_err(|error| format!("key `fleet.address`: cannot listen at {address}: {error}; choose a free address"))?;
+    let handle = server.start(calls.into_rpc());
     Ok(Box::new(Port(Some(handle))))
 }
--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use config::policy::Policy;
+use config::policy::{Class, Policy};
 use dispatch::class;
+use dispatch::split::Part;
 use fleet::Copy;
 use steer::shift::Controller;
 
@@ -38,7 +39,7 @@
     /// Prepares `policy`; classes and services keep the positions they have in `before`.
     pub fn after(before: &Self, revision: u64, policy: Policy) -> Self {
         let classes = extend(&before.classes, policy.classes.keys());
-        let services = extend(&before.services, policy.classes.values().map(|class| &class.service));
+        let services = extend(&before.services, policy.classes.values().flat_map(Class::services));
         let regions = policy.regions.keys().cloned().collect();
         let table = Arc::new(steer::Table::from_policy(&policy));
         Self { revision, policy, classes, services, regions, table }
@@ -66,20 +67,22 @@
     /// What dispatch needs of a class; a class that is gone keeps its place and gets no work.
     fn spec(&self, name: &str) -> class::Spec {
         let Some(class) = self.policy.classes.get(name) else {
-            return class::Spec {
-                service: 0,
-                idempotent: false,
-                rank: u8::MAX,
-                deadline: Duration::from_secs(1),
-                may_wait: true,
-            };
+            let none = class::Spec::new(0, Duration::from_secs(1));
+            return class::Spec { idempotent: false, rank: u8::MAX, may_wait: true, ..none };
         };
+        let service = self.service(&class.service).unwrap_or_default();
+        let usual = class::Spec::new(service, Duration::from_millis(class.deadline_ms));
+        let split = class.split.iter().filter_map(|(name, weight)| Some((self.service(name)?, *weight)));
         class::Spec {
-            service: self.service(&class.service).unwrap_or_default(),
             idempotent: class.idempotent,
             rank: class.rank,
-            deadline: Duration::from_millis(class.deadline_ms),
+            target: Duration::from_millis(class.target_ms),
             may_wait: class.may_wait,
+            tries: if class.tries == 0 { usual.tries } else { class.tries as usize },
+            affinity: class.affinity,
+            regions: class.regions.iter().filter_map(|name| self.region(name)).collect(),
+            split: split.map(|(service, weight)| Part { service, weight }).collect(),
+            ..usual
         }
     }
 }
@@ -125,7 +128,7 @@
     let before = context.policy();
     let next = Arc::new(InForce::after(&before, revision, policy));
     if next.regions != before.regions {
-        let kept = Duration::from_secs(context.settings.callers.answer_kept_s);
+        let kept = Duration::from_millis(context.settings.callers.answer_kept_ms);
         *lock(&context.controller) = Controller::new(next.regions.len(), kept, now);
     }
     *context.in_force.write().unwrap_or_else(std::sync::PoisonError::into_inner) = Arc::clone(&next);
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -66,7 +66,7 @@
     let specs = specs(context, &used, &roster, &in_force);
     let backends: BTreeMap<BackendId, Instance> =
         used.into_iter().map(|instance| (backend_id(instance), instance.clone())).collect();
-    context.agents.keep(|backend| backends.contains_key(&backend));
+    context.pool.keep(|backend| backends.contains_key(&backend), now);
     let table = Arc::clone(&in_force.table);
     let steering = Arc::new(Steering { table, view, shares, backends });
     *context.steering.write().unwrap_or_else(std::sync::PoisonError::into_inner) = steering;
@@ -189,7 +189,7 @@
     let spec = |instance: &&Instance| {
         let id = backend_id(instance);
         let policy = &in_force.policy;
-        let drained = policy.instance_drained(&instance.name) || policy.domain_drained(&instance.domain);
+        let drained = policy.instance_drained(&instance.name) || policy.servers_drained(&instance.domain);
         let place = if instance.domain == settings.domain {
             Place::Domain
         } else if instance.region == settings.region {
@@ -204,6 +204,8 @@
             slots: instance.slots,
             leaving: drained || instance.state == Listed::Leaving,
             hosts: hosted(id),
+            region: in_force.region(&instance.region)?,
+            start: None,
         })
     };
     used.iter().filter_map(spec).collect()
--- a/crates/daemon/tests/port.rs
+++ b/crates/daemon/tests/port.rs
@@ -6,6 +6,7 @@
 
 use base::instance::{Instance, Role, State};
 use config::configs::Settings;
+use daemon::dialect::Dialect;
 use daemon::life::Daemon;
 use fakes::backend::{Running, Setup};
 use rstest::rstest;
@@ -45,7 +46,7 @@
         std::fs::write(&policy, POLICY).expect("the file can be written");
         let text = format!(
             "instance = \"e\"\ndomain = \"d\"\nregion = \"r\"\npolicy = \"{}\"\n\
-[callers]\naddress = \"127.0.{net}.1:7000\"\nheader_timeout_ms = 300\nbody_timeout_ms = 300\nmax_body_bytes = 1000\nmax_connections = 8\nanswer_kept_s = 0\n\
+[callers]\naddress = \"127.0.{net}.1:7000\"\nheader_timeout_ms = 300\nbody_timeout_ms = 300\nmax_body_bytes = 1000\nmax_connections = 8\nanswer_kept_ms = 0\n\
 [operators]\naddress = \"127.0.{net}.1:7100\"\n[fleet]\naddress = \"127.0.{net}.1:7200\"\n\
 [platform]\naddress = \"{}\"\n[list]\naddress = \"{}\"\npoll_ms = 50\n",
             policy.display(),
@@ -54,7 +55,7 @@
         );
         let settings = Settings::parse("test", &text).expect("the settings are good");
         let address = settings.callers.address.clone();
-        let daemon = Daemon::start(settings).expect("the daemon starts");
+        let daemon = Daemon::start(settings, Dialect::own()).expect("the daemon starts");
         let world = Self { backend, _list: list, store, daemon: Some(daemon), address };
         while !world.talk("GET /stock HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").starts_with("HTTP/1.1 200") {
             std::thread::sleep(Duration::from_millis(20));
@@ -177,6 +178,6 @@
         world.address
     );
     let settings = Settings::parse("test", &text).expect("the settings are good");
-    let error = Daemon::start(settings).expect_err("the address is taken").to_string();
+    let error = Daemon::start(settings, Dialect::own()).expect_err("the address is taken").to_string();
     assert!(error.contains("callers.address") && error.contains(&world.address), "{error}");
 }
--- a/crates/demo/tests/common/mod.rs
+++ b/crates/demo/tests/common/mod.rs
@@ -152,8 +152,9 @@
         let path = file.expect("the folder can be read").path();
         let text = std::fs::read_to_string(&path).expect("the file can be read");
         let text = text.replace("127.0.1.", &format!("127.0.{net}.")).replace("127.0.2.", &format!("127.0.{net}."));
-        let text =
-            text.replace("answer_ttl_s = 10", "answer_ttl_s = 1").replace("answer_kept_s = 10", "answer_kept_s = 2");
+        let text = text
+            .replace("answer_ttl_s = 10", "answer_ttl_s = 1")
+            .replace("answer_kept_ms = 10000", "answer_kept_ms = 2000");
         std::fs::write(to.join(path.file_name().expect("files have names")), text).expect("the file can be written");
     }
     to
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use base::rate::Bucket;
 use base::time::Time;
 
 /// Late answers in a row after which a server is ejected.
@@ -24,6 +25,10 @@
 const NEW_PART: f64 = 0.3;
 /// Largest ratio a single latency counts for, so that one straggler does not condemn a server.
 const MOST_RATIO: f64 = 8.0;
+/// Requests that one daemon sends at once to a server that starts cold.
+const COLD_BURST: f64 = 1.0;
+/// Time for which a server's word on its pace holds by half: neighbours come and go.
+const PACE_HALF_LIFE: Duration = Duration::from_millis(400);
 
 /// A backend server's number.
 pub type BackendId = u32;
@@ -40,7 +45,7 @@
 }
 
 /// What the platform's list and the policy say of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Spec {
     /// Its number; unique and never reused for another incarnation.
     pub id: BackendId,
@@ -54,15 +59,31 @@
     pub leaving: bool,
     /// Whether this daemon may run waiting work on it.
     pub hosts: bool,
+    /// Its region, by position.
+    pub region: u16,
+    /// How it starts, if it must not get its full work at once.
+    pub start: Option<Start>,
+}
+
+/// A slow start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Start {
+    /// Until when the server starts.
+    pub until: Time,
+    /// Requests a second that this daemon may send meanwhile, and whenever it is not known whether the server
+    /// has started anew; zero if that is left to other daemons.
+    pub per_second: f64,
 }
 
 /// A load report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Report {
     /// Requests running or waiting at the server, from all daemons.
     pub load: u32,
     /// Whether the server says that it is about to stop.
     pub draining: bool,
+    /// How long work takes there now, as a multiple of the usual, if it says so.
+    pub pace: Option<f64>,
     /// When the report was true.
     pub at: Time,
 }
@@ -92,13 +113,21 @@
     /// Whether the server must prove itself with one request.
     trial: bool,
     answered: u32,
+    /// Paces the requests to a server that starts.
+    gate: Bucket,
+    pace: f64,
+    pace_noted: Time,
 }
 
 impl Backend {
     /// A server that nothing is known of; it starts slowly.
-    pub const fn new(spec: Spec) -> Self {
+    pub fn new(spec: Spec, now: Time) -> Self {
+        let per_second = spec.start.map_or(0.0, |start| start.per_second);
         Self {
             spec,
+            gate: Bucket::new(per_second, COLD_BURST, now),
+            pace: 1.0,
+            pace_noted: Time::ZERO,
             in_flight: 0,
             waiting_in_flight: 0,
             late: 0,
@@ -124,11 +153,33 @@
         let part = if self.report.is_some() { REPORT_PART } else { 1.0 };
         self.reported += part * (load - self.reported);
         self.report = Some(report);
+        if let Some(pace) = report.pace {
+            self.pace = pace;
+            self.pace_noted = report.at;
+        }
+    }
+
+    /// How long work takes there, as a multiple of the usual, as far as its last word still tells.
+    pub fn pace(&self, now: Time) -> f64 {
+        let halves = now.since(self.pace_noted).as_secs_f64() / PACE_HALF_LIFE.as_secs_f64();
+        1.0 + (self.pace - 1.0) * 0.5_f64.powf(halves)
+    }
+
+    /// Whether a server that starts, or may have started anew, can be sent a request now.
+    pub fn admits(&self, now: Time) -> bool {
+        !self.starts(now) || self.gate.clone().level(now) >= 1.0
+    }
+
+    fn starts(&self, now: Time) -> bool {
+        self.spec.start.is_some_and(|start| now < start.until || self.trial)
     }
 
     /// One of our attempts starts there.
     pub fn start(&mut self, waits: bool, now: Time) {
         self.note_own(now);
+        if self.starts(now) {
+            self.gate.charge(1.0, now);
+        }
         self.in_flight += 1;
         self.waiting_in_flight += u32::from(waits);
     }
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -14,6 +14,13 @@
         Self { earned_per_request, most, level: most }
     }
 
+    /// Changes what is earned and how much can be saved up.
+    pub fn set(&mut self, earned_per_request: f64, most: f64) {
+        self.earned_per_request = earned_per_request;
+        self.most = most;
+        self.level = self.level.min(most);
+    }
+
     /// Earns for one request.
     pub fn earn(&mut self) {
         self.level = (self.level + self.earned_per_request).min(self.most);
--- a/crates/dispatch/src/class.rs
+++ b/crates/dispatch/src/class.rs
@@ -5,10 +5,9 @@
 
 use base::time::Time;
 
-/// Latencies kept for the typical one.
-const SAMPLES: usize = 128;
-/// Samples between two computations of the typical latency.
-const REFRESH: usize = 16;
+use crate::samples::Samples;
+use crate::split::{Part, Split};
+
 /// Typical latency before anything was seen.
 const FIRST_TYPICAL: Duration = Duration::from_millis(50);
 /// Answer size before anything was seen, in bytes.
@@ -19,6 +18,10 @@
 const LATE: u32 = 4;
 /// The same for an attempt at a server that must prove itself.
 const LATE_ON_TRIAL: u32 = 2;
+/// How much longer work on an object takes at a server that has not handled it lately, before any was seen.
+const FIRST_COLD: u32 = 3;
+/// Servers that one request is sent to at most, hedges included, where nothing else is declared.
+const TRIES: usize = 4;
 
 /// What operators declare of a class, as far as dispatch needs it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -29,10 +32,43 @@
     pub idempotent: bool,
     /// Rank in the order of loss: 0 is kept longest.
     pub rank: u8,
+    /// Time within which an answer counts as good.
+    pub target: Duration,
     /// Time after which an answer is of no use.
     pub deadline: Duration,
     /// Whether the work may wait but must finish.
     pub may_wait: bool,
+    /// Servers that one request is sent to at most, hedges included.
+    pub tries: usize,
+    /// Whether servers work faster on an object that they handled lately.
+    pub affinity: bool,
+    /// Regions that may run the work, by position; empty for all.
+    pub regions: Vec<u16>,
+    /// Services that share the work in place of `service`; empty for none.
+    pub split: Vec<Part>,
+}
+
+impl Spec {
+    /// Idempotent work of `service` that nobody waits for longer than `deadline`.
+    pub const fn new(service: u16, deadline: Duration) -> Self {
+        Self {
+            service,
+            idempotent: true,
+            rank: 0,
+            target: deadline,
+            deadline,
+            may_wait: false,
+            tries: TRIES,
+            affinity: false,
+            regions: Vec::new(),
+            split: Vec::new(),
+        }
+    }
+
+    /// Whether the servers of `region` may run the work.
+    pub fn allows(&self, region: u16) -> bool {
+        self.regions.is_empty() || self.regions.contains(&region)
+    }
 }
 
 /// A class with its queue and its recent latencies.
@@ -44,48 +80,72 @@
     pub queue: VecDeque<u64>,
     /// Attempts in flight.
     pub in_flight: u32,
-    latencies: VecDeque<u32>,
-    fresh: usize,
-    typical: Duration,
+    latencies: Samples,
+    /// Latencies at servers that had handled the object lately, and at others.
+    warm: Samples,
+    cold: Samples,
+    split: Split,
     size: f64,
 }
 
 impl Class {
     /// A class that nothing is known of.
-    pub const fn new(spec: Spec) -> Self {
+    pub fn new(spec: Spec) -> Self {
+        let first = FIRST_TYPICAL.min(spec.target);
         Self {
-            spec,
             queue: VecDeque::new(),
             in_flight: 0,
-            latencies: VecDeque::new(),
-            fresh: 0,
-            typical: FIRST_TYPICAL,
+            latencies: Samples::new(FIRST_TYPICAL),
+            warm: Samples::new(first),
+            cold: Samples::new(first * FIRST_COLD),
+            split: Split::new(&spec.split),
+            spec,
             size: FIRST_SIZE,
         }
     }
 
+    /// Takes new targets.
+    pub fn declare(&mut self, spec: Spec) {
+        if !self.split.is_between(&spec.split) {
+            self.split = Split::new(&spec.split);
+        }
+        self.spec = spec;
+    }
+
+    /// The service of the next request.
+    pub fn next_service(&mut self) -> u16 {
+        self.split.deal().unwrap_or(self.spec.service)
+    }
+
+    /// Takes in the latency of work on an object at a server that was `warm` or not.
+    pub fn note_keyed(&mut self, latency: Duration, warm: bool) {
+        if warm { self.warm.note(latency) } else { self.cold.note(latency) }
+    }
+
+    /// Usual time of work on an object that its server handled lately.
+    pub fn warm(&self) -> Duration {
+        self.warm.median().min(self.cold.median())
+    }
+
+    /// Usual time of work on an object that is new to its server.
+    pub fn cold(&self) -> Duration {
+        if self.cold.is_empty() { self.warm.median() * FIRST_COLD } else { self.cold.median() }
+    }
+
     /// Takes in the latency and the answer size of one answered attempt.
     pub fn note(&mut self, latency: Duration, bytes: u64) {
         self.size = (self.size * SIZE_FADE).max(bytes as f64);
-        if self.latencies.len() == SAMPLES {
-            self.latencies.pop_front();
-        }
-        self.latencies.push_back(latency.as_micros().min(u128::from(u32::MAX)) as u32);
-        self.fresh += 1;
-        if self.fresh >= REFRESH || self.latencies.len() < REFRESH {
-            self.fresh = 0;
-            self.typical = self.median();
-        }
+        self.latencies.note(latency);
     }
 
     /// The median of recent latencies; a third of slow servers does not move it far.
     pub const fn typical(&self) -> Duration {
-        self.typical
+        self.latencies.median()
     }
 
     /// Age from which an attempt is late; sooner at a server on `trial`.
     pub fn late_after(&self, trial: bool) -> Duration {
-        self.typical * if trial { LATE_ON_TRIAL } else { LATE }
+        self.typical() * if trial { LATE_ON_TRIAL } else { LATE }
     }
 
     /// A size that answers seldom pass, in bytes.
@@ -97,11 +157,4 @@
     pub fn aged(&self, arrived: Time, now: Time) -> bool {
         self.spec.may_wait && now.since(arrived) > self.spec.deadline / 4
     }
-
-    fn median(&self) -> Duration {
-        let mut sorted: Vec<u32> = self.latencies.iter().copied().collect();
-        let middle = sorted.len() / 2;
-        let (_, median, _) = sorted.select_nth_unstable(middle);
-        Duration::from_micros(u64::from(*median).max(1))
-    }
 }
--- a/crates/dispatch/src/engine/ending.rs
+++ b/crates/dispatch/src/engine/ending.rs
@@ -5,9 +5,6 @@
 
 use super::{Attempt, Ending, Engine, Verdict};
 
-/// Attempts of one request at most, hedges included.
-const MOST_TRIES: usize = 4;
-
 impl Engine {
     /// Takes an ended attempt out of the server's, the class's and the link's books.
     pub(super) fn settle(&mut self, ended: &Attempt, ending: Ending, now: Time) {
@@ -27,9 +24,14 @@
         let may_eject = ending == Ending::Timeout && self.may_eject(ended.backend);
         let latency = now.since(ended.started);
         let class = &mut self.classes[ended.class];
-        let typical = class.typical();
+        let typical = match ended.warm {
+            Some(true) => class.warm(),
+            Some(false) => class.cold(),
+            None => class.typical(),
+        };
         if matches!(ending, Ending::Answered(_)) {
             class.note(latency, bytes);
+            ended.warm.into_iter().for_each(|warm| class.note_keyed(latency, warm));
         }
         let Some(backend) = self.backends.get_mut(&ended.backend) else {
             return;
@@ -93,10 +95,11 @@
         }
         let idempotent = self.classes[state.class].spec.idempotent;
         let safe = idempotent || state.touched.is_none();
-        let tries_left = state.tries < MOST_TRIES;
+        let tries_left = state.tries < self.classes[state.class].spec.tries;
         let poisoned = self.poison.refuses(state.fingerprint, now);
         let late = now >= state.deadline;
-        if !safe || !tries_left || poisoned || late || !self.retries.spend() {
+        let service = state.service;
+        if !safe || !tries_left || poisoned || late || !(self.retries.spend() && self.repeats(service).spend()) {
             return self.refuse(request, kind);
         }
         self.enqueue(request, true);
--- a/crates/dispatch/src/engine/event.rs
+++ b/crates/dispatch/src/engine/event.rs
@@ -82,6 +82,17 @@
     pub fingerprint: u64,
     /// Size of the request, in bytes.
     pub bytes: u64,
+    /// How long its caller waits, if it says so.
+    pub limit: Option<Duration>,
+    /// The object that it is about, hashed.
+    pub object: Option<u64>,
+}
+
+impl Arrival {
+    /// A request of `class` whose caller says nothing of how long it waits.
+    pub const fn new(request: u64, class: usize, fingerprint: u64, bytes: u64) -> Self {
+        Self { request, class, fingerprint, bytes, limit: None, object: None }
+    }
 }
 
 /// The part of another region and of the link to it that this daemon may use.
@@ -94,7 +105,7 @@
 }
 
 /// Limits of an engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limits {
     /// Requests that wait at most.
     pub queued: usize,
@@ -102,4 +113,35 @@
     pub in_flight: usize,
     /// How long a request that crashed servers is refused.
     pub poison: Duration,
+    /// Extra work that may be caused.
+    pub extra: Extra,
+}
+
+/// Extra work that may be caused.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Extra {
+    /// Part of a hedge that each request earns.
+    pub hedge_part: f64,
+    /// Hedges that can be saved up.
+    pub hedges_saved: f64,
+    /// Part of a retry that each request earns.
+    pub retry_part: f64,
+    /// Retries that can be saved up.
+    pub retries_saved: f64,
+    /// Part of a hedge or retry of one service that each request for it earns.
+    pub repeat_part: f64,
+    /// Hedges and retries of one service that can be saved up.
+    pub repeats_saved: f64,
+}
+
+impl Extra {
+    /// What one daemon may cause where nothing else is set.
+    pub const DEFAULT: Self = Self {
+        hedge_part: 0.03,
+        hedges_saved: 5.0,
+        retry_part: 0.1,
+        retries_saved: 10.0,
+        repeat_part: 1.0,
+        repeats_saved: 100.0,
+    };
 }
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -2,6 +2,7 @@
 
 mod ending;
 mod event;
+mod keyed;
 mod pick;
 #[cfg(feature = "policies")]
 pub mod policy;
@@ -14,26 +15,21 @@
 use base::rate;
 use base::time::Time;
 
-pub use self::event::{Action, Arrival, Ending, Limits, Remote, Verdict};
+pub use self::event::{Action, Arrival, Ending, Extra, Limits, Remote, Verdict};
 use crate::backend::{Backend, BackendId, Place, Report, Spec};
 use crate::budget::Budget;
 use crate::class::{self, Class};
 use crate::poison::Poison;
+use crate::warmth::Warmth;
 
-/// Part of a hedge that each request earns.
-const HEDGE_PART: f64 = 0.03;
-/// Hedges that can be saved up.
-const HEDGES_SAVED: f64 = 5.0;
-/// Part of a retry that each request earns.
-const RETRY_PART: f64 = 0.1;
-/// Retries that can be saved up.
-const RETRIES_SAVED: f64 = 10.0;
 /// Time after which waiting requests are looked at again.
 const LOOK_AGAIN: Duration = Duration::from_millis(2);
 
 #[derive(Debug, Clone)]
 struct Request {
     class: usize,
+    service: u16,
+    object: Option<u64>,
     fingerprint: u64,
     bytes: u64,
     arrived: Time,
@@ -53,6 +49,8 @@
 struct Attempt {
     request: u64,
     class: usize,
+    /// Whether the server had handled the request's object lately; `None` for a request about none.
+    warm: Option<bool>,
     backend: BackendId,
     started: Time,
     late_at: Time,
@@ -93,6 +91,9 @@
     queued: usize,
     hedges: Budget,
     retries: Budget,
+    /// Hedges and retries together, by service.
+    repeats: BTreeMap<u16, Budget>,
+    warmth: Warmth,
     poison: Poison,
     losses: Vec<(u64, u64)>,
     salt: u64,
@@ -119,8 +120,10 @@
             looking: None,
             next_attempt: 0,
             queued: 0,
-            hedges: Budget::new(HEDGE_PART, HEDGES_SAVED),
-            retries: Budget::new(RETRY_PART, RETRIES_SAVED),
+            hedges: Budget::new(limits.extra.hedge_part, limits.extra.hedges_saved),
+            retries: Budget::new(limits.extra.retry_part, limits.extra.retries_saved),
+            repeats: BTreeMap::new(),
+            warmth: Warmth::new(),
             poison: Poison::new(limits.poison),
             losses: Vec::new(),
             salt: seed,
@@ -138,7 +141,7 @@
     pub fn set_classes(&mut self, specs: Vec<class::Spec>) {
         for (index, spec) in specs.into_iter().enumerate() {
             match self.classes.get_mut(index) {
-                Some(class) => class.spec = spec,
+                Some(class) => class.declare(spec),
                 None => self.classes.push(Class::new(spec)),
             }
         }
@@ -156,7 +159,7 @@
                     backend.spec = spec;
                     backend
                 }
-                None => Backend::new(spec),
+                None => Backend::new(spec, now),
             };
             kept.insert(backend.spec.id, backend);
         }
@@ -166,6 +169,7 @@
                 kept.insert(id, gone);
             }
         }
+        self.warmth.keep(|id| kept.contains_key(&id));
         self.backends = kept;
         self.index();
         self.pump(now);
@@ -183,6 +187,23 @@
         channel.bucket.set_rate(remote.bytes_per_second, burst, now);
     }
 
+    /// Changes how much extra work may be caused from now on.
+    pub fn set_extra(&mut self, extra: Extra) {
+        self.limits.extra = extra;
+        self.hedges.set(extra.hedge_part, extra.hedges_saved);
+        self.retries.set(extra.retry_part, extra.retries_saved);
+        for repeats in self.repeats.values_mut() {
+            repeats.set(extra.repeat_part, extra.repeats_saved);
+        }
+    }
+
+    /// Takes in a load report that came with an answer; what waits is looked at when that answer is taken in.
+    pub fn note_report(&mut self, backend: BackendId, report: Report) {
+        if let Some(backend) = self.backends.get_mut(&backend) {
+            backend.report(report);
+        }
+    }
+
     /// Takes in a load report of a backend server.
     pub fn report(&mut self, backend: BackendId, report: Report, now: Time) {
         if let Some(backend) = self.backends.get_mut(&backend) {
@@ -234,15 +255,20 @@
 
     /// A new request; its answer comes as an action.
     pub fn submit(&mut self, arrival: Arrival, now: Time) {
-        let Arrival { request, class, fingerprint, bytes } = arrival;
+        let Arrival { request, class, fingerprint, bytes, limit, object } = arrival;
+        let service = self.classes[class].next_service();
         self.hedges.earn();
         self.retries.earn();
+        self.repeats(service).earn();
         if let Some(kind) = self.refusal(class, fingerprint, now) {
             return self.answer(request, Verdict::Refuse(kind));
         }
-        let deadline = now + self.classes[class].spec.deadline;
+        let spec = &self.classes[class].spec;
+        let deadline = now + limit.map_or(spec.deadline, |limit| limit.min(spec.deadline));
         let state = Request {
             class,
+            service,
+            object: object.filter(|_| spec.affinity).map(|object| base::hash::pair(object, class as u64)),
             fingerprint,
             bytes,
             arrived: now,
@@ -316,6 +342,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    fn repeats(&mut self, service: u16) -> &mut Budget {
+        let extra = self.limits.extra;
+        self.repeats.entry(service).or_insert_with(|| Budget::new(extra.repeat_part, extra.repeats_saved))
+    }
+
     fn index(&mut self) {
         let services = self.backends.values().map(|backend| backend.spec.service).max().map_or(0, |most| most + 1);
         self.tiers = vec![[Vec::new(), Vec::new()]; usize::from(services)];
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -37,7 +37,10 @@
             return self.pick_plain(request);
         }
         let state = self.requests.get(&request)?.clone();
-        let service = usize::from(self.classes[state.class].spec.service);
+        if let Some(object) = state.object {
+            return self.pick_keyed(&state, object, now);
+        }
+        let service = usize::from(state.service);
         let near = self.pick_tier(service, 0, &state, now);
         let slow = near.and_then(|id| self.backends.get(&id)).is_some_and(|server| server.ratio() >= SLOW);
         let away = if near.is_some() { slow } else { self.remote_allowed(service, &state, now) };
@@ -68,12 +71,14 @@
             return;
         };
         let late_at = now + class.late_after(server.suspect());
+        let object = state.object;
+        let warm = object.map(|object| !self.warmth.touch(backend, object));
         server.start(waits, now);
         let place = server.spec.place;
         let reserved = self.reserve(place, bytes as f64, answer_bytes, now);
         self.next_attempt += 1;
         let attempt = self.next_attempt;
-        let started = Attempt { request, class: index, backend, started: now, late_at, late: false, reserved };
+        let started = Attempt { request, class: index, warm, backend, started: now, late_at, late: false, reserved };
         self.attempts.insert(attempt, started);
         self.timers.insert((late_at, Timer::Late(attempt)));
         let Some(state) = self.requests.get_mut(&request) else {
@@ -105,11 +110,15 @@
         let Some(state) = self.requests.get(&request) else {
             return;
         };
+        if state.tries >= spec.tries {
+            return;
+        }
         if !spec.idempotent || spec.may_wait || state.hedged || state.live.len() != 1 || state.queued {
             return;
         }
+        let service = state.service;
         let Some(second) = self.pick(request, now) else { return };
-        if !self.hedges.spend() {
+        if !(self.hedges.spend() && self.repeats(service).spend()) {
             return;
         }
         if let Some(state) = self.requests.get_mut(&request) {
@@ -135,12 +144,15 @@
     /// Why `request` can never be sent before its deadline, if so.
     pub(super) fn impossible(&self, request: u64) -> Option<Kind> {
         let state = self.requests.get(&request)?;
-        let service = usize::from(self.classes[state.class].spec.service);
+        let service = usize::from(state.service);
         let Some(tiers) = self.tiers.get(service) else {
             return Some(Kind::NoBackend);
         };
         let ids = || tiers.iter().flatten().filter_map(|id| self.backends.get(id));
-        let serves = |server: &&Backend| !server.leaving() && !state.barred.contains(&server.spec.id);
+        let spec = &self.classes[state.class].spec;
+        let serves = |server: &&Backend| {
+            !server.leaving() && !state.barred.contains(&server.spec.id) && spec.allows(server.spec.region)
+        };
         let reached = |server: &&Backend| !server.closed(state.deadline);
         let granted = |server: &&Backend| self.granted(server.spec.place);
         if !ids().any(|server| serves(&server)) {
@@ -209,10 +221,13 @@
         if server.leaving() || server.closed(now) || server.in_flight >= server.limit() {
             return false;
         }
-        if state.barred.contains(&server.spec.id) {
+        if state.barred.contains(&server.spec.id) || !server.admits(now) {
             return false;
         }
         let spec = &self.classes[state.class].spec;
+        if !spec.allows(server.spec.region) {
+            return false;
+        }
         // A server on trial gets nothing that must not run twice.
         if server.suspect() && !spec.idempotent && self.others_usable(server, now) {
             return false;
@@ -272,7 +287,7 @@
     }
 
     /// Whether the link and the other region have room within our share.
-    fn channel_open(&self, place: Place, state: &Request, now: Time) -> bool {
+    pub(super) fn channel_open(&self, place: Place, state: &Request, now: Time) -> bool {
         let Place::Remote(region) = place else { return true };
         let Some(channel) = self.channels.get(&region) else {
             return false;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,9 @@
 pub mod class;
 pub mod engine;
 pub mod poison;
+pub mod samples;
+pub mod split;
 pub mod subset;
+pub mod warmth;
 
 pub use engine::{Action, Ending, Engine, Verdict};
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -8,25 +8,25 @@
 use base::time::Time;
 use dispatch::backend::{BackendId, Place, Report, Spec};
 use dispatch::class;
-use dispatch::engine::{Arrival, Limits, Remote};
+use dispatch::engine::{Arrival, Extra, Limits, Remote};
 use dispatch::{Action, Ending, Engine, Verdict};
 
 pub const LOOKUP: usize = 0;
 pub const ORDER: usize = 1;
 pub const BULK: usize = 2;
 
-pub const LIMITS: Limits = Limits { queued: 512, in_flight: 64, poison: Duration::from_mins(10) };
+pub const LIMITS: Limits =
+    Limits { queued: 512, in_flight: 64, poison: Duration::from_mins(10), extra: Extra::DEFAULT };
 
 pub fn classes() -> Vec<class::Spec> {
-    let lookup =
-        class::Spec { service: 0, idempotent: true, rank: 1, deadline: Duration::from_secs(1), may_wait: false };
+    let lookup = class::Spec { rank: 1, ..class::Spec::new(0, Duration::from_secs(1)) };
     let order = class::Spec { idempotent: false, rank: 0, deadline: Duration::from_secs(4), ..lookup.clone() };
     let bulk = class::Spec { rank: 2, deadline: Duration::from_mins(1), may_wait: true, ..lookup.clone() };
     vec![lookup, order, bulk]
 }
 
 pub fn backend(id: BackendId, place: Place) -> Spec {
-    Spec { id, service: 0, place, slots: 3, leaving: false, hosts: true }
+    Spec { id, service: 0, place, slots: 3, leaving: false, hosts: true, region: 0, start: None }
 }
 
 /// What is known of one attempt.
@@ -94,7 +94,7 @@
         self.next += 1;
         let request = self.next;
         self.traces.insert(request, Trace { class, ..Trace::default() });
-        self.engine.submit(Arrival { request, class, fingerprint, bytes: 100 }, self.now);
+        self.engine.submit(Arrival::new(request, class, fingerprint, 100), self.now);
         self.settle();
         request
     }
@@ -110,7 +110,7 @@
     }
 
     pub fn report(&mut self, backend: BackendId, load: u32, draining: bool) {
-        self.engine.report(backend, Report { load, draining, at: self.now }, self.now);
+        self.engine.report(backend, Report { load, draining, pace: None, at: self.now }, self.now);
         self.settle();
     }
 
--- /dev/null
+++ b/crates/h1/src/encode.rs
@@ -0,0 +1,48 @@
+//! Writing heads.
+
+use bytes::{BufMut as _, BytesMut};
+use http::header::{CONTENT_LENGTH, HeaderMap};
+use http::{Method, StatusCode};
+
+/// Writes the head of a request whose body has `length` bytes; a body of no bytes is declared only if `method`
+/// usually has one.
+pub fn request(out: &mut BytesMut, method: &Method, target: &str, headers: &HeaderMap, length: usize) {
+    out.reserve(256);
+    out.put_slice(method.as_str().as_bytes());
+    out.put_u8(b' ');
+    out.put_slice(target.as_bytes());
+    out.put_slice(b" HTTP/1.1\r\n");
+    fields(out, headers);
+    if length > 0 || matches!(*method, Method::POST | Method::PUT | Method::PATCH) {
+        declare(out, length);
+    }
+    out.put_slice(b"\r\n");
+}
+
+/// Writes the head of an answer whose body has `length` bytes, or whose status allows none.
+pub fn response(out: &mut BytesMut, status: StatusCode, headers: &HeaderMap, length: Option<usize>, close: bool) {
+    out.reserve(256);
+    let reason = status.canonical_reason().unwrap_or("Unknown");
+    out.put_slice(format!("HTTP/1.1 {} {reason}\r\n", status.as_u16()).as_bytes());
+    fields(out, headers);
+    if let Some(length) = length {
+        declare(out, length);
+    }
+    if close {
+        out.put_slice(b"connection: close\r\n");
+    }
+    out.put_slice(b"\r\n");
+}
+
+fn fields(out: &mut BytesMut, headers: &HeaderMap) {
+    for (name, value) in headers {
+        out.put_slice(name.as_str().as_bytes());
+        out.put_slice(b": ");
+        out.put_slice(value.as_bytes());
+        out.put_slice(b"\r\n");
+    }
+}
+
+fn declare(out: &mut BytesMut, length: usize) {
+    out.put_slice(format!("{CONTENT_LENGTH}: {length}\r\n").as_bytes());
+}
--- /dev/null
+++ b/crates/h1/src/head.rs
@@ -0,0 +1,132 @@
+//! Heads of requests and answers.
+
+use bytes::{Buf as _, BytesMut};
+use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
+use http::{Method, StatusCode};
+
+use crate::error::{Error, Result};
+
+/// Header lines in one head at most.
+const MAX_HEADERS: usize = 100;
+
+/// Headers that concern one connection only and are never passed on.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// The head of a request.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// The method.
+    pub method: Method,
+    /// Path and query, as sent.
+    pub target: String,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// Whether the sender keeps the connection open for more requests.
+    pub keep_alive: bool,
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone)]
+pub struct Response {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// Whether the sender keeps the connection open for more requests.
+    pub keep_alive: bool,
+}
+
+impl Request {
+    /// Takes a head off the front of `buffer`; `None` if it is not whole yet.
+    pub fn take(buffer: &mut BytesMut, most: usize) -> Result<Option<Self>> {
+        skip_blank_lines(buffer);
+        let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Request::new(&mut lines);
+        let length = match parsed.parse(buffer) {
+            Ok(httparse::Status::Complete(length)) if length <= most => length,
+            Ok(httparse::Status::Partial) if buffer.len() < most => return Ok(None),
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Error::HeadTooLarge),
+            Err(_) => return Err(Error::Malformed),
+        };
+        let method = Method::from_bytes(parsed.method.unwrap_or_default().as_bytes()).map_err(|_e| Error::Malformed)?;
+        let target = parsed.path.unwrap_or_default().to_owned();
+        let headers = headers(parsed.headers)?;
+        let keep_alive = keeps_alive(parsed.version, &headers);
+        buffer.advance(length);
+        Ok(Some(Self { method, target, headers, keep_alive }))
+    }
+
+    /// The path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// The query without the question mark, if there is one.
+    pub fn query(&self) -> Option<&str> {
+        self.target.split_once('?').map(|(_, query)| query)
+    }
+}
+
+impl Response {
+    /// Takes a head off the front of `buffer`; `None` if it is not whole yet.
+    pub fn take(buffer: &mut BytesMut, most: usize) -> Result<Option<Self>> {
+        let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Response::new(&mut lines);
+        let length = match parsed.parse(buffer) {
+            Ok(httparse::Status::Complete(length)) if length <= most => length,
+            Ok(httparse::Status::Partial) if buffer.len() < most => return Ok(None),
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Error::HeadTooLarge),
+            Err(_) => return Err(Error::Malformed),
+        };
+        let status = StatusCode::from_u16(parsed.code.unwrap_or_default()).map_err(|_e| Error::Malformed)?;
+        let headers = headers(parsed.headers)?;
+        let keep_alive = keeps_alive(parsed.version, &headers);
+        buffer.advance(length);
+        Ok(Some(Self { status, headers, keep_alive }))
+    }
+}
+
+/// Whether a header concerns one connection only.
+pub fn is_hop(name: &str) -> bool {
+    HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+}
+
+/// The value of a header as text, if it is there and is text.
+pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// Empty lines before a request are allowed.
+fn skip_blank_lines(buffer: &mut BytesMut) {
+    let blank = buffer.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
+    buffer.advance(blank);
+}
+
+fn headers(lines: &[httparse::Header<'_>]) -> Result<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(lines.len());
+    for line in lines {
+        let name = HeaderName::from_bytes(line.name.as_bytes()).map_err(|_e| Error::Malformed)?;
+        let value = HeaderValue::from_bytes(line.value).map_err(|_e| Error::Malformed)?;
+        headers.append(name, value);
+    }
+    Ok(headers)
+}
+
+fn keeps_alive(minor: Option<u8>, headers: &HeaderMap) -> bool {
+    let mut tokens =
+        headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok()).flat_map(|v| v.split(','));
+    if minor == Some(1) {
+        return !tokens.any(|token| token.trim().eq_ignore_ascii_case("close"));
+    }
+    tokens.any(|token| token.trim().eq_ignore_ascii_case("keep-alive"))
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -4,7 +4,6 @@
 //! by stage and stops them in reverse, in three steps: withdraw, drain, close.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Why a plug-in did not start.
 #[derive(Debug, thiserror::Error)]
@@ -86,17 +85,9 @@
         }
     }
 
-    /// Drains all parts, last started first; `pause` is called between looks and says whether to go on.
-    pub fn drain(&mut self, look: Duration, mut pause: impl FnMut(Duration) -> bool) -> bool {
-        for (name, part) in self.parts.iter_mut().rev() {
-            while !part.drained() {
-                if !pause(look) {
-                    log::warn!("kernel: not drained in time part={name}");
-                    return false;
-                }
-            }
-        }
-        true
+    /// Has all parts take no new work, last started first; says whether all work is done. Called until it is.
+    pub fn drained(&mut self) -> bool {
+        self.parts.iter_mut().rev().all(|(_, part)| part.drained())
     }
 
     /// Closes all parts, last started first.
--- a/crates/kernel/tests/life.rs
+++ b/crates/kernel/tests/life.rs
@@ -1,7 +1,6 @@
 //! Order of starting and stopping.
 
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use kernel::{Kernel, Part, Plugin, Started};
 
@@ -55,11 +54,9 @@
     let mut kernel = Kernel::start(&all, &log).expect("all start");
     kernel.withdraw();
     let mut looks = 0;
-    let drained = kernel.drain(Duration::ZERO, |_| {
+    while !kernel.drained() {
         looks += 1;
-        true
-    });
-    assert!(drained);
+    }
     assert_eq!(looks, 2);
     kernel.close();
     let expected = "start a, start b, start c, withdraw c, withdraw b, withdraw a, close c, close b, close a";
@@ -80,5 +77,7 @@
     let log = Arc::new(Log::default());
     let all = plugins(|log| part("b", log, 100));
     let mut kernel = Kernel::start(&all, &log).expect("all start");
-    assert!(!kernel.drain(Duration::ZERO, |_| false));
+    assert!(!kernel.drained());
+    kernel.close();
+    assert!(said(&log).ends_with("close c, close b, close a"), "closing does not wait for work");
 }
--- a/crates/replay/src/site.rs
+++ b/crates/replay/src/site.rs
@@ -65,12 +65,13 @@
     pub fn specs(&self) -> Vec<class::Spec> {
         let spec = |name: &String| {
             let class = &self.policy.classes[name];
+            let service = self.services.iter().position(|service| *service == class.service).unwrap_or(0) as u16;
             class::Spec {
-                service: self.services.iter().position(|service| *service == class.service).unwrap_or(0) as u16,
                 idempotent: class.idempotent,
                 rank: class.rank,
-                deadline: Duration::from_millis(class.deadline_ms),
+                target: Duration::from_millis(class.target_ms),
                 may_wait: class.may_wait,
+                ..class::Spec::new(service, Duration::from_millis(class.deadline_ms))
             }
         };
         self.classes.iter().map(spec).collect()
--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -10,7 +10,7 @@
 use base::error::Kind;
 use base::hash;
 use base::time::Time;
-use dispatch::engine::{Limits, policy::Policy};
+use dispatch::engine::{Extra, Limits, policy::Policy};
 use dispatch::{Action, Ending, Engine, Verdict};
 use steer::shift::Controller;
 use steer::view::View;
@@ -36,9 +36,10 @@
 /// Pause between two sends of a poisonous request.
 const POISON_PAUSE: Duration = Duration::from_secs(2);
 /// Limits of an engine, as in the daemon's defaults.
-const LIMITS: Limits = Limits { queued: 512, in_flight: 128, poison: Duration::from_mins(10) };
+const LIMITS: Limits = Limits { queued: 512, in_flight: 128, poison: Duration::from_mins(10), extra: Extra::DEFAULT };
 /// Limits of a plain policy: none that matter.
-const PLAIN: Limits = Limits { queued: 1 << 20, in_flight: 1 << 20, poison: Duration::from_mins(10) };
+const PLAIN: Limits =
+    Limits { queued: 1 << 20, in_flight: 1 << 20, poison: Duration::from_mins(10), extra: Extra::DEFAULT };
 
 #[derive(Debug, Clone, PartialEq)]
 enum Event {
--- a/crates/replay/src/world/news.rs
+++ b/crates/replay/src/world/news.rs
@@ -68,6 +68,8 @@
                 .collect();
             let hosts = subset::hosts(hash::bytes(entry.name.as_bytes()), &daemons, &near);
             let spec = |(position, server): (usize, &Instance)| Spec {
+                region: site.region(&server.region).unwrap_or(0) as u16,
+                start: None,
                 id: position as u32,
                 service: site.services.iter().position(|service| *service == server.service).unwrap_or(0) as u16,
                 place: place(site, entry, server),
@@ -122,7 +124,7 @@
             }
             let load = self.servers[index].load_at(at);
             let draining = self.left.contains_key(&index);
-            let report = Report { load, draining, at };
+            let report = Report { load, draining, pace: None, at };
             for entry in 0..self.engines.len() {
                 if self.site.entries[entry].region == self.site.servers[index].region {
                     self.engines[entry].report(index as u32, report, self.now);
--- a/crates/size/src/dispatching.rs
+++ b/crates/size/src/dispatching.rs
@@ -5,7 +5,7 @@
 use base::time::Time;
 use dispatch::backend::{Place, Spec};
 use dispatch::class;
-use dispatch::engine::{Arrival, Limits};
+use dispatch::engine::{Arrival, Extra, Limits};
 use dispatch::{Action, Ending, Engine};
 
 use crate::probe::{line, nanos, resident};
@@ -14,10 +14,19 @@
 const IN_FLIGHT: usize = 60;
 
 fn engine(servers: u32) -> Engine {
-    let spec = class::Spec { service: 0, idempotent: true, rank: 0, deadline: Duration::from_secs(1), may_wait: false };
-    let limits = Limits { queued: 512, in_flight: 128, poison: Duration::from_mins(10) };
+    let spec = class::Spec::new(0, Duration::from_secs(1));
+    let limits = Limits { queued: 512, in_flight: 128, poison: Duration::from_mins(10), extra: Extra::DEFAULT };
     let mut engine = Engine::new(vec![spec], limits, 1);
-    let server = |id| Spec { id, service: 0, place: Place::Domain, slots: 3, leaving: false, hosts: true };
+    let server = |id| Spec {
+        id,
+        service: 0,
+        place: Place::Domain,
+        slots: 3,
+        leaving: false,
+        hosts: true,
+        region: 0,
+        start: None,
+    };
     engine.set_backends((0..servers).map(server).collect(), Time::from_millis(1));
     engine
 }
@@ -34,7 +43,7 @@
         let mut one = |_| {
             next += 1;
             now = now + Duration::from_micros(300);
-            engine.submit(Arrival { request: next, class: 0, fingerprint: next, bytes: 100 }, now);
+            engine.submit(Arrival::new(next, 0, next, 100), now);
             for action in engine.take() {
                 if let Action::Start { attempt, .. } = action {
                     live.push_back(attempt);
--- a/crates/size/src/policies.rs
+++ b/crates/size/src/policies.rs
@@ -29,7 +29,7 @@
             target_ms: 100,
             target_share: 0.999,
             deadline_ms: 1_000,
-            may_wait: false,
+            ..Class::default()
         };
         policy.classes.insert(format!("class-{class}"), value);
     }
