--- a/crates/base/src/instance.rs
+++ b/crates/base/src/instance.rs
@@ -50,6 +50,15 @@
     /// Connections a backend server takes; zero for an entry instance.
     #[serde(default)]
     pub connections: u32,
+    /// Start of a backend server's process, in milliseconds of the calendar; zero if that is not told. One that
+    /// starts again under its name is another server.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub born: u64,
     /// What the list says of it.
     pub state: State,
 }
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature is serde's")]
+const fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
--- a/crates/config/src/configs/callers.rs
+++ b/crates/config/src/configs/callers.rs
@@ -11,6 +11,8 @@
 pub struct Callers {
     /// Where to listen, `IP:PORT`.
     pub address: String,
+    /// Where to answer look-ups besides, `IP:PORT`; empty for nowhere else.
+    pub lookup_address: String,
     /// Most connections open at once.
     pub max_connections: u32,
     /// Longest time for a caller to send a request's header, in milliseconds.
@@ -39,6 +41,7 @@
     fn default() -> Self {
         Self {
             address: "127.0.0.1:7000".to_owned(),
+            lookup_address: String::new(),
             max_connections: 1_024,
             header_timeout_ms: 5_000,
             body_timeout_ms: 10_000,
@@ -57,6 +60,9 @@
 impl Callers {
     pub(super) fn check(&self, name: &str) -> Result<()> {
         check_address(name, "callers.address", &self.address)?;
+        if !self.lookup_address.is_empty() {
+            check_address(name, "callers.lookup_address", &self.lookup_address)?;
+        }
         check_range(name, "callers.max_connections", self.max_connections.into(), 1, 100_000)?;
         check_range(name, "callers.header_timeout_ms", self.header_timeout_ms, 10, 600_000)?;
         check_range(name, "callers.body_timeout_ms", self.body_timeout_ms, 10, 600_000)?;
@@ -66,6 +72,6 @@
         check_range(name, "callers.answer_ttl_s", self.answer_ttl_s, 1, 86_400)?;
         check_range(name, "callers.answer_kept_ms", self.answer_kept_ms, 0, 86_400_000)?;
         check_range(name, "callers.stop_ms", self.stop_ms, self.answer_kept_ms, 86_400_000)?;
-        check_range(name, "callers.answer_entries", self.answer_entries, 1, 8)
+        check_range(name, "callers.answer_entries", self.answer_entries, 1, 64)
     }
 }
--- a/crates/config/src/configs/dispatch.rs
+++ b/crates/config/src/configs/dispatch.rs
@@ -2,11 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::check_range;
+use super::{check_part, check_range};
 use crate::error::Result;
 
 /// Sending work to backend servers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Dispatch {
     /// Longest time to connect to a backend server, in milliseconds.
@@ -21,6 +21,14 @@
     pub max_in_flight: u64,
     /// Whole answers kept for re-sends, in bytes over all keys.
     pub kept_answers_bytes: u64,
+    /// Part of a second send that each request for a service earns, over all daemons.
+    pub repeat_part: f64,
+    /// Second sends for one service that may be saved up, over all daemons.
+    pub repeats_saved: f64,
+    /// Daemons that send work to a backend server which starts slowly.
+    pub starters: u64,
+    /// Whether links between regions that the policy does not name may be used without limit.
+    pub open_links: bool,
     /// How long a request that crashed two backend servers is refused, in seconds.
     pub poison_s: u64,
 }
@@ -34,6 +42,10 @@
             max_queued: 512,
             max_in_flight: 128,
             kept_answers_bytes: 8_388_608,
+            repeat_part: 1.0,
+            repeats_saved: 1_000.0,
+            starters: 3,
+            open_links: false,
             poison_s: 600,
         }
     }
@@ -47,6 +59,9 @@
         check_range(name, "dispatch.max_queued", self.max_queued, 1, 100_000)?;
         check_range(name, "dispatch.max_in_flight", self.max_in_flight, 1, 4_096)?;
         check_range(name, "dispatch.kept_answers_bytes", self.kept_answers_bytes, 0, 1 << 30)?;
+        check_range(name, "dispatch.starters", self.starters, 1, 1_024)?;
+        check_part(name, "dispatch.repeat_part", self.repeat_part, 1.0)?;
+        check_part(name, "dispatch.repeats_saved", self.repeats_saved, 1e6)?;
         check_range(name, "dispatch.poison_s", self.poison_s, 1, 86_400)
     }
 }
--- a/crates/config/src/configs/mod.rs
+++ b/crates/config/src/configs/mod.rs
@@ -7,6 +7,7 @@
 mod operators;
 mod platform;
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::path::Path;
 
@@ -30,6 +31,8 @@
     pub domain: String,
     /// The region of this instance.
     pub region: String,
+    /// The region of each failure domain, where the policy leaves that to the settings.
+    pub domains: BTreeMap<String, String>,
     /// Log level: `error`, `warn`, `info`, `debug` or `trace`.
     pub log: String,
     /// A policy file that serves until the store or a peer gives a newer one; empty for none.
@@ -90,6 +93,14 @@
     }
 }
 
+/// Refuses a number that is not from zero to `high`.
+fn check_part(name: &str, key: &str, value: f64, high: f64) -> Result<()> {
+    if (0.0..=high).contains(&value) {
+        return Ok(());
+    }
+    Err(Error::value(name, key, format!("is {value}; set it from 0 to {high}")))
+}
+
 /// Refuses a number outside `low..=high`.
 fn check_range(name: &str, key: &str, value: u64, low: u64, high: u64) -> Result<()> {
     if (low..=high).contains(&value) {
--- a/crates/config/src/configs/platform.rs
+++ b/crates/config/src/configs/platform.rs
@@ -15,6 +15,8 @@
     pub timeout_ms: u64,
     /// Time between two reads of the policy by a daemon that reads it, in milliseconds.
     pub poll_ms: u64,
+    /// Longest wait of one watch of the store, in milliseconds.
+    pub watch_ms: u64,
     /// Daemons in a failure domain that read the policy from the store.
     pub readers: u64,
     /// How long the claim of a non-idempotent request is kept, in seconds.
@@ -27,6 +29,7 @@
             address: "127.0.0.1:7900".to_owned(),
             timeout_ms: 1_000,
             poll_ms: 2_000,
+            watch_ms: 20_000,
             readers: 2,
             claim_kept_s: 86_400,
         }
@@ -38,6 +41,7 @@
         check_address(name, "platform.address", &self.address)?;
         check_range(name, "platform.timeout_ms", self.timeout_ms, 1, 60_000)?;
         check_range(name, "platform.poll_ms", self.poll_ms, 10, 60_000)?;
+        check_range(name, "platform.watch_ms", self.watch_ms, 10, 30_000)?;
         check_range(name, "platform.readers", self.readers, 1, 64)?;
         check_range(name, "platform.claim_kept_s", self.claim_kept_s, 600, 30 * 86_400)
     }
--- a/crates/ctl/src/verbs/mod.rs
+++ b/crates/ctl/src/verbs/mod.rs
@@ -20,7 +20,7 @@
 
 /// Runs `command`.
 pub fn run(command: &Command) -> Result<String> {
-    let store = Client::new(&command.store, STORE_TIMEOUT);
+    let store = Client::new(&command.store, STORE_TIMEOUT).map_err(|error| Error::Failed(error.to_string()))?;
     let id = format!("{:016x}", fastrand::u64(..));
     match &command.verb {
         Verb::Help => Ok(crate::cli::USAGE.to_owned()),
--- /dev/null
+++ b/crates/daemon/src/adapter.rs
@@ -0,0 +1,61 @@
+//! What joins the daemon to the platform that it runs on.
+
+use std::time::Duration;
+
+use base::instance::Instance;
+use base::time::Time;
+use config::configs::Settings;
+use config::policy::Policy;
+use store::{Codec, Mirror, etcd};
+
+use crate::dialect::Dialect;
+
+/// A backend server as the platform's store tells of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Server {
+    /// What is listed of it.
+    pub instance: Instance,
+    /// How much longer it was to start slowly when that was written.
+    pub starts: Duration,
+    /// When that was first seen here.
+    pub seen: Time,
+}
+
+/// The policy with its revision.
+pub type Revised = (u64, Policy);
+
+/// Backend servers, and why entries that could not be read were passed over.
+#[derive(Debug, Clone, Default)]
+pub struct Listing {
+    /// The servers.
+    pub servers: Vec<Server>,
+    /// A reason for each entry that was passed over.
+    pub refused: Vec<String>,
+}
+
+/// Reads the policy and the backend servers from keys that the platform's own tools write.
+#[derive(Debug, Clone, Copy)]
+pub struct Catalog {
+    /// The policy if its revision is above the one given; an error if what is there cannot be used.
+    pub policy: fn(&Mirror, &Settings, u64) -> Result<Option<Revised>, String>,
+    /// The backend servers.
+    pub servers: fn(&Mirror, &Settings) -> Listing,
+}
+
+/// The platform's side of a daemon.
+#[derive(Debug, Clone)]
+pub struct Adapter {
+    /// What callers and backend servers call the things that cross the wire.
+    pub dialect: Dialect,
+    /// The wire form of the store.
+    pub codec: Codec,
+    /// Where policy and backend servers are read; `None` if the product's own key and list hold them.
+    pub catalog: Option<Catalog>,
+}
+
+impl Adapter {
+    /// The product's own interface and stand-ins.
+    pub const fn own() -> Self {
+        Self { dialect: Dialect::own(), codec: etcd::CODEC, catalog: None }
+    }
+}
--- a/crates/daemon/src/backends/probe.rs
+++ b/crates/daemon/src/backends/probe.rs
@@ -36,6 +36,9 @@
 }
 
 fn start(context: &Arc<Context>) -> kernel::Started {
+    if context.catalog.is_some() {
+        return Ok(Box::new(kernel::Idle));
+    }
     let pause = Duration::from_millis(context.settings.dispatch.probe_ms);
     let config =
         ureq::Agent::config_builder().timeout_global(Some(TIMEOUT)).proxy(None).max_idle_connections(0).build();
--- a/crates/daemon/src/callers/lookup.rs
+++ b/crates/daemon/src/callers/lookup.rs
@@ -27,8 +27,12 @@
     session: String,
 }
 
-/// Answers a look-up; `query` may name the caller's address as `client=`.
+/// Answers a look-up; `query` may name the caller's address as `client=`, or its `region=`, which is answered
+/// with the addresses alone.
 pub fn answer(context: &Arc<Context>, query: Option<&str>, peer: IpAddr) -> Reply {
+    if let Some(region) = parameter(query, "region") {
+        return near(context, region);
+    }
     let Some(address) = address(query, peer) else {
         return Reply::error(Kind::Malformed, &context.dialect);
     };
@@ -53,11 +57,36 @@
     })
 }
 
+#[derive(Debug, Serialize)]
+struct Addresses<'a> {
+    addresses: Vec<&'a str>,
+    ttl_s: u64,
+}
+
+/// Entry instances for a caller in `region`.
+fn near(context: &Arc<Context>, region: &str) -> Reply {
+    context.metrics.lookups.inc();
+    let steering = context.steering();
+    let region = context.policy().region(region);
+    let most = context.settings.callers.answer_entries as usize;
+    let found = steer::near::look_up(&steering.view, region, most);
+    let addresses: Vec<&str> =
+        found.iter().filter_map(|position| Some(steering.view.entry(*position)?.address.as_str())).collect();
+    if addresses.is_empty() {
+        return Reply::error(Kind::NoBackend, &context.dialect);
+    }
+    Reply::json(&Addresses { addresses, ttl_s: context.settings.callers.answer_ttl_s })
+}
+
+/// The value of a parameter of a query.
+fn parameter<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
+    let mut pairs = query.unwrap_or_default().split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(known, _)| *known == name).map(|(_, value)| value)
+}
+
 /// The caller's address: as named, or as connected.
 fn address(query: Option<&str>, peer: IpAddr) -> Option<u32> {
-    let pairs = query.unwrap_or_default().split('&').filter_map(|pair| pair.split_once('='));
-    let named = pairs.into_iter().find(|(name, _)| *name == "client").map(|(_, value)| value);
-    let address = match named {
+    let address = match parameter(query, "client") {
         Some(text) => text.parse::<Ipv4Addr>().ok()?,
         None => match peer {
             IpAddr::V4(address) => address,
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -28,7 +28,7 @@
 /// The port and how many connections it has open.
 struct Port {
     stop: watch::Sender<Phase>,
-    task: tokio::task::JoinHandle<()>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
     open: Arc<AtomicUsize>,
 }
 
@@ -39,26 +39,30 @@
 
     fn drained(&mut self) -> bool {
         self.stop.send_replace(Phase::Closing);
-        self.task.is_finished() && self.open.load(Ordering::Relaxed) == 0
+        self.tasks.iter().all(tokio::task::JoinHandle::is_finished) && self.open.load(Ordering::Relaxed) == 0
     }
 
     fn close(&mut self) {
-        self.task.abort();
+        self.tasks.iter().for_each(tokio::task::JoinHandle::abort);
         let open = self.open.load(Ordering::Relaxed);
         log::info!("callers: port closed open={open}");
     }
 }
 
 fn start(context: &Arc<Context>) -> kernel::Started {
-    let address = &context.settings.callers.address;
-    let listener = context.listen(address).map_err(|error| {
-        format!("key `callers.address`: cannot listen at {address}: {error}; choose a free address")
-    })?;
+    let settings = &context.settings.callers;
     let (stop, stopped) = watch::channel(Phase::Open);
     let open = Arc::new(AtomicUsize::new(0));
-    let port = Accepting { context: Arc::clone(context), stopped, open: Arc::clone(&open) };
-    let task = context.runtime.spawn(port.run(listener));
-    Ok(Box::new(Port { stop, task, open }))
+    let mut tasks = Vec::new();
+    let addresses = [("callers.address", &settings.address), ("callers.lookup_address", &settings.lookup_address)];
+    for (key, address) in addresses.into_iter().filter(|(_, address)| !address.is_empty()) {
+        let listener = context
+            .listen(address)
+            .map_err(|error| format!("key `{key}`: cannot listen at {address}: {error}; choose a free address"))?;
+        let port = Accepting { context: Arc::clone(context), stopped: stopped.clone(), open: Arc::clone(&open) };
+        tasks.push(context.runtime.spawn(port.run(listener)));
+    }
+    Ok(Box::new(Port { stop, tasks, open }))
 }
 
 /// Takes connections until it is stopped.
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,6 +1,6 @@
 //! What all plug-ins share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
@@ -10,6 +10,7 @@
 use config::configs::Settings;
 use config::policy::Policy;
 use dispatch::Engine;
+use dispatch::backend::BackendId;
 use dispatch::engine::{Extra, Limits};
 use fleet::copy::Holder;
 use fleet::message::{Record, State};
@@ -18,6 +19,7 @@
 use steer::grant::Keeper;
 use steer::shift::Controller;
 
+use crate::adapter::{Adapter, Catalog};
 use crate::backends::pool::Pool;
 use crate::clock::{self, Clock};
 use crate::dialect::Dialect;
@@ -31,6 +33,17 @@
 /// Keys of sessions remembered at most.
 const SESSION_KEYS: usize = 65_536;
 
+/// What is known of backend servers beside the list of instances.
+#[derive(Debug, Clone, Default)]
+pub struct Servers {
+    /// Until when each starts slowly.
+    pub starts: BTreeMap<BackendId, Time>,
+    /// Why entries were passed over.
+    pub refused: BTreeSet<String>,
+    /// Why the policy was refused last.
+    pub policy_refused: Option<String>,
+}
+
 /// The shared state of a daemon.
 #[derive(Debug)]
 pub struct Context {
@@ -46,6 +59,12 @@
     pub runtime: tokio::runtime::Handle,
     /// The platform's store.
     pub store: store::Client,
+    /// Reads policy and backend servers from the store, if the platform keeps them there.
+    pub catalog: Option<Catalog>,
+    /// A copy of the store's keys, if the platform keeps policy and backend servers there.
+    pub mirror: Mutex<store::Mirror>,
+    /// What is known of backend servers beside the list of instances.
+    pub servers: Mutex<Servers>,
     /// The policy in force, with its copy for peers.
     pub holder: Mutex<Holder>,
     /// The policy in force, parsed.
@@ -79,7 +98,7 @@
 
 impl Context {
     /// The state of a daemon that starts with `settings`.
-    pub fn new(settings: Settings, dialect: Dialect, runtime: tokio::runtime::Handle) -> Self {
+    pub fn new(settings: Settings, adapter: Adapter, runtime: tokio::runtime::Handle) -> Self {
         let clock = Clock::new();
         let now = clock.now();
         let incarnation = fastrand::u64(1..);
@@ -90,6 +109,7 @@
             state: State::Alive,
             peers: settings.fleet.address.clone(),
             domain: settings.domain.clone(),
+            callers: adapter.catalog.map_or_else(String::new, |_| settings.callers.address.clone()),
         };
         let times = Times { suspect: Duration::from_millis(settings.fleet.suspect_ms) };
         let timeout = Duration::from_millis(settings.platform.timeout_ms);
@@ -105,12 +125,17 @@
             answer_bytes: settings.dispatch.kept_answers_bytes,
         };
         let kept = Duration::from_millis(settings.callers.answer_kept_ms);
+        let address = &settings.platform.address;
+        let store = store::Client::with_runtime(adapter.codec, address, timeout, runtime.clone());
         Self {
-            dialect: Arc::new(dialect),
+            dialect: Arc::new(adapter.dialect),
+            catalog: adapter.catalog,
+            mirror: Mutex::new(store::Mirror::new()),
+            servers: Mutex::new(Servers::default()),
             clock,
             incarnation,
             runtime,
-            store: store::Client::new(&settings.platform.address, timeout),
+            store,
             holder: Mutex::new(Holder::new()),
             in_force: RwLock::new(Arc::new(InForce::new(0, Policy::default()))),
             roster: Mutex::new(Roster::new(record, times, incarnation)),
--- a/crates/daemon/src/grants.rs
+++ b/crates/daemon/src/grants.rs
@@ -38,6 +38,9 @@
 }
 
 fn start(context: &Arc<Context>) -> kernel::Started {
+    if context.catalog.is_some() {
+        return Ok(Box::new(kernel::Idle));
+    }
     let lease = Arc::new(std::sync::Mutex::new(None));
     let (shared, held_lease) = (Arc::clone(context), Arc::clone(&lease));
     let running = Loop::start("grants", move || {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! The entry daemon: plug-ins over the pure decisions.
 
+pub mod adapter;
 pub mod backends;
 pub mod callers;
 pub mod clock;
@@ -11,11 +12,13 @@
 pub mod lister;
 pub mod logs;
 pub mod metrics;
+pub mod mirror;
 pub mod operators;
 pub mod orders;
 pub mod peers;
 pub mod plugin;
 pub mod policies;
+pub mod program;
 pub mod reader;
 pub mod view;
 pub mod whole;
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -7,7 +7,7 @@
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::dialect::Dialect;
+use crate::adapter::Adapter;
 use crate::{Context, operators, plugin, policies};
 
 /// Threads for calls that block: claims of orders.
@@ -37,13 +37,13 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Runs a daemon on this thread until it is told to stop by a signal.
-pub fn run(settings: Settings, dialect: Dialect) -> Result<()> {
+pub fn run(settings: Settings, adapter: Adapter) -> Result<()> {
     let runtime = Builder::new_current_thread().max_blocking_threads(BLOCKING_THREADS).enable_all().build()?;
     let mut signals = {
         let _inside = runtime.enter();
         Signals::new()?
     };
-    let mut daemon = Daemon::start_on(runtime, settings, dialect)?;
+    let mut daemon = Daemon::start_on(runtime, settings, adapter)?;
     let context = Arc::clone(&daemon.context);
     daemon.runtime.block_on(async {
         signals.stop(&context).await;
@@ -95,14 +95,14 @@
 
 impl Daemon {
     /// Starts all plug-ins on threads of their own.
-    pub fn start(settings: Settings, dialect: Dialect) -> Result<Self> {
+    pub fn start(settings: Settings, adapter: Adapter) -> Result<Self> {
         let mut builder = Builder::new_multi_thread();
         let runtime = builder.worker_threads(1).max_blocking_threads(BLOCKING_THREADS).enable_all().build()?;
-        Self::start_on(runtime, settings, dialect)
+        Self::start_on(runtime, settings, adapter)
     }
 
-    fn start_on(runtime: Runtime, settings: Settings, dialect: Dialect) -> Result<Self> {
-        let context = Arc::new(Context::new(settings, dialect, runtime.handle().clone()));
+    fn start_on(runtime: Runtime, settings: Settings, adapter: Adapter) -> Result<Self> {
+        let context = Arc::new(Context::new(settings, adapter, runtime.handle().clone()));
         policies::from_settings(&context)?;
         let kernel = kernel::Kernel::start(plugin::all(), &context)?;
         let readiness = operators::readiness(&context);
--- a/crates/daemon/src/lister.rs
+++ b/crates/daemon/src/lister.rs
@@ -18,6 +18,9 @@
 }
 
 fn start(context: &Arc<Context>) -> kernel::Started {
+    if context.catalog.is_some() {
+        return Ok(Box::new(kernel::Idle));
+    }
     let settings = &context.settings.list;
     let timeout = Duration::from_millis(settings.timeout_ms);
     let pause = Duration::from_millis(settings.poll_ms);
--- /dev/null
+++ b/crates/daemon/src/mirror.rs
@@ -0,0 +1,185 @@
+//! Keeps a copy of the platform's store and puts what it says into force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fleet::Copy;
+use store::{Call, Entry, Error, Reply, Result};
+
+use crate::adapter::{Catalog, Listing};
+use crate::context::{Servers, lock};
+use crate::plugin::Plugin;
+use crate::{Context, peers, policies, view};
+
+/// First pause after a call that failed; it doubles with each one in a row.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause after calls that failed.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Time in which further changes are left to come before the next watch, so that one call tells several.
+const GATHER: Duration = Duration::from_millis(100);
+/// Time between two looks at what time alone changes: memberships, keys that did not come back.
+const TURN: Duration = Duration::from_millis(250);
+
+inventory::submit! {
+    Plugin(kernel::Plugin { name: "mirror", stage: 30, start })
+}
+
+struct Tasks(Vec<tokio::task::JoinHandle<()>>);
+
+impl kernel::Part for Tasks {
+    fn close(&mut self) {
+        self.0.iter().for_each(tokio::task::JoinHandle::abort);
+    }
+}
+
+fn start(context: &Arc<Context>) -> kernel::Started {
+    let Some(catalog) = context.catalog else {
+        return Ok(Box::new(kernel::Idle));
+    };
+    let watching = context.runtime.spawn(watch(Arc::clone(context), catalog));
+    let turning = context.runtime.spawn(turn(Arc::clone(context), catalog));
+    Ok(Box::new(Tasks(vec![watching, turning])))
+}
+
+/// Lists once, then takes in changes as they come, for ever.
+async fn watch(context: Arc<Context>, catalog: Catalog) {
+    let mut listed = false;
+    let mut pause = FIRST_PAUSE;
+    let mut rng = fastrand::Rng::with_seed(context.incarnation);
+    loop {
+        let turn = if listed { changes(&context).await } else { list(&context).await };
+        match turn {
+            Ok(Turn::Changed) => {
+                listed = true;
+                pause = FIRST_PAUSE;
+                publish(&context, catalog);
+                tokio::time::sleep(GATHER).await;
+            }
+            Ok(Turn::Same) => {
+                listed = true;
+                pause = FIRST_PAUSE;
+            }
+            Ok(Turn::Forgotten) => {
+                log::info!("mirror: history forgotten by the store, listing anew");
+                listed = false;
+            }
+            Err(error) => {
+                note_failure(&context, &error);
+                tokio::time::sleep(pause.mul_f64(0.5 + rng.f64())).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+/// What a call came to.
+enum Turn {
+    Changed,
+    Same,
+    Forgotten,
+}
+
+async fn list(context: &Context) -> Result<Turn> {
+    let mut all: Vec<Entry> = Vec::new();
+    let mut first = None;
+    loop {
+        let after = all.last().map(|entry| entry.key.clone()).unwrap_or_default();
+        let reply = call(context, Call::List { prefix: String::new(), after, stale: false }).await?;
+        let Reply::Page { entries, more, revision } = reply else { return Err(unexpected(&reply)) };
+        // Later pages may be newer; the watch from the first page's revision tells what they missed.
+        let first = *first.get_or_insert(revision);
+        let done = !more || entries.is_empty();
+        all.extend(entries);
+        if done {
+            let now = context.now();
+            lock(&context.mirror).replace(all, first, now);
+            return Ok(Turn::Changed);
+        }
+    }
+}
+
+async fn changes(context: &Context) -> Result<Turn> {
+    let after = lock(&context.mirror).revision();
+    let wait = Duration::from_millis(context.settings.platform.watch_ms);
+    match call(context, Call::Watch { prefix: String::new(), after, wait }).await? {
+        Reply::Events { events, revision } => {
+            let now = context.now();
+            let changed = lock(&context.mirror).apply(events, revision, now);
+            Ok(if changed { Turn::Changed } else { Turn::Same })
+        }
+        Reply::Forgotten => Ok(Turn::Forgotten),
+        other => Err(unexpected(&other)),
+    }
+}
+
+async fn call(context: &Context, call: Call) -> Result<Reply> {
+    let sent = context.now();
+    let result = context.store.call(&call).await;
+    let label = if result.is_ok() { "ok" } else { "failed" };
+    context.metrics.store_calls.with_label_values(&[call.name(), label]).inc();
+    if result.is_ok() {
+        let now = context.now();
+        let lost = lock(&context.mirror).note_answer(sent, now);
+        if lost {
+            log::info!("mirror: store answers again silent_ms={}", now.since(sent).as_millis());
+        }
+    }
+    result
+}
+
+fn note_failure(context: &Context, error: &Error) {
+    let now = context.now();
+    let silent = lock(&context.mirror).answered().map_or(now.as_millis(), |last| now.since(last).as_millis() as u64);
+    log::warn!("mirror: store call failed silent_ms={silent} reason={:?}", error.to_string());
+}
+
+fn unexpected(reply: &Reply) -> Error {
+    Error::Ambiguous(format!("the answer fits another call: {reply:?}"))
+}
+
+/// Puts what the copy says into force.
+fn publish(context: &Arc<Context>, catalog: Catalog) {
+    let mirror = lock(&context.mirror).clone();
+    let known = lock(&context.holder).revision();
+    match (catalog.policy)(&mirror, &context.settings, known) {
+        Ok(Some((revision, policy))) => match policy.to_text() {
+            Ok(text) => {
+                if policies::offer(context, Copy::new(revision, text), "store") {
+                    peers::tell_revision(context);
+                }
+            }
+            Err(error) => log::warn!("policy: refused revision={revision} reason={:?}", error.to_string()),
+        },
+        Ok(None) => {}
+        Err(reason) => {
+            if lock(&context.servers).policy_refused.replace(reason.clone()) != Some(reason.clone()) {
+                context.metrics.policy_refused.inc();
+                log::warn!("policy: refused source=store reason={reason:?}");
+            }
+        }
+    }
+    let Listing { servers, refused } = (catalog.servers)(&mirror, &context.settings);
+    let now = context.now();
+    let starts = servers.iter().map(|server| (view::backend_id(&server.instance), server.seen + server.starts));
+    let mut known = lock(&context.servers);
+    let news = refused.iter().filter(|reason| !known.refused.contains(*reason));
+    news.for_each(|reason| log::warn!("mirror: entry passed over reason={reason:?}"));
+    *known = Servers { starts: starts.collect(), refused: refused.into_iter().collect(), ..known.clone() };
+    drop(known);
+    *lock(&context.list) = (servers.into_iter().map(|server| server.instance).collect(), Some(now));
+    view::refresh(context);
+}
+
+/// Notices what time alone changes.
+async fn turn(context: Arc<Context>, catalog: Catalog) {
+    loop {
+        tokio::time::sleep(TURN).await;
+        let now = context.now();
+        let dropped = lock(&context.mirror).tick(now);
+        if dropped {
+            publish(&context, catalog);
+        } else {
+            view::refresh(&context);
+        }
+    }
+}
--- a/crates/daemon/src/reader.rs
+++ b/crates/daemon/src/reader.rs
@@ -20,6 +20,9 @@
 }
 
 fn start(context: &Arc<Context>) -> kernel::Started {
+    if context.catalog.is_some() {
+        return Ok(Box::new(kernel::Idle));
+    }
     let settings = &context.settings.platform;
     let pause = settings.poll_ms;
     let most = settings.readers as usize;
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -7,10 +7,10 @@
 use base::instance::{Instance, Role, State as Listed};
 use base::time::Time;
 use config::policy::Policy;
-use dispatch::backend::{BackendId, Place, Spec};
-use dispatch::engine::Remote;
+use dispatch::backend::{BackendId, Place, Spec, Start};
+use dispatch::engine::{Extra, Remote};
 use dispatch::subset;
-use fleet::message::State;
+use fleet::message::{Record, State};
 use fleet::roster::Roster;
 use steer::grant;
 use steer::shift::{Load, Shares};
@@ -21,6 +21,8 @@
 use crate::context::lock;
 use crate::policies::InForce;
 
+/// Part of the second sends that are allowed which is used: requests are counted in windows, and views differ.
+const REPEATS_USED: f64 = 0.8;
 /// Daemons of a region that may use one backend server, so that its connections are not used up.
 const USERS_PER_BACKEND: usize = 64;
 
@@ -44,17 +46,22 @@
     }
 }
 
-/// A backend server's number: its name and address together, so that a successor elsewhere is another one.
+/// A backend server's number: its name, address and start together, so that a successor is another one.
 pub fn backend_id(instance: &Instance) -> BackendId {
-    hash::bytes(format!("{}\n{}", instance.name, instance.address).as_bytes()) as BackendId
+    let Instance { name, address, born, .. } = instance;
+    let text = if *born == 0 { format!("{name}\n{address}") } else { format!("{name}\n{address}\n{born}") };
+    hash::bytes(text.as_bytes()) as BackendId
 }
 
 /// Rebuilds everything from the list, the membership and the policy.
 pub fn refresh(context: &Arc<Context>) {
     let now = context.now();
     let in_force = context.policy();
-    let instances = lock(&context.list).0.clone();
+    let mut instances = lock(&context.list).0.clone();
     let roster = lock(&context.roster).clone();
+    if context.catalog.is_some() {
+        instances.extend(members(&roster, &in_force));
+    }
     context.metrics.members.set(roster.alive().count() as i64 + 1);
     let view = entry_view(context, entries(&instances, &roster, &in_force, context), in_force.regions.len());
     let loads = loads(&in_force, &roster, &view);
@@ -71,7 +78,9 @@
     let steering = Arc::new(Steering { table, view, shares, backends });
     *context.steering.write().unwrap_or_else(std::sync::PoisonError::into_inner) = steering;
     let remotes = remotes(context, &instances, &in_force, now);
+    let extra = extra(context, &roster);
     context.driver.with(context, |engine| {
+        engine.set_extra(extra);
         for (region, remote) in remotes {
             engine.set_remote(region, remote, now);
         }
@@ -79,6 +88,41 @@
     });
 }
 
+/// Our part of the second sends that all daemons may cause together; twice as many daemons as are known may be
+/// there.
+fn extra(context: &Context, roster: &Roster) -> Extra {
+    let settings = &context.settings.dispatch;
+    let daemons = 2.0 * (roster.alive().count() + 1) as f64;
+    Extra {
+        repeat_part: settings.repeat_part * REPEATS_USED,
+        repeats_saved: settings.repeats_saved / daemons,
+        ..Extra::DEFAULT
+    }
+}
+
+/// Entry instances as they tell of themselves, where no list names them.
+fn members(roster: &Roster, in_force: &InForce) -> Vec<Instance> {
+    let instance = |record: Record| {
+        let region = in_force.policy.region_of(&record.domain)?.to_owned();
+        Some(Instance {
+            name: record.name,
+            role: Role::Entry,
+            service: String::new(),
+            region,
+            domain: record.domain,
+            address: record.callers,
+            peers: record.peers,
+            operators: String::new(),
+            slots: 0,
+            connections: 0,
+            born: record.incarnation,
+            state: Listed::Live,
+        })
+    };
+    let told = roster.records().into_iter().filter(|record| !record.callers.is_empty());
+    told.filter_map(instance).collect()
+}
+
 /// The ranked lists, built anew only if something about the entry instances changed.
 fn entry_view(context: &Context, entries: Vec<Entry>, regions: usize) -> Arc<View> {
     let before = &context.steering().view;
@@ -186,6 +230,17 @@
         .collect();
     let hosts = subset::hosts(own, &daemons, &near);
     let hosted = |id: BackendId| near.iter().position(|near| *near == u64::from(id)).is_some_and(|at| hosts[at]);
+    let members = all_daemons(&roster.records(), own);
+    let starters = (settings.dispatch.starters as usize).min(members.len()).max(1);
+    let starts = lock(&context.servers).starts.clone();
+    let start = |instance: &&Instance| {
+        let service = in_force.policy.services.get(&instance.service)?;
+        let id = backend_id(instance);
+        let chosen = subset::uses(own, &members, u64::from(id), starters);
+        let per_second = if chosen { service.start_per_second / starters as f64 } else { 0.0 };
+        let until = starts.get(&id).copied().unwrap_or(Time::ZERO);
+        (service.start_per_second > 0.0).then_some(Start { until, per_second })
+    };
     let spec = |instance: &&Instance| {
         let id = backend_id(instance);
         let policy = &in_force.policy;
@@ -205,14 +260,28 @@
             leaving: drained || instance.state == Listed::Leaving,
             hosts: hosted(id),
             region: in_force.region(&instance.region)?,
-            start: None,
+            start: start(instance),
         })
     };
     used.iter().filter_map(spec).collect()
 }
 
+/// All living entry instances, hashed; ourselves among them.
+fn all_daemons(records: &[Record], own: u64) -> Vec<u64> {
+    let living = records.iter().filter(|record| record.state <= State::Suspect);
+    let mut hashed: Vec<u64> = living.map(|record| hash::bytes(record.name.as_bytes())).collect();
+    if !hashed.contains(&own) {
+        hashed.push(own);
+    }
+    hashed
+}
+
 /// What we may use of other regions: our part of a part that is split between all regions that might.
 fn remotes(context: &Context, instances: &[Instance], in_force: &InForce, now: Time) -> Vec<(u16, Remote)> {
+    if context.settings.dispatch.open_links {
+        let open = Remote { limit: u32::MAX, bytes_per_second: f64::from(u32::MAX) };
+        return (0..in_force.regions.len() as u16).map(|region| (region, open)).collect();
+    }
     let share = lock(&context.keeper).share(now);
     let own = &context.settings.region;
     let sources = in_force.regions.len().saturating_sub(1);
--- a/crates/daemon/tests/port.rs
+++ b/crates/daemon/tests/port.rs
@@ -6,7 +6,7 @@
 
 use base::instance::{Instance, Role, State};
 use config::configs::Settings;
-use daemon::dialect::Dialect;
+use daemon::adapter::Adapter;
 use daemon::life::Daemon;
 use fakes::backend::{Running, Setup};
 use rstest::rstest;
@@ -38,6 +38,7 @@
             operators: String::new(),
             slots: 3,
             connections: 10,
+            born: 0,
             state: State::Live,
         };
         let list = fakes::list::Running::start("127.0.0.1:0", vec![instance], Duration::ZERO).expect("it starts");
@@ -55,7 +56,7 @@
         );
         let settings = Settings::parse("test", &text).expect("the settings are good");
         let address = settings.callers.address.clone();
-        let daemon = Daemon::start(settings, Dialect::own()).expect("the daemon starts");
+        let daemon = Daemon::start(settings, Adapter::own()).expect("the daemon starts");
         let world = Self { backend, _list: list, store, daemon: Some(daemon), address };
         while !world.talk("GET /stock HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").starts_with("HTTP/1.1 200") {
             std::thread::sleep(Duration::from_millis(20));
@@ -178,6 +179,6 @@
         world.address
     );
     let settings = Settings::parse("test", &text).expect("the settings are good");
-    let error = Daemon::start(settings, Dialect::own()).expect_err("the address is taken").to_string();
+    let error = Daemon::start(settings, Adapter::own()).expect_err("the address is taken").to_string();
     assert!(error.contains("callers.address") && error.contains(&world.address), "{error}");
 }
--- a/crates/demo/src/bin/hemlockspread.rs
+++ b/crates/demo/src/bin/hemlockspread.rs
@@ -38,6 +38,7 @@
 fn change(deployment: &Deployment, number: u64) -> Result<f64> {
     std::thread::sleep(PAUSE);
     let store = store::Client::new(&deployment.store, Duration::from_secs(10));
+    let store = store.map_err(|error| Error::Start(error.to_string()))?;
     let done = ctl::change::edit(&store, &format!("spread-{number}"), |policy| {
         let class = policy.classes.values_mut().next();
         class.into_iter().for_each(|class| class.deadline_ms += 1);
--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -107,6 +107,7 @@
     /// Puts the policy into the store.
     pub fn apply(&self) -> Result<u64> {
         let store = store::Client::new(&self.store, Duration::from_secs(5));
+        let store = store.map_err(|error| Error::Start(error.to_string()))?;
         let start = Instant::now();
         loop {
             let id = format!("start-{}", start.elapsed().as_micros());
--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -121,7 +121,7 @@
 #[test]
 fn a_change_reaches_every_daemon_and_survives_restarts_without_the_store() {
     let mut site = Site::start("bayline", 38);
-    let store = store::Client::new(&site.deployment.store, Duration::from_secs(5));
+    let store = store::Client::new(&site.deployment.store, Duration::from_secs(5)).expect("it starts");
     let done = ctl::change::edit(&store, "drain", |policy| {
         policy.drains.push(config::policy::Drain { scope: config::policy::Scope::Domain, name: "wi-b".to_owned() });
         Ok(())
@@ -189,7 +189,7 @@
     let tallies = site.load(&plan, |_| {});
     assert_eq!(tallies["lookup"].endings.keys().collect::<Vec<_>>(), [&Ending::Complete]);
     site.fault(&site.deployment.store, "{}");
-    let store = store::Client::new(&site.deployment.store, Duration::from_secs(5));
+    let store = store::Client::new(&site.deployment.store, Duration::from_secs(5)).expect("it starts");
     let done = ctl::change::edit(&store, "after", |policy| {
         policy.classes.values_mut().for_each(|class| class.deadline_ms += 1);
         Ok(())
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -125,7 +125,7 @@
         let per_second = spec.start.map_or(0.0, |start| start.per_second);
         Self {
             spec,
-            gate: Bucket::new(per_second, COLD_BURST, now),
+            gate: Bucket::new(per_second, if per_second > 0.0 { COLD_BURST } else { 0.0 }, now),
             pace: 1.0,
             pace_noted: Time::ZERO,
             in_flight: 0,
--- a/crates/fakes/tests/store.rs
+++ b/crates/fakes/tests/store.rs
@@ -7,7 +7,7 @@
 
 fn pair() -> (Running, Client) {
     let running = Running::start("127.0.0.1:0").expect("the stand-in starts");
-    let client = Client::new(&running.address(), Duration::from_secs(5));
+    let client = Client::new(&running.address(), Duration::from_secs(5)).expect("it starts");
     (running, client)
 }
 
@@ -60,14 +60,14 @@
 
 #[test]
 fn a_store_that_is_gone_is_unreachable() {
-    let client = Client::new("127.0.0.1:1", Duration::from_secs(5));
+    let client = Client::new("127.0.0.1:1", Duration::from_secs(5)).expect("it starts");
     assert!(matches!(client.commit(&[Change::set("a", 0, vec![])]), Err(Error::Unreachable(_))));
 }
 
 #[test]
 fn a_slow_store_is_ambiguous() {
     let running = Running::start("127.0.0.1:0").expect("the stand-in starts");
-    let client = Client::new(&running.address(), Duration::from_millis(100));
+    let client = Client::new(&running.address(), Duration::from_millis(100)).expect("it starts");
     running.set_faults(Faults { slow_ms: 2_000, ..Faults::default() });
     assert!(matches!(client.read("a"), Err(Error::Ambiguous(_))));
 }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -47,6 +47,9 @@
     /// Its failure domain.
     #[serde(rename = "d")]
     pub domain: String,
+    /// Where callers reach it, `IP:PORT`; empty if only the list of instances tells.
+    #[serde(rename = "c", default, skip_serializing_if = "String::is_empty")]
+    pub callers: String,
 }
 
 impl Record {
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -325,5 +325,6 @@
         state: State::Alive,
         peers: listed.peers.clone(),
         domain: listed.domain.clone(),
+        callers: listed.address.clone(),
     }
 }
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -14,7 +14,7 @@
 
 fn record(name: &str, incarnation: u64) -> Record {
     let (peers, domain) = (name.to_owned(), "d".to_owned());
-    Record { name: name.to_owned(), incarnation, beat: 0, state: State::Alive, peers, domain }
+    Record { name: name.to_owned(), incarnation, beat: 0, state: State::Alive, peers, domain, callers: String::new() }
 }
 
 /// Daemons that exchange once a second, each with whom it likes.
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -32,6 +32,12 @@
     fn close(&mut self) {}
 }
 
+/// A plug-in that has nothing to do here.
+#[derive(Debug, Clone, Copy)]
+pub struct Idle;
+
+impl Part for Idle {}
+
 /// What starting a plug-in gives: the running part, or what went wrong and what to change.
 pub type Started = std::result::Result<Box<dyn Part>, String>;
 
--- a/crates/size/src/membership.rs
+++ b/crates/size/src/membership.rs
@@ -35,6 +35,7 @@
         state: State::Alive,
         peers: format!("10.0.{}.{}:7200", number / 250, number % 250),
         domain: format!("domain-{:02}", number % DOMAINS),
+        callers: String::new(),
     }
 }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod answer;
 pub mod grant;
+pub mod near;
 pub mod shift;
 pub mod table;
 pub mod view;
--- /dev/null
+++ b/crates/store/src/codec.rs
@@ -0,0 +1,26 @@
+//! How calls look on the wire of one kind of store.
+
+use http::Method;
+
+use crate::call::{Call, Reply};
+use crate::error::Result;
+
+/// A call as an HTTP request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Message {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// The body: JSON, or empty.
+    pub body: Vec<u8>,
+}
+
+/// The wire form of one kind of store.
+#[derive(Debug, Clone, Copy)]
+pub struct Codec {
+    /// Writes a call.
+    pub encode: fn(&Call) -> Result<Message>,
+    /// Reads the answer to a call from its status and body.
+    pub decode: fn(&Call, u16, &[u8]) -> Result<Reply>,
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,15 +1,21 @@
-//! Client of the platform's key-value store: compare-and-swap and leases.
+//! Client of the platform's key-value store: compare-and-swap, leases and watches.
 //!
-//! The wire is the JSON form of the etcd v3 interface (`/v3/kv/range`, `/v3/kv/txn`, `/v3/lease/*`).
-//! Watches are not used: few daemons read, and the rest learn from peers (`docs/design/configuration.md`).
+//! What a call looks like on the wire is a [`Codec`]: [`etcd::CODEC`] here, others in adapters.
 
+pub mod call;
 pub mod client;
+pub mod codec;
 pub mod error;
+pub mod etcd;
 pub mod key;
+pub mod mirror;
 pub mod wire;
 
+pub use call::{Call, Event, Reply};
 pub use client::Client;
+pub use codec::{Codec, Message};
 pub use error::{Error, Result};
+pub use mirror::Mirror;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/store/src/mirror.rs
@@ -0,0 +1,165 @@
+//! A copy of a part of the store, kept from a list and the changes after it.
+//!
+//! A key that is found missing soon after the store was away may have gone with a lease that nobody could renew;
+//! its writer gets a moment to come back before it is believed gone.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::time::Time;
+
+use crate::Entry;
+use crate::call::Event;
+
+/// Time after the store's return in which writers whose leases lapsed put their keys back.
+const RETURN: Duration = Duration::from_millis(2_200);
+/// Silence of the store from which leases may have lapsed.
+const AWAY: Duration = Duration::from_secs(1);
+
+/// A key as it was last seen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// Its value.
+    pub value: Vec<u8>,
+    /// Revision of its last change.
+    pub revision: u64,
+    /// When this value was first seen.
+    pub seen: Time,
+    /// Until when the key is kept although it is missing.
+    missing: Option<Time>,
+}
+
+/// The copy.
+#[derive(Debug, Clone, Default)]
+pub struct Mirror {
+    held: BTreeMap<String, Held>,
+    revision: u64,
+    /// Revision of the latest change below each folder, the first part of a key.
+    latest: BTreeMap<String, u64>,
+    /// When the store last answered.
+    answered: Option<Time>,
+    /// Until when missing keys are kept, after the store was away.
+    returning: Time,
+}
+
+impl Mirror {
+    /// An empty copy.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The revision up to which changes are known.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// When the store last answered.
+    pub const fn answered(&self) -> Option<Time> {
+        self.answered
+    }
+
+    /// Keys that start with `prefix`, in order.
+    pub fn range<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = (&'a str, &'a Held)> {
+        let from = self.held.range(prefix.to_owned()..);
+        from.take_while(move |(key, _)| key.starts_with(prefix)).map(|(key, held)| (key.as_str(), held))
+    }
+
+    /// One key.
+    pub fn get(&self, key: &str) -> Option<&Held> {
+        self.held.get(key)
+    }
+
+    /// Revision of the latest change below `folder`; zero if nothing is known of it.
+    pub fn latest(&self, folder: &str) -> u64 {
+        self.latest.get(folder).copied().unwrap_or(0)
+    }
+
+    /// The store answered a call that was made at `sent`; says whether it was away before.
+    pub fn note_answer(&mut self, sent: Time, now: Time) -> bool {
+        let away = self.answered.is_some_and(|last| sent.since(last) > AWAY);
+        if away {
+            self.returning = now + RETURN;
+        }
+        self.answered = Some(now);
+        away
+    }
+
+    /// Takes in changes up to `revision`; says whether anything changed.
+    pub fn apply(&mut self, events: Vec<Event>, revision: u64, now: Time) -> bool {
+        let mut changed = false;
+        for event in events {
+            changed |= match event {
+                Event::Put(entry) => self.put(entry, now),
+                Event::Delete(key, revision) => self.delete(&key, revision, now),
+            };
+        }
+        self.revision = self.revision.max(revision);
+        changed
+    }
+
+    /// Takes a whole list that was true at `revision`; says whether anything changed.
+    pub fn replace(&mut self, entries: Vec<Entry>, revision: u64, now: Time) -> bool {
+        let listed: std::collections::BTreeSet<String> = entries.iter().map(|entry| entry.key.clone()).collect();
+        let missing = self.held.iter().filter(|(key, held)| held.revision <= revision && !listed.contains(*key));
+        let missing: Vec<String> = missing.map(|(key, _)| key.clone()).collect();
+        let mut changed = false;
+        for key in missing {
+            changed |= self.delete(&key, revision + 1, now);
+        }
+        for entry in entries {
+            changed |= self.put(entry, now);
+        }
+        self.revision = self.revision.max(revision);
+        changed
+    }
+
+    /// Drops keys that did not come back in time; says whether anything changed.
+    pub fn tick(&mut self, now: Time) -> bool {
+        let before = self.held.len();
+        let gone = self.held.iter().filter(|(_, held)| held.missing.is_some_and(|until| now >= until));
+        let gone: Vec<String> = gone.map(|(key, _)| key.clone()).collect();
+        for key in gone {
+            self.held.remove(&key);
+            self.note_change(&key, self.revision);
+        }
+        self.held.len() != before
+    }
+
+    fn note_change(&mut self, key: &str, revision: u64) {
+        let folder = key.split('/').next().unwrap_or_default();
+        let latest = self.latest.entry(folder.to_owned()).or_default();
+        *latest = revision.max(*latest);
+    }
+
+    fn put(&mut self, entry: Entry, now: Time) -> bool {
+        let known = self.held.get_mut(&entry.key);
+        if let Some(known) = known {
+            if known.revision >= entry.revision {
+                return false;
+            }
+            known.missing = None;
+            known.revision = entry.revision;
+            if known.value == entry.value {
+                return false;
+            }
+        }
+        self.note_change(&entry.key, entry.revision);
+        let held = Held { value: entry.value, revision: entry.revision, seen: now, missing: None };
+        self.held.insert(entry.key, held);
+        true
+    }
+
+    fn delete(&mut self, key: &str, revision: u64, now: Time) -> bool {
+        let returning = self.returning;
+        let Some(held) = self.held.get_mut(key).filter(|held| held.revision < revision) else {
+            return false;
+        };
+        if now < returning {
+            held.missing.get_or_insert(returning);
+            return false;
+        }
+        self.held.remove(key);
+        self.note_change(key, revision);
+        true
+    }
+}
