Keep an object at a few homes near and far, and tell work from waiting

Servers work three times faster on an object handled lately; the choice by predicted finish went down the whole order of servers as soon as the first ones had a queue, so each server met objects that were new to it, which filled it. The times of warm and cold work were medians of latencies with waiting in them, so the difference vanished just when it mattered. Now an object has at most three homes in the region, as many as these can remember all objects seen, and two elsewhere; times of work are taken only where a slot was free, by pace; others' load is what the last answer told, fading in 0.3 s to its average. Ruled out: warmth shared between classes (an object handled for another class takes as long as a new one, by our logs). Seen besides: each object is asked for by callers of one region. One structured line for each send, attempt and answer now goes to standard output.

--- a/crates/config/src/configs/mod.rs
+++ b/crates/config/src/configs/mod.rs
@@ -22,7 +22,7 @@
 use crate::error::{Error, Result};
 
 /// All settings of a daemon.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// The unique name of this instance.
@@ -35,6 +35,8 @@
     pub domains: BTreeMap<String, String>,
     /// Log level: `error`, `warn`, `info`, `debug` or `trace`.
     pub log: String,
+    /// Log lines a second at most.
+    pub log_lines: u32,
     /// A policy file that serves until the store or a peer gives a newer one; empty for none.
     pub policy: String,
     /// The callers' port.
@@ -51,6 +53,26 @@
     pub dispatch: Dispatch,
 }
 
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            instance: String::new(),
+            domain: String::new(),
+            region: String::new(),
+            domains: BTreeMap::new(),
+            log: String::new(),
+            log_lines: 400,
+            policy: String::new(),
+            callers: Callers::default(),
+            operators: Operators::default(),
+            fleet: Fleet::default(),
+            platform: Platform::default(),
+            list: List::default(),
+            dispatch: Dispatch::default(),
+        }
+    }
+}
+
 impl Settings {
     /// Reads and checks the settings in `path`.
     pub fn read(path: &Path) -> Result<Self> {
@@ -76,6 +98,7 @@
         if !levels.contains(&self.log.as_str()) {
             return Err(Error::value(name, "log", "must be one of error, warn, info, debug, trace"));
         }
+        check_range(name, "log_lines", self.log_lines.into(), 1, 1_000_000)?;
         self.callers.check(name)?;
         self.operators.check(name)?;
         self.fleet.check(name)?;
--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -48,8 +48,14 @@
 
 /// Runs an attempt to its end; the ending goes back to the driver.
 pub async fn run(context: Arc<Context>, outgoing: Arc<Outgoing>, sending: Sending) {
+    let begun = context.now();
     let (ending, whole) = ending(&context, &outgoing, sending).await;
-    log::debug!("dispatch: attempt ended request={} attempt={} ending={ending:?}", outgoing.number, sending.attempt);
+    log::info!(
+        request = outgoing.id.as_str(), attempt = sending.attempt, ending:% = ending.name(),
+        status = whole.as_ref().map_or(0, |whole| whole.status.as_u16()),
+        ms:% = context.now().since(begun).as_millis();
+        "dispatch: attempt ended"
+    );
     context.driver.finish(&context, sending.attempt, ending, whole);
 }
 
--- a/crates/daemon/src/backends/load.rs
+++ b/crates/daemon/src/backends/load.rs
@@ -20,6 +20,7 @@
     let Some(name) = &context.dialect.load else { return };
     let Some(told) = head::text(headers, name).and_then(parse) else { return };
     let now = context.now();
+    log::debug!(backend, running = told.running, waiting = told.waiting, pace = told.pace; "dispatch: load told");
     let pace = f64::from(told.pace) / 100.0;
     let report = Report { load: told.running + told.waiting, draining: false, pace: Some(pace), at: now };
     context.driver.note_report(backend, report);
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -29,7 +29,8 @@
 /// Answers a request for a class of work.
 pub async fn answer(context: &Arc<Context>, incoming: Incoming) -> Reply {
     let start = context.now();
-    let (class, outcome) = run(context, incoming, start).await;
+    let id = request_id(context, &incoming.head.headers);
+    let (class, outcome) = run(context, incoming, &id, start).await;
     let result = match &outcome {
         Ok(_) => "ok",
         Err(kind) => kind.as_str(),
@@ -39,7 +40,9 @@
         context.metrics.requests.with_label_values(&[&class, result]).inc();
         context.metrics.latency.with_label_values(&[&class]).observe(latency.as_secs_f64());
         note_burn(context, &class, &outcome, latency);
-        log::debug!("callers: answered class={class} result={result} ms={}", latency.as_millis());
+        log::info!(request = id.as_str(), class, result, ms:% = latency.as_millis(); "callers: answered");
+    } else {
+        log::info!(request = id.as_str(), result; "callers: refused");
     }
     match outcome {
         Ok(whole) => Reply::whole(&whole, &context.dialect),
@@ -55,7 +58,7 @@
 }
 
 /// The class of a request, if it has one, and what became of it.
-async fn run(context: &Arc<Context>, incoming: Incoming, now: Time) -> (Option<String>, Outcome) {
+async fn run(context: &Arc<Context>, incoming: Incoming, id: &str, now: Time) -> (Option<String>, Outcome) {
     let in_force = context.policy();
     if in_force.policy.regions.is_empty() {
         return (None, Err(Kind::NoPolicy));
@@ -69,11 +72,19 @@
         return (None, Err(Kind::UnknownRoute));
     };
     let (name, idempotent) = (name.to_owned(), class.idempotent);
-    let outcome = dispatch(context, position, idempotent, incoming, now).await;
+    let outcome = dispatch(context, Choice { class: position, idempotent }, incoming, id, now).await;
     (Some(name), outcome)
 }
 
-async fn dispatch(context: &Arc<Context>, class: usize, idempotent: bool, incoming: Incoming, now: Time) -> Outcome {
+/// The class of a request.
+#[derive(Debug, Clone, Copy)]
+struct Choice {
+    class: usize,
+    idempotent: bool,
+}
+
+async fn dispatch(context: &Arc<Context>, choice: Choice, incoming: Incoming, id: &str, now: Time) -> Outcome {
+    let Choice { class, idempotent } = choice;
     let Incoming { head, body, .. } = incoming;
     let fingerprint = fingerprint(head.method.as_str(), &head.target, &body);
     let keyed = !idempotent && context.dialect.once == Once::Key;
@@ -89,8 +100,13 @@
         }
     }
     let submission = submission(context, class, fingerprint, &head.headers);
+    if let Some(name) = &context.dialect.object {
+        let object = head::text(&head.headers, name).unwrap_or("-");
+        log::debug!(request = id, object, target = head.target.as_str(); "callers: about");
+    }
     let outgoing = Arc::new(Outgoing {
         number: context.driver.number(),
+        id: id.to_owned(),
         method: head.method,
         target: head.target,
         headers: passed(context, &head.headers),
@@ -121,6 +137,12 @@
     task.await.unwrap_or(Err(Kind::Internal))
 }
 
+/// The name of a request in logs: the caller's id of this send, or a new one.
+fn request_id(context: &Context, headers: &HeaderMap) -> String {
+    let given = head::text(headers, &context.dialect.request_id).filter(|_| context.dialect.callers_id);
+    given.map_or_else(|| format!("{:08x}-{}", context.incarnation as u32, context.driver.number()), str::to_owned)
+}
+
 /// Abandons a request whose caller went away.
 struct Guard {
     context: Arc<Context>,
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -9,7 +9,7 @@
 use base::time::Time;
 use bytes::Bytes;
 use dispatch::backend::{BackendId, Report};
-use dispatch::engine::Arrival;
+use dispatch::engine::{Arrival, Why};
 use dispatch::{Action, Ending, Engine, Verdict};
 use http::{HeaderMap, Method};
 use tokio::sync::{Notify, oneshot};
@@ -34,6 +34,8 @@
 pub struct Outgoing {
     /// Its number.
     pub number: u64,
+    /// Its name in logs: the caller's id of this send if it gives one.
+    pub id: String,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
@@ -128,7 +130,7 @@
 
     /// An attempt ended; `whole` is its answer, if it has one.
     pub fn finish(&self, context: &Arc<Context>, attempt: u64, ending: Ending, whole: Option<Arc<Whole>>) {
-        context.metrics.attempts.with_label_values(&[ending_name(ending)]).inc();
+        context.metrics.attempts.with_label_values(&[ending.name()]).inc();
         lock(&self.running).remove(&attempt);
         if let Some(whole) = whole {
             lock(&self.answers).insert(attempt, whole);
@@ -164,8 +166,9 @@
 
     fn perform(&self, context: &Arc<Context>, action: Action) {
         match action {
-            Action::Start { request, attempt, backend, deadline, again } => {
+            Action::Start { request, attempt, backend, deadline, again, why } => {
                 let sending = attempt::Sending { attempt, backend, deadline, again };
+                self.note_start(context, request, sending, why);
                 self.start(context, request, sending);
             }
             Action::Cancel { attempt, backend } => {
@@ -180,6 +183,22 @@
         }
     }
 
+    /// Logs where a request goes and what that rests on.
+    fn note_start(&self, context: &Context, request: u64, sending: attempt::Sending, why: Why) {
+        let id = lock(&self.pending).get(&request).map(|pending| pending.outgoing.id.clone());
+        let steering = context.steering();
+        let server = steering.backends.get(&sending.backend).map_or("gone", |instance| instance.name.as_str());
+        let now = context.now();
+        let warm = why.warm.map_or("-", |warm| if warm { "yes" } else { "no" });
+        log::info!(
+            request = id.unwrap_or_default(), attempt = sending.attempt, server, again = sending.again, warm,
+            own = why.own, load:% = format_args!("{:.2}", why.load), pace:% = format_args!("{:.2}", why.pace),
+            told_ms:% = why.told.map_or(-1, |told| now.since(told).as_millis() as i64),
+            left_ms:% = sending.deadline.since(now).as_millis();
+            "dispatch: sent"
+        );
+    }
+
     fn start(&self, context: &Arc<Context>, request: u64, sending: attempt::Sending) {
         let outgoing = lock(&self.pending).get(&request).map(|pending| Arc::clone(&pending.outgoing));
         let Some(outgoing) = outgoing else {
@@ -210,20 +229,6 @@
     }
 }
 
-fn ending_name(ending: Ending) -> &'static str {
-    match ending {
-        Ending::Answered(_) => "answered",
-        Ending::Shed => "shed",
-        Ending::Unreachable => "unreachable",
-        Ending::Lost => "lost",
-        Ending::Timeout => "timeout",
-        Ending::Cut => "cut",
-        Ending::TooLarge => "too-large",
-        Ending::Withheld(_) => "withheld",
-        Ending::Cancelled => "cancelled",
-    }
-}
-
 /// Runs the engine's timers.
 struct Timer(tokio::task::JoinHandle<()>);
 
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -29,6 +29,10 @@
 const COLD_BURST: f64 = 1.0;
 /// Time for which a server's word on its pace holds by half: neighbours come and go.
 const PACE_HALF_LIFE: Duration = Duration::from_millis(400);
+/// Time for which a server's word on the work of other daemons holds by half.
+const OTHERS_HALF_LIFE: Duration = Duration::from_millis(300);
+/// Part of a new word on the work of other daemons in its average.
+const OTHERS_PART: f64 = 0.2;
 
 /// A backend server's number.
 pub type BackendId = u32;
@@ -117,6 +121,9 @@
     gate: Bucket,
     pace: f64,
     pace_noted: Time,
+    /// Work of other daemons as the last answer told it, and on average.
+    told_others: Option<(f64, Time)>,
+    usual_others: f64,
 }
 
 impl Backend {
@@ -128,6 +135,8 @@
             gate: Bucket::new(per_second, if per_second > 0.0 { COLD_BURST } else { 0.0 }, now),
             pace: 1.0,
             pace_noted: Time::ZERO,
+            told_others: None,
+            usual_others: 0.0,
             in_flight: 0,
             waiting_in_flight: 0,
             late: 0,
@@ -149,14 +158,29 @@
         if self.report.is_some_and(|known| known.at > report.at) {
             return;
         }
+        if let Some(pace) = report.pace {
+            self.tell(report, pace);
+            return;
+        }
         let load = f64::from(report.load);
         let part = if self.report.is_some() { REPORT_PART } else { 1.0 };
         self.reported += part * (load - self.reported);
         self.report = Some(report);
-        if let Some(pace) = report.pace {
-            self.pace = pace;
-            self.pace_noted = report.at;
-        }
+    }
+
+    /// Takes in a report that came with the answer to one of our attempts, which it counts.
+    fn tell(&mut self, report: Report, pace: f64) {
+        let others = (f64::from(report.load) - f64::from(self.in_flight)).max(0.0);
+        self.usual_others += OTHERS_PART * (others - self.usual_others);
+        self.told_others = Some((others, report.at));
+        self.pace = pace;
+        self.pace_noted = report.at;
+        self.report = Some(report);
+    }
+
+    /// When it last told its load.
+    pub fn told(&self) -> Option<Time> {
+        self.report.map(|report| report.at)
     }
 
     /// How long work takes there, as a multiple of the usual, as far as its last word still tells.
@@ -222,10 +246,15 @@
         self.spec.slots.min(1 + self.answered / ANSWERS_PER_SLOT)
     }
 
-    /// The work of other daemons there on average, as far as known; fades with the report's age.
+    /// The work of other daemons there, as far as known.
     ///
-    /// A report is old when it comes and work is short, so single reports say nothing of the moment.
+    /// A report that came with an answer tells of the moment and fades to the average. Any other is old when it
+    /// comes, and work is short, so it says nothing of the moment: its average fades with its age.
     pub fn others(&self, now: Time) -> f64 {
+        if let Some((told, at)) = self.told_others {
+            let halves = now.since(at).as_secs_f64() / OTHERS_HALF_LIFE.as_secs_f64();
+            return self.usual_others + (told - self.usual_others) * 0.5_f64.powf(halves);
+        }
         let Some(report) = self.report else { return 0.0 };
         let age = now.since(report.at).as_secs_f64() / REPORT_LIFE.as_secs_f64();
         (self.reported - self.own).max(0.0) * (1.0 - age).max(0.0)
--- a/crates/dispatch/src/class.rs
+++ b/crates/dispatch/src/class.rs
@@ -7,6 +7,7 @@
 
 use crate::samples::Samples;
 use crate::split::{Part, Split};
+use crate::work::Work;
 
 /// Typical latency before anything was seen.
 const FIRST_TYPICAL: Duration = Duration::from_millis(50);
@@ -18,8 +19,6 @@
 const LATE: u32 = 4;
 /// The same for an attempt at a server that must prove itself.
 const LATE_ON_TRIAL: u32 = 2;
-/// How much longer work on an object takes at a server that has not handled it lately, before any was seen.
-const FIRST_COLD: u32 = 3;
 /// Servers that one request is sent to at most, hedges included, where nothing else is declared.
 const TRIES: usize = 4;
 
@@ -81,9 +80,8 @@
     /// Attempts in flight.
     pub in_flight: u32,
     latencies: Samples,
-    /// Latencies at servers that had handled the object lately, and at others.
-    warm: Samples,
-    cold: Samples,
+    /// Times of work on objects.
+    pub work: Work,
     split: Split,
     size: f64,
 }
@@ -91,13 +89,11 @@
 impl Class {
     /// A class that nothing is known of.
     pub fn new(spec: Spec) -> Self {
-        let first = FIRST_TYPICAL.min(spec.target);
         Self {
             queue: VecDeque::new(),
             in_flight: 0,
             latencies: Samples::new(FIRST_TYPICAL),
-            warm: Samples::new(first),
-            cold: Samples::new(first * FIRST_COLD),
+            work: Work::new(FIRST_TYPICAL.min(spec.target)),
             split: Split::new(&spec.split),
             spec,
             size: FIRST_SIZE,
@@ -117,21 +113,6 @@
         self.split.deal().unwrap_or(self.spec.service)
     }
 
-    /// Takes in the latency of work on an object at a server that was `warm` or not.
-    pub fn note_keyed(&mut self, latency: Duration, warm: bool) {
-        if warm { self.warm.note(latency) } else { self.cold.note(latency) }
-    }
-
-    /// Usual time of work on an object that its server handled lately.
-    pub fn warm(&self) -> Duration {
-        self.warm.median().min(self.cold.median())
-    }
-
-    /// Usual time of work on an object that is new to its server.
-    pub fn cold(&self) -> Duration {
-        if self.cold.is_empty() { self.warm.median() * FIRST_COLD } else { self.cold.median() }
-    }
-
     /// Takes in the latency and the answer size of one answered attempt.
     pub fn note(&mut self, latency: Duration, bytes: u64) {
         self.size = (self.size * SIZE_FADE).max(bytes as f64);
--- a/crates/dispatch/src/engine/ending.rs
+++ b/crates/dispatch/src/engine/ending.rs
@@ -25,13 +25,14 @@
         let latency = now.since(ended.started);
         let class = &mut self.classes[ended.class];
         let typical = match ended.warm {
-            Some(true) => class.warm(),
-            Some(false) => class.cold(),
+            Some(true) => class.work.warm(),
+            Some(false) => class.work.cold(),
             None => class.typical(),
         };
         if matches!(ending, Ending::Answered(_)) {
             class.note(latency, bytes);
-            ended.warm.into_iter().for_each(|warm| class.note_keyed(latency, warm));
+            let free = ended.warm.filter(|_| ended.free);
+            free.into_iter().for_each(|warm| class.work.note(latency, ended.pace, warm));
         }
         let Some(backend) = self.backends.get_mut(&ended.backend) else {
             return;
--- a/crates/dispatch/src/engine/event.rs
+++ b/crates/dispatch/src/engine/event.rs
@@ -30,6 +30,23 @@
     Cancelled,
 }
 
+impl Ending {
+    /// Short name, for logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Shed => "shed",
+            Self::Unreachable => "unreachable",
+            Self::Lost => "lost",
+            Self::Timeout => "timeout",
+            Self::Cut => "cut",
+            Self::TooLarge => "too-large",
+            Self::Withheld(_) => "withheld",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// The final answer to a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -40,7 +57,7 @@
 }
 
 /// What the engine wants done.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Action {
     /// Send the request to a backend server.
     Start {
@@ -54,6 +71,8 @@
         deadline: Time,
         /// Whether the request was sent before; it then gets a fresh connection.
         again: bool,
+        /// What the choice rests on.
+        why: Why,
     },
     /// Cancel an attempt; it still has to be finished.
     Cancel {
@@ -71,6 +90,21 @@
     },
 }
 
+/// What the choice of a server rests on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Why {
+    /// Whether the server had handled the request's object lately; `None` for a request about none.
+    pub warm: Option<bool>,
+    /// Our requests in flight there, this one not counted.
+    pub own: u32,
+    /// All work there, as far as known.
+    pub load: f64,
+    /// How long work takes there, as a multiple of the usual.
+    pub pace: f64,
+    /// When the server last told its load.
+    pub told: Option<Time>,
+}
+
 /// A request as it arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Arrival {
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -1,9 +1,11 @@
 //! Choice of a server for requests about an object, by when each would finish.
 //!
 //! Load pattern: many requests about few objects, and servers that work several times faster on an object that
-//! they handled lately. Spreading an object over all servers makes each of them slow; keeping it on one makes a
-//! queue there. Every daemon ranks the servers of an object in the same order without a word to the others, so
-//! an object's requests meet at the same few servers, and goes further down when the first ones are busy.
+//! they handled lately, but remember only some dozens. Spreading an object over all servers makes each of them
+//! slow, which fills them, which spreads the object further; keeping it on one makes a queue there. Every daemon
+//! ranks the servers of an object in the same order without a word to the others. An object has a few homes: the
+//! first servers of its order in the daemon's region, as many as these can remember, and the first ones elsewhere
+//! for what does not fit.
 
 use std::time::Duration;
 
@@ -12,11 +14,16 @@
 
 use super::{Engine, Request};
 use crate::backend::{Backend, BackendId, Place};
+use crate::warmth;
 
-/// Servers of an object that are looked at.
-const RANKED: usize = 12;
-/// How likely another daemon has made an object warm at the server of each rank, before we have seen it.
-const WARM_BY_RANK: [f64; 4] = [0.8, 0.5, 0.25, 0.1];
+/// Homes of an object in the daemon's region at most.
+const NEAR_HOMES: usize = 3;
+/// Homes of an object in other regions.
+const FAR_HOMES: usize = 2;
+/// How likely another daemon has made an object warm at its home of each rank, before we have seen it.
+const WARM_NEAR: [f64; NEAR_HOMES] = [0.9, 0.3, 0.1];
+/// The same for homes in other regions.
+const WARM_FAR: [f64; FAR_HOMES] = [0.2, 0.0];
 /// Part of the target that bytes between regions are worth.
 const REMOTE_COST: f64 = 0.1;
 /// Part of the target that bytes between failure domains are worth.
@@ -28,51 +35,73 @@
 /// Requests of ours at one server at most, for each of its slots.
 const DEPTH: u32 = 3;
 
+/// A server that may run work on an object.
+struct Home {
+    id: BackendId,
+    /// How likely the object is warm there if we have not seen it.
+    warm: f64,
+}
+
 impl Engine {
     /// The server for the next attempt of a request about `object`; `None` if it has to wait.
-    pub(super) fn pick_keyed(&mut self, state: &Request, object: u64, now: Time) -> Option<BackendId> {
-        let ranked = self.ranked(state, object, now);
-        let score = |(rank, id): (usize, &BackendId)| {
-            let server = self.backends.get(id)?;
-            Some((self.cost(server, state, object, rank, now), *id))
+    pub(super) fn pick_keyed(&self, state: &Request, object: u64, now: Time) -> Option<BackendId> {
+        let homes = self.homes(state, object, now);
+        let score = |home: &Home| {
+            let server = self.backends.get(&home.id).filter(|server| self.takes(server, state, now))?;
+            Some((self.cost(server, state, object, home.warm, now), home.id))
         };
-        let best = ranked.iter().enumerate().filter_map(score).min_by(|one, other| one.0.total_cmp(&other.0));
+        let best = homes.iter().filter_map(score).min_by(|one, other| one.0.total_cmp(&other.0));
         best.map(|(_, id)| id)
     }
 
-    /// The usable servers of the request's service, in the object's order, the first few.
-    fn ranked(&self, state: &Request, object: u64, now: Time) -> Vec<BackendId> {
-        let Some(tiers) = self.tiers.get(usize::from(state.service)) else {
+    /// The servers that serve the object, whether they can take a request now or not.
+    fn homes(&self, state: &Request, object: u64, now: Time) -> Vec<Home> {
+        let Some([near, far]) = self.tiers.get(usize::from(state.service)) else {
             return Vec::new();
         };
-        let usable = |id: &&BackendId| {
+        let near = self.ranked(near, state, object, now);
+        let far = self.ranked(far, state, object, now);
+        let most = self.near_homes(state.service, near.len());
+        let near = near.into_iter().take(most).zip(WARM_NEAR);
+        let far = far.into_iter().zip(WARM_FAR);
+        near.chain(far).map(|(id, warm)| Home { id, warm }).collect()
+    }
+
+    /// Homes of each object among `servers` of our region: as many as these can remember all objects.
+    fn near_homes(&self, service: u16, servers: usize) -> usize {
+        let objects = self.objects.count(service).max(1);
+        (warmth::KEPT * servers / objects).clamp(1, NEAR_HOMES)
+    }
+
+    /// The first few of `servers` that serve, in the object's order.
+    fn ranked(&self, servers: &[BackendId], state: &Request, object: u64, now: Time) -> Vec<BackendId> {
+        let class = &self.classes[state.class].spec;
+        let serves = |id: &&BackendId| {
             let server = self.backends.get(id);
-            server.is_some_and(|server| self.usable_keyed(server, state, now))
+            server.is_some_and(|server| {
+                let up = !server.leaving() && !server.closed(now) && !state.barred.contains(id);
+                up && class.allows(server.spec.region)
+            })
         };
+        let most = NEAR_HOMES.max(FAR_HOMES);
         let mut ranked: Vec<(u64, BackendId)> =
-            tiers.iter().flatten().filter(usable).map(|id| (hash::pair(object, u64::from(*id)), *id)).collect();
-        if ranked.len() > RANKED {
-            ranked.select_nth_unstable_by(RANKED, |one, other| other.cmp(one));
-            ranked.truncate(RANKED);
+            servers.iter().filter(serves).map(|id| (hash::pair(object, u64::from(*id)), *id)).collect();
+        if ranked.len() > most {
+            ranked.select_nth_unstable_by(most, |one, other| other.cmp(one));
+            ranked.truncate(most);
         }
         ranked.sort_unstable_by(|one, other| other.cmp(one));
         ranked.into_iter().map(|(_, id)| id).collect()
     }
 
-    fn usable_keyed(&self, server: &Backend, state: &Request, now: Time) -> bool {
-        let spec = &self.classes[state.class].spec;
-        if server.leaving() || server.closed(now) || state.barred.contains(&server.spec.id) {
-            return false;
-        }
-        if !spec.allows(server.spec.region) {
-            return false;
-        }
+    /// Whether a server can be sent a request now.
+    fn takes(&self, server: &Backend, state: &Request, now: Time) -> bool {
         let most = if server.suspect() { 1 } else { server.spec.slots * DEPTH };
         server.in_flight < most && server.admits(now) && self.channel_open(server.spec.place, state, now)
     }
 
     /// What it costs to run the request at `server`, in seconds: the time to its answer, and what the way costs.
-    fn cost(&self, server: &Backend, state: &Request, object: u64, rank: usize, now: Time) -> f64 {
+    fn cost(&self, server: &Backend, state: &Request, object: u64, warm: f64, now: Time) -> f64 {
         let class = &self.classes[state.class];
         let target = class.spec.target.as_secs_f64();
         let (way, price) = match server.spec.place {
@@ -80,12 +109,11 @@
             Place::Region => (DOMAIN_WAY, DOMAIN_COST * target),
             Place::Remote(_) => (REMOTE_WAY, REMOTE_COST * target),
         };
-        let warm =
-            if self.warmth.has(server.spec.id, object) { 1.0 } else { WARM_BY_RANK.get(rank).copied().unwrap_or(0.0) };
-        let work = class.warm().as_secs_f64() * warm + class.cold().as_secs_f64() * (1.0 - warm);
+        let warm = if self.warmth.has(server.spec.id, object) { 1.0 } else { warm };
+        let work = class.work.warm().as_secs_f64() * warm + class.work.cold().as_secs_f64() * (1.0 - warm);
         let slots = f64::from(server.spec.slots.max(1));
         let ahead = (server.load(now) + 1.0 - slots).max(0.0) / slots;
-        let wait = ahead * class.typical().as_secs_f64();
+        let wait = ahead * class.work.warm().as_secs_f64();
         way.as_secs_f64() + price + (work + wait) * server.pace(now)
     }
 }
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -15,10 +15,11 @@
 use base::rate;
 use base::time::Time;
 
-pub use self::event::{Action, Arrival, Ending, Extra, Limits, Remote, Verdict};
+pub use self::event::{Action, Arrival, Ending, Extra, Limits, Remote, Verdict, Why};
 use crate::backend::{Backend, BackendId, Place, Report, Spec};
 use crate::budget::Budget;
 use crate::class::{self, Class};
+use crate::objects::Objects;
 use crate::poison::Poison;
 use crate::warmth::Warmth;
 
@@ -51,6 +52,9 @@
     class: usize,
     /// Whether the server had handled the request's object lately; `None` for a request about none.
     warm: Option<bool>,
+    /// Whether a slot was free there, as far as known, and its pace.
+    free: bool,
+    pace: f64,
     backend: BackendId,
     started: Time,
     late_at: Time,
@@ -94,6 +98,7 @@
     /// Hedges and retries together, by service.
     repeats: BTreeMap<u16, Budget>,
     warmth: Warmth,
+    objects: Objects,
     poison: Poison,
     losses: Vec<(u64, u64)>,
     salt: u64,
@@ -124,6 +129,7 @@
             retries: Budget::new(limits.extra.retry_part, limits.extra.retries_saved),
             repeats: BTreeMap::new(),
             warmth: Warmth::new(),
+            objects: Objects::new(),
             poison: Poison::new(limits.poison),
             losses: Vec::new(),
             salt: seed,
@@ -264,11 +270,13 @@
             return self.answer(request, Verdict::Refuse(kind));
         }
         let spec = &self.classes[class].spec;
+        let object = object.filter(|_| spec.affinity).map(|object| base::hash::pair(object, class as u64));
+        object.into_iter().for_each(|object| self.objects.note(service, object, now));
         let deadline = now + limit.map_or(spec.deadline, |limit| limit.min(spec.deadline));
         let state = Request {
             class,
             service,
-            object: object.filter(|_| spec.affinity).map(|object| base::hash::pair(object, class as u64)),
+            object,
             fingerprint,
             bytes,
             arrived: now,
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -5,7 +5,7 @@
 use base::error::Kind;
 use base::time::Time;
 
-use super::{Action, Attempt, Engine, Request, Timer};
+use super::{Action, Attempt, Engine, Request, Timer, Why};
 use crate::backend::{Backend, BackendId, Place};
 
 /// Time's worth of a link's rate that may pass in one burst.
@@ -73,12 +73,14 @@
         let late_at = now + class.late_after(server.suspect());
         let object = state.object;
         let warm = object.map(|object| !self.warmth.touch(backend, object));
+        let (own, load, pace, told) = (server.in_flight, server.load(now), server.pace(now), server.told());
+        let slots = f64::from(server.spec.slots);
         server.start(waits, now);
         let place = server.spec.place;
         let reserved = self.reserve(place, bytes as f64, answer_bytes, now);
         self.next_attempt += 1;
         let attempt = self.next_attempt;
-        let started = Attempt { request, class: index, warm, backend, started: now, late_at, late: false, reserved };
+        let started = Attempt { request, class: index, warm, free: load < slots, pace, backend, started: now, late_at, late: false, reserved };
         self.attempts.insert(attempt, started);
         self.timers.insert((late_at, Timer::Late(attempt)));
         let Some(state) = self.requests.get_mut(&request) else {
@@ -88,7 +90,8 @@
         state.tries += 1;
         state.barred.push(backend);
         let again = state.tries > 1;
-        self.actions.push(Action::Start { request, attempt, backend, deadline, again });
+        let why = Why { warm, own, load, pace, told };
+        self.actions.push(Action::Start { request, attempt, backend, deadline, again, why });
     }
 
     /// An attempt is late: the server is marked, and the request hedged if that is allowed.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,10 +7,12 @@
 pub mod budget;
 pub mod class;
 pub mod engine;
+pub mod objects;
 pub mod poison;
 pub mod samples;
 pub mod split;
 pub mod subset;
 pub mod warmth;
+pub mod work;
 
 pub use engine::{Action, Ending, Engine, Verdict};
--- a/crates/dispatch/src/warmth.rs
+++ b/crates/dispatch/src/warmth.rs
@@ -5,7 +5,7 @@
 use crate::backend::BackendId;
 
 /// Objects that a server is trusted to keep warm.
-const KEPT: usize = 32;
+pub const KEPT: usize = 32;
 
 /// Objects by server, the latest handled last.
 #[derive(Debug, Clone, Default)]
