Weigh what a new object costs its server; take untold loads for usual ones; begin with few objects near

Cause 1: a queue of a few requests at an object's home sent its next request to a server that had never handled it: late in any case, and another object driven out there. The cost of a server now holds a part for that. Untold loads are now the mean of the told ones; a region that is short of slots begins with half of its even part.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -187,11 +187,12 @@
     fn note_start(&self, context: &Context, request: u64, sending: attempt::Sending, why: Why) {
         let id = lock(&self.pending).get(&request).map(|pending| pending.outgoing.id.clone());
         let steering = context.steering();
-        let server = steering.backends.get(&sending.backend).map_or("gone", |instance| instance.name.as_str());
+        let target = steering.backends.get(&sending.backend);
+        let (server, domain) = target.map_or(("gone", ""), |instance| (&instance.name, &instance.domain));
         let now = context.now();
         let warm = why.warm.map_or("-", |warm| if warm { "yes" } else { "no" });
         log::info!(
-            request = id.unwrap_or_default(), attempt = sending.attempt, server, again = sending.again, warm,
+            request = id.unwrap_or_default(), attempt = sending.attempt, server, domain, again = sending.again, warm,
             own = why.own, load:% = format_args!("{:.2}", why.load), pace:% = format_args!("{:.2}", why.pace),
             told_ms:% = why.told.map_or(-1, |told| now.since(told).as_millis() as i64),
             left_ms:% = sending.deadline.since(now).as_millis();
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -124,6 +124,8 @@
     /// Work of other daemons as the last answer told it, and on average.
     told_others: Option<(f64, Time)>,
     usual_others: f64,
+    /// What its others' work is taken to be before an answer told it: that of the servers like it.
+    assumed_others: f64,
 }
 
 impl Backend {
@@ -137,6 +139,7 @@
             pace_noted: Time::ZERO,
             told_others: None,
             usual_others: 0.0,
+            assumed_others: 0.0,
             in_flight: 0,
             waiting_in_flight: 0,
             late: 0,
@@ -178,6 +181,16 @@
         self.report = Some(report);
     }
 
+    /// The work of other daemons there on average, if its answers told it.
+    pub fn usual_others(&self) -> Option<f64> {
+        self.told_others.map(|_| self.usual_others)
+    }
+
+    /// Takes the work of other daemons there to be `others` as long as no answer has told it.
+    pub const fn assume_others(&mut self, others: f64) {
+        self.assumed_others = others;
+    }
+
     /// When it last told its load.
     pub fn told(&self) -> Option<Time> {
         self.report.map(|report| report.at)
@@ -255,7 +268,7 @@
             let halves = now.since(at).as_secs_f64() / OTHERS_HALF_LIFE.as_secs_f64();
             return self.usual_others + (told - self.usual_others) * 0.5_f64.powf(halves);
         }
-        let Some(report) = self.report else { return 0.0 };
+        let Some(report) = self.report else { return self.assumed_others };
         let age = now.since(report.at).as_secs_f64() / REPORT_LIFE.as_secs_f64();
         (self.reported - self.own).max(0.0) * (1.0 - age).max(0.0)
     }
--- a/crates/dispatch/src/class.rs
+++ b/crates/dispatch/src/class.rs
@@ -19,6 +19,8 @@
 const LATE: u32 = 4;
 /// The same for an attempt at a server that must prove itself.
 const LATE_ON_TRIAL: u32 = 2;
+/// Work on an object that its server handled lately, before any was seen, as a part of the target.
+const FIRST_WARM: f64 = 0.4;
 /// Servers that one request is sent to at most, hedges included, where nothing else is declared.
 const TRIES: usize = 4;
 
@@ -93,7 +95,7 @@
             queue: VecDeque::new(),
             in_flight: 0,
             latencies: Samples::new(FIRST_TYPICAL),
-            work: Work::new(FIRST_TYPICAL.min(spec.target)),
+            work: Work::new(spec.target.mul_f64(FIRST_WARM)),
             split: Split::new(&spec.split),
             spec,
             size: FIRST_SIZE,
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -29,6 +29,9 @@
 /// How likely an object that lives in another region is warm at its homes there, and at those near.
 const WARM_AWAY: [f64; FAR_HOMES] = [0.9, 0.3];
 const WARM_LEFT: [f64; NEAR_HOMES] = [0.2, 0.0, 0.0];
+/// Part of the target that it is worth not to bring a server an object that is new to it: such work is late in any
+/// case, and drives another object out.
+const NEW_COST: f64 = 1.0;
 /// Part of the target that bytes between regions are worth.
 const REMOTE_COST: f64 = 0.1;
 /// Part of the target that bytes between failure domains are worth.
@@ -87,12 +90,16 @@
             up.fold((0.0, 0.0), |(slots, load), server| (slots + f64::from(server.spec.slots), load + server.load(now)))
         };
         let ((slots, load), (others, _)) = (serving(near), serving(far));
+        let told = near.iter().chain(far).filter_map(|id| self.backends.get(id)?.usual_others());
+        let (count, sum) = told.fold((0.0, 0.0), |(count, sum), one| (count + 1.0, sum + one));
         let regions = far.iter().filter_map(|id| self.backends.get(id)).map(|server| server.spec.region);
         let regions = regions.collect::<BTreeSet<u16>>().len() + 1;
         let share = self.shares.entry(service).or_insert_with(|| Share::new(slots, slots + others, regions, now));
         if slots > 0.0 {
             share.step(load / slots, now);
         }
+        let servers = self.backends.values_mut().filter(|server| server.spec.service == service);
+        servers.for_each(|server| server.assume_others(sum / f64::max(count, 1.0)));
     }
 
     /// Homes of each object among `servers` of our region: as many as these can remember all objects.
@@ -142,6 +149,7 @@
         let slots = f64::from(server.spec.slots.max(1));
         let ahead = (server.load(now) + 1.0 - slots).max(0.0) / slots;
         let wait = ahead * class.work.warm().as_secs_f64();
-        way.as_secs_f64() + price + (work + wait) * server.pace(now)
+        let news = NEW_COST * target * (1.0 - warm);
+        way.as_secs_f64() + price + news + (work + wait) * server.pace(now)
     }
 }
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -18,6 +18,10 @@
 const LOW: f64 = 0.65;
 /// Part of a new load in the average.
 const NEW_PART: f64 = 0.25;
+/// How much of its even part of all slots a region is trusted to carry at first: all objects are new to their
+/// servers then, and work on them takes several times as long.
+const FIRST: f64 = 0.5;
+
 /// The part of a service's objects that live near.
 #[derive(Debug, Clone)]
 pub struct Share {
@@ -27,11 +31,11 @@
 }
 
 impl Share {
-    /// The part that fits when `near` of `all` slots are near and `regions` regions have equal callers: it is better
-    /// to begin low, since all objects are new to their servers then.
+    /// The first part, when `near` of `all` slots are near and `regions` regions have equal callers.
     pub fn new(near: f64, all: f64, regions: usize, now: Time) -> Self {
         let even = if all > 0.0 { regions as f64 * near / all } else { 1.0 };
-        Self { part: even.min(1.0), load: LOW, stepped: now }
+        let part = if even < 1.0 { even * FIRST } else { 1.0 };
+        Self { part, load: LOW, stepped: now }
     }
 
     /// Whether the object at `place`, from 0 to 1, has its first home near.
