Send a server only what it can answer in time or has a slot to spare for; refuse the rest while callers can come back

Now work that a home can answer within the target goes there; late work takes a slot only where another stays free; a server that has not told its load gets one request of ours at a time; what no home takes waits here for the target's time at most and is refused with 0.3 to 0.8 s to come back, spread. What a server usually has from others counts less and less when nothing is heard of it, else one that was busy would never be sent anything again. Work that must not run twice goes on when its caller leaves.

--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -33,7 +33,7 @@
     let (class, outcome) = run(context, incoming, &id, start).await;
     let result = match &outcome {
         Ok(_) => "ok",
-        Err(kind) => kind.as_str(),
+        Err(refusal) => refusal.kind.as_str(),
     };
     if let Some(class) = class {
         let latency = context.now().since(start);
@@ -46,7 +46,7 @@
     }
     match outcome {
         Ok(whole) => Reply::whole(&whole, &context.dialect),
-        Err(kind) => Reply::error(kind, &context.dialect),
+        Err(refusal) => Reply::refusal(refusal, &context.dialect),
     }
 }
 
@@ -61,15 +61,15 @@
 async fn run(context: &Arc<Context>, incoming: Incoming, id: &str, now: Time) -> (Option<String>, Outcome) {
     let in_force = context.policy();
     if in_force.policy.regions.is_empty() {
-        return (None, Err(Kind::NoPolicy));
+        return (None, Err(Kind::NoPolicy.into()));
     }
     let head = &incoming.head;
     let found = in_force.policy.class_of(host(&head.headers), head.path());
     let Some((name, class)) = found else {
-        return (None, Err(Kind::UnknownRoute));
+        return (None, Err(Kind::UnknownRoute.into()));
     };
     let Some(position) = in_force.class(name) else {
-        return (None, Err(Kind::UnknownRoute));
+        return (None, Err(Kind::UnknownRoute.into()));
     };
     let (name, idempotent) = (name.to_owned(), class.idempotent);
     let outcome = dispatch(context, Choice { class: position, idempotent }, incoming, id, now).await;
@@ -96,7 +96,7 @@
                 context.metrics.replays.inc();
                 return Ok(whole);
             }
-            Step::Refuse(kind) => return Err(kind),
+            Step::Refuse(kind) => return Err(kind.into()),
         }
     }
     let submission = submission(context, class, fingerprint, &head.headers);
@@ -121,7 +121,7 @@
     let mut guard = Guard { context: Arc::clone(context), request: Some(outgoing.number) };
     let outcome = context.driver.submit(context, outgoing, submission).await;
     guard.request = None;
-    outcome.unwrap_or(Err(Kind::Internal))
+    outcome.unwrap_or_else(|_| Err(Kind::Internal.into()))
 }
 
 /// Runs an order to its end, also when its caller goes away: the answer is kept for the re-send.
@@ -129,12 +129,12 @@
     let shared = Arc::clone(context);
     let task = context.runtime.spawn(async move {
         let outcome = shared.driver.submit(&shared, Arc::clone(&outgoing), submission).await;
-        let outcome = outcome.unwrap_or(Err(Kind::Internal));
+        let outcome = outcome.unwrap_or_else(|_| Err(Kind::Internal.into()));
         let Some(order) = &outgoing.order else { return outcome };
         orders::withdraw(&shared, order);
         orders::end(&shared, order, outcome)
     });
-    task.await.unwrap_or(Err(Kind::Internal))
+    task.await.unwrap_or_else(|_| Err(Kind::Internal.into()))
 }
 
 /// The name of a request in logs: the caller's id of this send, or a new one.
@@ -217,7 +217,7 @@
     };
     let own_fault = match outcome {
         Ok(whole) => whole.status.is_server_error(),
-        Err(kind) => kind.answer().status >= 500 || *kind == Kind::AlreadyClaimed,
+        Err(refusal) => refusal.kind.answer().status >= 500 || refusal.kind == Kind::AlreadyClaimed,
     };
     if outcome.is_err() && !own_fault {
         return;
--- a/crates/daemon/src/callers/reply.rs
+++ b/crates/daemon/src/callers/reply.rs
@@ -1,5 +1,7 @@
 //! Answers to callers.
 
+use std::time::Duration;
+
 use base::error::Kind;
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
@@ -7,6 +9,7 @@
 use serde::Serialize;
 
 use crate::dialect::Dialect;
+use crate::driver::Refusal;
 use crate::whole::Whole;
 
 /// An answer with its whole body.
@@ -30,6 +33,15 @@
     advice: &'static str,
 }
 
+/// A time as the header gives it: whole seconds, rounded up, unless callers read fractions.
+fn seconds(time: Duration, fractions: bool) -> HeaderValue {
+    if fractions {
+        let text = format!("{:.3}", time.as_secs_f64());
+        return HeaderValue::from_str(&text).unwrap_or_else(|_| HeaderValue::from_static("1"));
+    }
+    HeaderValue::from(time.as_secs() + u64::from(time.subsec_nanos() > 0))
+}
+
 impl Reply {
     /// `value` as JSON.
     pub fn json<T: Serialize>(value: &T) -> Self {
@@ -47,6 +59,12 @@
 
     /// The answer that `kind` gives.
     pub fn error(kind: Kind, dialect: &Dialect) -> Self {
+        Self::refusal(kind.into(), dialect)
+    }
+
+    /// The answer to a request that no backend server answered.
+    pub fn refusal(refusal: Refusal, dialect: &Dialect) -> Self {
+        let Refusal { kind, after } = refusal;
         let answer = kind.answer();
         let mut reply =
             Self::json(&Body { error: kind.as_str(), outcome: answer.outcome.as_str(), advice: kind.advice() });
@@ -55,8 +73,9 @@
         if let Some(outcome) = &dialect.outcome {
             reply.headers.insert(outcome, HeaderValue::from_static(answer.outcome.as_str()));
         }
-        if let Some(seconds) = answer.retry_after_s {
-            reply.headers.insert(RETRY_AFTER, seconds.into());
+        let usual = answer.retry_after_s.map(|seconds| Duration::from_secs(seconds.into()));
+        if let Some(after) = after.or(usual) {
+            reply.headers.insert(RETRY_AFTER, seconds(after, dialect.fractions));
         }
         reply
     }
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -45,6 +45,8 @@
     pub alone: bool,
     /// Path for cancelling an attempt by its id; `None` if closing the connection cancels.
     pub cancel_path: Option<&'static str>,
+    /// Whether callers read fractions of a second in the time after which to come back.
+    pub fractions: bool,
     /// How requests that must not run twice are told apart.
     pub once: Once,
 }
@@ -67,6 +69,7 @@
             until_close: false,
             alone: true,
             cancel_path: Some("/cancel"),
+            fractions: false,
             once: Once::Key,
         }
     }
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -65,8 +65,23 @@
     pub object: Option<u64>,
 }
 
+/// Why a caller's request is not answered by a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// The kind of error.
+    pub kind: Kind,
+    /// When the caller should come back, if not after the kind's usual time.
+    pub after: Option<Duration>,
+}
+
+impl From<Kind> for Refusal {
+    fn from(kind: Kind) -> Self {
+        Self { kind, after: None }
+    }
+}
+
 /// What a caller's request comes to.
-pub type Outcome = Result<Arc<Whole>, Kind>;
+pub type Outcome = Result<Arc<Whole>, Refusal>;
 
 #[derive(Debug)]
 struct Pending {
@@ -179,7 +194,7 @@
                     self.finish(context, attempt, Ending::Cancelled, None);
                 }
             }
-            Action::Answer { request, verdict } => self.answer(request, verdict),
+            Action::Answer { request, verdict, after } => self.answer(request, verdict, after),
         }
     }
 
@@ -216,13 +231,13 @@
         lock(&self.engine).note_report(backend, report);
     }
 
-    fn answer(&self, request: u64, verdict: Verdict) {
+    fn answer(&self, request: u64, verdict: Verdict, after: Option<Duration>) {
         let Some(pending) = lock(&self.pending).remove(&request) else {
             return;
         };
         let outcome = match verdict {
-            Verdict::Refuse(kind) => Err(kind),
-            Verdict::Relay(attempt) => lock(&self.answers).get(&attempt).cloned().ok_or(Kind::Internal),
+            Verdict::Refuse(kind) => Err(Refusal { kind, after }),
+            Verdict::Relay(attempt) => lock(&self.answers).get(&attempt).cloned().ok_or(Refusal::from(Kind::Internal)),
         };
         if pending.reply.send(outcome).is_err() {
             log::debug!("dispatch: answer skipped, caller gone request={request}");
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -87,8 +87,8 @@
     let mut ledger = lock(&context.ledger);
     match &outcome {
         Ok(whole) => ledger.ran(order.key, Arc::clone(whole), whole.bytes(), now),
-        Err(kind) => {
-            let release = ledger.failed(order.key, *kind, now);
+        Err(refusal) => {
+            let release = ledger.failed(order.key, refusal.kind, now);
             drop(ledger);
             if release {
                 self::release(context, order);
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -31,6 +31,9 @@
 const PACE_HALF_LIFE: Duration = Duration::from_millis(400);
 /// Time for which a server's word on the work of other daemons holds by half.
 const OTHERS_HALF_LIFE: Duration = Duration::from_millis(300);
+/// Time without a word from a server after which what it usually has from others counts less and less: a server
+/// that is sent nothing because it was busy could never tell that it is free.
+const WORD_LIFE: Duration = Duration::from_millis(500);
 /// Part of a new word on the work of other daemons in its average.
 const OTHERS_PART: f64 = 0.2;
 
@@ -265,8 +268,11 @@
     /// comes, and work is short, so it says nothing of the moment: its average fades with its age.
     pub fn others(&self, now: Time) -> f64 {
         if let Some((told, at)) = self.told_others {
-            let halves = now.since(at).as_secs_f64() / OTHERS_HALF_LIFE.as_secs_f64();
-            return self.usual_others + (told - self.usual_others) * 0.5_f64.powf(halves);
+            let age = now.since(at);
+            let halves = age.as_secs_f64() / OTHERS_HALF_LIFE.as_secs_f64();
+            let silence = age.saturating_sub(WORD_LIFE).as_secs_f64() / WORD_LIFE.as_secs_f64();
+            let usual = self.usual_others * 0.5_f64.powf(silence);
+            return usual + (told - usual) * 0.5_f64.powf(halves);
         }
         let Some(report) = self.report else { return self.assumed_others };
         let age = now.since(report.at).as_secs_f64() / REPORT_LIFE.as_secs_f64();
--- a/crates/dispatch/src/engine/ending.rs
+++ b/crates/dispatch/src/engine/ending.rs
@@ -103,6 +103,9 @@
         if !safe || !tries_left || poisoned || late || !(self.retries.spend() && self.repeats(service).spend()) {
             return self.refuse(request, kind);
         }
+        if self.requests.get(&request).is_some_and(|state| state.object.is_some()) {
+            return self.place(request, now);
+        }
         self.enqueue(request, true);
     }
 
--- a/crates/dispatch/src/engine/event.rs
+++ b/crates/dispatch/src/engine/event.rs
@@ -87,6 +87,8 @@
         request: u64,
         /// The answer.
         verdict: Verdict,
+        /// When the caller should come back, if not after the usual time.
+        after: Option<Duration>,
     },
 }
 
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -40,8 +40,13 @@
 const REMOTE_WAY: Duration = Duration::from_millis(30);
 /// The way to another failure domain and back, before anything was seen.
 const DOMAIN_WAY: Duration = Duration::from_millis(3);
-/// Requests of ours at one server at most, for each of its slots.
-const DEPTH: u32 = 3;
+/// Requests at one server at most, for each of its slots.
+const DEPTH: f64 = 4.0;
+
+/// Requests of ours at a server that has not told its load yet, at most.
+const UNTOLD: u32 = 1;
+/// Slots that work which will be late leaves free.
+const SPARED: f64 = 1.0;
 
 /// A server that may run work on an object.
 struct Home {
@@ -55,8 +60,11 @@
     pub(super) fn pick_keyed(&self, state: &Request, object: u64, now: Time) -> Option<BackendId> {
         let homes = self.homes(state, object, now);
         let score = |home: &Home| {
-            let server = self.backends.get(&home.id).filter(|server| self.takes(server, state, now))?;
-            Some((self.cost(server, state, object, home.warm, now), home.id))
+            let server = self.backends.get(&home.id)?;
+            let warm = if self.warmth.has(home.id, object) { 1.0 } else { home.warm };
+            let finish = self.time_to_answer(server, state, warm, now);
+            let taken = self.takes(server, state, finish, now);
+            taken.then(|| (finish.as_secs_f64() + self.price(server, state, warm), home.id))
         };
         let best = homes.iter().filter_map(score).min_by(|one, other| one.0.total_cmp(&other.0));
         best.map(|(_, id)| id)
@@ -129,27 +137,45 @@
         ranked.into_iter().map(|(_, id)| id).collect()
     }
 
-    /// Whether a server can be sent a request now.
-    fn takes(&self, server: &Backend, state: &Request, now: Time) -> bool {
-        let most = if server.suspect() { 1 } else { server.spec.slots * DEPTH };
-        server.in_flight < most && server.admits(now) && self.channel_open(server.spec.place, state, now)
+    /// Whether a server can be sent a request now that would be answered after `finish`: in time, or on a free slot.
+    fn takes(&self, server: &Backend, state: &Request, finish: Duration, now: Time) -> bool {
+        if !server.admits(now) || !self.channel_open(server.spec.place, state, now) {
+            return false;
+        }
+        if server.suspect() {
+            return server.in_flight == 0;
+        }
+        if server.told().is_none() && server.in_flight >= UNTOLD {
+            return false;
+        }
+        let (load, slots) = (server.load(now), f64::from(server.spec.slots));
+        let target = state.arrived + self.classes[state.class].spec.target;
+        let in_time = now + finish <= target && load < slots * DEPTH;
+        in_time || load < slots - SPARED
     }
 
-    /// What it costs to run the request at `server`, in seconds: the time to its answer, and what the way costs.
-    fn cost(&self, server: &Backend, state: &Request, object: u64, warm: f64, now: Time) -> f64 {
+    /// Time to the answer if the request is sent to `server`, where its object is warm with likelihood `warm`.
+    fn time_to_answer(&self, server: &Backend, state: &Request, warm: f64, now: Time) -> Duration {
         let class = &self.classes[state.class];
-        let target = class.spec.target.as_secs_f64();
-        let (way, price) = match server.spec.place {
-            Place::Domain => (Duration::ZERO, 0.0),
-            Place::Region => (DOMAIN_WAY, DOMAIN_COST * target),
-            Place::Remote(_) => (REMOTE_WAY, REMOTE_COST * target),
+        let way = match server.spec.place {
+            Place::Domain => Duration::ZERO,
+            Place::Region => DOMAIN_WAY,
+            Place::Remote(_) => REMOTE_WAY,
         };
-        let warm = if self.warmth.has(server.spec.id, object) { 1.0 } else { warm };
-        let work = class.work.warm().as_secs_f64() * warm + class.work.cold().as_secs_f64() * (1.0 - warm);
+        let work = class.work.warm().mul_f64(warm) + class.work.cold().mul_f64(1.0 - warm);
         let slots = f64::from(server.spec.slots.max(1));
         let ahead = (server.load(now) + 1.0 - slots).max(0.0) / slots;
-        let wait = ahead * class.work.warm().as_secs_f64();
-        let news = NEW_COST * target * (1.0 - warm);
-        way.as_secs_f64() + price + news + (work + wait) * server.pace(now)
+        way + (work + class.work.warm().mul_f64(ahead)).mul_f64(server.pace(now))
+    }
+
+    /// What it costs besides time to run the request at `server`, in seconds.
+    fn price(&self, server: &Backend, state: &Request, warm: f64) -> f64 {
+        let target = self.classes[state.class].spec.target.as_secs_f64();
+        let way = match server.spec.place {
+            Place::Domain => 0.0,
+            Place::Region => DOMAIN_COST,
+            Place::Remote(_) => REMOTE_COST,
+        };
+        (way + NEW_COST * (1.0 - warm)) * target
     }
 }
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -7,6 +7,7 @@
 #[cfg(feature = "policies")]
 pub mod policy;
 mod queue;
+mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -26,6 +27,8 @@
 
 /// Time after which waiting requests are looked at again.
 const LOOK_AGAIN: Duration = Duration::from_millis(2);
+/// The same where only requests about objects wait.
+const LOOK_AT_HELD: Duration = Duration::from_millis(20);
 
 #[derive(Debug, Clone)]
 struct Request {
@@ -90,6 +93,8 @@
     requests: BTreeMap<u64, Request>,
     attempts: BTreeMap<u64, Attempt>,
     timers: BTreeSet<(Time, Timer)>,
+    /// Requests about objects that wait for a home, by service.
+    held: BTreeMap<u16, Vec<u64>>,
     /// When waiting requests are looked at again.
     looking: Option<Time>,
     next_attempt: u64,
@@ -125,6 +130,7 @@
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             timers: BTreeSet::new(),
+            held: BTreeMap::new(),
             looking: None,
             next_attempt: 0,
             queued: 0,
@@ -249,8 +255,8 @@
     }
 
     /// Requests that wait.
-    pub const fn queued(&self) -> usize {
-        self.queued
+    pub fn queued(&self) -> usize {
+        self.queued + self.held()
     }
 
     /// Attempts in flight.
@@ -298,6 +304,9 @@
         };
         self.requests.insert(request, state);
         self.timers.insert((deadline, Timer::Deadline(request)));
+        if object.is_some() {
+            return self.place(request, now);
+        }
         let first = self.classes[class].queue.is_empty();
         self.enqueue(request, false);
         // Behind others that wait there is nothing to try: they could not be placed.
@@ -312,7 +321,10 @@
     /// The caller went away: nothing more is done for the request.
     pub fn abandon(&mut self, request: u64, now: Time) {
         if let Some(state) = self.close(request) {
-            self.cancel_all(&state.live);
+            // Work that must not run twice goes on: broken off, nobody would know what became of it.
+            if self.classes[state.class].spec.idempotent {
+                self.cancel_all(&state.live);
+            }
         }
         self.pump(now);
     }
@@ -373,7 +385,11 @@
     }
 
     fn answer(&mut self, request: u64, verdict: Verdict) {
-        self.actions.push(Action::Answer { request, verdict });
+        let after = match verdict {
+            Verdict::Refuse(kind) => self.return_after(kind),
+            Verdict::Relay(_) => None,
+        };
+        self.actions.push(Action::Answer { request, verdict, after });
     }
 
     /// Takes a request out of all books but its attempts'.
--- a/crates/dispatch/src/engine/queue.rs
+++ b/crates/dispatch/src/engine/queue.rs
@@ -5,7 +5,7 @@
 use base::error::Kind;
 use base::time::Time;
 
-use super::{Engine, LOOK_AGAIN, Timer};
+use super::{Engine, LOOK_AGAIN, LOOK_AT_HELD, Timer};
 
 impl Engine {
     /// Why a request of `class` cannot be taken at all; makes room for it if it comes before others.
@@ -42,6 +42,12 @@
 
     /// Starts what can be started, in the order of loss, aged waiting work first.
     pub(super) fn pump(&mut self, now: Time) {
+        if self.held() > 0 {
+            self.pump_held(now);
+            if self.held() > 0 {
+                self.look_again(now);
+            }
+        }
         if self.queued == 0 {
             return;
         }
@@ -124,7 +130,7 @@
     /// Plans a look at what waits: other daemons' work ends without our knowing.
     pub(super) fn look_again(&mut self, now: Time) {
         if self.looking.is_none() {
-            let next = now + LOOK_AGAIN;
+            let next = now + if self.queued > 0 { LOOK_AGAIN } else { LOOK_AT_HELD };
             self.looking = Some(next);
             self.timers.insert((next, Timer::Look));
         }
--- /dev/null
+++ b/crates/dispatch/src/engine/waiting.rs
@@ -0,0 +1,97 @@
+//! Requests about objects that no home takes now.
+//!
+//! Load pattern: more comes at once than the homes of the objects can answer in time, as after an outage. A queue at
+//! the servers would make all of it late, and what comes after it too. So a server gets what it can still answer
+//! within the target; what it cannot takes the slots that stand free, waits here for one no longer than the target,
+//! and is refused then, while its caller still has time to come back.
+
+use std::time::Duration;
+
+use base::error::Kind;
+use base::time::Time;
+
+use super::Engine;
+
+/// Requests of one service that wait at most.
+const HELD: usize = 256;
+/// Earliest time at which a caller that was refused for want of room should come back.
+const RETURN: Duration = Duration::from_millis(300);
+/// Time over which the callers that were refused together should come back.
+const SPREAD: Duration = Duration::from_millis(500);
+
+impl Engine {
+    /// Sends a request about an object to a home that takes it, or lets it wait for one.
+    pub(super) fn place(&mut self, request: u64, now: Time) {
+        if let Some(backend) = self.pick(request, now) {
+            return self.start(request, backend, now);
+        }
+        if let Some(kind) = self.impossible(request) {
+            return self.refuse(request, kind);
+        }
+        let Some(service) = self.requests.get(&request).map(|state| state.service) else {
+            return;
+        };
+        let held = self.held.entry(service).or_default();
+        if held.len() >= HELD {
+            return self.refuse(request, Kind::QueueFull);
+        }
+        held.push(request);
+        self.look_again(now);
+    }
+
+    /// Requests that wait for a home.
+    pub(super) fn held(&self) -> usize {
+        self.held.values().map(Vec::len).sum()
+    }
+
+    /// Sends what a home takes now, in the order of loss, and refuses what has waited for too long.
+    pub(super) fn pump_held(&mut self, now: Time) {
+        let services: Vec<u16> = self.held.iter().filter(|(_, held)| !held.is_empty()).map(|(id, _)| *id).collect();
+        for service in services {
+            let mut held = self.held.remove(&service).unwrap_or_default();
+            held.sort_by_key(|request| self.order_of(*request));
+            let kept: Vec<u64> = held.into_iter().filter(|request| self.stays(*request, now)).collect();
+            self.held.entry(service).or_default().extend(kept);
+        }
+    }
+
+    /// Tries to send or refuse a request that waits; says whether it goes on waiting.
+    fn stays(&mut self, request: u64, now: Time) -> bool {
+        if !self.requests.contains_key(&request) {
+            return false;
+        }
+        if let Some(backend) = self.pick(request, now) {
+            self.start(request, backend, now);
+            return false;
+        }
+        if self.hopeless_here(request, now) {
+            self.refuse(request, Kind::WontFinish);
+            return false;
+        }
+        true
+    }
+
+    fn order_of(&self, request: u64) -> (u8, Time) {
+        let state = self.requests.get(&request);
+        state.map_or((u8::MAX, Time::MAX), |state| (self.classes[state.class].spec.rank, state.arrived))
+    }
+
+    /// Whether a request has waited as long as it may, or could not be answered any more.
+    fn hopeless_here(&self, request: u64, now: Time) -> bool {
+        let Some(state) = self.requests.get(&request) else {
+            return true;
+        };
+        let class = &self.classes[state.class];
+        now.since(state.arrived) >= class.spec.target || now + class.work.warm() > state.deadline
+    }
+
+    /// When a caller that is refused for `kind` should come back, if the kind's usual time is too coarse.
+    pub(super) fn return_after(&mut self, kind: Kind) -> Option<Duration> {
+        match kind {
+            Kind::QueueFull | Kind::WontFinish | Kind::Shed | Kind::Expired => {
+                Some(RETURN + SPREAD.mul_f64(self.rng.f64()))
+            }
+            _ => None,
+        }
+    }
+}
--- a/crates/dispatch/tests/common/cluster.rs
+++ b/crates/dispatch/tests/common/cluster.rs
@@ -275,7 +275,7 @@
                     self.plan(at, Event::Reach { server: backend, engine, attempt, object });
                 }
                 Action::Cancel { attempt, backend } => self.cancel(engine, attempt, backend),
-                Action::Answer { request, verdict } => self.answer(request, verdict),
+                Action::Answer { request, verdict, .. } => self.answer(request, verdict),
             }
         }
     }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -159,7 +159,7 @@
                         live.cancelled = true;
                     }
                 }
-                Action::Answer { request, verdict } => {
+                Action::Answer { request, verdict, .. } => {
                     let running = self.attempts_of(request).len() as u32;
                     let trace = self.traces.get_mut(&request).expect("only known requests are answered");
                     trace.answers.push(verdict);
--- a/crates/dispatch/tests/keyed.rs
+++ b/crates/dispatch/tests/keyed.rs
@@ -52,3 +52,21 @@
     let widest = parts.windows(3).map(|pair| (pair[2] - pair[0]).abs()).fold(0.0, f64::max);
     assert!(widest <= 0.15, "{widest} of the requests changed their region within two seconds: {parts:?}");
 }
+
+/// Load: after an outage of all entry instances ten times the usual requests come at once.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn a_storm_after_an_outage_is_worked_off_soon(#[case] seed: u64) {
+    let mut cluster = Cluster::new(&[2, 6, 8], seed);
+    cluster.run(Duration::from_secs(15), 32.0, 48);
+    cluster.restart();
+    cluster.run(Duration::from_millis(600), 320.0, 48);
+    cluster.run(Duration::from_secs(10), 32.0, 48);
+    let part = good(&cluster, 17, 20);
+    assert!(part >= 0.66, "{part} good between one and four seconds after the storm");
+    let all = cluster.outcome(1, 25);
+    let served = f64::from(all.answered) / f64::from(all.asked);
+    assert!(served >= 0.75, "{served} answered at all");
+}
--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -244,7 +244,7 @@
                     let away = self.distance(entry, backend as usize);
                     self.plan(self.now + away, Event::CancelReach((entry, attempt)));
                 }
-                Action::Answer { request, verdict } => self.verdict(request as usize, verdict),
+                Action::Answer { request, verdict, .. } => self.verdict(request as usize, verdict),
             }
         }
         let wake = self.engines[entry].wake();
