--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -16,6 +16,7 @@
 
 /// Names of headers and paths.
 #[derive(Debug, Clone)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a property of the wire on its own")]
 pub struct Dialect {
     /// Names one send; backend servers cancel by it or repeat it in their answer.
     pub request_id: HeaderName,
