--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -100,13 +100,11 @@
         }
     }
     let submission = submission(context, class, fingerprint, &head.headers);
-    if let Some(name) = &context.dialect.object {
-        let object = head::text(&head.headers, name).unwrap_or("-");
-        log::debug!(request = id, object, target = head.target.as_str(); "callers: about");
-    }
+    let object = context.dialect.object.as_ref().and_then(|name| head::text(&head.headers, name)).unwrap_or("-");
     let outgoing = Arc::new(Outgoing {
         number: context.driver.number(),
         id: id.to_owned(),
+        object: object.to_owned(),
         method: head.method,
         target: head.target,
         headers: passed(context, &head.headers),
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -36,6 +36,8 @@
     pub number: u64,
     /// Its name in logs: the caller's id of this send if it gives one.
     pub id: String,
+    /// The object that it is about, as the caller names it; a dash for none.
+    pub object: String,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
@@ -174,6 +176,11 @@
         result
     }
 
+    /// Lets `work` change what the engine rests its choices on; nothing is decided.
+    pub fn change(&self, work: impl FnOnce(&mut Engine)) {
+        work(&mut lock(&self.engine));
+    }
+
     /// Looks at the engine without changing it.
     pub fn look<T>(&self, work: impl FnOnce(&Engine) -> T) -> T {
         work(&lock(&self.engine))
@@ -200,14 +207,15 @@
 
     /// Logs where a request goes and what that rests on.
     fn note_start(&self, context: &Context, request: u64, sending: attempt::Sending, why: Why) {
-        let id = lock(&self.pending).get(&request).map(|pending| pending.outgoing.id.clone());
+        let outgoing = lock(&self.pending).get(&request).map(|pending| Arc::clone(&pending.outgoing));
+        let Some(outgoing) = outgoing else { return };
         let steering = context.steering();
         let target = steering.backends.get(&sending.backend);
         let (server, domain) = target.map_or(("gone", ""), |instance| (&instance.name, &instance.domain));
         let now = context.now();
         let warm = why.warm.map_or("-", |warm| if warm { "yes" } else { "no" });
         log::info!(
-            request = id.unwrap_or_default(), attempt = sending.attempt, server, domain, again = sending.again, warm,
+            request = outgoing.id.as_str(), object = outgoing.object.as_str(), attempt = sending.attempt, server, domain, again = sending.again, warm,
             own = why.own, load:% = format_args!("{:.2}", why.load), pace:% = format_args!("{:.2}", why.pace),
             told_ms:% = why.told.map_or(-1, |told| now.since(told).as_millis() as i64),
             left_ms:% = sending.deadline.since(now).as_millis();
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -110,6 +110,16 @@
         servers.for_each(|server| server.assume_others(sum / f64::max(count, 1.0)));
     }
 
+    /// The parts of the services' objects that live near, for the other daemons of the region.
+    pub fn near_parts(&self) -> impl Iterator<Item = (u16, &Share)> {
+        self.shares.iter().map(|(service, share)| (*service, share))
+    }
+
+    /// Takes in what another daemon of the region says of the part of a service's objects that live near.
+    pub fn meet_part(&mut self, service: u16, part: f64, steps: u32, now: Time) {
+        self.shares.entry(service).or_insert_with(|| Share::new(1.0, 1.0, 1, now)).meet(part, steps);
+    }
+
     /// Homes of each object among `servers` of our region: as many as these can remember all objects.
     fn near_homes(&self, service: u16, servers: usize) -> usize {
         let objects = self.objects.count(service).max(1);
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -16,6 +16,8 @@
 const HIGH: f64 = 0.9;
 /// Load of the near servers below which objects come back.
 const LOW: f64 = 0.65;
+/// Looks at the load beyond which more make no word weightier.
+const MOST_WEIGHT: u32 = 20;
 /// Part of a new load in the average.
 const NEW_PART: f64 = 0.25;
 /// How much of its even part of all slots a region is trusted to carry at first: all objects are new to their
@@ -28,6 +30,8 @@
     part: f64,
     load: f64,
     stepped: Time,
+    /// Looks at the load that the part rests on.
+    steps: u32,
 }
 
 impl Share {
@@ -35,7 +39,7 @@
     pub fn new(near: f64, all: f64, regions: usize, now: Time) -> Self {
         let even = if all > 0.0 { regions as f64 * near / all } else { 1.0 };
         let part = if even < 1.0 { even * FIRST } else { 1.0 };
-        Self { part, load: LOW, stepped: now }
+        Self { part, load: LOW, stepped: now, steps: 0 }
     }
 
     /// Whether the object at `place`, from 0 to 1, has its first home near.
@@ -48,6 +52,21 @@
         self.part
     }
 
+    /// How many looks at the load the part rests on.
+    pub const fn steps(&self) -> u32 {
+        self.steps
+    }
+
+    /// Takes in what another daemon of the region has come to, so that both send an object to the same place. Each
+    /// word weighs by the looks that it rests on.
+    pub fn meet(&mut self, part: f64, steps: u32) {
+        let (own, other) = (f64::from(self.steps.min(MOST_WEIGHT)), f64::from(steps.min(MOST_WEIGHT)));
+        if other > 0.0 {
+            self.part += (part - self.part) * other / (own + other);
+            self.steps = self.steps.max(steps);
+        }
+    }
+
     /// Whether the next step is due.
     pub fn due(&self, now: Time) -> bool {
         now.since(self.stepped) >= EVERY
@@ -56,6 +75,7 @@
     /// Takes in the load of the near servers, in requests for each slot, and makes a step if it calls for one.
     pub fn step(&mut self, load: f64, now: Time) {
         self.stepped = now;
+        self.steps = self.steps.saturating_add(1);
         self.load += NEW_PART * (load - self.load);
         if self.load > HIGH {
             self.part = (self.part - STEP).max(0.0);
