--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -19,16 +19,16 @@
 use crate::warmth;
 
 /// Homes of an object in the daemon's region at most.
-const NEAR_HOMES: usize = 3;
+const NEAR_HOMES: usize = 1;
 /// Homes of an object in other regions.
-const FAR_HOMES: usize = 2;
+const FAR_HOMES: usize = 1;
 /// How likely another daemon has made an object warm at its home of each rank, before we have seen it.
-const WARM_NEAR: [f64; NEAR_HOMES] = [0.9, 0.3, 0.1];
+const WARM_NEAR: [f64; NEAR_HOMES] = [0.9];
 /// The same for homes in other regions.
-const WARM_FAR: [f64; FAR_HOMES] = [0.2, 0.0];
+const WARM_FAR: [f64; FAR_HOMES] = [0.2];
 /// How likely an object that lives in another region is warm at its homes there, and at those near.
-const WARM_AWAY: [f64; FAR_HOMES] = [0.9, 0.3];
-const WARM_LEFT: [f64; NEAR_HOMES] = [0.2, 0.0, 0.0];
+const WARM_AWAY: [f64; FAR_HOMES] = [0.9];
+const WARM_LEFT: [f64; NEAR_HOMES] = [0.2];
 /// Part of the target that it is worth not to bring a server an object that is new to it: such work is late in any
 /// case, and drives another object out.
 const NEW_COST: f64 = 1.0;
