Let an object's homes rest on the list of servers alone

So the steps, the share and what daemons told each other of it are gone; the part follows the region's part of the slots, without a jump. The count of objects is gone with the homes that it decided.

--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -176,11 +176,6 @@
         result
     }
 
-    /// Lets `work` change what the engine rests its choices on; nothing is decided.
-    pub fn change(&self, work: impl FnOnce(&mut Engine)) {
-        work(&mut lock(&self.engine));
-    }
-
     /// Looks at the engine without changing it.
     pub fn look<T>(&self, work: impl FnOnce(&Engine) -> T) -> T {
         work(&lock(&self.engine))
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::time::Time;
-use dispatch::share::Share;
-use fleet::message::{Message, Near};
+use fleet::message::Message;
 
 use super::api::PeersClient as _;
 use super::client;
@@ -16,10 +14,6 @@
 
 /// Longest pause of a daemon that finds no peer at its start.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(8);
-/// Daemons of the region that a starting one speaks with at once.
-const MET_AT_START: usize = 3;
-/// Thousandths in a whole.
-const THOUSANDTHS: f64 = 1_000.0;
 
 inventory::submit! {
     Plugin(kernel::Plugin { name: "exchange", stage: 30, start })
@@ -51,41 +45,13 @@
 pub fn message(context: &Context) -> Message {
     let revision = lock(&context.holder).revision();
     let now = context.now();
-    let mut message = lock(&context.roster).message(revision, now);
-    message.near = near(context);
-    message
-}
-
-/// Where objects live, as far as this daemon has found out.
-fn near(context: &Context) -> Vec<Near> {
-    let in_force = context.policy();
-    let told = |(service, share): (u16, &Share)| {
-        let service = in_force.services.get(usize::from(service))?.clone();
-        let part = (share.part() * THOUSANDTHS).round() as u16;
-        Some(Near { service, part, steps: share.steps() })
-    };
-    context.driver.look(|engine| engine.near_parts().filter_map(told).collect())
-}
-
-/// Takes in where objects live, as a daemon of our region has found out.
-fn take_near(context: &Arc<Context>, message: &Message, now: Time) {
-    let in_force = context.policy();
-    if in_force.policy.region_of(&message.from.domain) != Some(context.settings.region.as_str()) {
-        return;
-    }
-    let known = message.near.iter().filter_map(|near| Some((in_force.service(&near.service)?, near)));
-    context.driver.change(|engine| {
-        for (service, near) in known {
-            engine.meet_part(service, f64::from(near.part) / THOUSANDTHS, near.steps, now);
-        }
-    });
+    lock(&context.roster).message(revision, now)
 }
 
 /// Takes in a peer's message and fetches its policy if that is newer.
 pub fn take(context: &Arc<Context>, message: &Message) {
     let now = context.now();
     lock(&context.roster).merge(message, now);
-    take_near(context, message, now);
     if !message.losses.is_empty() {
         let news = context.driver.with(context, |engine| engine.merge_losses(&message.losses, now));
         if !news.is_empty() {
@@ -155,7 +121,6 @@
                     policies::offer(context, copy, seed);
                 }
                 log::info!("peers: joined through peer={seed} members={}", snapshot.records.len());
-                meet_region(context).await;
                 return;
             }
             Err(error) => log::debug!("peers: seed skipped peer={seed} reason={:?}", error.to_string()),
@@ -167,22 +132,6 @@
     log::warn!("peers: no peer answered seeds={}", seeds.len());
 }
 
-/// Speaks with the daemons of our region at once: they know where objects live.
-async fn meet_region(context: &Arc<Context>) {
-    let in_force = context.policy();
-    let region = in_force.policy.regions.get(&context.settings.region);
-    let domains = region.map(|region| region.domains.clone()).unwrap_or_default();
-    let found: Vec<(String, String)> = {
-        let roster = lock(&context.roster);
-        let names = domains.iter().flat_map(|domain| roster.alive_in(domain));
-        let others = names.filter(|name| *name != context.settings.instance).take(MET_AT_START);
-        others.filter_map(|name| Some((name.to_owned(), roster.address(name)?.to_owned()))).collect()
-    };
-    for (name, address) in found {
-        with(context, &name, &address).await;
-    }
-}
-
 async fn run(context: &Arc<Context>) {
     let base = context.settings.fleet.exchange_ms;
     let mut rng = fastrand::Rng::with_seed(context.incarnation ^ 1);
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -20,9 +20,7 @@
 use crate::backend::{Backend, BackendId, Place, Report, Spec};
 use crate::budget::Budget;
 use crate::class::{self, Class};
-use crate::objects::Objects;
 use crate::poison::Poison;
-use crate::share::Share;
 use crate::warmth::Warmth;
 
 /// Time after which waiting requests are looked at again.
@@ -104,9 +102,10 @@
     /// Hedges and retries together, by service.
     repeats: BTreeMap<u16, Budget>,
     warmth: Warmth,
-    objects: Objects,
     /// Parts of the objects that live near, by service.
-    shares: BTreeMap<u16, Share>,
+    near_parts: Vec<f64>,
+    /// When the loads of servers that told none were last guessed, by service.
+    guessed: BTreeMap<u16, Time>,
     poison: Poison,
     losses: Vec<(u64, u64)>,
     salt: u64,
@@ -138,8 +137,8 @@
             retries: Budget::new(limits.extra.retry_part, limits.extra.retries_saved),
             repeats: BTreeMap::new(),
             warmth: Warmth::new(),
-            objects: Objects::new(),
-            shares: BTreeMap::new(),
+            near_parts: Vec::new(),
+            guessed: BTreeMap::new(),
             poison: Poison::new(limits.poison),
             losses: Vec::new(),
             salt: seed,
@@ -281,9 +280,8 @@
         }
         let spec = &self.classes[class].spec;
         let object = object.filter(|_| spec.affinity).map(|object| base::hash::pair(object, class as u64));
-        if let Some(object) = object {
-            self.objects.note(service, object, now);
-            self.step_share(service, now);
+        if object.is_some() {
+            self.guess_loads(service, now);
         }
         let spec = &self.classes[class].spec;
         let deadline = now + limit.map_or(spec.deadline, |limit| limit.min(spec.deadline));
@@ -382,6 +380,7 @@
             let tier = usize::from(matches!(backend.spec.place, Place::Remote(_)));
             self.tiers[usize::from(backend.spec.service)][tier].push(*id);
         }
+        self.near_parts = (0..self.tiers.len()).map(|service| self.near_part(service)).collect();
     }
 
     fn answer(&mut self, request: u64, verdict: Verdict) {
--- a/crates/dispatch/src/warmth.rs
+++ b/crates/dispatch/src/warmth.rs
@@ -5,7 +5,7 @@
 use crate::backend::BackendId;
 
 /// Objects that a server is trusted to keep warm.
-pub const KEPT: usize = 32;
+const KEPT: usize = 32;
 
 /// Objects by server, the latest handled last.
 #[derive(Debug, Clone, Default)]
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -76,20 +76,6 @@
     pub age_ms: u64,
 }
 
-/// The part of a service's objects that live in the speaker's region.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Near {
-    /// The service.
-    #[serde(rename = "s")]
-    pub service: String,
-    /// The part, in thousandths.
-    #[serde(rename = "p")]
-    pub part: u16,
-    /// How many looks at the load it rests on.
-    #[serde(rename = "n")]
-    pub steps: u32,
-}
-
 /// An exchange between two daemons; the answer is of the same type.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Message {
@@ -105,9 +91,6 @@
     /// News of loads.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<Load>,
-    /// Where objects live, for the daemons of the speaker's region.
-    #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
-    pub near: Vec<Near>,
     /// Losses of connections: a request's fingerprint and the loss's number.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub losses: Vec<(u64, u64)>,
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -143,7 +143,7 @@
         let loads = self.loads.next(LOADS, now);
         self.losses.retain(|(_, until)| now < *until);
         let losses = self.losses.iter().rev().take(LOSSES).map(|(loss, _)| *loss).collect();
-        Message { from: self.own.clone(), revision, records, loads, near: Vec::new(), losses }
+        Message { from: self.own.clone(), revision, records, loads, losses }
     }
 
     /// Takes in a message that came at `now`.
