--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -83,14 +83,14 @@
     /// The first of `servers` in the object's order that serves.
     fn first(&self, servers: &[BackendId], state: &Request, object: u64, now: Time) -> Option<BackendId> {
         let class = &self.classes[state.class].spec;
-        let serves = |id: &&BackendId| {
+        let up = |id: &&BackendId| {
             let server = self.backends.get(id);
             server.is_some_and(|server| {
                 let open = !server.leaving() && !server.closed(now) && !state.barred.contains(id);
                 open && class.allows(server.spec.region)
             })
         };
-        servers.iter().filter(serves).max_by_key(|id| hash::pair(object, u64::from(**id))).copied()
+        servers.iter().filter(up).max_by_key(|id| hash::pair(object, u64::from(**id))).copied()
     }
 
     /// The part of a service's objects that live near: all of them, or fewer where the region has less than its even
