Close a daemon's parts beside the event loop

Cause: since the daemon runs on one event loop, a part that gives back what it holds in the store when it closes (grants) made a blocking call on the loop itself, which panics: a planned stop ended with code 101 once a lease was held. Ruled out: a panic in a task (those are caught), the command line's own exit codes (1 and 2). Parts are now closed on a thread for blocking work while the loop goes on.

--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -43,17 +43,17 @@
         let _inside = runtime.enter();
         Signals::new()?
     };
-    let mut daemon = Daemon::start_on(runtime, settings, adapter)?;
-    let context = Arc::clone(&daemon.context);
-    daemon.runtime.block_on(async {
+    let Daemon { context, kernel, runtime } = Daemon::start_on(runtime, settings, adapter)?;
+    runtime.block_on(async {
         signals.stop(&context).await;
+        let shared = Arc::clone(&context);
         tokio::spawn(async move {
-            signals.stop(&context).await;
+            signals.stop(&shared).await;
             std::process::exit(EXIT_AT_ONCE);
         });
-        stop(&daemon.context, &mut daemon.kernel).await;
+        stop(&context, kernel).await;
     });
-    daemon.runtime.shutdown_timeout(LAST);
+    runtime.shutdown_timeout(LAST);
     Ok(())
 }
 
@@ -122,14 +122,14 @@
     }
 
     /// Stops gracefully.
-    pub fn stop(mut self) {
-        self.runtime.block_on(stop(&self.context, &mut self.kernel));
+    pub fn stop(self) {
+        self.runtime.block_on(stop(&self.context, self.kernel));
         self.runtime.shutdown_timeout(LAST);
     }
 }
 
 /// Withdraws, waits until callers forgot old answers, finishes all work, closes.
-async fn stop(context: &Arc<Context>, kernel: &mut kernel::Kernel) {
+async fn stop(context: &Context, mut kernel: kernel::Kernel) {
     let begun = context.now();
     log::info!("life: stopping");
     context.stop();
@@ -141,6 +141,9 @@
         tokio::time::sleep(LOOK).await;
         drained = kernel.drained();
     }
-    kernel.close();
+    // Parts give back what they hold in the store with calls that block, which need the event loop to go on.
+    if let Err(error) = tokio::task::spawn_blocking(move || kernel.close()).await {
+        log::warn!("life: a part did not close reason={:?}", error.to_string());
+    }
     log::info!("life: stopped drained={drained} after_ms={}", context.now().since(begun).as_millis());
 }
