Log what is decided and believed; follow one request with hemlockctl explain

Cause: a refusal told only its kind, an ejected server or a change of the list nothing at all: a failure could not be traced from its id. The engine now notes requests that wait or are refused with what the two servers of their object could do, servers ejected and trusted again, and fingerprints that became poisonous; the daemon writes them and the changes of its list and members as lines. The age of the store's word is kept up to date by the mirror too. Metrics: waits, attempts by ending and repeat, ejections, bytes to other regions, ages, lines left out; the platform fetches them from the operators' port.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -15,6 +15,7 @@
   show                        revision, readiness and drains of every daemon
   policy                      print the policy in the store
   report [--html FILE]        service-level burn by class and region
+  explain REQUEST FILE...     the way of one request, from the logs of the daemons
   check FILE                  check a policy file or a daemon's settings file
 
 Verbs that change the policy; each says the revision it became:
@@ -47,6 +48,8 @@
     Policy,
     /// Show the burn; as a page if a file is named.
     Report(Option<PathBuf>),
+    /// Show the way of a request, from log files.
+    Explain(String, Vec<PathBuf>),
     /// Check a file.
     Check(PathBuf),
     /// Replace the policy.
@@ -131,6 +134,9 @@
         ["show"] => Verb::Show,
         ["policy"] => Verb::Policy,
         ["report"] => Verb::Report(given.html),
+        ["explain", request, files @ ..] if !files.is_empty() => {
+            Verb::Explain((*request).to_owned(), files.iter().map(PathBuf::from).collect())
+        }
         ["check", file] => Verb::Check(PathBuf::from(file)),
         ["apply", file] => Verb::Apply(PathBuf::from(file), given.expect),
         ["set-target", class, key, value] => {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 pub mod error;
 pub mod fleet;
+pub mod logs;
 pub mod verbs;
 
 pub use error::{Error, Result};
--- a/crates/ctl/src/verbs/mod.rs
+++ b/crates/ctl/src/verbs/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod drain;
+mod explain;
 mod report;
 mod show;
 mod target;
@@ -49,6 +50,7 @@
             let done = change::edit(&store, &id, |policy| drain::end(policy, *scope, name))?;
             said(command, &id, &done)
         }
+        Verb::Explain(request, files) => explain::run(request, files),
         Verb::Settle(id) => settle(command, &store, id),
     }
 }
--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -44,16 +44,19 @@
 struct Target {
     address: SocketAddr,
     name: String,
+    /// Whether it stands in another region.
+    remote: bool,
 }
 
 /// Runs an attempt to its end; the ending goes back to the driver.
 pub async fn run(context: Arc<Context>, outgoing: Arc<Outgoing>, sending: Sending) {
     let begun = context.now();
     let (ending, whole) = ending(&context, &outgoing, sending).await;
+    let took = context.now().since(begun);
+    context.metrics.attempt_time.with_label_values(&[ending.name()]).observe(took.as_secs_f64());
     log::info!(
         request = outgoing.id.as_str(), attempt = sending.attempt, ending:% = ending.name(),
-        status = whole.as_ref().map_or(0, |whole| whole.status.as_u16()),
-        ms:% = context.now().since(begun).as_millis();
+        status = whole.as_ref().map_or(0, |whole| whole.status.as_u16()), ms:% = took.as_millis();
         "dispatch: attempt ended"
     );
     context.driver.finish(&context, sending.attempt, ending, whole);
@@ -160,13 +163,22 @@
         body: &outgoing.body,
         max_answer: context.settings.dispatch.max_answer_bytes as usize,
     };
+    note_bytes(context, target, "sent", outgoing.body.len());
     let answer = connection.exchange(call, ours).await?;
+    note_bytes(context, target, "received", answer.body.len());
     if answer.reusable {
         context.pool.put(sending.backend, connection, answer.idle_limit(), context.now());
     }
     Ok(answer)
 }
 
+/// Counts bytes of bodies that cross regions.
+fn note_bytes(context: &Context, target: &Target, direction: &str, bytes: usize) {
+    if target.remote {
+        context.metrics.remote_bytes.with_label_values(&[direction]).inc_by(bytes as u64);
+    }
+}
+
 /// What an answer means, and the answer if it is for the caller.
 fn judge(context: &Context, sending: Sending, answer: Answer) -> (Ending, Option<Arc<Whole>>) {
     let dialect = &context.dialect;
@@ -256,7 +268,8 @@
         log::warn!("dispatch: server without a usable address name={} address={}", instance.name, instance.address);
         return None;
     };
-    Some(Target { address, name: instance.name.clone() })
+    let remote = instance.region != context.settings.region;
+    Some(Target { address, name: instance.name.clone(), remote })
 }
 
 fn attempt_id(context: &Context, attempt: u64) -> String {
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -40,7 +40,8 @@
         context.metrics.requests.with_label_values(&[&class, result]).inc();
         context.metrics.latency.with_label_values(&[&class]).observe(latency.as_secs_f64());
         note_burn(context, &class, &outcome, latency);
-        log::info!(request = id.as_str(), class, result, ms:% = latency.as_millis(); "callers: answered");
+        let status = outcome.as_ref().map_or(0, |whole| whole.status.as_u16());
+        log::info!(request = id.as_str(), class, result, status, ms:% = latency.as_millis(); "callers: answered");
     } else {
         log::info!(request = id.as_str(), result; "callers: refused");
     }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -91,8 +91,10 @@
     pub burn: Mutex<BTreeMap<String, burn::Series>>,
     /// Counters for operators.
     pub metrics: Metrics,
-    /// Numbers of the store's answers: the last time it answered, in microseconds of the clock.
+    /// The last time the store answered, in microseconds of the clock.
     pub store_seen: AtomicU64,
+    /// The last time a peer answered, in microseconds of the clock.
+    pub peers_seen: AtomicU64,
     stopping: AtomicBool,
 }
 
@@ -150,6 +152,7 @@
             burn: Mutex::new(BTreeMap::new()),
             metrics: Metrics::new(),
             store_seen: AtomicU64::new(0),
+            peers_seen: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             settings,
         }
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -9,7 +9,7 @@
 use base::time::Time;
 use bytes::Bytes;
 use dispatch::backend::{BackendId, Report};
-use dispatch::engine::{Arrival, Why};
+use dispatch::engine::{Arrival, Note, Why};
 use dispatch::{Action, Ending, Engine, Verdict};
 use http::{HeaderMap, Method};
 use tokio::sync::{Notify, oneshot};
@@ -18,6 +18,7 @@
 use crate::Context;
 use crate::backends::attempt;
 use crate::context::lock;
+use crate::notes;
 use crate::orders::Order;
 use crate::plugin::Plugin;
 use crate::whole::Whole;
@@ -89,6 +90,8 @@
 struct Pending {
     outgoing: Arc<Outgoing>,
     reply: oneshot::Sender<Outcome>,
+    /// When it came.
+    came: Time,
 }
 
 /// Requests under way.
@@ -132,8 +135,8 @@
         let Submission { class, fingerprint, limit, object } = submission;
         let bytes = outgoing.body.len() as u64;
         let arrival = Arrival { request: outgoing.number, class, fingerprint, bytes, limit, object };
-        lock(&self.pending).insert(outgoing.number, Pending { outgoing, reply });
         let now = context.now();
+        lock(&self.pending).insert(outgoing.number, Pending { outgoing, reply, came: now });
         self.with(context, |engine| engine.submit(arrival, now));
         outcome
     }
@@ -161,11 +164,13 @@
     pub fn with<T>(&self, context: &Arc<Context>, work: impl FnOnce(&mut Engine) -> T) -> T {
         let mut engine = lock(&self.engine);
         let result = work(&mut engine);
+        let notes = engine.take_notes();
         let actions = engine.take();
         let losses = engine.take_losses();
         context.metrics.queued.set(engine.queued() as i64);
         context.metrics.in_flight.set(engine.in_flight() as i64);
         drop(engine);
+        notes.iter().for_each(|note| self.note(context, note));
         for action in actions {
             self.perform(context, action);
         }
@@ -200,22 +205,29 @@
         }
     }
 
-    /// Logs where a request goes and what that rests on.
+    /// Tells in logs and metrics where a request goes and what that rests on.
     fn note_start(&self, context: &Context, request: u64, sending: attempt::Sending, why: Why) {
-        let outgoing = lock(&self.pending).get(&request).map(|pending| Arc::clone(&pending.outgoing));
-        let Some(outgoing) = outgoing else { return };
-        let steering = context.steering();
-        let target = steering.backends.get(&sending.backend);
-        let (server, domain) = target.map_or(("gone", ""), |instance| (&instance.name, &instance.domain));
-        let now = context.now();
-        let warm = why.warm.map_or("-", |warm| if warm { "yes" } else { "no" });
-        log::info!(
-            request = outgoing.id.as_str(), object = outgoing.object.as_str(), attempt = sending.attempt, server, domain, again = sending.again, warm,
-            own = why.own, load:% = format_args!("{:.2}", why.load), pace:% = format_args!("{:.2}", why.pace),
-            told_ms:% = why.told.map_or(-1, |told| now.since(told).as_millis() as i64),
-            left_ms:% = sending.deadline.since(now).as_millis();
-            "dispatch: sent"
-        );
+        let pending = lock(&self.pending).get(&request).map(|pending| (Arc::clone(&pending.outgoing), pending.came));
+        let Some((outgoing, came)) = pending else { return };
+        let waited = context.now().since(came);
+        let again = if sending.again { "yes" } else { "no" };
+        context.metrics.sends.with_label_values(&[again, notes::warm(why)]).inc();
+        if !sending.again {
+            context.metrics.waits.observe(waited.as_secs_f64());
+        }
+        notes::sent(context, &outgoing, sending, waited, why);
+    }
+
+    /// Logs what was decided or is believed now, before the requests concerned are answered.
+    fn note(&self, context: &Context, note: &Note) {
+        let request = match note {
+            Note::Held { request, .. } | Note::Refused { request, .. } => Some(*request),
+            Note::Ejected { .. } | Note::Trusted { .. } | Note::Poisonous { .. } => None,
+        };
+        let pending = lock(&self.pending);
+        let outgoing = request.and_then(|request| pending.get(&request)).map(|pending| Arc::clone(&pending.outgoing));
+        drop(pending);
+        notes::write(context, note, outgoing.as_ref().map_or("-", |outgoing| outgoing.id.as_str()));
     }
 
     fn start(&self, context: &Arc<Context>, request: u64, sending: attempt::Sending) {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod mirror;
+pub mod notes;
 pub mod operators;
 pub mod orders;
 pub mod peers;
--- a/crates/daemon/src/logs/mod.rs
+++ b/crates/daemon/src/logs/mod.rs
@@ -14,7 +14,7 @@
 use log::kv::{self, Key, Value, VisitSource};
 
 pub use self::budget::Budget;
-pub use self::writer::Buffer;
+pub use self::writer::{Buffer, left_out};
 
 /// Environment variable that overrides the level of the settings.
 const VARIABLE: &str = "HEMLOCK_LOG";
--- a/crates/daemon/src/logs/writer.rs
+++ b/crates/daemon/src/logs/writer.rs
@@ -1,6 +1,7 @@
 //! A bounded buffer of lines that a thread writes out.
 
 use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
 
@@ -10,6 +11,14 @@
 /// Lines that wait to be written at most.
 const WAITING: usize = 1_024;
 
+/// Lines left out by this process: it has one standard output.
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
+/// Lines left out since the start.
+pub fn left_out() -> u64 {
+    LEFT_OUT.load(Ordering::Relaxed)
+}
+
 /// Where the logging library writes its lines.
 #[derive(Debug)]
 pub struct Buffer {
@@ -43,7 +52,10 @@
             text.extend_from_slice(buf);
             if self.lines.try_send(text).is_err() {
                 self.budget.note_lost(left_out + 1);
+                LEFT_OUT.fetch_add(1, Ordering::Relaxed);
             }
+        } else {
+            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
         }
         Ok(buf.len())
     }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Counters for operators, in the Prometheus form.
 
 use prometheus::{
-    Encoder as _, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder as _, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Bounds of latency buckets, in seconds.
@@ -17,8 +18,18 @@
     pub requests: IntCounterVec,
     /// Time to the answer, by class, in seconds.
     pub latency: HistogramVec,
+    /// Time from a request's arrival to its first attempt, in seconds.
+    pub waits: Histogram,
+    /// Attempts begun, by whether the request was sent before and whether the server knew its object.
+    pub sends: IntCounterVec,
     /// Attempts, by ending.
     pub attempts: IntCounterVec,
+    /// Time of an attempt, by ending, in seconds.
+    pub attempt_time: HistogramVec,
+    /// Backend servers taken out of use for a while.
+    pub ejections: IntCounter,
+    /// Bytes of bodies to and from backend servers of other regions, by direction.
+    pub remote_bytes: IntCounterVec,
     /// Requests that wait.
     pub queued: IntGauge,
     /// Attempts in flight.
@@ -37,6 +48,14 @@
     pub members: IntGauge,
     /// Calls to the store, by purpose and result.
     pub store_calls: IntCounterVec,
+    /// Time since the store answered, in seconds.
+    pub store_age: Gauge,
+    /// Time since the list of backend servers was read or changed, in seconds.
+    pub list_age: Gauge,
+    /// Time since a peer answered, in seconds.
+    pub peers_age: Gauge,
+    /// Log lines left out.
+    pub log_lines_left_out: IntGauge,
     /// Slots of the region's grants held.
     pub grants: IntGauge,
     /// Answers given again from memory.
@@ -47,14 +66,21 @@
     /// Registers all counters.
     pub fn new() -> Self {
         let registry = Registry::new();
-        let histogram = HistogramOpts::new("hemlock_request_seconds", "Time to the answer").buckets(LATENCY_S.to_vec());
-        let latency = HistogramVec::new(histogram, &["class"]).expect("the options are constant");
-        register(&registry, latency.clone());
         Self {
             lookups: counter(&registry, "hemlock_lookups_total", "Look-ups answered"),
             requests: counters(&registry, "hemlock_requests_total", "Requests answered", &["class", "result"]),
-            latency,
+            latency: histograms(&registry, "hemlock_request_seconds", "Time to the answer", &["class"]),
+            waits: histogram(&registry, "hemlock_wait_seconds", "Time to the first attempt"),
+            sends: counters(&registry, "hemlock_sends_total", "Attempts begun", &["again", "warm"]),
             attempts: counters(&registry, "hemlock_attempts_total", "Attempts ended", &["ending"]),
+            attempt_time: histograms(&registry, "hemlock_attempt_seconds", "Time of an attempt", &["ending"]),
+            ejections: counter(&registry, "hemlock_ejections_total", "Backend servers taken out of use"),
+            remote_bytes: counters(
+                &registry,
+                "hemlock_remote_bytes_total",
+                "Bytes of bodies to and from servers of other regions",
+                &["direction"],
+            ),
             queued: gauge(&registry, "hemlock_queued", "Requests that wait"),
             in_flight: gauge(&registry, "hemlock_in_flight", "Attempts in flight"),
             connections: gauge(&registry, "hemlock_connections", "Connections of callers"),
@@ -64,6 +90,10 @@
             exchanges: counters(&registry, "hemlock_exchanges_total", "Exchanges with peers", &["result"]),
             members: gauge(&registry, "hemlock_members", "Members believed to live"),
             store_calls: counters(&registry, "hemlock_store_calls_total", "Calls to the store", &["purpose", "result"]),
+            store_age: age(&registry, "hemlock_store_age_seconds", "Time since the store answered"),
+            list_age: age(&registry, "hemlock_list_age_seconds", "Time since the list of servers was read"),
+            peers_age: age(&registry, "hemlock_peers_age_seconds", "Time since a peer answered"),
+            log_lines_left_out: gauge(&registry, "hemlock_log_lines_left_out", "Log lines left out since the start"),
             grants: gauge(&registry, "hemlock_grant_slots", "Slots of the region's grants held"),
             replays: counter(&registry, "hemlock_replays_total", "Answers given again from memory"),
             registry,
@@ -102,6 +132,26 @@
     gauge
 }
 
+fn age(registry: &Registry, name: &str, help: &str) -> Gauge {
+    let gauge = Gauge::new(name, help).expect("the options are constant");
+    register(registry, gauge.clone());
+    gauge
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY_S.to_vec());
+    let histogram = Histogram::with_opts(options).expect("the options are constant");
+    register(registry, histogram.clone());
+    histogram
+}
+
+fn histograms(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY_S.to_vec());
+    let histograms = HistogramVec::new(options, labels).expect("the options are constant");
+    register(registry, histograms.clone());
+    histograms
+}
+
 fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     let counters = IntCounterVec::new(Opts::new(name, help), labels).expect("the options are constant");
     register(registry, counters.clone());
--- a/crates/daemon/src/mirror.rs
+++ b/crates/daemon/src/mirror.rs
@@ -1,6 +1,7 @@
 //! Keeps a copy of the platform's store and puts what it says into force.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use fleet::Copy;
@@ -119,6 +120,7 @@
     context.metrics.store_calls.with_label_values(&[call.name(), label]).inc();
     if result.is_ok() {
         let now = context.now();
+        context.store_seen.store(now.as_micros(), Ordering::Relaxed);
         let lost = lock(&context.mirror).note_answer(sent, now);
         if lost {
             log::info!("mirror: store answers again silent_ms={}", now.since(sent).as_millis());
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -2,14 +2,16 @@
 
 use std::io::Read as _;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
+use base::time::Time;
 use burn::report::{Line, Report};
 use serde::Serialize;
 use tiny_http::{Header, Request, Response, Server};
 
-use crate::Context;
 use crate::context::lock;
 use crate::plugin::Plugin;
+use crate::{Context, logs};
 
 /// Largest request body read and thrown away, in bytes.
 const MAX_BODY_BYTES: u64 = 65_536;
@@ -86,7 +88,10 @@
             let readiness = readiness(context);
             json(if readiness.ready { 200 } else { 503 }, &readiness)
         }
-        "/metrics" => text(200, context.metrics.render(), "text/plain; version=0.0.4"),
+        "/metrics" => {
+            note_ages(context);
+            text(200, context.metrics.render(), "text/plain; version=0.0.4")
+        }
         "/decisions" => json(200, &decisions(context)),
         "/burn" => json(200, &burn_report(context)),
         _ => text(404, b"try /health /ready /metrics /decisions /burn\n".to_vec(), "text/plain"),
@@ -176,7 +181,6 @@
         };
         engine.backends().map(backend).collect()
     });
-    let seen = base::time::Time::from_micros(context.store_seen.load(std::sync::atomic::Ordering::Relaxed));
     let entry = |entry: &steer::view::Entry| format!("{} {:?}", entry.name, entry.standing).to_lowercase();
     Decisions {
         instance: context.settings.instance.clone(),
@@ -184,7 +188,7 @@
         domain: context.settings.domain.clone(),
         revision: in_force.revision,
         ready: readiness(context),
-        store_silent_s: now.since(seen).as_secs_f64(),
+        store_silent_s: age_s(&context.store_seen, now),
         members,
         entries: steering.view.entries().iter().map(entry).collect(),
         shares: (0..regions).map(row).collect(),
@@ -197,6 +201,21 @@
     }
 }
 
+/// Seconds since `seen`, a time in microseconds of the clock.
+fn age_s(seen: &AtomicU64, now: Time) -> f64 {
+    now.since(Time::from_micros(seen.load(Ordering::Relaxed))).as_secs_f64()
+}
+
+/// Brings the ages of what is believed up to date.
+fn note_ages(context: &Context) {
+    let now = context.now();
+    let listed = lock(&context.list).1.unwrap_or(Time::ZERO);
+    context.metrics.store_age.set(age_s(&context.store_seen, now));
+    context.metrics.peers_age.set(age_s(&context.peers_seen, now));
+    context.metrics.list_age.set(now.since(listed).as_secs_f64());
+    context.metrics.log_lines_left_out.set(logs::left_out() as i64);
+}
+
 fn burn_report(context: &Context) -> Report {
     let now = context.now();
     let in_force = context.policy();
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -1,6 +1,7 @@
 //! One exchange with one peer, again and again.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use fleet::message::Message;
@@ -75,6 +76,7 @@
     match client.exchange(message).await {
         Ok(answer) => {
             context.metrics.exchanges.with_label_values(&["ok"]).inc();
+            context.peers_seen.store(context.now().as_micros(), Ordering::Relaxed);
             take(context, &answer);
         }
         Err(error) => {
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -19,6 +19,7 @@
 
 use crate::Context;
 use crate::context::lock;
+use crate::notes;
 use crate::policies::InForce;
 
 /// Part of the second sends that are allowed which is used: requests are counted in windows, and views differ.
@@ -76,6 +77,7 @@
     context.pool.keep(|backend| backends.contains_key(&backend), now);
     let table = Arc::clone(&in_force.table);
     let steering = Arc::new(Steering { table, view, shares, backends });
+    notes::changed(&context.steering(), &steering);
     *context.steering.write().unwrap_or_else(std::sync::PoisonError::into_inner) = steering;
     let remotes = remotes(context, &instances, &in_force, now);
     let extra = extra(context, &roster);
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -249,6 +249,11 @@
         now < self.closed_until
     }
 
+    /// Until when it takes no work because of what we saw.
+    pub const fn closed_until(&self) -> Time {
+        self.closed_until
+    }
+
     /// Whether it is ejected, or was and must prove itself.
     pub fn suspect(&self) -> bool {
         self.trial
--- a/crates/dispatch/src/engine/ending.rs
+++ b/crates/dispatch/src/engine/ending.rs
@@ -1,9 +1,20 @@
 //! What the ending of an attempt means for its server and its request.
 
+use std::time::Duration;
+
 use base::error::{Kind, Outcome};
 use base::time::Time;
 
 use super::{Attempt, Ending, Engine, Verdict};
+use crate::backend::Backend;
+
+/// What an ended attempt is measured by.
+#[derive(Clone, Copy)]
+struct Judging {
+    latency: Duration,
+    typical: Duration,
+    may_eject: bool,
+}
 
 impl Engine {
     /// Takes an ended attempt out of the server's, the class's and the link's books.
@@ -34,10 +45,15 @@
             let free = ended.warm.filter(|_| ended.free);
             free.into_iter().for_each(|warm| class.work.note(latency, ended.pace, warm));
         }
-        let Some(backend) = self.backends.get_mut(&ended.backend) else {
-            return;
-        };
-        backend.end(waits, ended.late, now);
+        self.judge(ended.backend, |backend| {
+            backend.end(waits, ended.late, now);
+            Self::learn(backend, ended, ending, Judging { latency, typical, may_eject }, now);
+        });
+    }
+
+    /// What a server's ending of an attempt tells of it.
+    fn learn(backend: &mut Backend, ended: &Attempt, ending: Ending, judging: Judging, now: Time) {
+        let Judging { latency, typical, may_eject } = judging;
         match ending {
             Ending::Answered(_) => {
                 let ratio = latency.as_secs_f64() / typical.as_secs_f64();
@@ -71,13 +87,13 @@
                 self.cancel_all(&rest);
                 self.answer(request, Verdict::Relay(attempt));
             }
-            Ending::Withheld(kind) => self.refuse(request, kind),
+            Ending::Withheld(kind) => self.refuse(request, kind, now),
             Ending::Shed => self.again(request, Kind::Shed, now),
             Ending::Unreachable => self.again(request, Kind::Unreachable, now),
             Ending::Lost => self.again(request, Kind::BackendLost, now),
             Ending::Timeout => self.again(request, Kind::BackendTimeout, now),
             Ending::Cut => self.again(request, Kind::AnswerCut, now),
-            Ending::TooLarge => self.refuse(request, Kind::AnswerTooLarge),
+            Ending::TooLarge => self.refuse(request, Kind::AnswerTooLarge, now),
             Ending::Cancelled => {}
         }
     }
@@ -101,7 +117,7 @@
         let late = now >= state.deadline;
         let service = state.service;
         if !safe || !tries_left || poisoned || late || !(self.retries.spend() && self.repeats(service).spend()) {
-            return self.refuse(request, kind);
+            return self.refuse(request, kind, now);
         }
         if self.requests.get(&request).is_some_and(|state| state.object.is_some()) {
             return self.place(request, now);
@@ -115,7 +131,7 @@
         };
         let loss = base::hash::pair(self.salt, attempt);
         let fingerprint = state.fingerprint;
-        self.poison.note(fingerprint, loss, now);
+        self.note_poison(fingerprint, loss, now);
         self.losses.push((fingerprint, loss));
     }
 }
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -13,7 +13,7 @@
 use base::hash;
 use base::time::Time;
 
-use super::{Engine, Request};
+use super::{Chance, Engine, Request};
 use crate::backend::{Backend, BackendId, Place};
 
 /// How likely other daemons have made an object warm at the home where it lives, before we have seen it.
@@ -64,6 +64,20 @@
         scored.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, id)| id)
     }
 
+    /// What the two servers of a request's object could do for it now, for logs.
+    pub(super) fn chances(&self, state: &Request, now: Time) -> [Option<Chance>; 2] {
+        let Some(object) = state.object else {
+            return [None, None];
+        };
+        self.homes(state, object, now).map(|home| {
+            let home = home?;
+            let server = self.backends.get(&home.id)?;
+            let warm = if self.warmth.has(home.id, object) { 1.0 } else { home.warm };
+            let finish = self.time_to_answer(server, state, warm, now);
+            Some(Chance { backend: home.id, load: server.load(now), pace: server.pace(now), finish })
+        })
+    }
+
     /// The two servers that serve the object, near and elsewhere, whether they can take a request now or not.
     fn homes(&self, state: &Request, object: u64, now: Time) -> [Option<Home>; 2] {
         let service = usize::from(state.service);
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -3,6 +3,7 @@
 mod ending;
 mod event;
 mod keyed;
+mod note;
 mod pick;
 #[cfg(feature = "policies")]
 pub mod policy;
@@ -17,6 +18,7 @@
 use base::time::Time;
 
 pub use self::event::{Action, Arrival, Ending, Extra, Limits, Remote, Verdict, Why};
+pub use self::note::{Chance, Note};
 use crate::backend::{Backend, BackendId, Place, Report, Spec};
 use crate::budget::Budget;
 use crate::class::{self, Class};
@@ -111,6 +113,7 @@
     salt: u64,
     rng: fastrand::Rng,
     actions: Vec<Action>,
+    notes: Vec<Note>,
     stopping: bool,
     #[cfg(feature = "policies")]
     policy: policy::Policy,
@@ -144,6 +147,7 @@
             salt: seed,
             rng: fastrand::Rng::with_seed(seed),
             actions: Vec::new(),
+            notes: Vec::new(),
             stopping: false,
             #[cfg(feature = "policies")]
             policy: policy::Policy::default(),
@@ -229,8 +233,7 @@
 
     /// Takes in losses that peers saw; gives those that were news, to be passed on.
     pub fn merge_losses(&mut self, losses: &[(u64, u64)], now: Time) -> Vec<(u64, u64)> {
-        let news = losses.iter().filter(|(fingerprint, loss)| self.poison.note(*fingerprint, *loss, now));
-        news.copied().collect()
+        losses.iter().filter(|(fingerprint, loss)| self.note_poison(*fingerprint, *loss, now)).copied().collect()
     }
 
     /// Losses seen here since the last call, for peers.
@@ -276,6 +279,10 @@
         self.retries.earn();
         self.repeats(service).earn();
         if let Some(kind) = self.refusal(class, fingerprint, now) {
+            let waiting = self.queued();
+            let note =
+                Note::Refused { request, kind, tries: 0, waited: Duration::ZERO, waiting, chances: [None, None] };
+            self.notes.push(note);
             return self.answer(request, Verdict::Refuse(kind));
         }
         let spec = &self.classes[class].spec;
@@ -348,7 +355,7 @@
             self.timers.remove(&(at, timer));
             match timer {
                 Timer::Late(attempt) => self.late(attempt, now),
-                Timer::Deadline(request) => self.expire(request),
+                Timer::Deadline(request) => self.expire(request, now),
                 Timer::Look => look = true,
             }
         }
@@ -363,8 +370,9 @@
         self.timers.first().map(|(at, _)| *at)
     }
 
-    /// Takes the actions decided since the last call.
+    /// Takes the actions decided since the last call; notes that were not taken before are dropped.
     pub fn take(&mut self) -> Vec<Action> {
+        self.notes.clear();
         std::mem::take(&mut self.actions)
     }
 
@@ -403,13 +411,16 @@
     }
 
     /// Ends a request with an error that is true of all its attempts.
-    fn refuse(&mut self, request: u64, kind: Kind) {
+    fn refuse(&mut self, request: u64, kind: Kind, now: Time) {
         let Some(state) = self.close(request) else { return };
         self.cancel_all(&state.live);
         let kind = match (state.touched, kind.answer().outcome) {
             (Some(touched), Outcome::NotRun) => touched,
             _ => kind,
         };
+        let (tries, waited, waiting) = (state.tries, now.since(state.arrived), self.queued());
+        let chances = self.chances(&state, now);
+        self.notes.push(Note::Refused { request, kind, tries, waited, waiting, chances });
         self.answer(request, Verdict::Refuse(kind));
     }
 
@@ -421,11 +432,11 @@
         }
     }
 
-    fn expire(&mut self, request: u64) {
+    fn expire(&mut self, request: u64, now: Time) {
         let Some(state) = self.requests.get(&request) else {
             return;
         };
         let kind = if state.live.is_empty() { Kind::Expired } else { Kind::BackendTimeout };
-        self.refuse(request, kind);
+        self.refuse(request, kind, now);
     }
 }
--- /dev/null
+++ b/crates/dispatch/src/engine/note.rs
@@ -0,0 +1,108 @@
+//! Decisions and beliefs that cause no attempt; they go into logs only.
+
+use std::time::Duration;
+
+use base::error::Kind;
+use base::time::Time;
+
+use super::Engine;
+use crate::backend::{Backend, BackendId};
+
+/// A server that was considered for a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Chance {
+    /// The server.
+    pub backend: BackendId,
+    /// All work there, as far as known.
+    pub load: f64,
+    /// How long work takes there, as a multiple of the usual.
+    pub pace: f64,
+    /// Time to the answer if the request were sent there now.
+    pub finish: Duration,
+}
+
+/// What was decided or is believed from now on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Note {
+    /// A request waits for a server.
+    Held {
+        /// The request.
+        request: u64,
+        /// Requests of all classes that wait.
+        waiting: usize,
+        /// The servers of its object, near and elsewhere.
+        chances: [Option<Chance>; 2],
+    },
+    /// A request is refused or failed.
+    Refused {
+        /// The request.
+        request: u64,
+        /// Why.
+        kind: Kind,
+        /// Attempts before.
+        tries: usize,
+        /// Time since it came.
+        waited: Duration,
+        /// Requests of all classes that wait.
+        waiting: usize,
+        /// The servers of its object, near and elsewhere.
+        chances: [Option<Chance>; 2],
+    },
+    /// A server gets no work for a while, then one request to prove itself.
+    Ejected {
+        /// The server.
+        backend: BackendId,
+        /// Until when.
+        until: Time,
+        /// Our attempts in flight there.
+        in_flight: u32,
+    },
+    /// An ejected server has proved itself.
+    Trusted {
+        /// The server.
+        backend: BackendId,
+    },
+    /// Requests with this fingerprint are refused: servers went away while they ran them.
+    Poisonous {
+        /// The fingerprint.
+        fingerprint: u64,
+    },
+}
+
+impl Engine {
+    /// Takes the notes made since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Lets `work` judge a server and notes what that changed.
+    pub(super) fn judge(&mut self, backend: BackendId, work: impl FnOnce(&mut Backend)) {
+        let Some(server) = self.backends.get_mut(&backend) else {
+            return;
+        };
+        let (suspect, until) = (server.suspect(), server.closed_until());
+        work(server);
+        if server.suspect() && server.closed_until() > until {
+            let (until, in_flight) = (server.closed_until(), server.in_flight);
+            self.notes.push(Note::Ejected { backend, until, in_flight });
+        } else if suspect && !server.suspect() {
+            self.notes.push(Note::Trusted { backend });
+        }
+    }
+
+    /// Notes that a request waits for a server.
+    pub(super) fn note_held(&mut self, request: u64, now: Time) {
+        let chances = self.requests.get(&request).map(|state| self.chances(state, now)).unwrap_or_default();
+        self.notes.push(Note::Held { request, waiting: self.queued(), chances });
+    }
+
+    /// Takes in a loss of a connection; says whether it is news.
+    pub(super) fn note_poison(&mut self, fingerprint: u64, loss: u64, now: Time) -> bool {
+        let before = self.poison.refuses(fingerprint, now);
+        let news = self.poison.note(fingerprint, loss, now);
+        if !before && self.poison.refuses(fingerprint, now) {
+            self.notes.push(Note::Poisonous { fingerprint });
+        }
+        news
+    }
+}
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -113,9 +113,7 @@
         };
         live.late = true;
         let (request, class, backend) = (live.request, live.class, live.backend);
-        if let Some(server) = self.backends.get_mut(&backend) {
-            server.note_late(may_eject, now);
-        }
+        self.judge(backend, |server| server.note_late(may_eject, now));
         #[cfg(feature = "policies")]
         if self.policy != super::policy::Policy::Steered {
             return;
--- a/crates/dispatch/src/engine/queue.rs
+++ b/crates/dispatch/src/engine/queue.rs
@@ -16,7 +16,7 @@
         if self.poison.refuses(fingerprint, now) {
             return Some(Kind::Poisoned);
         }
-        if self.queued >= self.limits.queued && !self.displace(class) {
+        if self.queued >= self.limits.queued && !self.displace(class, now) {
             return Some(Kind::QueueFull);
         }
         if self.expected_wait(class) > self.classes[class].spec.deadline {
@@ -79,12 +79,12 @@
                 return;
             }
             if self.hopeless(request, now) {
-                self.refuse(request, Kind::WontFinish);
+                self.refuse(request, Kind::WontFinish, now);
                 continue;
             }
             let Some(backend) = self.pick(request, now) else {
                 match self.impossible(request) {
-                    Some(kind) => self.refuse(request, kind),
+                    Some(kind) => self.refuse(request, kind, now),
                     None => return,
                 }
                 continue;
@@ -114,7 +114,7 @@
     }
 
     /// Drops the newest waiting request of a class that is lost before `class`; says whether it did.
-    fn displace(&mut self, class: usize) -> bool {
+    fn displace(&mut self, class: usize, now: Time) -> bool {
         let rank = self.classes[class].spec.rank;
         let worse = |index: &&usize| self.classes[**index].spec.rank > rank && !self.classes[**index].queue.is_empty();
         let Some(victim) = self.order.iter().rev().find(worse).copied() else {
@@ -123,7 +123,7 @@
         let Some(request) = self.classes[victim].queue.back().copied() else {
             return false;
         };
-        self.refuse(request, Kind::QueueFull);
+        self.refuse(request, Kind::QueueFull, now);
         true
     }
 
--- a/crates/dispatch/src/engine/waiting.rs
+++ b/crates/dispatch/src/engine/waiting.rs
@@ -26,16 +26,17 @@
             return self.start(request, backend, now);
         }
         if let Some(kind) = self.impossible(request) {
-            return self.refuse(request, kind);
+            return self.refuse(request, kind, now);
         }
         let Some(service) = self.requests.get(&request).map(|state| state.service) else {
             return;
         };
         let held = self.held.entry(service).or_default();
         if held.len() >= HELD {
-            return self.refuse(request, Kind::QueueFull);
+            return self.refuse(request, Kind::QueueFull, now);
         }
         held.push(request);
+        self.note_held(request, now);
         self.look_again(now);
     }
 
@@ -65,7 +66,7 @@
             return false;
         }
         if self.hopeless_here(request, now) {
-            self.refuse(request, Kind::WontFinish);
+            self.refuse(request, Kind::WontFinish, now);
             return false;
         }
         true
