Eject a server after two lost answers in a row, not after one

Ruled out: crashed servers (all answer on), slow ones (pace 1.0 in their answers). A server that is gone loses all answers or refuses connections, so nothing is lost by waiting for the second. Test: a_server_is_ejected_when_it_is_gone_not_when_one_answer_is (fails before for one lost or cut answer).

--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -7,6 +7,9 @@
 
 /// Late answers in a row after which a server is ejected.
 const LATE_IN_ROW: u32 = 2;
+/// Answers lost in a row after which a server is ejected: one alone may be the network's doing, and a server that
+/// is gone loses all or cannot be reached.
+const LOST_IN_ROW: u32 = 2;
 /// First time of an ejection; it doubles with each one in a row.
 const EJECTION: Duration = Duration::from_secs(1);
 /// Longest time of an ejection.
@@ -114,6 +117,7 @@
     own_noted: Time,
     ratio: f64,
     late_in_row: u32,
+    lost_in_row: u32,
     ejections: u32,
     /// No work before this time.
     closed_until: Time,
@@ -152,6 +156,7 @@
             own_noted: Time::ZERO,
             ratio: 1.0,
             late_in_row: 0,
+            lost_in_row: 0,
             ejections: 0,
             closed_until: Time::ZERO,
             trial: false,
@@ -297,6 +302,7 @@
     /// An attempt was answered after `ratio` times the typical latency; `late` if it was noted as late before.
     pub fn answered(&mut self, ratio: f64, late: bool, now: Time) {
         self.answered = self.answered.saturating_add(1);
+        self.lost_in_row = 0;
         self.ratio += NEW_PART * (ratio.min(MOST_RATIO) - self.ratio);
         if late {
             return;
@@ -324,9 +330,18 @@
         self.late -= 1;
     }
 
-    /// The server could not be reached, or went away with an attempt.
+    /// The answer to an attempt was lost or cut short.
+    pub fn lost(&mut self, now: Time) {
+        self.lost_in_row += 1;
+        if self.trial || self.lost_in_row >= LOST_IN_ROW {
+            self.failed(now);
+        }
+    }
+
+    /// The server could not be reached, or is taken to be gone.
     pub fn failed(&mut self, now: Time) {
         self.answered = 0;
+        self.lost_in_row = 0;
         self.eject(now);
     }
 
--- a/crates/dispatch/src/engine/ending.rs
+++ b/crates/dispatch/src/engine/ending.rs
@@ -60,7 +60,8 @@
                 backend.answered(ratio, ended.late, now);
             }
             Ending::Shed => backend.shed(now),
-            Ending::Unreachable | Ending::Lost | Ending::Cut => backend.failed(now),
+            Ending::Unreachable => backend.failed(now),
+            Ending::Lost | Ending::Cut => backend.lost(now),
             Ending::Timeout if !ended.late => backend.note_late_ended(may_eject, now),
             Ending::Timeout | Ending::TooLarge | Ending::Withheld(_) | Ending::Cancelled => {}
         }
--- a/crates/dispatch/tests/cases.rs
+++ b/crates/dispatch/tests/cases.rs
@@ -278,3 +278,22 @@
     let together = world.live.len() as u64 * ANSWER;
     assert!(together as f64 <= RATE, "{together} bytes may pass in one second, {RATE} are allowed");
 }
+
+#[rstest]
+#[case::lost_once(Ending::Lost, 1, false)]
+#[case::lost_twice(Ending::Lost, 2, true)]
+#[case::cut_once(Ending::Cut, 1, false)]
+#[case::unreachable(Ending::Unreachable, 1, true)]
+fn a_server_is_ejected_when_it_is_gone_not_when_one_answer_is(
+    #[case] ending: Ending,
+    #[case] times: u32,
+    #[case] ejected: bool,
+) {
+    let mut world = world(1);
+    for _ in 0..times {
+        let lookup = world.send(LOOKUP);
+        world.end(only_attempt(&world, lookup), ending);
+    }
+    let server = world.engine.backends().next().expect("there is one");
+    assert_eq!(server.suspect(), ejected);
+}
--- a/crates/dispatch/tests/keyed.rs
+++ b/crates/dispatch/tests/keyed.rs
@@ -70,3 +70,17 @@
     let served = f64::from(all.answered) / f64::from(all.asked);
     assert!(served >= 0.75, "{served} answered at all");
 }
+
+/// Load: half of the servers lose the answers of a thirtieth of the requests that they ran.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn answers_lost_here_and_there_move_no_objects(#[case] seed: u64) {
+    let mut cluster = Cluster::new(&[2, 6, 8], seed);
+    cluster.run(Duration::from_secs(12), 32.0, 48);
+    cluster.losing = 0.03;
+    cluster.run(Duration::from_secs(20), 32.0, 48);
+    let part = good(&cluster, 13, 31);
+    assert!(part >= 0.9, "{part} good");
+}
