Leave a server that answers late its objects

An attempt about an object now counts against its server only while nothing at all comes back from it; six in a row do. Test: a_server_that_answers_late_keeps_its_objects.

--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -7,6 +7,9 @@
 
 /// Late answers in a row after which a server is ejected.
 const LATE_IN_ROW: u32 = 2;
+/// The same where attempts are about objects, and no answer at all came meanwhile: such work is often late because
+/// it waits or because its object is new there, and moving the objects of a server that answers makes more of it.
+const SILENT_IN_ROW: u32 = 6;
 /// Answers lost in a row after which a server is ejected: one alone may be the network's doing, and a server that
 /// is gone loses all or cannot be reached.
 const LOST_IN_ROW: u32 = 2;
@@ -299,10 +302,14 @@
         self.ratio.max(1.0) + f64::from(self.late)
     }
 
-    /// An attempt was answered after `ratio` times the typical latency; `late` if it was noted as late before.
-    pub fn answered(&mut self, ratio: f64, late: bool, now: Time) {
+    /// An attempt was answered after `ratio` times the typical latency; `late` if it was noted as late before,
+    /// `keyed` if it was about an object.
+    pub fn answered(&mut self, ratio: f64, late: bool, keyed: bool, now: Time) {
         self.answered = self.answered.saturating_add(1);
         self.lost_in_row = 0;
+        if keyed {
+            self.late_in_row = 0;
+        }
         self.ratio += NEW_PART * (ratio.min(MOST_RATIO) - self.ratio);
         if late {
             return;
@@ -316,17 +323,18 @@
     }
 
     /// An attempt is late now, while it still runs.
-    pub fn note_late(&mut self, may_eject: bool, now: Time) {
+    pub fn note_late(&mut self, may_eject: bool, keyed: bool, now: Time) {
         self.late += 1;
         self.late_in_row += 1;
-        if self.trial || (self.late_in_row >= LATE_IN_ROW && may_eject) {
+        let most = if keyed { SILENT_IN_ROW } else { LATE_IN_ROW };
+        if self.trial || (self.late_in_row >= most && may_eject) {
             self.eject(now);
         }
     }
 
     /// An attempt ended by its deadline before it was noted as late.
-    pub fn note_late_ended(&mut self, may_eject: bool, now: Time) {
-        self.note_late(may_eject, now);
+    pub fn note_late_ended(&mut self, may_eject: bool, keyed: bool, now: Time) {
+        self.note_late(may_eject, keyed, now);
         self.late -= 1;
     }
 
--- a/crates/dispatch/src/engine/ending.rs
+++ b/crates/dispatch/src/engine/ending.rs
@@ -57,12 +57,12 @@
         match ending {
             Ending::Answered(_) => {
                 let ratio = latency.as_secs_f64() / typical.as_secs_f64();
-                backend.answered(ratio, ended.late, now);
+                backend.answered(ratio, ended.late, ended.warm.is_some(), now);
             }
             Ending::Shed => backend.shed(now),
             Ending::Unreachable => backend.failed(now),
             Ending::Lost | Ending::Cut => backend.lost(now),
-            Ending::Timeout if !ended.late => backend.note_late_ended(may_eject, now),
+            Ending::Timeout if !ended.late => backend.note_late_ended(may_eject, ended.warm.is_some(), now),
             Ending::Timeout | Ending::TooLarge | Ending::Withheld(_) | Ending::Cancelled => {}
         }
     }
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -112,8 +112,8 @@
             return;
         };
         live.late = true;
-        let (request, class, backend) = (live.request, live.class, live.backend);
-        self.judge(backend, |server| server.note_late(may_eject, now));
+        let (request, class, backend, keyed) = (live.request, live.class, live.backend, live.warm.is_some());
+        self.judge(backend, |server| server.note_late(may_eject, keyed, now));
         #[cfg(feature = "policies")]
         if self.policy != super::policy::Policy::Steered {
             return;
--- a/crates/dispatch/tests/cases.rs
+++ b/crates/dispatch/tests/cases.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use base::error::Kind;
+use base::time::Time;
 use common::{BULK, LOOKUP, ORDER, World, backend, refused};
-use dispatch::backend::Place;
+use dispatch::backend::{Backend, Place};
 use dispatch::{Ending, Verdict, subset};
 use rstest::rstest;
 
@@ -297,3 +298,29 @@
     let server = world.engine.backends().next().expect("there is one");
     assert_eq!(server.suspect(), ejected);
 }
+
+/// Load: more than a server can answer in time. It answers all of it late; moving its objects elsewhere would only
+/// make more work.
+#[rstest]
+#[case::late_objects(true, true, 20, false)]
+#[case::silent_objects(true, false, 6, true)]
+#[case::silent_for_a_while(true, false, 5, false)]
+#[case::late_without_objects(false, true, 2, true)]
+fn a_server_that_answers_late_keeps_its_objects(
+    #[case] keyed: bool,
+    #[case] answers: bool,
+    #[case] times: u32,
+    #[case] ejected: bool,
+) {
+    let now = Time::from_millis(1_000);
+    let mut server = Backend::new(backend(1, Place::Domain), now);
+    for _ in 0..times {
+        server.start(false, now);
+        server.note_late(true, keyed, now);
+        if answers {
+            server.end(false, true, now);
+            server.answered(3.0, true, keyed, now);
+        }
+    }
+    assert_eq!(server.suspect(), ejected);
+}
