--- a/crates/config/src/configs/operators.rs
+++ b/crates/config/src/configs/operators.rs
@@ -11,16 +11,21 @@
 pub struct Operators {
     /// Where to listen, `IP:PORT`.
     pub address: String,
+    /// Where else to serve the metrics, `IP:PORT`; empty if nowhere.
+    pub metrics_address: String,
 }
 
 impl Default for Operators {
     fn default() -> Self {
-        Self { address: "127.0.0.1:7100".to_owned() }
+        Self { address: "127.0.0.1:7100".to_owned(), metrics_address: String::new() }
     }
 }
 
 impl Operators {
     pub(super) fn check(&self, name: &str) -> Result<()> {
+        if !self.metrics_address.is_empty() {
+            check_address(name, "operators.metrics_address", &self.metrics_address)?;
+        }
         check_address(name, "operators.address", &self.address)
     }
 }
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -20,19 +20,27 @@
     Plugin(kernel::Plugin { name: "operators", stage: 5, start })
 }
 
-struct Port(Arc<Server>);
+struct Port(Vec<Arc<Server>>);
 
 impl kernel::Part for Port {
     fn close(&mut self) {
-        self.0.unblock();
+        self.0.iter().for_each(|server| server.unblock());
     }
 }
 
 fn start(context: &Arc<Context>) -> kernel::Started {
-    let address = &context.settings.operators.address;
-    let server = Server::http(address).map_err(|error| {
-        format!("key `operators.address`: cannot listen at {address}: {error}; choose a free address")
-    })?;
+    let settings = &context.settings.operators;
+    let addresses =
+        [("operators.address", &settings.address), ("operators.metrics_address", &settings.metrics_address)];
+    let used = addresses.into_iter().filter(|(_, address)| !address.is_empty());
+    let servers = used.map(|(key, address)| serve(context, key, address)).collect::<Result<Vec<_>, String>>()?;
+    Ok(Box::new(Port(servers)))
+}
+
+/// Answers operators at `address` on a thread of its own.
+fn serve(context: &Arc<Context>, key: &str, address: &str) -> Result<Arc<Server>, String> {
+    let server = Server::http(address)
+        .map_err(|error| format!("key `{key}`: cannot listen at {address}: {error}; choose a free address"))?;
     let server = Arc::new(server);
     let (shared, port) = (Arc::clone(context), Arc::clone(&server));
     let body = move || {
@@ -41,7 +49,7 @@
         }
     };
     std::thread::Builder::new().name("operators".to_owned()).spawn(body).map_err(|error| error.to_string())?;
-    Ok(Box::new(Port(server)))
+    Ok(server)
 }
 
 /// Why a daemon is ready, or not.
