At a start, send an object to its home twice before another server has to learn it

Ruled out: learning at the end of the work (requests sent while the first runs are as fast as later ones), so holding them back gains nothing. Test: at_a_start_an_object_goes_to_its_home_before_others_have_to_learn_it.

--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -38,6 +38,8 @@
 const DEPTH: f64 = 4.0;
 /// Requests of ours at a server that has not told its load yet, at most.
 const UNTOLD: u32 = 1;
+/// The same at the home where the request's object lives: elsewhere it would be one more server's work to learn it.
+const UNTOLD_WHERE_IT_LIVES: u32 = 2;
 /// Slots that work which will be late leaves free.
 const SPARED: f64 = 1.0;
 /// Time between two guesses of what servers do that have not told their load.
@@ -46,6 +48,8 @@
 /// A server that may run work on an object.
 struct Home {
     id: BackendId,
+    /// Whether the object lives there rather than at its other home.
+    lives: bool,
     /// How likely the object is warm there if we have not seen it.
     warm: f64,
 }
@@ -57,7 +61,7 @@
             let server = self.backends.get(&home.id)?;
             let warm = if self.warmth.has(home.id, object) { 1.0 } else { home.warm };
             let finish = self.time_to_answer(server, state, warm, now);
-            let taken = self.takes(server, state, finish, now);
+            let taken = self.takes(server, state, finish, home.lives, now);
             taken.then(|| (finish.as_secs_f64() + self.price(server, state, warm), home.id))
         };
         let scored = self.homes(state, object, now).into_iter().flatten().filter_map(score);
@@ -85,13 +89,12 @@
             return [None, None];
         };
         let lives_near = self.near_parts.get(service).is_none_or(|part| hash::unit(object) < *part);
-        let (near_warm, far_warm) =
-            if lives_near { (WARM_WHERE_IT_LIVES, WARM_ELSEWHERE) } else { (WARM_ELSEWHERE, WARM_WHERE_IT_LIVES) };
-        let home = |servers: &[BackendId], warm: f64| {
+        let home = |servers: &[BackendId], lives: bool| {
             let id = self.first(servers, state, object, now)?;
-            Some(Home { id, warm })
+            let warm = if lives { WARM_WHERE_IT_LIVES } else { WARM_ELSEWHERE };
+            Some(Home { id, lives, warm })
         };
-        [home(near, near_warm), home(far, far_warm)]
+        [home(near, lives_near), home(far, !lives_near)]
     }
 
     /// The first of `servers` in the object's order that serves.
@@ -142,14 +145,15 @@
     }
 
     /// Whether a server can be sent a request now that would be answered after `finish`: in time, or on a free slot.
-    fn takes(&self, server: &Backend, state: &Request, finish: Duration, now: Time) -> bool {
+    fn takes(&self, server: &Backend, state: &Request, finish: Duration, lives: bool, now: Time) -> bool {
         if !server.admits(now) || !self.channel_open(server.spec.place, state, now) {
             return false;
         }
         if server.suspect() {
             return server.in_flight == 0;
         }
-        if server.told().is_none() && server.in_flight >= UNTOLD {
+        let untold = if lives { UNTOLD_WHERE_IT_LIVES } else { UNTOLD };
+        if server.told().is_none() && server.in_flight >= untold {
             return false;
         }
         let (load, slots) = (server.load(now), f64::from(server.spec.slots));
--- a/crates/dispatch/tests/keyed.rs
+++ b/crates/dispatch/tests/keyed.rs
@@ -4,7 +4,11 @@
 
 use std::time::Duration;
 
+use base::time::Time;
 use common::cluster::Cluster;
+use dispatch::backend::{BackendId, Place, Spec};
+use dispatch::engine::{Arrival, Remote};
+use dispatch::{Action, Engine, class};
 use rstest::rstest;
 
 /// Part of the requests that is answered within the target.
@@ -84,3 +88,21 @@
     let part = good(&cluster, 13, 31);
     assert!(part >= 0.9, "{part} good");
 }
+
+/// Load: a start. Nobody knows how busy the servers are, and each object is new to all of them.
+#[test]
+fn at_a_start_an_object_goes_to_its_home_before_others_have_to_learn_it() {
+    let specs = common::classes().into_iter().map(|spec| class::Spec { affinity: true, ..spec }).collect();
+    let mut engine = Engine::new(specs, common::LIMITS, 7);
+    let now = Time::from_millis(1_000);
+    engine.set_remote(1, Remote { limit: u32::MAX, bytes_per_second: 1e9 }, now);
+    let elsewhere = Spec { region: 1, ..common::backend(9, Place::Remote(1)) };
+    engine.set_backends(vec![common::backend(1, Place::Region), common::backend(2, Place::Region), elsewhere], now);
+    for request in 1..=3 {
+        engine.submit(Arrival { object: Some(5), ..Arrival::new(request, common::LOOKUP, request, 10) }, now);
+    }
+    let server = |action| if let Action::Start { backend, .. } = action { Some(backend) } else { None };
+    let servers: Vec<BackendId> = engine.take().into_iter().filter_map(server).collect();
+    assert_eq!(servers[0], servers[1], "the first two go to the object's home");
+    assert_eq!(servers[2], 9, "a third is not sent where nobody knows what waits");
+}
