--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -17,6 +17,7 @@
 use crate::Context;
 use crate::backends::load;
 use crate::driver::Outgoing;
+use crate::notes;
 use crate::orders;
 use crate::whole::Whole;
 
@@ -54,11 +55,8 @@
     let (ending, whole) = ending(&context, &outgoing, sending).await;
     let took = context.now().since(begun);
     context.metrics.attempt_time.with_label_values(&[ending.name()]).observe(took.as_secs_f64());
-    log::info!(
-        request = outgoing.id.as_str(), attempt = sending.attempt, ending:% = ending.name(),
-        status = whole.as_ref().map_or(0, |whole| whole.status.as_u16()), ms:% = took.as_millis();
-        "dispatch: attempt ended"
-    );
+    let status = whole.as_ref().map_or(0, |whole| whole.status.as_u16());
+    notes::ended(&outgoing, sending.attempt, ending, status, took);
     context.driver.finish(&context, sending.attempt, ending, whole);
 }
 
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -94,6 +94,14 @@
     came: Time,
 }
 
+/// An attempt under way.
+#[derive(Debug)]
+struct Running {
+    outgoing: Arc<Outgoing>,
+    begun: Time,
+    task: AbortHandle,
+}
+
 /// Requests under way.
 #[derive(Debug)]
 pub struct Driver {
@@ -101,7 +109,7 @@
     pending: Mutex<BTreeMap<u64, Pending>>,
     answers: Mutex<BTreeMap<u64, Arc<Whole>>>,
     /// Attempts under way.
-    running: Mutex<BTreeMap<u64, AbortHandle>>,
+    running: Mutex<BTreeMap<u64, Running>>,
     next: AtomicU64,
     changed: Notify,
 }
@@ -143,8 +151,11 @@
 
     /// The caller of `request` went away.
     pub fn abandon(&self, context: &Arc<Context>, request: u64) {
-        lock(&self.pending).remove(&request);
         let now = context.now();
+        if let Some(pending) = lock(&self.pending).remove(&request) {
+            context.metrics.callers_gone.inc();
+            notes::gone(&pending.outgoing, now.since(pending.came));
+        }
         self.with(context, |engine| engine.abandon(request, now));
     }
 
@@ -197,7 +208,8 @@
                 attempt::cancel(context, attempt, backend);
                 let running = lock(&self.running).remove(&attempt);
                 if let Some(running) = running {
-                    running.abort();
+                    running.task.abort();
+                    notes::ended(&running.outgoing, attempt, Ending::Cancelled, 0, context.now().since(running.begun));
                     self.finish(context, attempt, Ending::Cancelled, None);
                 }
             }
@@ -237,8 +249,9 @@
         };
         // The map is locked so that an attempt that ends at once finds itself in it.
         let mut running = lock(&self.running);
-        let task = context.runtime.spawn(attempt::run(Arc::clone(context), outgoing, sending));
-        running.insert(sending.attempt, task.abort_handle());
+        let begun = context.now();
+        let task = context.runtime.spawn(attempt::run(Arc::clone(context), Arc::clone(&outgoing), sending));
+        running.insert(sending.attempt, Running { outgoing, begun, task: task.abort_handle() });
     }
 
     /// Takes in a load report that came with an answer; it is acted on when that answer is.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -36,6 +36,8 @@
     pub in_flight: IntGauge,
     /// Connections of callers.
     pub connections: IntGauge,
+    /// Callers that went away before they were answered.
+    pub callers_gone: IntCounter,
     /// Connections made to backend servers.
     pub connects: IntCounter,
     /// Revision of the policy in force.
@@ -84,6 +86,7 @@
             queued: gauge(&registry, "hemlock_queued", "Requests that wait"),
             in_flight: gauge(&registry, "hemlock_in_flight", "Attempts in flight"),
             connections: gauge(&registry, "hemlock_connections", "Connections of callers"),
+            callers_gone: counter(&registry, "hemlock_callers_gone_total", "Callers gone before their answer"),
             connects: counter(&registry, "hemlock_backend_connects_total", "Connections made to backend servers"),
             policy_revision: gauge(&registry, "hemlock_policy_revision", "Revision of the policy in force"),
             policy_refused: counter(&registry, "hemlock_policy_refused_total", "Copies of the policy refused"),
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use dispatch::Ending;
 use dispatch::backend::BackendId;
 use dispatch::engine::{Chance, Note, Why};
 
@@ -33,6 +34,19 @@
     );
 }
 
+/// How an attempt ended; `status` is that of its answer, zero for none.
+pub fn ended(outgoing: &Outgoing, attempt: u64, ending: Ending, status: u16, took: Duration) {
+    log::info!(
+        request = outgoing.id.as_str(), attempt, ending:% = ending.name(), status, ms:% = took.as_millis();
+        "dispatch: attempt ended"
+    );
+}
+
+/// The caller went away before it was answered.
+pub fn gone(outgoing: &Outgoing, waited: Duration) {
+    log::info!(request = outgoing.id.as_str(), ms:% = waited.as_millis(); "callers: gone");
+}
+
 /// Whether the server had handled the object lately, as a word; a dash for a request about none.
 pub fn warm(why: Why) -> &'static str {
     why.warm.map_or("-", |warm| if warm { "yes" } else { "no" })
--- a/crates/daemon/tests/port.rs
+++ b/crates/daemon/tests/port.rs
@@ -1,7 +1,9 @@
 //! The callers' port against silent, slow, endless and ambiguous requests; one daemon in this process.
 
+use std::collections::BTreeMap;
 use std::io::{Read as _, Write as _};
 use std::net::TcpStream;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use base::instance::{Instance, Role, State};
@@ -9,6 +11,7 @@
 use daemon::adapter::Adapter;
 use daemon::life::Daemon;
 use fakes::backend::{Running, Setup};
+use log::kv::{Key, Value, VisitSource};
 use rstest::rstest;
 
 const POLICY: &str = "[regions.r]\ndomains = [\"d\"]\n\
@@ -182,3 +185,61 @@
     let error = Daemon::start(settings, Adapter::own()).expect_err("the address is taken").to_string();
     assert!(error.contains("callers.address") && error.contains(&world.address), "{error}");
 }
+
+/// Keeps the lines of all daemons in this process: sentence, and fields by name.
+struct Lines(Mutex<Vec<Line>>);
+
+type Line = (String, BTreeMap<String, String>);
+
+static LINES: Lines = Lines(Mutex::new(Vec::new()));
+
+struct Fields(BTreeMap<String, String>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        self.0.insert(key.to_string(), value.to_string());
+        Ok(())
+    }
+}
+
+impl log::Log for Lines {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let mut fields = Fields(BTreeMap::new());
+        record.key_values().visit(&mut fields).expect("all fields can be read");
+        self.0.lock().expect("no test panics here").push((record.args().to_string(), fields.0));
+    }
+
+    fn flush(&self) {}
+}
+
+#[test]
+fn each_decision_on_a_request_is_one_line_with_its_fields() {
+    log::set_logger(&LINES).expect("no other logger is set");
+    log::set_max_level(log::LevelFilter::Info);
+    let world = World::new(58);
+    let get = "GET /stock HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    assert!(world.talk(get).starts_with("HTTP/1.1 200"));
+    drop(world);
+    let lines = LINES.0.lock().expect("no test panics here");
+    let mut by_request: BTreeMap<&str, Vec<&Line>> = BTreeMap::new();
+    for line in lines.iter().filter(|(_, fields)| fields.contains_key("request")) {
+        by_request.entry(line.1["request"].as_str()).or_default().push(line);
+    }
+    let told = |lines: &[&Line], sentence: &str| lines.iter().filter(|(text, _)| text == sentence).count();
+    let served = by_request
+        .values()
+        .find(|lines| lines.iter().any(|(_, fields)| fields.get("result").is_some_and(|result| result == "ok")));
+    let served = served.expect("the request is told of");
+    for sentence in ["dispatch: sent", "dispatch: attempt ended", "callers: answered"] {
+        assert_eq!(told(served, sentence), 1, "{sentence}: {served:?}");
+    }
+    let fields_of = |sentence: &str| served.iter().find(|(text, _)| text == sentence).map(|(_, fields)| fields.clone());
+    let sent = fields_of("dispatch: sent").expect("it was found before");
+    for name in ["attempt", "server", "domain", "again", "own", "load", "pace", "told_ms", "waited_ms", "left_ms"] {
+        assert!(sent.contains_key(name), "{name} is missing: {sent:?}");
+    }
+}
--- a/crates/dispatch/tests/common/cluster.rs
+++ b/crates/dispatch/tests/common/cluster.rs
@@ -269,7 +269,7 @@
         let Some((engine, attempt)) = server.running.remove(&number) else { return };
         let next = server.waiting.pop_front();
         let at = self.now + self.way(engine, id);
-        let lost = self.losing > 0.0 && id % 2 == 0 && self.rng.f64() < self.losing;
+        let lost = self.losing > 0.0 && id.is_multiple_of(2) && self.rng.f64() < self.losing;
         let answer = Event::Answer { server: id, engine, attempt, shed: false, load };
         self.plan(at, if lost { Event::Lost { engine, attempt } } else { answer });
         if let Some(next) = next {
