Test h1: bodies cut up anywhere, ambiguous and spoiled messages, early, crossed and stray answers

Found: a head that is written passed a framing header on if its caller left one in, so that a message could have two framings; headers that frame a body are now left out in one place.

--- a/crates/h1/src/encode.rs
+++ b/crates/h1/src/encode.rs
@@ -1,7 +1,7 @@
 //! Writing heads.
 
 use bytes::{BufMut as _, BytesMut};
-use http::header::{CONTENT_LENGTH, HeaderMap};
+use http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use http::{Method, StatusCode};
 
 /// Writes the head of a request whose body has `length` bytes; a body of no bytes is declared only if `method`
@@ -34,8 +34,10 @@
     out.put_slice(b"\r\n");
 }
 
+/// Writes `headers`, but for those that frame a body: a message has one framing, and it is ours.
 fn fields(out: &mut BytesMut, headers: &HeaderMap) {
-    for (name, value) in headers {
+    let framing = [CONTENT_LENGTH, TRANSFER_ENCODING];
+    for (name, value) in headers.iter().filter(|(name, _)| !framing.contains(name)) {
         out.put_slice(name.as_str().as_bytes());
         out.put_slice(b": ");
         out.put_slice(value.as_bytes());
--- /dev/null
+++ b/crates/h1/tests/client.rs
@@ -0,0 +1,137 @@
+//! A connection towards servers that answer early, late, twice, half or not at all.
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+use bytes::Bytes;
+use h1::client::{Answer, Call, Connection, Fault};
+use http::Method;
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use rstest::rstest;
+use tokio::runtime::{Builder, Runtime};
+
+const ID: HeaderName = HeaderName::from_static("x-id");
+
+fn runtime() -> Runtime {
+    Builder::new_current_thread().enable_all().build().expect("the system has room")
+}
+
+/// A server that does `work` with its first connection, on a thread.
+fn server(work: impl FnOnce(TcpStream) + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    std::thread::spawn(move || work(listener.accept().expect("a client comes").0));
+    address
+}
+
+/// Reads until the end of a head.
+fn read_head(stream: &mut TcpStream) {
+    let mut seen = Vec::new();
+    let mut byte = [0];
+    while !seen.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).expect("the head comes whole");
+        seen.push(byte[0]);
+    }
+}
+
+async fn send(connection: &mut Connection, id: &str, body: &Bytes) -> Result<Answer, Fault> {
+    let mut headers = HeaderMap::new();
+    headers.insert(ID, HeaderValue::from_str(id).expect("it is plain"));
+    let call = Call { method: &Method::POST, target: "/", headers: &headers, body, max_answer: 100 };
+    let id = id.to_owned();
+    connection.exchange(call, |head| head.headers.get(&ID).is_none_or(|echoed| *echoed == *id)).await
+}
+
+#[rstest]
+#[case::closed_at_once("", Err(Fault::Lost))]
+#[case::half_a_head("HTTP/1.1 200 OK\r\ncontent-le", Err(Fault::Lost))]
+#[case::half_a_body("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhel", Err(Fault::Cut))]
+#[case::half_a_chunk("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhel", Err(Fault::Cut))]
+#[case::two_framings("HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab", Err(Fault::Malformed))]
+#[case::no_answer("hello there, this is no answer\r\n\r\n", Err(Fault::Malformed))]
+#[case::too_large("HTTP/1.1 200 OK\r\ncontent-length: 200\r\n\r\n", Ok(None))]
+#[case::until_close("HTTP/1.1 200 OK\r\n\r\nhello", Ok(Some(("hello", false))))]
+#[case::interim("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", Ok(Some(("ok", true))))]
+#[case::crossed(
+    "HTTP/1.1 200 OK\r\nx-id: old\r\ncontent-length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nx-id: new\r\ncontent-length: 3\r\n\r\nnew",
+    Ok(Some(("new", true)))
+)]
+fn an_answer_is_whole_and_ours_or_none(
+    #[case] bytes: &'static str,
+    #[case] expected: Result<Option<(&'static str, bool)>, Fault>,
+) {
+    let address = server(move |mut stream| {
+        read_head(&mut stream);
+        stream.write_all(bytes.as_bytes()).expect("the client reads");
+    });
+    let answer = runtime().block_on(async {
+        let mut connection = Connection::open(address, Duration::from_secs(5)).await.expect("the server listens");
+        send(&mut connection, "new", &Bytes::new()).await
+    });
+    match expected {
+        Err(fault) => assert_eq!(answer.expect_err("it is not whole"), fault),
+        Ok(None) => assert!(matches!(answer, Err(Fault::TooLarge | Fault::Cut))),
+        Ok(Some((body, framed))) => {
+            let answer = answer.expect("it is whole");
+            assert_eq!((&answer.body[..], answer.framed), (body.as_bytes(), framed));
+        }
+    }
+}
+
+#[test]
+fn an_answer_that_comes_before_the_body_is_sent_counts_and_ends_the_connection() {
+    let address = server(|mut stream| {
+        read_head(&mut stream);
+        stream.write_all(b"HTTP/1.1 413 Too Large\r\ncontent-length: 2\r\n\r\nno").expect("the client reads");
+        // The body stays unread until the client leaves.
+        drop(stream.read(&mut [0; 1]));
+        std::thread::park_timeout(Duration::from_mins(1));
+    });
+    let body = Bytes::from(vec![7; 32 << 20]);
+    let answer = runtime().block_on(async {
+        let mut connection = Connection::open(address, Duration::from_mins(1)).await.expect("the server listens");
+        send(&mut connection, "a", &body).await
+    });
+    let answer = answer.expect("it is whole");
+    assert_eq!((answer.status.as_u16(), answer.reusable), (413, false));
+}
+
+#[test]
+fn bytes_that_nobody_asked_for_end_an_idle_connection() {
+    let (told, tell) = std::sync::mpsc::channel();
+    let address = server(move |mut stream| {
+        read_head(&mut stream);
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").expect("the client reads");
+        tell.recv().expect("the test goes on");
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno").expect("the client reads");
+        told_end(&mut stream);
+    });
+    runtime().block_on(async {
+        let mut connection = Connection::open(address, Duration::from_secs(5)).await.expect("the server listens");
+        let answer = send(&mut connection, "a", &Bytes::new()).await.expect("it is whole");
+        assert!(answer.reusable && connection.is_idle());
+        told.send(()).expect("the server waits");
+        while connection.is_idle() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+}
+
+/// Waits until the client closes.
+fn told_end(stream: &mut TcpStream) {
+    drop(stream.read_to_end(&mut Vec::new()));
+}
+
+#[test]
+fn a_connection_that_ended_while_it_was_idle_sends_nothing() {
+    let address = server(drop);
+    runtime().block_on(async {
+        let mut connection = Connection::open(address, Duration::from_secs(5)).await.expect("the server listens");
+        while connection.is_idle() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let fault = send(&mut connection, "a", &Bytes::new()).await.expect_err("nobody answers");
+        assert!(matches!(fault, Fault::Unsent | Fault::Lost), "{fault:?}");
+    });
+}
