Name an object by its class's name, not by its place in a list

Ruled out: the list of servers (the same before and after), loads not told (they only choose between the two homes). Test: all_daemons_send_an_object_to_the_same_home_whatever_the_order_of_their_classes.

--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::hash;
 use config::policy::{Class, Policy};
 use dispatch::class;
 use dispatch::split::Part;
@@ -74,6 +75,7 @@
         let usual = class::Spec::new(service, Duration::from_millis(class.deadline_ms));
         let split = class.split.iter().filter_map(|(name, weight)| Some((self.service(name)?, *weight)));
         class::Spec {
+            key: hash::bytes(name.as_bytes()),
             idempotent: class.idempotent,
             rank: class.rank,
             target: Duration::from_millis(class.target_ms),
--- a/crates/dispatch/src/class.rs
+++ b/crates/dispatch/src/class.rs
@@ -27,6 +27,8 @@
 /// What operators declare of a class, as far as dispatch needs it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Spec {
+    /// Hash of its name: the same in all daemons, whatever the order in which they learnt of it.
+    pub key: u64,
     /// Service, by position in the list of services.
     pub service: u16,
     /// Whether running the work twice is harmless.
@@ -53,6 +55,7 @@
     /// Idempotent work of `service` that nobody waits for longer than `deadline`.
     pub const fn new(service: u16, deadline: Duration) -> Self {
         Self {
+            key: 0,
             service,
             idempotent: true,
             rank: 0,
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -286,7 +286,7 @@
             return self.answer(request, Verdict::Refuse(kind));
         }
         let spec = &self.classes[class].spec;
-        let object = object.filter(|_| spec.affinity).map(|object| base::hash::pair(object, class as u64));
+        let object = object.filter(|_| spec.affinity).map(|object| base::hash::pair(object, spec.key));
         if object.is_some() {
             self.guess_loads(service, now);
         }
--- a/crates/dispatch/tests/keyed.rs
+++ b/crates/dispatch/tests/keyed.rs
@@ -106,3 +106,25 @@
     assert_eq!(servers[0], servers[1], "the first two go to the object's home");
     assert_eq!(servers[2], 9, "a third is not sent where nobody knows what waits");
 }
+
+/// Load: entry instances that started at different times, after classes had come and gone, see the same objects.
+#[test]
+fn all_daemons_send_an_object_to_the_same_home_whatever_the_order_of_their_classes() {
+    let now = Time::from_millis(1_000);
+    let one = class::Spec { affinity: true, key: 11, ..class::Spec::new(0, Duration::from_secs(1)) };
+    let two = class::Spec { key: 22, ..one.clone() };
+    let engine = |classes: Vec<class::Spec>| {
+        let mut engine = Engine::new(classes, common::LIMITS, 7);
+        engine.set_backends((1..=9).map(|id| common::backend(id, Place::Region)).collect(), now);
+        engine
+    };
+    let (mut old, mut young) = (engine(vec![one.clone(), two.clone()]), engine(vec![two, one]));
+    let home = |engine: &mut Engine, class: usize, object: u64| {
+        engine.submit(Arrival { object: Some(object), ..Arrival::new(object, class, object, 10) }, now);
+        let server = |action| if let Action::Start { backend, .. } = action { Some(backend) } else { None };
+        engine.take().into_iter().find_map(server)
+    };
+    for object in 1..=9 {
+        assert_eq!(home(&mut old, 1, object), home(&mut young, 0, object), "object {object}");
+    }
+}
