--- a/crates/demo/src/children.rs
+++ b/crates/demo/src/children.rs
@@ -35,15 +35,15 @@
         Ok(Self::new(&folder))
     }
 
-    /// Starts `program` under `name`; its standard error goes to `log` if given.
+    /// Starts `program` under `name`; what it writes is added to `log` if given.
     pub fn start(&mut self, name: &str, program: &str, arguments: &[&str], log: Option<&Path>) -> Result<()> {
         let failed = |reason: String| Error::Program { program: program.to_owned(), reason };
-        let errors = match log {
-            Some(path) => std::fs::File::create(path).map_err(|error| failed(error.to_string()))?.into(),
-            None => Stdio::inherit(),
+        let (lines, errors) = match log {
+            Some(path) => log_file(path).map_err(|error| failed(error.to_string()))?,
+            None => (Stdio::null(), Stdio::inherit()),
         };
         let mut command = Command::new(self.programs.join(program));
-        command.args(arguments).stdin(Stdio::null()).stdout(Stdio::null()).stderr(errors);
+        command.args(arguments).stdin(Stdio::null()).stdout(lines).stderr(errors);
         let child = command.spawn().map_err(|error| failed(error.to_string()))?;
         self.running.insert(name.to_owned(), child);
         Ok(())
@@ -94,6 +94,12 @@
     }
 }
 
+/// The file at `path` twice, for standard output and standard error; lines of an earlier process stay.
+fn log_file(path: &Path) -> std::io::Result<(Stdio, Stdio)> {
+    let file = std::fs::File::options().create(true).append(true).open(path)?;
+    Ok((file.try_clone()?.into(), file.into()))
+}
+
 impl Drop for Children {
     fn drop(&mut self) {
         for child in self.running.values_mut() {
--- a/crates/dispatch/src/engine/ending.rs
+++ b/crates/dispatch/src/engine/ending.rs
@@ -83,7 +83,7 @@
         match ending {
             Ending::Answered(_) => {
                 let fingerprint = state.fingerprint;
-                self.poison.clear(fingerprint);
+                self.poison.clear(fingerprint, now);
                 let rest = self.close(request).map(|state| state.live).unwrap_or_default();
                 self.cancel_all(&rest);
                 self.answer(request, Verdict::Relay(attempt));
@@ -132,7 +132,8 @@
         };
         let loss = base::hash::pair(self.salt, attempt);
         let fingerprint = state.fingerprint;
-        self.note_poison(fingerprint, loss, now);
-        self.losses.push((fingerprint, loss));
+        if self.note_poison(fingerprint, loss, now) {
+            self.losses.push((fingerprint, loss));
+        }
     }
 }
--- a/crates/dispatch/src/poison.rs
+++ b/crates/dispatch/src/poison.rs
@@ -10,6 +10,9 @@
 
 /// Losses after which a fingerprint is refused.
 pub const LOSSES: usize = 2;
+/// Time after a whole answer during which losses are not counted: what was answered lately crashes nobody, and what
+/// many callers ask for is under way whenever a server goes away.
+const INNOCENT: Duration = Duration::from_secs(10);
 /// Fingerprints remembered at most; the oldest go first.
 const MOST: usize = 4_096;
 
@@ -24,17 +27,23 @@
 pub struct Poison {
     kept: Duration,
     records: BTreeMap<u64, Record>,
+    /// When each fingerprint was answered whole last.
+    answered: BTreeMap<u64, Time>,
 }
 
 impl Poison {
     /// Remembers each loss for `kept`.
     pub const fn new(kept: Duration) -> Self {
-        Self { kept, records: BTreeMap::new() }
+        Self { kept, records: BTreeMap::new(), answered: BTreeMap::new() }
     }
 
-    /// Notes that the loss with the unique number `loss` happened to `fingerprint`; says whether that is news.
+    /// Notes that the loss with the unique number `loss` happened to `fingerprint`; says whether that is news
+    /// that counts.
     pub fn note(&mut self, fingerprint: u64, loss: u64, now: Time) -> bool {
         self.forget(now);
+        if self.answered.get(&fingerprint).is_some_and(|at| now.since(*at) < INNOCENT) {
+            return false;
+        }
         let record = self.records.entry(fingerprint).or_default();
         let news = record.losses.insert(loss);
         if news {
@@ -44,8 +53,15 @@
     }
 
     /// A request with `fingerprint` was answered whole: its losses were not its doing.
-    pub fn clear(&mut self, fingerprint: u64) {
+    pub fn clear(&mut self, fingerprint: u64, now: Time) {
         self.records.remove(&fingerprint);
+        if self.answered.len() >= MOST {
+            self.answered.retain(|_, at| now.since(*at) < INNOCENT);
+        }
+        if self.answered.len() >= MOST {
+            self.answered.clear();
+        }
+        self.answered.insert(fingerprint, now);
     }
 
     /// Whether `fingerprint` is refused.
--- a/crates/dispatch/tests/cases.rs
+++ b/crates/dispatch/tests/cases.rs
@@ -324,3 +324,18 @@
     }
     assert_eq!(server.suspect(), ejected);
 }
+
+/// Load: callers ask the same again and again, and servers crash meanwhile for other reasons.
+#[test]
+fn a_request_that_was_answered_lately_is_not_taken_for_poisonous() {
+    let mut world = world(6);
+    let answered = world.send_as(LOOKUP, 99);
+    world.end(only_attempt(&world, answered), Ending::Answered(10));
+    for _ in 0..2 {
+        let lost = world.send_as(LOOKUP, 99);
+        world.end(world.attempts_of(lost)[0], Ending::Lost);
+    }
+    world.engine.merge_losses(&[(99, 1), (99, 2)], world.now);
+    let next = world.send_as(LOOKUP, 99);
+    assert_ne!(refused(&world, next), Some(Kind::Poisoned));
+}
