--- a/crates/daemon/tests/port.rs
+++ b/crates/daemon/tests/port.rs
@@ -243,3 +243,14 @@
         assert!(sent.contains_key(name), "{name} is missing: {sent:?}");
     }
 }
+
+#[test]
+fn requests_sent_at_once_on_one_connection_are_answered_in_their_order() {
+    let world = World::new(59);
+    let text = "GET /stock?work_ms=200 HTTP/1.1\r\nhost: x\r\nx-echo: slow\r\n\r\n\
+GET /stock?work_ms=1 HTTP/1.1\r\nhost: x\r\nx-echo: quick\r\nconnection: close\r\n\r\n";
+    let answers = world.talk(text);
+    let (slow, quick) = (answers.find("echo=slow"), answers.find("echo=quick"));
+    assert!(slow.is_some() && slow < quick, "{answers:?}");
+    assert_eq!(answers.matches("HTTP/1.1 200").count(), 2);
+}
--- /dev/null
+++ b/crates/dispatch/tests/rules.rs
@@ -0,0 +1,133 @@
+//! Bounds that hold whatever comes: second sends, starting servers, regions, shares of services, work that must go on.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::time::Time;
+use common::{LIMITS, LOOKUP, ORDER, backend, classes};
+use dispatch::backend::{BackendId, Place, Spec, Start};
+use dispatch::engine::{Arrival, Extra, Limits, Remote};
+use dispatch::split::Part;
+use dispatch::{Action, Ending, Engine, class};
+use rstest::rstest;
+
+const START: Time = Time::from_millis(1_000);
+
+fn engine(classes: Vec<class::Spec>, extra: Extra, servers: Vec<Spec>) -> Engine {
+    let mut engine = Engine::new(classes, Limits { extra, ..LIMITS }, 7);
+    engine.set_remote(1, Remote { limit: u32::MAX, bytes_per_second: 1e9 }, START);
+    engine.set_backends(servers, START);
+    engine
+}
+
+fn submit(engine: &mut Engine, request: u64, class: usize, object: Option<u64>, now: Time) {
+    engine.submit(Arrival { object, ..Arrival::new(request, class, request, 10) }, now);
+}
+
+/// Attempts started since the last call, with their servers.
+fn started(engine: &mut Engine) -> Vec<(u64, BackendId)> {
+    let start = |action| match action {
+        Action::Start { attempt, backend, .. } => Some((attempt, backend)),
+        _ => None,
+    };
+    engine.take().into_iter().filter_map(start).collect()
+}
+
+/// Load: an outage of a whole service. Every attempt is lost, every caller sends again.
+#[rstest]
+#[case::a_fifth(0.2, 3.0)]
+#[case::none(0.0, 0.0)]
+fn second_sends_of_a_service_stay_within_their_part(#[case] part: f64, #[case] saved: f64) {
+    let extra =
+        Extra { retry_part: 1.0, retries_saved: 100.0, repeat_part: part, repeats_saved: saved, ..Extra::DEFAULT };
+    let servers = (1..=9).map(|id| backend(id, Place::Domain)).collect();
+    let mut engine = engine(classes(), extra, servers);
+    let (mut sends, mut now) = (0_u32, START);
+    for request in 1..=200 {
+        now = now + Duration::from_millis(500);
+        submit(&mut engine, request, LOOKUP, None, now);
+        let mut live = started(&mut engine);
+        while let Some((attempt, _)) = live.pop() {
+            sends += 1;
+            engine.finish(attempt, Ending::Lost, now);
+            live.extend(started(&mut engine));
+        }
+        engine.tick(now);
+    }
+    assert!(f64::from(sends) <= 200.0 * (1.0 + part) + saved, "{sends} sends for 200 requests");
+}
+
+/// Load: a server has just started and callers press.
+#[rstest]
+#[case::ours(4.0, 4 + 1)]
+#[case::left_to_others(0.0, 0)]
+fn a_starting_server_gets_its_rate_and_no_more(#[case] per_second: f64, #[case] most: usize) {
+    let start = Start { until: START + Duration::from_mins(1), per_second };
+    let spec = class::Spec { affinity: true, ..classes()[LOOKUP].clone() };
+    let server = Spec { start: Some(start), slots: 100, ..backend(1, Place::Region) };
+    let mut engine = engine(vec![spec], Extra::DEFAULT, vec![server]);
+    let mut count = 0;
+    for turn in 0..100 {
+        let now = START + Duration::from_millis(10 * turn);
+        submit(&mut engine, turn + 1, LOOKUP, Some(turn), now);
+        for (attempt, _) in started(&mut engine) {
+            count += 1;
+            engine.finish(attempt, Ending::Answered(1), now);
+        }
+    }
+    assert!(count <= most, "{count} requests in a second");
+}
+
+#[rstest]
+#[case::object(Some(5))]
+#[case::no_object(None)]
+fn work_that_must_stay_in_a_region_is_sent_nowhere_else(#[case] object: Option<u64>) {
+    let class = class::Spec { affinity: true, regions: vec![0], ..classes()[LOOKUP].clone() };
+    let elsewhere = |id| Spec { region: 1, ..backend(id, Place::Remote(1)) };
+    let mut servers = vec![backend(1, Place::Region)];
+    servers.extend((2..=9).map(elsewhere));
+    let mut engine = engine(vec![class], Extra::DEFAULT, servers);
+    let mut now = START;
+    for request in 1..=50 {
+        now = now + Duration::from_millis(20);
+        submit(&mut engine, request, 0, object, now);
+        engine.tick(now);
+        let live = started(&mut engine);
+        assert!(live.iter().all(|(_, server)| *server == 1), "{live:?}");
+        if request % 3 == 0 {
+            live.into_iter().for_each(|(attempt, _)| engine.finish(attempt, Ending::Lost, now));
+        }
+    }
+}
+
+#[test]
+fn services_share_a_class_by_their_weights() {
+    let split = vec![Part { service: 0, weight: 3 }, Part { service: 1, weight: 1 }];
+    let class = class::Spec { split, ..classes()[LOOKUP].clone() };
+    let servers = vec![backend(1, Place::Domain), Spec { service: 1, ..backend(2, Place::Domain) }];
+    let mut engine = engine(vec![class], Extra::DEFAULT, servers);
+    let mut counts: BTreeMap<BackendId, u32> = BTreeMap::new();
+    for request in 1..=400 {
+        let now = START + Duration::from_millis(10 * request);
+        submit(&mut engine, request, 0, None, now);
+        for (attempt, server) in started(&mut engine) {
+            *counts.entry(server).or_default() += 1;
+            engine.finish(attempt, Ending::Answered(1), now);
+        }
+    }
+    assert_eq!(counts, BTreeMap::from([(1, 300), (2, 100)]));
+}
+
+#[rstest]
+#[case::lookup(LOOKUP, true)]
+#[case::order(ORDER, false)]
+fn work_whose_caller_left_is_cancelled_only_if_it_may_run_twice(#[case] class: usize, #[case] cancelled: bool) {
+    let mut engine = engine(classes(), Extra::DEFAULT, vec![backend(1, Place::Domain)]);
+    submit(&mut engine, 1, class, None, START);
+    assert_eq!(started(&mut engine).len(), 1);
+    engine.abandon(1, START);
+    let cancels = engine.take().iter().filter(|action| matches!(action, Action::Cancel { .. })).count();
+    assert_eq!(cancels, usize::from(cancelled));
+}
