--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -108,8 +108,8 @@
         (Trouble::Change, false) => {}
         (Trouble::Entry(place, blow), true) => site.strike(&site.instance(Role::Entry, place), blow),
         (Trouble::Server(place, blow), true) => site.strike(&site.instance(Role::Backend, place), blow),
-        (Trouble::Entry(place, blow), false) => return site.restore(&site.instance(Role::Entry, place), blow),
-        (Trouble::Server(place, blow), false) => return site.restore(&site.instance(Role::Backend, place), blow),
+        (Trouble::Entry(place, _), false) => return site.restore(&site.instance(Role::Entry, place)),
+        (Trouble::Server(place, _), false) => return site.restore(&site.instance(Role::Backend, place)),
     }
     Ok(None)
 }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::instance::{Instance, Role};
 use demo::deployment::Deployment;
@@ -19,6 +19,8 @@
 const STORE_PORT: u16 = 100;
 /// Longest time for a process to end by itself.
 const PATIENCE: Duration = Duration::from_mins(1);
+/// Time in which a process starts to listen to signals.
+const STARTS: Duration = Duration::from_secs(1);
 /// Answers of the store that are lost in one fault.
 const LOST: u32 = 5;
 
@@ -31,6 +33,10 @@
     pub links: Vec<Proxy>,
     /// How often each process was started, by name.
     pub lives: BTreeMap<String, u64>,
+    /// When each process was started last.
+    begun: BTreeMap<String, Instant>,
+    /// Processes that were asked to stop.
+    asked: BTreeSet<String>,
     /// Processes that stand still.
     paused: BTreeSet<String>,
     /// What killed or stopped backend servers had run.
@@ -57,7 +63,16 @@
         deployment.start_daemons()?;
         deployment.wait_ready(revision)?;
         let agent = caller::agent();
-        Ok(Self { deployment, links, lives: BTreeMap::new(), paused: BTreeSet::new(), gone: Runs::new(), agent })
+        Ok(Self {
+            deployment,
+            links,
+            lives: BTreeMap::new(),
+            begun: BTreeMap::new(),
+            asked: BTreeSet::new(),
+            paused: BTreeSet::new(),
+            gone: Runs::new(),
+            agent,
+        })
     }
 
     /// The instance in place `place` among those with `role`.
@@ -93,7 +108,13 @@
         match (blow, instance.role) {
             // Backend servers are stand-ins: they know no orderly end.
             (Blow::Kill, _) | (Blow::Stop, Role::Backend) => children.kill(&instance.name),
-            (Blow::Stop, _) => drop(children.signal(&instance.name, "TERM")),
+            (Blow::Stop, _) => {
+                // Before it listens to signals, a process has taken no work and may end as it likes.
+                if self.begun.get(&instance.name).is_none_or(|begun| begun.elapsed() > STARTS) {
+                    drop(children.signal(&instance.name, "TERM"));
+                    self.asked.insert(instance.name.clone());
+                }
+            }
             (Blow::Pause, _) => {
                 drop(children.signal(&instance.name, "STOP"));
                 self.paused.insert(instance.name.clone());
@@ -102,19 +123,22 @@
     }
 
     /// Ends a fault of a process: it goes on, or a new one takes its place. Says what a planned stop did wrong.
-    pub fn restore(&mut self, instance: &Instance, blow: Blow) -> Result<Option<String>> {
+    pub fn restore(&mut self, instance: &Instance) -> Result<Option<String>> {
         let children = &mut self.deployment.children;
         let mut wrong = None;
         self.paused.remove(&instance.name);
         if children.id(&instance.name).is_some() {
             drop(children.signal(&instance.name, "CONT"));
-            if blow != Blow::Stop || instance.role == Role::Backend {
+            // Another fault may have put a new process in the place of the one that was asked.
+            if !self.asked.remove(&instance.name) {
                 return Ok(None);
             }
             let code = children.wait(&instance.name, PATIENCE);
             wrong = (code != Some(0)).then(|| format!("{}: a planned stop ended with {code:?}", instance.name));
             children.kill(&instance.name);
         }
+        self.asked.remove(&instance.name);
+        self.begun.insert(instance.name.clone(), Instant::now());
         *self.lives.entry(instance.name.clone()).or_default() += 1;
         match instance.role {
             Role::Backend => self.deployment.start_backend(instance)?,
