Let a starting server's rate follow the membership; send it nothing before one knows the others

Cause: the gate of a starting server was made once, when a daemon first saw the server, and never followed the membership: a daemon that was one of three starters under the view of that moment stayed one, and one that had just started and knew nobody took all of the server's rate. Tests: a_daemon_sends_a_starting_server_what_the_latest_membership_says (both cases fail before), daemons_that_do_not_know_each_other_yet_send_a_starting_server_nothing.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -53,6 +53,8 @@
     pub dialect: Arc<Dialect>,
     /// The clock.
     pub clock: Clock,
+    /// When the process started.
+    begun: Time,
     /// Random number of this process; no two are equal.
     pub incarnation: u64,
     /// Runs the sockets of callers and peers.
@@ -135,6 +137,7 @@
             mirror: Mutex::new(store::Mirror::new()),
             servers: Mutex::new(Servers::default()),
             clock,
+            begun: now,
             incarnation,
             runtime,
             store,
@@ -163,6 +166,11 @@
         self.clock.now()
     }
 
+    /// Time since this process started.
+    pub fn age(&self) -> Duration {
+        self.now().since(self.begun)
+    }
+
     /// The policy in force.
     pub fn policy(&self) -> Arc<InForce> {
         Arc::clone(&self.in_force.read().unwrap_or_else(std::sync::PoisonError::into_inner))
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::hash;
 use base::instance::{Instance, Role, State as Listed};
@@ -27,6 +28,9 @@
 /// Daemons of a region that may use one backend server, so that its connections are not used up.
 const USERS_PER_BACKEND: usize = 64;
 
+/// Time in which a daemon that starts hears of the others: a few exchanges with peers.
+const SETTLE: Duration = Duration::from_secs(3);
+
 /// A prepared state of the world.
 #[derive(Debug, Clone, Default)]
 pub struct Steering {
@@ -233,13 +237,14 @@
     let hosts = subset::hosts(own, &daemons, &near);
     let hosted = |id: BackendId| near.iter().position(|near| *near == u64::from(id)).is_some_and(|at| hosts[at]);
     let members = all_daemons(&roster.records(), own);
-    let starters = (settings.dispatch.starters as usize).min(members.len()).max(1);
+    let starters = settings.dispatch.starters as usize;
+    let settled = settings.fleet.seeds.is_empty() || context.age() > SETTLE;
     let starts = lock(&context.servers).starts.clone();
     let start = |instance: &&Instance| {
         let service = in_force.policy.services.get(&instance.service)?;
         let id = backend_id(instance);
-        let chosen = subset::uses(own, &members, u64::from(id), starters);
-        let per_second = if chosen { service.start_per_second / starters as f64 } else { 0.0 };
+        let part = subset::start_part(own, &members, u64::from(id), starters, settled);
+        let per_second = service.start_per_second * part;
         let until = starts.get(&id).copied().unwrap_or(Time::ZERO);
         (service.start_per_second > 0.0).then_some(Start { until, per_second })
     };
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -101,6 +101,12 @@
     pub at: Time,
 }
 
+/// Requests a second and at once that this daemon may send the server while it starts.
+fn pressure(spec: &Spec) -> (f64, f64) {
+    let per_second = spec.start.map_or(0.0, |start| start.per_second);
+    (per_second, if per_second > 0.0 { COLD_BURST } else { 0.0 })
+}
+
 /// A backend server.
 #[derive(Debug, Clone)]
 pub struct Backend {
@@ -141,10 +147,10 @@
 impl Backend {
     /// A server that nothing is known of; it starts slowly.
     pub fn new(spec: Spec, now: Time) -> Self {
-        let per_second = spec.start.map_or(0.0, |start| start.per_second);
+        let (per_second, burst) = pressure(&spec);
         Self {
             spec,
-            gate: Bucket::new(per_second, if per_second > 0.0 { COLD_BURST } else { 0.0 }, now),
+            gate: Bucket::new(per_second, burst, now),
             pace: 1.0,
             pace_noted: Time::ZERO,
             told_others: None,
@@ -167,6 +173,13 @@
         }
     }
 
+    /// Takes what is declared of it now; what was seen of it stays.
+    pub fn declare(&mut self, spec: Spec, now: Time) {
+        let (per_second, burst) = pressure(&spec);
+        self.gate.set_rate(per_second, burst, now);
+        self.spec = spec;
+    }
+
     /// Takes in a load report; an older one than known changes nothing.
     pub fn report(&mut self, report: Report) {
         if self.report.is_some_and(|known| known.at > report.at) {
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -175,7 +175,7 @@
             let known = self.backends.remove(&spec.id);
             let backend = match known {
                 Some(mut backend) => {
-                    backend.spec = spec;
+                    backend.declare(spec, now);
                     backend
                 }
                 None => Backend::new(spec, now),
--- a/crates/dispatch/src/subset.rs
+++ b/crates/dispatch/src/subset.rs
@@ -17,6 +17,14 @@
     better < most
 }
 
+/// The part of what `backend` bears while it starts that `daemon` may send it, when `starters` daemons send it work.
+///
+/// Load pattern: servers and daemons start at the same time. A daemon that is not `settled` does not know the others
+/// yet and would take itself for the only one, as each of them would.
+pub fn start_part(daemon: u64, daemons: &[u64], backend: u64, starters: usize, settled: bool) -> f64 {
+    if settled && uses(daemon, daemons, backend, starters) { 1.0 / starters as f64 } else { 0.0 }
+}
+
 /// For each of `backends`, whether `daemon` may run work on it that can wait.
 ///
 /// Each backend server has one such daemon, dealt out in turn, so that its slots are never filled by waiting
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -10,7 +10,7 @@
 use dispatch::backend::{BackendId, Place, Spec, Start};
 use dispatch::engine::{Arrival, Extra, Limits, Remote};
 use dispatch::split::Part;
-use dispatch::{Action, Ending, Engine, class};
+use dispatch::{Action, Ending, Engine, class, subset};
 use rstest::rstest;
 
 const START: Time = Time::from_millis(1_000);
@@ -131,3 +131,37 @@
     let cancels = engine.take().iter().filter(|action| matches!(action, Action::Cancel { .. })).count();
     assert_eq!(cancels, usize::from(cancelled));
 }
+
+/// Load: all daemons start anew while servers are cold; each knows itself first, then all.
+#[test]
+fn daemons_that_do_not_know_each_other_yet_send_a_starting_server_nothing() {
+    let all: Vec<u64> = (100..133).collect();
+    let sum = |known: &dyn Fn(u64) -> Vec<u64>, settled: bool| -> f64 {
+        all.iter().map(|daemon| subset::start_part(*daemon, &known(*daemon), 7, 3, settled)).sum()
+    };
+    assert!(sum(&|daemon| vec![daemon], false) < f64::EPSILON);
+    assert!((sum(&|_| all.clone(), true) - 1.0).abs() < 1e-9);
+    assert!(
+        (subset::start_part(100, &[100], 7, 3, true) - 1.0 / 3.0).abs() < 1e-9,
+        "a daemon alone sends its part only"
+    );
+}
+
+/// Load: entry instances come and go while a server starts, so its starters change.
+#[rstest]
+#[case::becomes_a_starter(0.0, 4.0, true)]
+#[case::is_one_no_more(4.0, 0.0, false)]
+fn a_daemon_sends_a_starting_server_what_the_latest_membership_says(
+    #[case] before: f64,
+    #[case] after: f64,
+    #[case] sends: bool,
+) {
+    let start = |per_second| Some(Start { until: START + Duration::from_mins(1), per_second });
+    let class = class::Spec { affinity: true, ..classes()[LOOKUP].clone() };
+    let mut engine =
+        engine(vec![class], Extra::DEFAULT, vec![Spec { start: start(before), ..backend(1, Place::Region) }]);
+    engine.set_backends(vec![Spec { start: start(after), ..backend(1, Place::Region) }], START);
+    let now = START + Duration::from_secs(2);
+    submit(&mut engine, 1, LOOKUP, Some(1), now);
+    assert_eq!(!started(&mut engine).is_empty(), sends);
+}
