Let every daemon try an ejected server again, in turn

Cause: since a starting server's gate follows the membership, a daemon that is none of its starters had a rate of zero, and the gate also holds back the request that tries an ejected server: such a daemon would never use it again. Before, the rate of the first moment, when each daemon knew only itself, had hidden this. Each daemon that is no starter now has an equal part of the server's rate for such tries, and its place in the turn. Test: all_daemons_try_an_ejected_server_again_and_not_all_at_once.

--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -243,10 +243,11 @@
     let start = |instance: &&Instance| {
         let service = in_force.policy.services.get(&instance.service)?;
         let id = backend_id(instance);
-        let part = subset::start_part(own, &members, u64::from(id), starters, settled);
+        let (part, starter) = subset::start_part(own, &members, u64::from(id), starters, settled);
         let per_second = service.start_per_second * part;
+        let phase = hash::unit(hash::pair(own, id.into()));
         let until = starts.get(&id).copied().unwrap_or(Time::ZERO);
-        (service.start_per_second > 0.0).then_some(Start { until, per_second })
+        (service.start_per_second > 0.0).then_some(Start { until, per_second, starter, phase })
     };
     let spec = |instance: &&Instance| {
         let id = backend_id(instance);
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -83,9 +83,13 @@
 pub struct Start {
     /// Until when the server starts.
     pub until: Time,
-    /// Requests a second that this daemon may send meanwhile, and whenever it is not known whether the server
-    /// has started anew; zero if that is left to other daemons.
+    /// Requests a second that this daemon may send meanwhile if it is a starter, and to try the server whenever it
+    /// is not known whether it has started anew.
     pub per_second: f64,
+    /// Whether this daemon sends work to the server while it starts.
+    pub starter: bool,
+    /// Where this daemon stands, from 0 to 1, in the order in which those that are no starters try the server.
+    pub phase: f64,
 }
 
 /// A load report.
@@ -228,7 +232,8 @@
 
     /// Whether a server that starts, or may have started anew, can be sent a request now.
     pub fn admits(&self, now: Time) -> bool {
-        !self.starts(now) || self.gate.clone().level(now) >= 1.0
+        let left_to_others = self.spec.start.is_some_and(|start| now < start.until && !start.starter);
+        !left_to_others && (!self.starts(now) || self.gate.clone().level(now) >= 1.0)
     }
 
     fn starts(&self, now: Time) -> bool {
@@ -378,6 +383,11 @@
         let time = EJECTION.saturating_mul(1 << self.ejections.min(5)).min(LONGEST_EJECTION);
         self.ejections += 1;
         self.trial = true;
+        if let Some(start) = self.spec.start.filter(|start| !start.starter) {
+            // All daemons may eject it at once: their tries are spread over the time in which it bears them.
+            let level = self.gate.level(now);
+            self.gate.charge(level + start.phase, now);
+        }
         self.late_in_row = 0;
         self.closed_until = now + time;
     }
--- a/crates/dispatch/src/subset.rs
+++ b/crates/dispatch/src/subset.rs
@@ -17,12 +17,18 @@
     better < most
 }
 
-/// The part of what `backend` bears while it starts that `daemon` may send it, when `starters` daemons send it work.
+/// The part of what `backend` bears while it starts that `daemon` may send it, when `starters` daemons send it work; and
+/// whether it is one of them. The others may send theirs only to try a server that went away.
 ///
 /// Load pattern: servers and daemons start at the same time. A daemon that is not `settled` does not know the others
 /// yet and would take itself for the only one, as each of them would.
-pub fn start_part(daemon: u64, daemons: &[u64], backend: u64, starters: usize, settled: bool) -> f64 {
-    if settled && uses(daemon, daemons, backend, starters) { 1.0 / starters as f64 } else { 0.0 }
+pub fn start_part(daemon: u64, daemons: &[u64], backend: u64, starters: usize, settled: bool) -> (f64, bool) {
+    if !settled {
+        return (0.0, false);
+    }
+    let starter = uses(daemon, daemons, backend, starters);
+    let sharing = if starter { starters } else { daemons.len() };
+    (1.0 / sharing as f64, starter)
 }
 
 /// For each of `backends`, whether `daemon` may run work on it that can wait.
--- a/crates/dispatch/tests/rules.rs
+++ b/crates/dispatch/tests/rules.rs
@@ -7,7 +7,7 @@
 
 use base::time::Time;
 use common::{LIMITS, LOOKUP, ORDER, backend, classes};
-use dispatch::backend::{BackendId, Place, Spec, Start};
+use dispatch::backend::{Backend, BackendId, Place, Spec, Start};
 use dispatch::engine::{Arrival, Extra, Limits, Remote};
 use dispatch::split::Part;
 use dispatch::{Action, Ending, Engine, class, subset};
@@ -64,7 +64,7 @@
 #[case::ours(4.0, 4 + 1)]
 #[case::left_to_others(0.0, 0)]
 fn a_starting_server_gets_its_rate_and_no_more(#[case] per_second: f64, #[case] most: usize) {
-    let start = Start { until: START + Duration::from_mins(1), per_second };
+    let start = Start { until: START + Duration::from_mins(1), per_second, starter: per_second > 0.0, phase: 0.0 };
     let spec = class::Spec { affinity: true, ..classes()[LOOKUP].clone() };
     let server = Spec { start: Some(start), slots: 100, ..backend(1, Place::Region) };
     let mut engine = engine(vec![spec], Extra::DEFAULT, vec![server]);
@@ -137,14 +137,13 @@
 fn daemons_that_do_not_know_each_other_yet_send_a_starting_server_nothing() {
     let all: Vec<u64> = (100..133).collect();
     let sum = |known: &dyn Fn(u64) -> Vec<u64>, settled: bool| -> f64 {
-        all.iter().map(|daemon| subset::start_part(*daemon, &known(*daemon), 7, 3, settled)).sum()
+        let parts = all.iter().map(|daemon| subset::start_part(*daemon, &known(*daemon), 7, 3, settled));
+        parts.filter(|(_, starter)| *starter).map(|(part, _)| part).sum()
     };
     assert!(sum(&|daemon| vec![daemon], false) < f64::EPSILON);
     assert!((sum(&|_| all.clone(), true) - 1.0).abs() < 1e-9);
-    assert!(
-        (subset::start_part(100, &[100], 7, 3, true) - 1.0 / 3.0).abs() < 1e-9,
-        "a daemon alone sends its part only"
-    );
+    let (part, starter) = subset::start_part(100, &[100], 7, 3, true);
+    assert!(starter && (part - 1.0 / 3.0).abs() < 1e-9, "a daemon alone sends its part only");
 }
 
 /// Load: entry instances come and go while a server starts, so its starters change.
@@ -156,7 +155,9 @@
     #[case] after: f64,
     #[case] sends: bool,
 ) {
-    let start = |per_second| Some(Start { until: START + Duration::from_mins(1), per_second });
+    let start = |per_second| {
+        Some(Start { until: START + Duration::from_mins(1), per_second, starter: per_second > 0.0, phase: 0.0 })
+    };
     let class = class::Spec { affinity: true, ..classes()[LOOKUP].clone() };
     let mut engine =
         engine(vec![class], Extra::DEFAULT, vec![Spec { start: start(before), ..backend(1, Place::Region) }]);
@@ -165,3 +166,24 @@
     submit(&mut engine, 1, LOOKUP, Some(1), now);
     assert_eq!(!started(&mut engine).is_empty(), sends);
 }
+
+/// Load: a server goes away for a moment and may have started anew. Every daemon has ejected it and wants to try it.
+#[test]
+fn all_daemons_try_an_ejected_server_again_and_not_all_at_once() {
+    let (daemons, bears) = (33, 5.0);
+    let server = |daemon: u32| {
+        let phase = f64::from(daemon) / f64::from(daemons);
+        let start = Start { until: Time::ZERO, per_second: bears / f64::from(daemons), starter: false, phase };
+        let mut server = Backend::new(Spec { start: Some(start), ..backend(1, Place::Region) }, START);
+        server.failed(START);
+        server
+    };
+    let mut waiting: Vec<Backend> = (0..daemons).map(server).collect();
+    for second in 1..30 {
+        let now = START + Duration::from_secs(second);
+        let before = waiting.len();
+        waiting.retain(|server| server.closed(now) || !server.admits(now));
+        assert!((before - waiting.len()) as f64 <= bears + 1.0, "{} in second {second}", before - waiting.len());
+    }
+    assert!(waiting.is_empty(), "{} daemons never try it", waiting.len());
+}
