--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -9,7 +9,9 @@
 
 use base::instance::Role;
 use config::policy::Policy;
+use demo::deployment::Deployment;
 use load::answer::Ending;
+use load::plan::Flow;
 
 use crate::Result;
 use crate::caller::{Caller, Trace, agent};
@@ -52,34 +54,39 @@
 pub fn run(deploy: &Path, folder: &Path, setup: Setup) -> Result<Report> {
     let mut site = Site::start(deploy, folder, setup.net)?;
     let entries: Vec<String> = site.deployment.entries().map(|entry| entry.address.clone()).collect();
-    let flows = site.deployment.flows(1.0);
-    let path = |keyed: bool| flows.iter().find(|flow| flow.keyed == keyed && !flow.path.contains("bytes=")).cloned();
-    let (orders, lookups) = (path(true), path(false));
-    let (orders, lookups) =
-        (orders.map_or_else(String::new, |flow| flow.path), lookups.map_or_else(String::new, |flow| flow.path));
-    let (stop, trace) = (AtomicBool::new(false), Mutex::new(Trace::new()));
+    let (orders, lookups) = (path(&site.deployment, true), path(&site.deployment, false));
+    let caller = |name: String| Caller { entries: &entries, orders: &orders, lookups: &lookups, name };
     let steps = plan::steps(setup.seed, setup.faults, setup.time);
+    let (stop, trace) = (AtomicBool::new(false), Mutex::new(Trace::new()));
     let mut broken = thread::scope(|scope| {
-        for number in 0..setup.callers {
-            let name = format!("{:x}-{number}", setup.seed);
-            let caller = Caller { entries: &entries, orders: &orders, lookups: &lookups, name };
-            let (stop, trace, seed) = (&stop, &trace, setup.seed ^ number as u64);
-            scope.spawn(move || caller.run(seed, stop, trace));
+        for number in 0..setup.callers as u64 {
+            let caller = caller(format!("{:x}-{number}", setup.seed));
+            let (stop, trace) = (&stop, &trace);
+            scope.spawn(move || caller.run(setup.seed ^ number, stop, trace));
         }
         let broken = endure(&mut site, &steps, setup.time);
         stop.store(true, Ordering::Relaxed);
         broken
     })?;
-    let caller =
-        Caller { entries: &entries, orders: &orders, lookups: &lookups, name: format!("{:x}-end", setup.seed) };
-    broken.extend(peace(&mut site, &caller));
+    broken.extend(peace(&mut site, &caller(format!("{:x}-end", setup.seed))));
     let trace = trace.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
     broken.extend(check::broken(&trace, &site.runs()));
-    let mut endings = BTreeMap::new();
-    for ending in trace.values().filter_map(|endings| endings.last()) {
-        *endings.entry(*ending).or_default() += 1;
-    }
-    Ok(Report { endings, faults: steps.iter().filter(|step| step.begins).count(), broken })
+    let faults = steps.iter().filter(|step| step.begins).count();
+    Ok(Report { endings: last_endings(&trace), faults, broken })
+}
+
+/// Path and query of short work, which needs a key or needs none.
+fn path(deployment: &Deployment, keyed: bool) -> String {
+    let short = |flow: &Flow| flow.keyed == keyed && !flow.path.contains("bytes=");
+    deployment.flows(1.0).into_iter().find(short).map(|flow| flow.path).unwrap_or_default()
+}
+
+/// Requests by how their last send ended.
+fn last_endings(trace: &Trace) -> BTreeMap<Ending, usize> {
+    trace.values().filter_map(|endings| endings.last()).fold(BTreeMap::new(), |mut counts, ending| {
+        *counts.entry(*ending).or_default() += 1;
+        counts
+    })
 }
 
 /// Carries the steps out in time and watches the revisions meanwhile.
