Prepare states one after the other, and be ready only when one is

Cause, found by reading: the reader, the list's thread and peers each prepared the state from list, membership and policy at any time, and an older one could overwrite a newer one until the next round (its log line: all servers gone, 0.15 s after the policy came into force); and a daemon said that it was ready once list and policy were there, before its servers were prepared. A request then found no server and was refused, nine times within some milliseconds. A new policy was also in force before its classes were: a request could reach for a class that did not exist and panic. Now: states are prepared one at a time; a policy is in force once all is prepared for it; readiness and the revision shown are those of the prepared state. The demo waits until its stand-ins listen. Two tests of port.rs shared an address: mended. The failing test now prints endings.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -27,7 +27,7 @@
 use crate::metrics::Metrics;
 use crate::orders::Span;
 use crate::policies::InForce;
-use crate::view::Steering;
+use crate::view::{Prepared, Steering};
 use crate::whole::Whole;
 
 /// Keys of sessions remembered at most.
@@ -79,6 +79,8 @@
     pub controller: Mutex<Controller>,
     /// What look-ups read.
     pub steering: RwLock<Arc<Steering>>,
+    /// What the prepared state rests on; held while it is prepared, so that an older state never follows a newer one.
+    pub prepared: Mutex<Prepared>,
     /// Instances in the platform's list, and when it was read last.
     pub list: Mutex<(Vec<Instance>, Option<Time>)>,
     /// Idle connections to backend servers.
@@ -147,6 +149,7 @@
             keeper: Mutex::new(Keeper::new()),
             controller: Mutex::new(Controller::new(0, kept, now)),
             steering: RwLock::new(Arc::new(Steering::default())),
+            prepared: Mutex::new(Prepared::default()),
             list: Mutex::new((Vec::new(), None)),
             pool: Pool::new(),
             driver: Driver::new(Engine::new(Vec::new(), limits, incarnation)),
@@ -181,6 +184,11 @@
         Arc::clone(&self.steering.read().unwrap_or_else(std::sync::PoisonError::into_inner))
     }
 
+    /// What the prepared state rests on.
+    pub fn rests_on(&self) -> Prepared {
+        *lock(&self.prepared)
+    }
+
     /// A port of the event loop at `address`.
     pub fn listen(&self, address: &str) -> std::io::Result<tokio::net::TcpListener> {
         let listener = std::net::TcpListener::bind(address)?;
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -64,21 +64,21 @@
 /// Whether the daemon is ready, and if not, why.
 pub fn readiness(context: &Context) -> Readiness {
     let mut missing = Vec::new();
-    let in_force = context.policy();
+    let prepared = context.rests_on();
     if context.stopping() {
         missing.push("stopping");
     }
     if lock(&context.roster).superseded() {
         missing.push("another process runs under this name");
     }
-    if in_force.policy.regions.is_empty() {
+    if !prepared.policy {
         missing.push("no policy");
     }
-    if lock(&context.list).1.is_none() {
+    if !prepared.list {
         missing.push("no list of instances");
     }
     let ready = missing.is_empty();
-    if in_force.revision == 0 && !in_force.policy.regions.is_empty() {
+    if prepared.revision == 0 && prepared.policy {
         missing.push("policy of the settings only");
     }
     Readiness { ready, reasons: missing }
@@ -194,7 +194,7 @@
         instance: context.settings.instance.clone(),
         region: context.settings.region.clone(),
         domain: context.settings.domain.clone(),
-        revision: in_force.revision,
+        revision: context.rests_on().revision,
         ready: readiness(context),
         store_silent_s: age_s(&context.store_seen, now),
         members,
--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -9,7 +9,6 @@
 use dispatch::class;
 use dispatch::split::Part;
 use fleet::Copy;
-use steer::shift::Controller;
 
 use crate::context::lock;
 use crate::{Context, view};
@@ -61,7 +60,8 @@
         self.classes.iter().position(|class| class == name)
     }
 
-    fn specs(&self) -> Vec<class::Spec> {
+    /// What dispatch needs of its classes, by position.
+    pub fn specs(&self) -> Vec<class::Spec> {
         self.classes.iter().map(|name| self.spec(name)).collect()
     }
 
@@ -126,17 +126,9 @@
 
 /// Called with the holder locked, so that policies come into force in the order of their revisions.
 fn put(context: &Arc<Context>, revision: u64, policy: Policy) {
-    let now = context.now();
-    let before = context.policy();
-    let next = Arc::new(InForce::after(&before, revision, policy));
-    if next.regions != before.regions {
-        let kept = Duration::from_millis(context.settings.callers.answer_kept_ms);
-        *lock(&context.controller) = Controller::new(next.regions.len(), kept, now);
-    }
-    *context.in_force.write().unwrap_or_else(std::sync::PoisonError::into_inner) = Arc::clone(&next);
+    let next = InForce::after(&context.policy(), revision, policy);
+    view::adopt(context, Arc::new(next));
     context.metrics.policy_revision.set(revision as i64);
-    context.driver.with(context, |engine| engine.set_classes(next.specs()));
-    view::refresh(context);
 }
 
 /// Adds names that are new; those known keep their positions.
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -14,7 +14,7 @@
 use fleet::message::{Record, State};
 use fleet::roster::Roster;
 use steer::grant;
-use steer::shift::{Load, Shares};
+use steer::shift::{Controller, Load, Shares};
 use steer::view::{Entry, Standing};
 use steer::{Table, View};
 
@@ -44,6 +44,17 @@
     pub backends: BTreeMap<BackendId, Instance>,
 }
 
+/// What the prepared state rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Prepared {
+    /// Revision of the policy.
+    pub revision: u64,
+    /// Whether there was a policy.
+    pub policy: bool,
+    /// Whether the list of instances was read.
+    pub list: bool,
+}
+
 impl Steering {
     /// Where a backend server is reached.
     pub fn backend_address(&self, backend: BackendId) -> Option<String> {
@@ -58,24 +69,41 @@
     hash::bytes(text.as_bytes()) as BackendId
 }
 
-/// Rebuilds everything from the list, the membership and the policy.
+/// Rebuilds everything from the list, the membership and the policy; several threads may ask for it at once.
 pub fn refresh(context: &Arc<Context>) {
+    let mut prepared = lock(&context.prepared);
+    *prepared = prepare(context, &context.policy());
+}
+
+/// Puts `next` into force once everything is prepared for it: what is decided by a policy finds its servers.
+pub fn adopt(context: &Arc<Context>, next: Arc<InForce>) {
+    let mut prepared = lock(&context.prepared);
+    if next.regions != context.policy().regions {
+        let kept = Duration::from_millis(context.settings.callers.answer_kept_ms);
+        *lock(&context.controller) = Controller::new(next.regions.len(), kept, context.now());
+    }
+    context.driver.with(context, |engine| engine.set_classes(next.specs()));
+    let rests_on = prepare(context, &next);
+    *context.in_force.write().unwrap_or_else(std::sync::PoisonError::into_inner) = next;
+    *prepared = rests_on;
+}
+
+fn prepare(context: &Arc<Context>, in_force: &InForce) -> Prepared {
     let now = context.now();
-    let in_force = context.policy();
-    let mut instances = lock(&context.list).0.clone();
+    let (mut instances, read) = lock(&context.list).clone();
     let roster = lock(&context.roster).clone();
     if context.catalog.is_some() {
-        instances.extend(members(&roster, &in_force));
+        instances.extend(members(&roster, in_force));
     }
     context.metrics.members.set(roster.alive().count() as i64 + 1);
-    let view = entry_view(context, entries(&instances, &roster, &in_force, context), in_force.regions.len());
-    let loads = loads(&in_force, &roster, &view);
+    let view = entry_view(context, entries(&instances, &roster, in_force, context), in_force.regions.len());
+    let loads = loads(in_force, &roster, &view);
     let mut controller = lock(&context.controller);
     controller.update(&loads, now);
     let shares = controller.shares().clone();
     drop(controller);
-    let used = used_backends(context, &instances, &roster, &in_force);
-    let specs = specs(context, &used, &roster, &in_force);
+    let used = used_backends(context, &instances, &roster, in_force);
+    let specs = specs(context, &used, &roster, in_force);
     let backends: BTreeMap<BackendId, Instance> =
         used.into_iter().map(|instance| (backend_id(instance), instance.clone())).collect();
     context.pool.keep(|backend| backends.contains_key(&backend), now);
@@ -83,7 +111,7 @@
     let steering = Arc::new(Steering { table, view, shares, backends });
     notes::changed(&context.steering(), &steering);
     *context.steering.write().unwrap_or_else(std::sync::PoisonError::into_inner) = steering;
-    let remotes = remotes(context, &instances, &in_force, now);
+    let remotes = remotes(context, &instances, in_force, now);
     let extra = extra(context, &roster);
     context.driver.with(context, |engine| {
         engine.set_extra(extra);
@@ -92,6 +120,8 @@
         }
         engine.set_backends(specs, now);
     });
+    let policy = !in_force.policy.regions.is_empty();
+    Prepared { revision: in_force.revision, policy, list: read.is_some() }
 }
 
 /// Our part of the second sends that all daemons may cause together; twice as many daemons as are known may be
--- a/crates/daemon/tests/port.rs
+++ b/crates/daemon/tests/port.rs
@@ -157,6 +157,27 @@
     assert!(world.backend.runs().get("k").copied().unwrap_or(0) <= 1);
 }
 
+/// Its address went to another server, which says so; the request was meant for neither.
+#[test]
+fn a_server_that_was_not_meant_runs_nothing() {
+    let world = World::new(60);
+    let order =
+        "POST /orders HTTP/1.1\r\nhost: x\r\nconnection: close\r\nidempotency-key: k\r\ncontent-length: 0\r\n\r\n";
+    world.backend.set_faults(serde_json::from_str("{\"misdirected\":true}").expect("the faults are good"));
+    let refused = world.talk(order);
+    assert!(refused.starts_with("HTTP/1.1 503") && refused.contains("not-run"), "{refused:?}");
+    assert_eq!(world.backend.runs().get("k"), None);
+    world.backend.set_faults(fakes::backend::Faults::default());
+    // The refusal was true: sent again, the order runs, once the server is tried anew.
+    let mut answers = (0..500).map(|_| {
+        std::thread::sleep(Duration::from_millis(20));
+        world.talk(order)
+    });
+    let answer = answers.find(|answer| !answer.starts_with("HTTP/1.1 503"));
+    assert!(answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 200")));
+    assert_eq!(world.backend.runs().get("k"), Some(&1));
+}
+
 #[test]
 fn a_session_runs_orders_without_the_store() {
     let world = World::new(57);
@@ -220,7 +241,7 @@
 fn each_decision_on_a_request_is_one_line_with_its_fields() {
     log::set_logger(&LINES).expect("no other logger is set");
     log::set_max_level(log::LevelFilter::Info);
-    let world = World::new(58);
+    let world = World::new(61);
     let get = "GET /stock HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
     assert!(world.talk(get).starts_with("HTTP/1.1 200"));
     drop(world);
--- /dev/null
+++ b/crates/daemon/tests/view.rs
@@ -0,0 +1,135 @@
+//! What is prepared from list, membership and policy, while several of them change at once.
+
+use std::sync::{Arc, Barrier};
+
+use base::instance::{Instance, Role, State};
+use base::time::Time;
+use config::configs::Settings;
+use config::policy::Policy;
+use daemon::adapter::Adapter;
+use daemon::context::{Context, lock};
+use daemon::{policies, view};
+use dispatch::engine::Arrival;
+use dispatch::{Action, Ending, Engine};
+use fleet::Copy;
+
+/// Threads that prepare the state anew while a policy comes into force.
+const REFRESHING: usize = 4;
+const ROUNDS: u64 = 400;
+const SERVERS: usize = 200;
+
+const POLICY: &str = "[regions.r]\ndomains = [\"d\"]\n\
+[classes.lookup]\nservice = \"s\"\npaths = [\"/stock\"]\nidempotent = true\nrank = 1\ntarget_ms = 100\ntarget_share = 0.99\ndeadline_ms = 2000\n";
+
+fn server(number: usize, service: String) -> Instance {
+    Instance {
+        name: format!("b{number}"),
+        role: Role::Backend,
+        service,
+        region: "r".to_owned(),
+        domain: "d".to_owned(),
+        address: format!("127.0.0.1:{}", 10_000 + number),
+        peers: String::new(),
+        operators: String::new(),
+        slots: 3,
+        connections: 10,
+        born: 0,
+        state: State::Live,
+    }
+}
+
+fn context(runtime: &tokio::runtime::Runtime, servers: Vec<Instance>) -> Arc<Context> {
+    let settings =
+        Settings { instance: "e".to_owned(), domain: "d".to_owned(), region: "r".to_owned(), ..Settings::default() };
+    let context = Context::new(settings, Adapter::own(), runtime.handle().clone());
+    *lock(&context.list) = (servers, Some(context.now()));
+    Arc::new(context)
+}
+
+/// The policy of a revision: the server `b0` is drained in each second one.
+fn policy(revision: u64) -> Copy {
+    let drain = if drained(revision) { "[[drains]]\nscope = \"instance\"\nname = \"b0\"\n" } else { "" };
+    Copy::new(revision, format!("{POLICY}{drain}"))
+}
+
+const fn drained(revision: u64) -> bool {
+    revision.is_multiple_of(2)
+}
+
+#[test]
+fn an_older_state_never_follows_a_newer_one() {
+    Policy::parse("policy", &policy(2).text).expect("the policy is good");
+    let runtime = tokio::runtime::Runtime::new().expect("it starts");
+    let context = context(&runtime, (0..SERVERS).map(|number| server(number, "s".to_owned())).collect());
+    let mut stale = Vec::new();
+    for revision in 1..=ROUNDS {
+        let start = Barrier::new(REFRESHING + 1);
+        std::thread::scope(|scope| {
+            for _ in 0..REFRESHING {
+                scope.spawn(|| {
+                    start.wait();
+                    view::refresh(&context);
+                });
+            }
+            start.wait();
+            assert!(policies::offer(&context, policy(revision), "test"));
+        });
+        let leaving = context.driver.look(|engine| engine.backends().filter(|server| server.spec.leaving).count());
+        if leaving != usize::from(drained(revision)) {
+            stale.push(revision);
+        }
+    }
+    assert_eq!(stale, [0; 0], "revisions whose drain was not in force");
+}
+
+/// The policy of a revision: its class and its service are new.
+fn growing(revision: u64) -> Copy {
+    let class = POLICY.replace("classes.lookup", &format!("classes.c{revision}"));
+    Copy::new(revision, class.replace("\"s\"", &format!("\"s{revision}\"")))
+}
+
+/// Sends a request and ends what it starts; says whether anything was started.
+fn send(engine: &mut Engine, request: u64, class: usize, now: Time) -> bool {
+    engine.submit(Arrival::new(request, class, request, 10), now);
+    let started = engine.take().into_iter().find_map(|action| match action {
+        Action::Start { attempt, .. } => Some(attempt),
+        _ => None,
+    });
+    started.into_iter().for_each(|attempt| engine.finish(attempt, Ending::Answered(1), now));
+    engine.abandon(request, now);
+    engine.take();
+    started.is_some()
+}
+
+#[test]
+fn a_class_that_is_in_force_has_its_servers() {
+    let runtime = tokio::runtime::Runtime::new().expect("it starts");
+    let servers = (1..=ROUNDS).map(|revision| server(revision as usize, format!("s{revision}"))).collect();
+    let context = context(&runtime, servers);
+    let refused = std::thread::scope(|scope| {
+        let asking = scope.spawn(|| {
+            let mut refused = Vec::new();
+            let mut seen = 0;
+            while seen < ROUNDS {
+                let in_force = context.policy();
+                if in_force.revision == seen {
+                    std::hint::spin_loop();
+                    continue;
+                }
+                seen = in_force.revision;
+                let class = in_force.class(&format!("c{seen}")).expect("it is in force");
+                let started = context.driver.with(&context, |engine| send(engine, seen, class, context.now()));
+                // A class that went out of force meanwhile may get no work.
+                if !started && context.policy().revision == seen {
+                    refused.push(seen);
+                }
+            }
+            refused
+        });
+        for revision in 1..=ROUNDS {
+            assert!(policies::offer(&context, growing(revision), "test"));
+        }
+        asking.join().expect("a request of a class in force is no fault")
+    });
+    assert_eq!(refused, [0; 0], "revisions whose class had no server yet");
+}
--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -1,5 +1,6 @@
 //! A deployment from its folder: `instances.json`, `policy.toml` and the settings of each daemon.
 
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -69,7 +70,9 @@
                 self.start_backend(&instance)?;
             }
         }
-        Ok(())
+        let backends = self.instances.iter().filter(|instance| instance.role == Role::Backend);
+        let addresses = backends.map(|backend| &backend.address);
+        addresses.chain([&self.store, &self.list]).try_for_each(|address| wait_listening(address))
     }
 
     /// Starts the store.
@@ -159,6 +162,18 @@
     }
 }
 
+/// Waits until somebody listens at `address`.
+fn wait_listening(address: &str) -> Result<()> {
+    let start = Instant::now();
+    while let Err(error) = TcpStream::connect(address) {
+        if start.elapsed() > READY {
+            return Err(Error::Start(format!("nobody listens at {address}: {error}")));
+        }
+        thread::sleep(LOOK);
+    }
+    Ok(())
+}
+
 /// Whether the daemon `entry` is ready at `revision` or later.
 fn ready(agent: &ureq::Agent, entry: &Instance, revision: u64) -> bool {
     let url = format!("http://{}/decisions", entry.operators);
--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -154,7 +154,8 @@
     }
     let plan = site.plan(vec![flow("lookup", "GET", "/stock?work_ms=10", 60.0)], 5, 32);
     let tallies = site.load(&plan, |_| {});
-    assert_eq!(tallies["lookup"].endings.keys().collect::<Vec<_>>(), [&Ending::Complete]);
+    let lookups = &tallies["lookup"];
+    assert_eq!(lookups.endings.keys().collect::<Vec<_>>(), [&Ending::Complete], "{:?}", lookups.endings);
 }
 
 #[test]
@@ -187,7 +188,8 @@
     assert_eq!((refused.0, refused.1.as_str()), (503, "not-run"));
     let plan = site.plan(vec![flow("lookup", "GET", "/stock?work_ms=10", 60.0)], 3, 16);
     let tallies = site.load(&plan, |_| {});
-    assert_eq!(tallies["lookup"].endings.keys().collect::<Vec<_>>(), [&Ending::Complete]);
+    let lookups = &tallies["lookup"];
+    assert_eq!(lookups.endings.keys().collect::<Vec<_>>(), [&Ending::Complete], "{:?}", lookups.endings);
     site.fault(&site.deployment.store, "{}");
     let store = store::Client::new(&site.deployment.store, Duration::from_secs(5)).expect("it starts");
     let done = ctl::change::edit(&store, "after", |policy| {
--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -75,11 +75,13 @@
     pub shed: bool,
     /// Connections are closed without an answer before anything is run.
     pub dead: bool,
+    /// All work is for another server: the address was used again.
+    pub misdirected: bool,
 }
 
 impl Default for Faults {
     fn default() -> Self {
-        Self { slow: 1.0, draining: false, silent: false, cut: false, shed: false, dead: false }
+        Self { slow: 1.0, draining: false, silent: false, cut: false, shed: false, dead: false, misdirected: false }
     }
 }
 
@@ -269,6 +271,9 @@
     if cell.lock().faults.dead {
         return drop(request.into_writer());
     }
+    if cell.lock().faults.misdirected {
+        return http::answer_status(request, 421);
+    }
     if !cell.enter() {
         return shed(request);
     }
