--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
 
 use base::time::Time;
 use daemon::logs::{Budget, Buffer, left_out};
@@ -17,6 +18,20 @@
     assert_eq!(later[0], 800, "the next line tells how many were left out");
 }
 
+/// Load: ten times the budget for two seconds. A line on what is missing before each that passes would take half of it.
+#[test]
+fn few_lines_tell_how_many_were_left_out() {
+    let start = Time::from_millis(1_000);
+    let mut budget = Budget::new(100, start);
+    (0..200).for_each(|_| assert_eq!(budget.pass(start), Some(0)));
+    let passed: Vec<u64> = (0..2_000).filter_map(|ms| budget.pass(start + Duration::from_millis(ms))).collect();
+    assert!(passed.len() >= 180, "{} of 200 lines passed", passed.len());
+    let telling = passed.iter().filter(|left_out| **left_out > 0).count();
+    assert!(telling <= 20, "{telling} of {} lines tell of others", passed.len());
+    let last = budget.pass(start + Duration::from_secs(10)).expect("there is room again");
+    assert_eq!(passed.iter().sum::<u64>() + passed.len() as u64 + last, 2_000, "none is forgotten");
+}
+
 /// A standard output whose reader never reads: each write waits until the test ends.
 struct Stuck {
     begun: Sender<()>,
