Gather changes of the store for longer in a larger fleet

Cause: each daemon watches the store for itself and calls again a tenth of a second after each change: 2.2 calls a second for each of 25 and 33 daemons on the grown sites, the second dearest price after instances or bytes. Ruled out: failed calls and lists (few); one watcher for all (the others' word would be older in each cut; still open). Now: changes are gathered for 10 ms for each daemon, 100 ms at least (as before at ten and fewer), 500 ms at most. Small sites do not change. Test: a_larger_fleet_gathers_changes_for_longer.

--- a/crates/daemon/src/mirror.rs
+++ b/crates/daemon/src/mirror.rs
@@ -1,5 +1,6 @@
 //! Keeps a copy of the platform's store and puts what it says into force.
 
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -16,8 +17,11 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause after calls that failed.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
-/// Time in which further changes are left to come before the next watch, so that one call tells several.
-const GATHER: Duration = Duration::from_millis(100);
+/// Time in which further changes are left to come before the next watch, so that one call tells several: for each
+/// daemon, so that all of them together make 100 calls a second at most while the store changes all the time.
+const GATHER_EACH: Duration = Duration::from_millis(10);
+/// The same at least, and at most: a change must be in force within seconds.
+const GATHER: RangeInclusive<Duration> = Duration::from_millis(100)..=Duration::from_millis(500);
 /// Time between two looks at what time alone changes: memberships, keys that did not come back.
 const TURN: Duration = Duration::from_millis(250);
 
@@ -54,7 +58,8 @@
                 listed = true;
                 pause = FIRST_PAUSE;
                 publish(&context, catalog);
-                tokio::time::sleep(GATHER).await;
+                let daemons = lock(&context.roster).alive().count() + 1;
+                tokio::time::sleep(gather(daemons)).await;
             }
             Ok(Turn::Same) => {
                 listed = true;
@@ -73,6 +78,11 @@
     }
 }
 
+/// How long changes are gathered where `daemons` watch the store, each for itself.
+pub fn gather(daemons: usize) -> Duration {
+    GATHER_EACH.saturating_mul(daemons as u32).clamp(*GATHER.start(), *GATHER.end())
+}
+
 /// What a call came to.
 enum Turn {
     Changed,
--- a/crates/daemon/tests/view.rs
+++ b/crates/daemon/tests/view.rs
@@ -1,6 +1,7 @@
 //! What is prepared from list, membership and policy, while several of them change at once.
 
 use std::sync::{Arc, Barrier};
+use std::time::Duration;
 
 use base::instance::{Instance, Role, State};
 use base::time::Time;
@@ -14,6 +15,7 @@
 use dispatch::{Action, Ending, Engine};
 use fleet::Copy;
 use fleet::message::{Record, Snapshot, State as Standing};
+use rstest::rstest;
 
 /// Threads that prepare the state anew while a policy comes into force.
 const REFRESHING: usize = 4;
@@ -164,3 +166,14 @@
     let standing = steering.view.entries().iter().find(|entry| entry.name == "e2").map(|entry| entry.standing);
     assert_eq!(standing, Some(steer::view::Standing::Out), "a member left");
 }
+
+/// Load: a store that changes all the time. Calls are paid for, and a change must not wait for seconds.
+#[rstest]
+#[case::alone(1, 100)]
+#[case::a_few(7, 100)]
+#[case::more(25, 250)]
+#[case::many(300, 500)]
+fn a_larger_fleet_gathers_changes_for_longer(#[case] daemons: usize, #[case] ms: u64) {
+    let gathered = daemon::mirror::gather(daemons);
+    assert_eq!(gathered, Duration::from_millis(ms));
+}
