Let settings choose log levels for each part, and take them on SIGHUP

Cause: one level for all parts, read at the start only: to see one part's decisions an operator had to restart a daemon and to drown in the others' lines. Now: `log_parts.NAME` (checked against the list of parts), taken with `log` on SIGHUP; the line `life: reloaded` names the settings that differ and wait for a restart; settings that cannot be read change nothing and are named. Ruled out: targets of the logging library for each part: lines carry their part as prefix already. Tests: each_part_has_its_level, a_reload_takes_the_levels_and_bad_settings_change_nothing, two cases of bad settings.

--- a/crates/config/src/configs/mod.rs
+++ b/crates/config/src/configs/mod.rs
@@ -21,6 +21,26 @@
 pub use self::platform::Platform;
 use crate::error::{Error, Result};
 
+/// Levels of log lines, from the fewest lines to the most.
+const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+/// Parts of a daemon that log, by the prefix of their lines.
+pub const PARTS: [&str; 14] = [
+    "callers",
+    "dispatch",
+    "grants",
+    "kernel",
+    "life",
+    "list",
+    "metrics",
+    "mirror",
+    "operators",
+    "orders",
+    "peers",
+    "policy",
+    "probe",
+    "reader",
+];
+
 /// All settings of a daemon.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -35,6 +55,8 @@
     pub domains: BTreeMap<String, String>,
     /// Log level: `error`, `warn`, `info`, `debug` or `trace`.
     pub log: String,
+    /// Log levels of single parts, by the prefix of their lines.
+    pub log_parts: BTreeMap<String, String>,
     /// Log lines a second at most.
     pub log_lines: u32,
     /// A policy file that serves until the store or a peer gives a newer one; empty for none.
@@ -61,6 +83,7 @@
             region: String::new(),
             domains: BTreeMap::new(),
             log: String::new(),
+            log_parts: BTreeMap::new(),
             log_lines: 400,
             policy: String::new(),
             callers: Callers::default(),
@@ -87,6 +110,28 @@
         Ok(settings)
     }
 
+    /// Names of the settings that differ from those of `other`.
+    pub fn differing(&self, other: &Self) -> Vec<String> {
+        let tables = [self, other].map(|settings| toml::Table::try_from(settings).unwrap_or_default());
+        let [own, other] = &tables;
+        let names = own.keys().chain(other.keys().filter(|name| !own.contains_key(*name)));
+        names.filter(|name| own.get(*name) != other.get(*name)).cloned().collect()
+    }
+
+    fn check_levels(&self, name: &str) -> Result<()> {
+        if !self.log.is_empty() {
+            check_level(name, "log", &self.log)?;
+        }
+        for (part, level) in &self.log_parts {
+            let key = format!("log_parts.{part}");
+            if !PARTS.contains(&part.as_str()) {
+                return Err(Error::value(name, &key, format!("names no part; the parts are {}", PARTS.join(", "))));
+            }
+            check_level(name, &key, level)?;
+        }
+        Ok(())
+    }
+
     fn check(&self, name: &str) -> Result<()> {
         let places = [("instance", &self.instance), ("domain", &self.domain), ("region", &self.region)];
         for (key, value) in places {
@@ -94,10 +139,7 @@
                 return Err(Error::value(name, key, "must be given; set it to a short unique name"));
             }
         }
-        let levels = ["", "error", "warn", "info", "debug", "trace"];
-        if !levels.contains(&self.log.as_str()) {
-            return Err(Error::value(name, "log", "must be one of error, warn, info, debug, trace"));
-        }
+        self.check_levels(name)?;
         check_range(name, "log_lines", self.log_lines.into(), 1, 1_000_000)?;
         self.callers.check(name)?;
         self.operators.check(name)?;
@@ -108,6 +150,14 @@
     }
 }
 
+/// Refuses a text that is no log level.
+fn check_level(name: &str, key: &str, level: &str) -> Result<()> {
+    if LEVELS.contains(&level) {
+        return Ok(());
+    }
+    Err(Error::value(name, key, format!("is `{level}`; it must be one of {}", LEVELS.join(", "))))
+}
+
 /// Refuses an address that is not `IP:PORT`.
 fn check_address(name: &str, key: &str, value: &str) -> Result<()> {
     match value.parse::<std::net::SocketAddr>() {
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -17,6 +17,8 @@
 #[case::no_address("[callers]\naddress = \"localhost\"", "callers.address")]
 #[case::bad_seed("[fleet]\nseeds = [\"x\"]", "fleet.seeds")]
 #[case::bad_level("log = \"loud\"", "log")]
+#[case::bad_part("log_parts = { kitchen = \"info\" }", "log_parts.kitchen")]
+#[case::bad_level_of_a_part("log_parts = { list = \"loud\" }", "log_parts.list")]
 #[case::claims_too_short("[platform]\nclaim_kept_s = 5", "platform.claim_kept_s")]
 fn bad_settings_are_named(#[case] more: &str, #[case] key: &str) {
     // A key of the top level must stand before the first part.
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -201,11 +201,6 @@
         tokio::net::TcpListener::from_std(listener)
     }
 
-    /// The system says that the settings file has changed. Settings are read at the start only.
-    pub fn reload(&self) {
-        log::info!("life: reload asked for; settings are read at the start only, restart to take new ones");
-    }
-
     /// Whether the daemon was told to stop.
     pub fn stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -1,5 +1,6 @@
 //! From start to graceful stop.
 
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::adapter::Adapter;
-use crate::{Context, operators, plugin, policies};
+use crate::{Context, logs, operators, plugin, policies};
 
 /// Threads for calls that block: claims of orders.
 const BLOCKING_THREADS: usize = 64;
@@ -36,8 +37,8 @@
 /// The result of running a daemon.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Runs a daemon on this thread until it is told to stop by a signal.
-pub fn run(settings: Settings, adapter: Adapter) -> Result<()> {
+/// Runs a daemon with the settings of the file `path` on this thread until it is told to stop by a signal.
+pub fn run(path: &Path, settings: Settings, adapter: Adapter) -> Result<()> {
     let runtime = Builder::new_current_thread().max_blocking_threads(BLOCKING_THREADS).enable_all().build()?;
     let mut signals = {
         let _inside = runtime.enter();
@@ -45,10 +46,10 @@
     };
     let Daemon { context, kernel, runtime } = Daemon::start_on(runtime, settings, adapter)?;
     runtime.block_on(async {
-        signals.stop(&context).await;
-        let shared = Arc::clone(&context);
+        signals.stop(&context, path).await;
+        let (shared, path) = (Arc::clone(&context), path.to_owned());
         tokio::spawn(async move {
-            signals.stop(&shared).await;
+            signals.stop(&shared, &path).await;
             std::process::exit(EXIT_AT_ONCE);
         });
         stop(&context, kernel).await;
@@ -57,6 +58,19 @@
     Ok(())
 }
 
+/// Reads the settings anew: log levels are taken at once, anything else needs a restart, which is told.
+pub fn reload(context: &Context, path: &Path) {
+    let settings = match Settings::read(path) {
+        Ok(settings) => settings,
+        Err(error) => return log::warn!("life: reload refused, nothing changed reason={:?}", error.to_string()),
+    };
+    logs::set(logs::Levels::new(&settings));
+    let mut differing = context.settings.differing(&settings);
+    differing.retain(|name| !name.starts_with("log") || name == "log_lines");
+    let names = differing.join(",");
+    log::info!(restart_for = names.as_str(); "life: reloaded");
+}
+
 /// Signals of the system.
 struct Signals {
     terminate: Signal,
@@ -74,12 +88,12 @@
     }
 
     /// Waits until the daemon is told to stop.
-    async fn stop(&mut self, context: &Context) {
+    async fn stop(&mut self, context: &Context, path: &Path) {
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => return,
                 _ = self.interrupt.recv() => return,
-                _ = self.reload.recv() => context.reload(),
+                _ = self.reload.recv() => reload(context, path),
             }
         }
     }
--- a/crates/daemon/src/logs/mod.rs
+++ b/crates/daemon/src/logs/mod.rs
@@ -4,40 +4,58 @@
 //! the budget of a second, or that find the buffer full, are left out, counted and told.
 
 mod budget;
+mod levels;
 mod writer;
 
+use std::borrow::Cow;
 use std::fmt::Write as _;
 use std::io::Write as _;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use config::configs::Settings;
 use env_logger::{Builder, Env, Target};
 use log::kv::{self, Key, Value, VisitSource};
 
 pub use self::budget::Budget;
+pub use self::levels::Levels;
 pub use self::writer::{Buffer, left_out};
 
 /// Environment variable that overrides the level of the settings.
 const VARIABLE: &str = "HEMLOCK_LOG";
 
-/// Starts logging at `level`, or at `info` if it is empty, with `per_second` lines at most.
-pub fn start(level: &str, instance: &str, per_second: u32) {
-    let level = if level.is_empty() { "info" } else { level };
-    let instance = instance.to_owned();
-    // Libraries log below warnings only when asked for by the variable.
-    let filter = format!("warn,daemon={level},kernel={level}");
+/// Starts logging as the settings say.
+pub fn start(settings: &Settings) {
+    let instance = settings.instance.clone();
+    let per_second = settings.log_lines;
+    // Libraries log below warnings only when asked for by the variable; the levels of parts decide on the rest.
+    let filter = "warn,daemon=trace,kernel=trace";
     let mut builder = Builder::from_env(Env::default().filter_or(VARIABLE, filter));
     builder.target(Target::Pipe(Box::new(Buffer::start(per_second, std::io::stdout()))));
+    let asked = std::env::var_os(VARIABLE).is_some();
     builder.format(move |out, record| {
+        let args = record.args();
+        let text = args.as_str().map_or_else(|| Cow::Owned(args.to_string()), Cow::Borrowed);
+        if !asked && !levels::allowed(&text, record.level()) {
+            return Ok(());
+        }
         let mut fields = Fields(String::new());
         if record.key_values().visit(&mut fields).is_err() {
             fields.0.push_str(" fields=unreadable");
         }
         let level = record.level();
-        writeln!(out, "{} {level:<5} instance={instance} {}{}", timestamp(), record.args(), fields.0)
+        writeln!(out, "{} {level:<5} instance={instance} {text}{}", timestamp(), fields.0)
     });
     if builder.try_init().is_err() {
         log::debug!("logs: started already");
     }
+    set(Levels::new(settings));
+}
+
+/// Puts levels into force, unless the environment names others.
+pub fn set(levels: Levels) {
+    if std::env::var_os(VARIABLE).is_none() {
+        levels::set(levels);
+    }
 }
 
 /// Seconds of the calendar with milliseconds, for reading logs of several instances together.
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -77,8 +77,8 @@
                 Ok(settings) => settings,
                 Err(error) => return fail(name, EXIT_USAGE, &error),
             };
-            logs::start(&settings.log, &settings.instance, settings.log_lines);
-            if let Err(error) = life::run(settings, adapter) {
+            logs::start(&settings);
+            if let Err(error) = life::run(&path, settings, adapter) {
                 return fail(name, EXIT_FAILED, &error);
             }
         }
--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -1,11 +1,17 @@
 //! Bounds on the volume of logs, and a reader that reads nothing.
 
 use std::io::Write;
+use std::path::Path;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 
 use base::time::Time;
-use daemon::logs::{Budget, Buffer, left_out};
+use config::configs::Settings;
+use daemon::adapter::Adapter;
+use daemon::logs::{Budget, Buffer, Levels, left_out};
+use daemon::{Context, life};
+use log::{Level, LevelFilter};
+use rstest::rstest;
 
 #[test]
 fn a_budget_passes_its_lines_a_second_and_counts_the_others() {
@@ -63,3 +69,34 @@
     assert!(left_out() - before >= 5_000 - 2_000, "lines beyond the buffer are left out and counted");
     drop(end);
 }
+
+const SETTINGS: &str = "instance = \"e\"\ndomain = \"d\"\nregion = \"r\"\n";
+
+fn settings(rest: &str) -> Settings {
+    Settings::parse("test", &format!("{rest}{SETTINGS}")).expect("the settings are good")
+}
+
+#[rstest]
+#[case("", "dispatch: sent", Level::Info, true)]
+#[case("", "dispatch: sent", Level::Debug, false)]
+#[case("log = \"warn\"\nlog_parts = { dispatch = \"debug\" }\n", "dispatch: sent", Level::Debug, true)]
+#[case("log = \"warn\"\nlog_parts = { dispatch = \"debug\" }\n", "peers: joined", Level::Info, false)]
+#[case("log_parts = { list = \"error\" }\n", "list: servers added", Level::Info, false)]
+fn each_part_has_its_level(#[case] text: &str, #[case] line: &str, #[case] level: Level, #[case] written: bool) {
+    assert_eq!(Levels::new(&settings(text)).allow(line, level), written);
+}
+
+#[test]
+fn a_reload_takes_the_levels_and_bad_settings_change_nothing() {
+    let runtime = tokio::runtime::Runtime::new().expect("it starts");
+    let context = Context::new(settings(""), Adapter::own(), runtime.handle().clone());
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("reload.toml");
+    let reload = |text: &str| {
+        std::fs::write(&path, text).expect("the file can be written");
+        life::reload(&context, &path);
+        log::max_level()
+    };
+    assert_eq!(reload(&format!("log_parts = {{ dispatch = \"debug\" }}\n{SETTINGS}")), LevelFilter::Debug);
+    assert_eq!(reload(&format!("log = \"loud\"\n{SETTINGS}")), LevelFilter::Debug, "refused");
+    assert_eq!(reload(&format!("log = \"error\"\n{SETTINGS}")), LevelFilter::Error);
+}
