--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -45,6 +45,9 @@
     std::thread::scope(|scope| {
         let parts: Vec<_> =
             entries.chunks(PART).map(|part| scope.spawn(move || part.iter().map(one).collect::<Vec<_>>())).collect();
-        parts.into_iter().flat_map(|part| part.join().unwrap_or_default()).collect()
+        parts
+            .into_iter()
+            .flat_map(|part| part.join().unwrap_or_else(|panic| std::panic::resume_unwind(panic)))
+            .collect()
     })
 }
--- /dev/null
+++ b/crates/dispatch/src/engine/answer.rs
@@ -0,0 +1,58 @@
+//! The end of a request: its one answer, true of all its attempts.
+
+use base::error::{Kind, Outcome};
+use base::time::Time;
+
+use super::state::{Request, Timer};
+use super::{Action, Engine, Note, Verdict};
+
+impl Engine {
+    pub(super) fn answer(&mut self, request: u64, verdict: Verdict) {
+        let after = match verdict {
+            Verdict::Refuse(kind) => self.return_after(kind),
+            Verdict::Relay(_) => None,
+        };
+        self.actions.push(Action::Answer { request, verdict, after });
+    }
+
+    /// Takes a request out of all books but its attempts'.
+    pub(super) fn close(&mut self, request: u64) -> Option<Request> {
+        let state = self.requests.remove(&request)?;
+        self.timers.remove(&(state.deadline, Timer::Deadline(request)));
+        if state.queued {
+            self.classes[state.class].queue.retain(|queued| *queued != request);
+            self.queued -= 1;
+        }
+        Some(state)
+    }
+
+    /// Ends a request with an error that is true of all its attempts.
+    pub(super) fn refuse(&mut self, request: u64, kind: Kind, now: Time) {
+        let Some(state) = self.close(request) else { return };
+        self.cancel_all(&state.live);
+        let kind = match (state.touched, kind.answer().outcome) {
+            (Some(touched), Outcome::NotRun) => touched,
+            _ => kind,
+        };
+        let (tries, waited, waiting) = (state.tries, now.since(state.arrived), self.queued());
+        let chances = self.chances(&state, now);
+        self.notes.push(Note::Refused { request, kind, tries, waited, waiting, chances });
+        self.answer(request, Verdict::Refuse(kind));
+    }
+
+    pub(super) fn cancel_all(&mut self, attempts: &[u64]) {
+        for attempt in attempts {
+            if let Some(live) = self.attempts.get(attempt) {
+                self.actions.push(Action::Cancel { attempt: *attempt, backend: live.backend });
+            }
+        }
+    }
+
+    pub(super) fn expire(&mut self, request: u64, now: Time) {
+        let Some(state) = self.requests.get(&request) else {
+            return;
+        };
+        let kind = if state.live.is_empty() { Kind::Expired } else { Kind::BackendTimeout };
+        self.refuse(request, kind, now);
+    }
+}
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -1,5 +1,6 @@
 //! The state machine of dispatch.
 
+mod answer;
 mod ending;
 mod event;
 mod keyed;
@@ -8,18 +9,19 @@
 #[cfg(feature = "policies")]
 pub mod policy;
 mod queue;
+mod state;
 mod waiting;
+mod world;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use base::error::{Kind, Outcome};
-use base::rate;
 use base::time::Time;
 
 pub use self::event::{Action, Arrival, Ending, Extra, Limits, Remote, Verdict, Why};
 pub use self::note::{Chance, Note};
-use crate::backend::{Backend, BackendId, Place, Report, Spec};
+use self::state::{Attempt, Channel, Request, Timer};
+use crate::backend::{Backend, BackendId};
 use crate::budget::Budget;
 use crate::class::{self, Class};
 use crate::poison::Poison;
@@ -30,69 +32,6 @@
 /// The same where only requests about objects wait.
 const LOOK_AT_HELD: Duration = Duration::from_millis(20);
 
-#[derive(Debug, Clone)]
-struct Request {
-    class: usize,
-    service: u16,
-    object: Option<u64>,
-    /// The servers that served the object when one was chosen last.
-    homes: keyed::Homes,
-    fingerprint: u64,
-    bytes: u64,
-    arrived: Time,
-    deadline: Time,
-    /// Attempts so far.
-    tries: usize,
-    /// Servers that must not get it again: they failed it, or run it now.
-    barred: Vec<BackendId>,
-    live: Vec<u64>,
-    hedged: bool,
-    queued: bool,
-    /// Set once an attempt may have run; the final error must then be an unknown outcome.
-    touched: Option<Kind>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Attempt {
-    request: u64,
-    class: usize,
-    /// Whether the server had handled the request's object lately; `None` for a request about none.
-    warm: Option<bool>,
-    /// Whether a slot was free there, as far as known, and its pace.
-    free: bool,
-    pace: f64,
-    backend: BackendId,
-    started: Time,
-    late_at: Time,
-    late: bool,
-    reserved: Option<Reserve>,
-}
-
-/// What an attempt took of a link in advance.
-#[derive(Debug, Clone, Copy)]
-struct Reserve {
-    region: u16,
-    bytes: f64,
-    /// Whether an answer of the class had been seen.
-    sized: bool,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Timer {
-    Late(u64),
-    Deadline(u64),
-    Look,
-}
-
-#[derive(Debug, Clone)]
-struct Channel {
-    limit: u32,
-    in_flight: u32,
-    /// Attempts in flight whose answers may be of any size.
-    unsized_in_flight: u32,
-    bucket: rate::Bucket,
-}
-
 /// Decides what runs where.
 #[derive(Debug, Clone)]
 pub struct Engine {
@@ -171,97 +110,6 @@
         engine
     }
 
-    /// Takes new targets; classes keep their positions, new ones follow.
-    pub fn set_classes(&mut self, specs: Vec<class::Spec>) {
-        for (index, spec) in specs.into_iter().enumerate() {
-            match self.classes.get_mut(index) {
-                Some(class) => class.declare(spec),
-                None => self.classes.push(Class::new(spec)),
-            }
-        }
-        self.order = (0..self.classes.len()).collect();
-        self.order.sort_by_key(|index| (self.classes[*index].spec.rank, *index));
-    }
-
-    /// Takes the backend servers in use; those known keep what was seen of them.
-    pub fn set_backends(&mut self, specs: Vec<Spec>, now: Time) {
-        let mut kept = BTreeMap::new();
-        for spec in specs {
-            let known = self.backends.remove(&spec.id);
-            let backend = match known {
-                Some(mut backend) => {
-                    backend.declare(spec, now);
-                    backend
-                }
-                None => Backend::new(spec, now),
-            };
-            kept.insert(backend.spec.id, backend);
-        }
-        for (id, mut gone) in std::mem::take(&mut self.backends) {
-            if gone.in_flight > 0 {
-                gone.spec.leaving = true;
-                kept.insert(id, gone);
-            }
-        }
-        self.warmth.keep(|id| kept.contains_key(&id));
-        self.backends = kept;
-        self.index();
-        self.pump(now);
-    }
-
-    /// Sets what may be used of another region and the link to it.
-    pub fn set_remote(&mut self, region: u16, remote: Remote, now: Time) {
-        let burst = (remote.bytes_per_second * pick::LINK_BURST.as_secs_f64()).max(0.0);
-        let channel = self.channels.entry(region).or_insert_with(|| Channel {
-            limit: 0,
-            in_flight: 0,
-            unsized_in_flight: 0,
-            bucket: rate::Bucket::new(remote.bytes_per_second, burst, now),
-        });
-        channel.limit = remote.limit;
-        channel.bucket.set_rate(remote.bytes_per_second, burst, now);
-    }
-
-    /// Changes how much extra work may be caused from now on.
-    pub fn set_extra(&mut self, extra: Extra) {
-        self.limits.extra = extra;
-        self.hedges.set(extra.hedge_part, extra.hedges_saved);
-        self.retries.set(extra.retry_part, extra.retries_saved);
-        for repeats in self.repeats.values_mut() {
-            repeats.set(extra.repeat_part, extra.repeats_saved);
-        }
-    }
-
-    /// Takes in a load report that came with an answer; what waits is looked at when that answer is taken in.
-    pub fn note_report(&mut self, backend: BackendId, report: Report) {
-        if let Some(backend) = self.backends.get_mut(&backend) {
-            backend.report(report);
-        }
-    }
-
-    /// Takes in a load report of a backend server.
-    pub fn report(&mut self, backend: BackendId, report: Report, now: Time) {
-        if let Some(backend) = self.backends.get_mut(&backend) {
-            backend.report(report);
-        }
-        self.pump(now);
-    }
-
-    /// Takes in losses that peers saw; gives those that were news, to be passed on.
-    pub fn merge_losses(&mut self, losses: &[(u64, u64)], now: Time) -> Vec<(u64, u64)> {
-        losses.iter().filter(|(fingerprint, loss)| self.note_poison(*fingerprint, *loss, now)).copied().collect()
-    }
-
-    /// The losses for which requests with `fingerprint` are refused; none if they are not.
-    pub fn poison(&self, fingerprint: u64, now: Time) -> Vec<(u64, u64)> {
-        self.poison.losses(fingerprint, now)
-    }
-
-    /// Losses seen here since the last call, for peers.
-    pub fn take_losses(&mut self) -> Vec<(u64, u64)> {
-        std::mem::take(&mut self.losses)
-    }
-
     /// Takes no new requests from now on; those here are finished.
     pub const fn stop(&mut self) {
         self.stopping = true;
@@ -407,63 +255,4 @@
         let extra = self.limits.extra;
         self.repeats.entry(service).or_insert_with(|| Budget::new(extra.repeat_part, extra.repeats_saved))
     }
-
-    fn index(&mut self) {
-        let services = self.backends.values().map(|backend| backend.spec.service).max().map_or(0, |most| most + 1);
-        self.tiers = vec![[Vec::new(), Vec::new()]; usize::from(services)];
-        for (id, backend) in &self.backends {
-            let tier = usize::from(matches!(backend.spec.place, Place::Remote(_)));
-            self.tiers[usize::from(backend.spec.service)][tier].push(*id);
-        }
-        self.near_parts = (0..self.tiers.len()).map(|service| self.near_part(service)).collect();
-    }
-
-    fn answer(&mut self, request: u64, verdict: Verdict) {
-        let after = match verdict {
-            Verdict::Refuse(kind) => self.return_after(kind),
-            Verdict::Relay(_) => None,
-        };
-        self.actions.push(Action::Answer { request, verdict, after });
-    }
-
-    /// Takes a request out of all books but its attempts'.
-    fn close(&mut self, request: u64) -> Option<Request> {
-        let state = self.requests.remove(&request)?;
-        self.timers.remove(&(state.deadline, Timer::Deadline(request)));
-        if state.queued {
-            self.classes[state.class].queue.retain(|queued| *queued != request);
-            self.queued -= 1;
-        }
-        Some(state)
-    }
-
-    /// Ends a request with an error that is true of all its attempts.
-    fn refuse(&mut self, request: u64, kind: Kind, now: Time) {
-        let Some(state) = self.close(request) else { return };
-        self.cancel_all(&state.live);
-        let kind = match (state.touched, kind.answer().outcome) {
-            (Some(touched), Outcome::NotRun) => touched,
-            _ => kind,
-        };
-        let (tries, waited, waiting) = (state.tries, now.since(state.arrived), self.queued());
-        let chances = self.chances(&state, now);
-        self.notes.push(Note::Refused { request, kind, tries, waited, waiting, chances });
-        self.answer(request, Verdict::Refuse(kind));
-    }
-
-    fn cancel_all(&mut self, attempts: &[u64]) {
-        for attempt in attempts {
-            if let Some(live) = self.attempts.get(attempt) {
-                self.actions.push(Action::Cancel { attempt: *attempt, backend: live.backend });
-            }
-        }
-    }
-
-    fn expire(&mut self, request: u64, now: Time) {
-        let Some(state) = self.requests.get(&request) else {
-            return;
-        };
-        let kind = if state.live.is_empty() { Kind::Expired } else { Kind::BackendTimeout };
-        self.refuse(request, kind, now);
-    }
 }
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -5,7 +5,8 @@
 use base::error::Kind;
 use base::time::Time;
 
-use super::{Action, Attempt, Engine, Request, Reserve, Timer, Why};
+use super::state::Reserve;
+use super::{Action, Attempt, Engine, Request, Timer, Why};
 use crate::backend::{Backend, BackendId, Place};
 
 /// Time's worth of a link's rate that may pass in one burst.
--- /dev/null
+++ b/crates/dispatch/src/engine/world.rs
@@ -0,0 +1,114 @@
+//! What the engine is told of the world: classes, servers, links, loads, losses.
+
+use std::collections::BTreeMap;
+
+use base::rate;
+use base::time::Time;
+
+use super::state::Channel;
+use super::{Engine, Extra, Remote, pick};
+use crate::backend::{Backend, BackendId, Place, Report, Spec};
+use crate::class::{self, Class};
+
+impl Engine {
+    /// Takes new targets; classes keep their positions, new ones follow.
+    pub fn set_classes(&mut self, specs: Vec<class::Spec>) {
+        for (index, spec) in specs.into_iter().enumerate() {
+            match self.classes.get_mut(index) {
+                Some(class) => class.declare(spec),
+                None => self.classes.push(Class::new(spec)),
+            }
+        }
+        self.order = (0..self.classes.len()).collect();
+        self.order.sort_by_key(|index| (self.classes[*index].spec.rank, *index));
+    }
+
+    /// Takes the backend servers in use; those known keep what was seen of them.
+    pub fn set_backends(&mut self, specs: Vec<Spec>, now: Time) {
+        let mut kept = BTreeMap::new();
+        for spec in specs {
+            let known = self.backends.remove(&spec.id);
+            let backend = match known {
+                Some(mut backend) => {
+                    backend.declare(spec, now);
+                    backend
+                }
+                None => Backend::new(spec, now),
+            };
+            kept.insert(backend.spec.id, backend);
+        }
+        for (id, mut gone) in std::mem::take(&mut self.backends) {
+            if gone.in_flight > 0 {
+                gone.spec.leaving = true;
+                kept.insert(id, gone);
+            }
+        }
+        self.warmth.keep(|id| kept.contains_key(&id));
+        self.backends = kept;
+        self.index();
+        self.pump(now);
+    }
+
+    /// Sets what may be used of another region and the link to it.
+    pub fn set_remote(&mut self, region: u16, remote: Remote, now: Time) {
+        let burst = (remote.bytes_per_second * pick::LINK_BURST.as_secs_f64()).max(0.0);
+        let channel = self.channels.entry(region).or_insert_with(|| Channel {
+            limit: 0,
+            in_flight: 0,
+            unsized_in_flight: 0,
+            bucket: rate::Bucket::new(remote.bytes_per_second, burst, now),
+        });
+        channel.limit = remote.limit;
+        channel.bucket.set_rate(remote.bytes_per_second, burst, now);
+    }
+
+    /// Changes how much extra work may be caused from now on.
+    pub fn set_extra(&mut self, extra: Extra) {
+        self.limits.extra = extra;
+        self.hedges.set(extra.hedge_part, extra.hedges_saved);
+        self.retries.set(extra.retry_part, extra.retries_saved);
+        for repeats in self.repeats.values_mut() {
+            repeats.set(extra.repeat_part, extra.repeats_saved);
+        }
+    }
+
+    /// Takes in a load report that came with an answer; what waits is looked at when that answer is taken in.
+    pub fn note_report(&mut self, backend: BackendId, report: Report) {
+        if let Some(backend) = self.backends.get_mut(&backend) {
+            backend.report(report);
+        }
+    }
+
+    /// Takes in a load report of a backend server.
+    pub fn report(&mut self, backend: BackendId, report: Report, now: Time) {
+        if let Some(backend) = self.backends.get_mut(&backend) {
+            backend.report(report);
+        }
+        self.pump(now);
+    }
+
+    /// Takes in losses that peers saw; gives those that were news, to be passed on.
+    pub fn merge_losses(&mut self, losses: &[(u64, u64)], now: Time) -> Vec<(u64, u64)> {
+        losses.iter().filter(|(fingerprint, loss)| self.note_poison(*fingerprint, *loss, now)).copied().collect()
+    }
+
+    /// The losses for which requests with `fingerprint` are refused; none if they are not.
+    pub fn poison(&self, fingerprint: u64, now: Time) -> Vec<(u64, u64)> {
+        self.poison.losses(fingerprint, now)
+    }
+
+    /// Losses seen here since the last call, for peers.
+    pub fn take_losses(&mut self) -> Vec<(u64, u64)> {
+        std::mem::take(&mut self.losses)
+    }
+
+    fn index(&mut self) {
+        let services = self.backends.values().map(|backend| backend.spec.service).max().map_or(0, |most| most + 1);
+        self.tiers = vec![[Vec::new(), Vec::new()]; usize::from(services)];
+        for (id, backend) in &self.backends {
+            let tier = usize::from(matches!(backend.spec.place, Place::Remote(_)));
+            self.tiers[usize::from(backend.spec.service)][tier].push(*id);
+        }
+        self.near_parts = (0..self.tiers.len()).map(|service| self.near_part(service)).collect();
+    }
+}
