Tell of losses at once in short messages, once a second at most

Ruled out: the usual exchange (4 to 6 KB/s at any size). Now: what is told at once holds losses only, so does its answer; once a second, three times together; in a storm losses wait for the usual messages. Poisonous requests are told as before, within the same bound.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 
+use base::rate::Bucket;
 use base::time::Time;
 use config::configs::Settings;
 use config::policy::Policy;
@@ -25,6 +26,7 @@
 use crate::list::{Entries, List};
 use crate::metrics::Metrics;
 use crate::orders::Span;
+use crate::peers;
 use crate::policies::InForce;
 use crate::view::{Prepared, Preparing, Steering};
 use crate::whole::Whole;
@@ -72,6 +74,8 @@
     pub in_force: RwLock<Arc<InForce>>,
     /// Membership and loads.
     pub roster: Mutex<Roster>,
+    /// Bounds how often losses are told at once.
+    pub telling: Mutex<Bucket>,
     /// Shares of links and other regions.
     pub keeper: Mutex<Keeper>,
     /// Shifts of callers between regions.
@@ -145,6 +149,7 @@
             holder: Mutex::new(Holder::new()),
             in_force: RwLock::new(Arc::new(InForce::new(0, Policy::default()))),
             roster: Mutex::new(Roster::new(record, times, incarnation)),
+            telling: Mutex::new(peers::telling(now)),
             keeper: Mutex::new(Keeper::new()),
             controller: Mutex::new(Controller::new(0, kept, now)),
             steering: RwLock::new(Arc::new(Steering::default())),
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -49,6 +49,13 @@
     lock(&context.roster).message(revision, now)
 }
 
+/// The answer to a peer's message.
+pub fn answer(context: &Context, message: &Message) -> Message {
+    let revision = lock(&context.holder).revision();
+    let now = context.now();
+    lock(&context.roster).answer(message, revision, now)
+}
+
 /// Takes in a peer's message and fetches its policy if that is newer.
 pub fn take(context: &Arc<Context>, message: &Message) {
     let now = context.now();
@@ -68,9 +75,8 @@
     }
 }
 
-/// Exchanges news with one peer.
-pub async fn with(context: &Arc<Context>, name: &str, address: &str) {
-    let message = message(context);
+/// Sends `message` to one peer and takes in its answer.
+pub async fn with(context: &Arc<Context>, name: &str, address: &str, message: Message) {
     let Some(client) = client::client(context, address) else {
         return;
     };
@@ -148,7 +154,7 @@
             roster.target(now)
         };
         if let Some((name, address)) = target {
-            with(context, &name, &address).await;
+            with(context, &name, &address, message(context)).await;
         }
     }
 }
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -7,9 +7,23 @@
 
 use std::sync::Arc;
 
+use base::rate::Bucket;
+use base::time::Time;
+use fleet::message::Message;
+
 use crate::Context;
 use crate::context::lock;
 
+/// Times a second at which a daemon tells of losses at once, and as many times together: a request that crashes servers
+/// loses a few connections, a network hundreds.
+const TELLS_PER_SECOND: f64 = 1.0;
+const TELLS_TOGETHER: f64 = 3.0;
+
+/// Bounds how often losses are told at once.
+pub const fn telling(now: Time) -> Bucket {
+    Bucket::new(TELLS_PER_SECOND, TELLS_TOGETHER, now)
+}
+
 /// Tells a few peers at once that a newer policy is in force here; they fetch it and tell others.
 pub fn tell_revision(context: &Arc<Context>) {
     let fanout = context.settings.fleet.fanout as usize;
@@ -28,9 +42,20 @@
     !poison.is_empty()
 }
 
-/// Tells peers at once of the losses to be spread, so that a re-send elsewhere is refused.
+/// Tells peers at once of the losses to be spread, so that a re-send elsewhere is refused; in a storm of losses they
+/// wait for the usual messages.
 pub fn tell_losses(context: &Arc<Context>) {
-    tell(context, context.settings.fleet.fanout as usize);
+    let now = context.now();
+    if !lock(&context.telling).take(1.0, now) {
+        return;
+    }
+    let mut roster = lock(&context.roster);
+    let chosen = roster.some(context.settings.fleet.fanout as usize);
+    let messages: Vec<Message> = chosen.iter().map(|_| roster.loss_message(0, now)).collect();
+    drop(roster);
+    for ((name, address), message) in chosen.into_iter().zip(messages) {
+        send(context, name, address, message);
+    }
 }
 
 /// Tells as many peers as it takes for most to hear at once that we leave.
@@ -41,8 +66,12 @@
 fn tell(context: &Arc<Context>, most: usize) {
     let chosen = lock(&context.roster).some(most);
     for (name, address) in chosen {
-        let context = Arc::clone(context);
-        let runtime = context.runtime.clone();
-        runtime.spawn(async move { exchange::with(&context, &name, &address).await });
+        send(context, name, address, exchange::message(context));
     }
 }
+
+fn send(context: &Arc<Context>, name: String, address: String, message: Message) {
+    let context = Arc::clone(context);
+    let runtime = context.runtime.clone();
+    runtime.spawn(async move { exchange::with(&context, &name, &address, message).await });
+}
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -32,7 +32,7 @@
 impl PeersServer for Calls {
     async fn exchange(&self, message: Message) -> Result<Message, ErrorObjectOwned> {
         exchange::take(&self.context, &message);
-        Ok(exchange::message(&self.context))
+        Ok(exchange::answer(&self.context, &message))
     }
 
     async fn policy(&self, after: u64) -> Result<Option<Copy>, ErrorObjectOwned> {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -96,6 +96,13 @@
     pub losses: Vec<(u64, u64)>,
 }
 
+impl Message {
+    /// Whether it was sent to tell of losses.
+    pub const fn tells_losses_alone(&self) -> bool {
+        self.records.is_empty() && self.loads.is_empty() && !self.losses.is_empty()
+    }
+}
+
 /// What a starting daemon gets from a peer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -164,6 +164,17 @@
         Message { from: self.own.clone(), revision, records, loads, losses }
     }
 
+    /// A message that tells of losses and of nothing else.
+    pub fn loss_message(&mut self, revision: u64, now: Time) -> Message {
+        let losses = self.rumours(now);
+        Message { from: self.own.clone(), revision, records: Vec::new(), loads: Vec::new(), losses }
+    }
+
+    /// The answer to a message: one about losses alone gets one of its kind.
+    pub fn answer(&mut self, message: &Message, revision: u64, now: Time) -> Message {
+        if message.tells_losses_alone() { self.loss_message(revision, now) } else { self.message(revision, now) }
+    }
+
     /// The losses for a message: those that all must hear of, then those told least often, so that many that come at
     /// once are all told.
     fn rumours(&mut self, now: Time) -> Vec<(u64, u64)> {
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -226,3 +226,20 @@
     let times = fleet.told as f64 / (count as f64 * LOST as f64);
     assert!(times <= 6.0, "each daemon told each loss {times} times");
 }
+
+#[test]
+fn a_message_about_losses_alone_is_short_and_so_is_its_answer() {
+    let mut fleet = Fleet::new(24);
+    fleet.seconds(1);
+    let now = fleet.now;
+    let mut one = fleet.rosters["n1"].clone();
+    let mut other = fleet.rosters["n2"].clone();
+    one.spread_loss((1, 2), now);
+    other.spread_loss((3, 4), now);
+    let message = one.loss_message(0, now);
+    let answer = other.answer(&message, 0, now);
+    assert!(message.tells_losses_alone() && answer.tells_losses_alone());
+    assert_eq!((message.losses, answer.losses), (vec![(1, 2)], vec![(3, 4)]));
+    let usual = other.message(0, now);
+    assert!(!other.answer(&usual, 0, now).records.is_empty(), "a usual message gets a usual answer");
+}
