Tell of lines left out in a field of the next line

Cause: "logs: lines left out count=N" was a line without time and instance, which `hemlockctl explain` and a search by instance passed over. Now: the next line that passes has `lines_left_out=N`. Test: the_next_line_tells_in_a_field_how_many_were_left_out.

--- a/crates/ctl/src/verbs/explain.rs
+++ b/crates/ctl/src/verbs/explain.rs
@@ -17,7 +17,7 @@
     let steps = logs::way(&lines, request);
     let Some(first) = steps.iter().find(|step| step.own).map(|step| step.line.at_ms) else {
         return Err(Error::Failed(format!(
-            "no line of {} names request {request}; give the logs of all daemons and look for `lines left out`",
+            "no line of {} names request {request}; give the logs of all daemons and look for `lines_left_out`",
             lines.len()
         )));
     };
--- a/crates/daemon/src/logs/writer.rs
+++ b/crates/daemon/src/logs/writer.rs
@@ -11,6 +11,9 @@
 /// Lines that wait to be written at most.
 const WAITING: usize = 1_024;
 
+/// Field of the next line that passes: how many were left out before it.
+const LEFT_OUT_FIELD: &str = "lines_left_out";
+
 /// Lines left out by this process: it has one standard output.
 static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
 
@@ -45,11 +48,11 @@
     /// Takes one line; it is left out rather than waited with.
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         if let Some(left_out) = self.budget.pass(self.clock.now()) {
-            let mut text = Vec::with_capacity(buf.len() + 32);
+            let mut text = buf.to_vec();
             if left_out > 0 {
-                text.extend_from_slice(format!("logs: lines left out count={left_out}\n").as_bytes());
+                text.truncate(text.trim_ascii_end().len());
+                text.extend_from_slice(format!(" {LEFT_OUT_FIELD}={left_out}\n").as_bytes());
             }
-            text.extend_from_slice(buf);
             if self.lines.try_send(text).is_err() {
                 self.budget.note_lost(left_out + 1);
                 LEFT_OUT.fetch_add(1, Ordering::Relaxed);
--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -100,3 +100,37 @@
     assert_eq!(reload(&format!("log = \"loud\"\n{SETTINGS}")), LevelFilter::Debug, "refused");
     assert_eq!(reload(&format!("log = \"error\"\n{SETTINGS}")), LevelFilter::Error);
 }
+
+/// A standard output that keeps what is written.
+struct Kept(Sender<Vec<u8>>);
+
+impl Write for Kept {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        self.0.send(buf.to_vec()).expect("the test listens");
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn the_next_line_tells_in_a_field_how_many_were_left_out() {
+    let (kept, written) = channel();
+    let mut buffer = Buffer::start(1, Kept(kept));
+    let mut write = |number: u64| {
+        let line = format!("1.0 INFO instance=e list: read number={number}\n");
+        buffer.write_all(line.as_bytes()).expect("it is taken");
+    };
+    (1..=100).for_each(&mut write);
+    std::thread::sleep(Duration::from_millis(1_100));
+    write(101);
+    drop(buffer);
+    let lines: Vec<String> = written.iter().map(|line| String::from_utf8_lossy(&line).into_owned()).collect();
+    let left_out =
+        |line: &String| line.trim_end().split_once(" lines_left_out=").and_then(|(_, count)| count.parse::<u64>().ok());
+    let missing: u64 = lines.iter().filter_map(left_out).sum();
+    assert!(missing > 0 && lines.iter().all(|line| line.starts_with("1.0 INFO instance=e list: read number=")));
+    assert_eq!(missing + lines.len() as u64, 101, "{lines:?}");
+}
