Leave links without a cap open from the first answer

At a start it held back the far part of the work, which stayed near, and moved to its home at once when the first answers were there. Now: the bound holds on links that a cap is declared for, which is what it is for; a link without one is open. Test: first_answers_over_a_link_without_a_cap_are_not_held_back (1 of 8 sent before).

--- a/crates/daemon/src/view/entries.rs
+++ b/crates/daemon/src/view/entries.rs
@@ -45,6 +45,7 @@
     Arc::new(View::new(entries, regions))
 }
 
+/// Entry instances that the list or members tell of, each with how it stands.
 pub fn entries(instances: &[&Instance], roster: &Roster, in_force: &InForce, context: &Context) -> Vec<Entry> {
     let listed: Vec<&Instance> = instances.iter().copied().filter(|instance| instance.role == Role::Entry).collect();
     let leaving = listed.iter().filter(|instance| instance.state == Listed::Leaving).count();
--- a/crates/daemon/src/view/mod.rs
+++ b/crates/daemon/src/view/mod.rs
@@ -1,4 +1,4 @@
-//! What look-ups and attempts read, rebuilt whenever the list, the membership or the policy changes.
+//! What look-ups and attempts read, prepared anew when the list, the membership or the policy has changed.
 
 mod entries;
 mod servers;
@@ -24,6 +24,7 @@
 
 /// Part of the second sends that are allowed which is used: requests are counted in windows, and views differ.
 const REPEATS_USED: f64 = 0.8;
+
 /// A prepared state of the world.
 #[derive(Debug, Clone, Default)]
 pub struct Steering {
@@ -173,8 +174,7 @@
 /// What we may use of other regions: our part of a part that is split between all regions that might.
 fn remotes(context: &Context, slots: &BTreeMap<String, u32>, in_force: &InForce, now: Time) -> Vec<(u16, Remote)> {
     if context.settings.dispatch.open_links {
-        let open = Remote { limit: u32::MAX, bytes_per_second: f64::from(u32::MAX) };
-        return (0..in_force.regions.len() as u16).map(|region| (region, open)).collect();
+        return (0..in_force.regions.len() as u16).map(|region| (region, Remote::OPEN)).collect();
     }
     let share = lock(&context.keeper).share(now);
     let own = &context.settings.region;
--- a/crates/dispatch/src/engine/event.rs
+++ b/crates/dispatch/src/engine/event.rs
@@ -140,6 +140,16 @@
     pub bytes_per_second: f64,
 }
 
+impl Remote {
+    /// All of a region, over a link that no cap is declared for.
+    pub const OPEN: Self = Self { limit: u32::MAX, bytes_per_second: u32::MAX as f64 };
+
+    /// Whether no cap is declared for the link.
+    pub fn open(&self) -> bool {
+        self.bytes_per_second >= Self::OPEN.bytes_per_second
+    }
+}
+
 /// Limits of an engine.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limits {
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -304,14 +304,14 @@
     }
 
     /// Whether the link and the other region have room within our share. Answers of a class that none was seen of may
-    /// be of any size, so they cross a link one by one.
+    /// be of any size, so they cross a link with a cap one by one.
     pub(super) fn channel_open(&self, place: Place, state: &Request, now: Time) -> bool {
         let Place::Remote(region) = place else { return true };
         let Some(channel) = self.channels.get(&region) else {
             return false;
         };
         let class = &self.classes[state.class];
-        if !class.sized() && channel.unsized_in_flight > 0 {
+        if !class.sized() && !channel.open && channel.unsized_in_flight > 0 {
             return false;
         }
         let most = class.size().max(state.bytes as f64);
--- a/crates/dispatch/src/engine/state.rs
+++ b/crates/dispatch/src/engine/state.rs
@@ -65,6 +65,8 @@
 pub(super) struct Channel {
     pub(super) limit: u32,
     pub(super) in_flight: u32,
+    /// Whether the link has no cap.
+    pub(super) open: bool,
     /// Attempts in flight whose answers may be of any size.
     pub(super) unsized_in_flight: u32,
     pub(super) bucket: rate::Bucket,
--- a/crates/dispatch/src/engine/world.rs
+++ b/crates/dispatch/src/engine/world.rs
@@ -55,10 +55,12 @@
         let channel = self.channels.entry(region).or_insert_with(|| Channel {
             limit: 0,
             in_flight: 0,
+            open: remote.open(),
             unsized_in_flight: 0,
             bucket: rate::Bucket::new(remote.bytes_per_second, burst, now),
         });
         channel.limit = remote.limit;
+        channel.open = remote.open();
         channel.bucket.set_rate(remote.bytes_per_second, burst, now);
     }
 
--- a/crates/dispatch/tests/cases.rs
+++ b/crates/dispatch/tests/cases.rs
@@ -8,6 +8,7 @@
 use base::time::Time;
 use common::{BULK, LOOKUP, ORDER, World, backend, refused};
 use dispatch::backend::{Backend, Place};
+use dispatch::engine::Remote;
 use dispatch::{Ending, Verdict, subset};
 use rstest::rstest;
 
@@ -279,6 +280,18 @@
     assert!(together as f64 <= RATE, "{together} bytes may pass in one second, {RATE} are allowed");
 }
 
+/// Load: daemons start where objects live in two regions. Held back at first, the far part of the work would move there
+/// at once a moment later.
+#[test]
+fn first_answers_over_a_link_without_a_cap_are_not_held_back() {
+    let mut world = World::new((1..=8).map(|id| backend(id, Place::Remote(1))).collect(), 7);
+    world.set_remote(Remote::OPEN.limit, Remote::OPEN.bytes_per_second);
+    for _ in 0..8 {
+        world.send(LOOKUP);
+    }
+    assert_eq!(world.live.len(), 8);
+}
+
 #[rstest]
 #[case::lost_once(Ending::Lost, 1, false)]
 #[case::lost_twice(Ending::Lost, 2, true)]
