--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -42,7 +42,7 @@
     !poison.is_empty()
 }
 
-/// Tells peers at once of the losses to be spread, so that a re-send elsewhere is refused; in a storm of losses they
+/// Tells peers at once of the losses to be spread, so that a re-send elsewhere is refused; when there are many they
 /// wait for the usual messages.
 pub fn tell_losses(context: &Arc<Context>) {
     let now = context.now();
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -49,13 +49,13 @@
     listed: BTreeMap<String, Instance>,
     targets: Targets,
     loads: Loads,
-    losses: Vec<Rumour>,
+    losses: Vec<Loss>,
     superseded: bool,
 }
 
 /// A loss that is passed on.
 #[derive(Debug, Clone, Copy)]
-struct Rumour {
+struct Loss {
     loss: (u64, u64),
     until: Time,
     /// Messages that held it.
@@ -118,7 +118,7 @@
     /// A loss to be passed on to peers, in a few messages.
     pub fn spread_loss(&mut self, loss: (u64, u64), now: Time) {
         if !self.losses.iter().any(|known| known.loss == loss) {
-            self.losses.push(Rumour { loss, until: now + LOSS_SPREAD, sent: 0, lasting: false });
+            self.losses.push(Loss { loss, until: now + LOSS_SPREAD, sent: 0, lasting: false });
         }
     }
 
@@ -160,13 +160,13 @@
     pub fn message(&mut self, revision: u64, now: Time) -> Message {
         let records = self.news();
         let loads = self.loads.next(LOADS, now);
-        let losses = self.rumours(now);
+        let losses = self.told_losses(now);
         Message { from: self.own.clone(), revision, records, loads, losses }
     }
 
     /// A message that tells of losses and of nothing else.
     pub fn loss_message(&mut self, revision: u64, now: Time) -> Message {
-        let losses = self.rumours(now);
+        let losses = self.told_losses(now);
         Message { from: self.own.clone(), revision, records: Vec::new(), loads: Vec::new(), losses }
     }
 
@@ -177,7 +177,7 @@
 
     /// The losses for a message: those that all must hear of, then those told least often, so that many that come at
     /// once are all told.
-    fn rumours(&mut self, now: Time) -> Vec<(u64, u64)> {
+    fn told_losses(&mut self, now: Time) -> Vec<(u64, u64)> {
         self.losses.retain(|known| now < known.until && (known.lasting || known.sent < LOSS_MESSAGES));
         self.losses.sort_by_key(|known| (!known.lasting, known.sent));
         let told = self.losses.iter_mut().take(LOSSES);
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -205,7 +205,7 @@
     assert!(holder.wants(4));
 }
 
-/// Load: connections of one daemon end in a storm. All hear of nearly all losses, none is told for ever.
+/// Load: connections of one daemon end together. All hear of nearly all losses, none is told for ever.
 #[rstest]
 #[case(24)]
 #[case(150)]
