--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -56,7 +56,7 @@
 /// A loss that is passed on.
 #[derive(Debug, Clone, Copy)]
 struct Loss {
-    loss: (u64, u64),
+    id: (u64, u64),
     until: Time,
     /// Messages that held it.
     sent: u32,
@@ -117,15 +117,15 @@
 
     /// A loss to be passed on to peers, in a few messages.
     pub fn spread_loss(&mut self, loss: (u64, u64), now: Time) {
-        if !self.losses.iter().any(|known| known.loss == loss) {
-            self.losses.push(Loss { loss, until: now + LOSS_SPREAD, sent: 0, lasting: false });
+        if !self.losses.iter().any(|known| known.id == loss) {
+            self.losses.push(Loss { id: loss, until: now + LOSS_SPREAD, sent: 0, lasting: false });
         }
     }
 
     /// A loss that all must hear of: it is in every message for a while.
     pub fn spread_lasting(&mut self, loss: (u64, u64), now: Time) {
         self.spread_loss(loss, now);
-        let known = self.losses.iter_mut().filter(|known| known.loss == loss);
+        let known = self.losses.iter_mut().filter(|known| known.id == loss);
         known.for_each(|known| known.lasting = true);
     }
 
@@ -183,7 +183,7 @@
         let told = self.losses.iter_mut().take(LOSSES);
         told.map(|known| {
             known.sent += 1;
-            known.loss
+            known.id
         })
         .collect()
     }
