--- a/crates/config/src/configs/mod.rs
+++ b/crates/config/src/configs/mod.rs
@@ -111,11 +111,10 @@
     }
 
     /// Names of the settings that differ from those of `other`.
-    pub fn differing(&self, other: &Self) -> Vec<String> {
-        let tables = [self, other].map(|settings| toml::Table::try_from(settings).unwrap_or_default());
-        let [own, other] = &tables;
+    pub fn differing(&self, other: &Self) -> std::result::Result<Vec<String>, toml::ser::Error> {
+        let (own, other) = (toml::Table::try_from(self)?, toml::Table::try_from(other)?);
         let names = own.keys().chain(other.keys().filter(|name| !own.contains_key(*name)));
-        names.filter(|name| own.get(*name) != other.get(*name)).cloned().collect()
+        Ok(names.filter(|name| own.get(*name) != other.get(*name)).cloned().collect())
     }
 
     fn check_levels(&self, name: &str) -> Result<()> {
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -65,7 +65,10 @@
         Err(error) => return log::warn!("life: reload refused, nothing changed reason={:?}", error.to_string()),
     };
     logs::set(logs::Levels::new(&settings));
-    let mut differing = context.settings.differing(&settings);
+    let mut differing = match context.settings.differing(&settings) {
+        Ok(differing) => differing,
+        Err(error) => return log::warn!("life: reloaded, what differs is unknown reason={:?}", error.to_string()),
+    };
     differing.retain(|name| !name.starts_with("log") || name == "log_lines");
     let names = differing.join(",");
     log::info!(restart_for = names.as_str(); "life: reloaded");
--- a/crates/dispatch/src/engine/ending.rs
+++ b/crates/dispatch/src/engine/ending.rs
@@ -96,7 +96,8 @@
             Ending::Timeout => self.again(request, Kind::BackendTimeout, now),
             Ending::Cut => self.again(request, Kind::AnswerCut, now),
             Ending::TooLarge => self.refuse(request, Kind::AnswerTooLarge, now),
-            Ending::Cancelled => {}
+            // Nobody cancelled it, or its request would be closed: the server gave up work that it had begun.
+            Ending::Cancelled => self.again(request, Kind::BackendTimeout, now),
         }
     }
 
--- a/crates/dispatch/tests/cases.rs
+++ b/crates/dispatch/tests/cases.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use base::error::Kind;
+use base::error::{Kind, Outcome};
 use base::time::Time;
 use common::{BULK, LOOKUP, ORDER, World, backend, refused};
 use dispatch::backend::{Backend, Place};
@@ -280,6 +280,22 @@
     assert!(together as f64 <= RATE, "{together} bytes may pass in one second, {RATE} are allowed");
 }
 
+/// A server gave the work up by itself, in the middle of it: nobody cancelled it.
+#[rstest]
+#[case::an_order(ORDER, false)]
+#[case::a_lookup(LOOKUP, true)]
+fn work_that_a_server_gave_up_may_have_run(#[case] class: usize, #[case] again: bool) {
+    let mut world = world(2);
+    let request = world.send(class);
+    world.end(only_attempt(&world, request), Ending::Cancelled);
+    assert_eq!(world.live.len(), usize::from(again), "only what may run twice is sent again");
+    world.live.clear();
+    world.pass(Duration::from_mins(2));
+    let answers = &world.traces[&request].answers;
+    let Some(Verdict::Refuse(kind)) = answers.first() else { panic!("no refusal: {answers:?}") };
+    assert_eq!(kind.answer().outcome, Outcome::Unknown, "{kind:?}");
+}
+
 /// Load: daemons start where objects live in two regions. Held back at first, the far part of the work would move there
 /// at once a moment later.
 #[test]
