--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod ending;
 mod event;
+mod hedge;
 mod keyed;
 mod note;
 mod pick;
@@ -215,6 +216,9 @@
             return;
         };
         self.timers.remove(&(ended.late_at, Timer::Late(attempt)));
+        if let Some(at) = ended.hedge_at {
+            self.timers.remove(&(at, Timer::Hedge(attempt)));
+        }
         self.settle(&ended, ending, now);
         self.conclude(attempt, &ended, ending, now);
         self.pump_freed(Some(ended.backend), now);
@@ -230,6 +234,7 @@
             self.timers.remove(&(at, timer));
             match timer {
                 Timer::Late(attempt) => self.late(attempt, now),
+                Timer::Hedge(attempt) => self.hedge(attempt, now),
                 Timer::Deadline(request) => self.expire(request, now),
                 Timer::Look => look = true,
             }
