--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -26,11 +26,6 @@
         self.level = (self.level + self.earned_per_request).min(self.most);
     }
 
-    /// Units there.
-    pub const fn level(&self) -> f64 {
-        self.level
-    }
-
     /// Spends one unit if it is there; says whether it did.
     pub fn spend(&mut self) -> bool {
         if self.level < 1.0 {
--- a/crates/dispatch/src/engine/event.rs
+++ b/crates/dispatch/src/engine/event.rs
@@ -183,7 +183,7 @@
 impl Extra {
     /// What one daemon may cause where nothing else is set.
     pub const DEFAULT: Self = Self {
-        hedge_part: 0.15,
+        hedge_part: 0.03,
         hedges_saved: 5.0,
         retry_part: 0.1,
         retries_saved: 10.0,
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -176,7 +176,7 @@
     }
 
     /// Time to the answer if the request is sent to `server`, where its object is warm with likelihood `warm`.
-    pub(super) fn time_to_answer(&self, server: &Backend, state: &Request, warm: f64, now: Time) -> Duration {
+    fn time_to_answer(&self, server: &Backend, state: &Request, warm: f64, now: Time) -> Duration {
         let class = &self.classes[state.class];
         let way = match server.spec.place {
             Place::Domain => Duration::ZERO,
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -3,7 +3,6 @@
 mod answer;
 mod ending;
 mod event;
-mod hedge;
 mod keyed;
 mod note;
 mod pick;
@@ -216,9 +215,6 @@
             return;
         };
         self.timers.remove(&(ended.late_at, Timer::Late(attempt)));
-        if let Some(at) = ended.hedge_at {
-            self.timers.remove(&(at, Timer::Hedge(attempt)));
-        }
         self.settle(&ended, ending, now);
         self.conclude(attempt, &ended, ending, now);
         self.pump_freed(Some(ended.backend), now);
@@ -234,7 +230,6 @@
             self.timers.remove(&(at, timer));
             match timer {
                 Timer::Late(attempt) => self.late(attempt, now),
-                Timer::Hedge(attempt) => self.hedge(attempt, now),
                 Timer::Deadline(request) => self.expire(request, now),
                 Timer::Look => look = true,
             }
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -94,7 +94,6 @@
             backend,
             started: now,
             late_at,
-            hedge_at: None,
             late: false,
             reserved,
         };
@@ -109,7 +108,6 @@
         let again = state.tries > 1;
         let why = Why { warm, own, load, pace: speed, told };
         self.actions.push(Action::Start { request, attempt, backend, deadline, again, why });
-        self.plan_hedge(attempt, now);
     }
 
     /// An attempt is late: the server is marked, and the request hedged if that is allowed.
--- a/crates/dispatch/src/engine/state.rs
+++ b/crates/dispatch/src/engine/state.rs
@@ -41,8 +41,6 @@
     pub(super) backend: BackendId,
     pub(super) started: Time,
     pub(super) late_at: Time,
-    /// When another server is asked too.
-    pub(super) hedge_at: Option<Time>,
     pub(super) late: bool,
     pub(super) reserved: Option<Reserve>,
 }
@@ -59,7 +57,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Timer {
     Late(u64),
-    Hedge(u64),
     Deadline(u64),
     Look,
 }
