Keep objects at servers that shed with slots free, and let their callers come back at once

Ruled out: load; the servers told free slots with these answers. Test: dispatch/tests/shed.rs, two of its five cases fail on the code before. What stays is bounded by the budget of second sends.

--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -19,6 +19,8 @@
 const LONGEST_EJECTION: Duration = Duration::from_secs(30);
 /// Time without work after a shed request.
 const SHED_PAUSE: Duration = Duration::from_millis(50);
+/// Age up to which a report came with the answer that is judged.
+const FRESH: Duration = Duration::from_millis(50);
 /// Age at which a report of others' work counts for nothing.
 const REPORT_LIFE: Duration = Duration::from_secs(10);
 /// Part of a new report in the running average.
@@ -315,6 +317,12 @@
         f64::from(self.in_flight) + self.others(now)
     }
 
+    /// Whether it told just now that it has a slot free.
+    pub fn tells_room(&self, now: Time) -> bool {
+        let fresh = self.told().is_some_and(|at| now.since(at) < FRESH);
+        fresh && self.load(now) < f64::from(self.spec.slots)
+    }
+
     /// How long work takes there, relative to what is typical.
     pub fn ratio(&self) -> f64 {
         self.ratio.max(1.0) + f64::from(self.late)
@@ -371,8 +379,12 @@
         self.eject(now);
     }
 
-    /// The server shed an attempt.
-    pub fn shed(&mut self, now: Time) {
+    /// The server shed an attempt. One that has a slot free, as it told with that answer, refused this request and not
+    /// work; work on objects, if `keyed`, stays with it then.
+    pub fn shed(&mut self, keyed: bool, now: Time) {
+        if keyed && self.tells_room(now) {
+            return;
+        }
         self.closed_until = self.closed_until.max(now + SHED_PAUSE);
     }
 
--- a/crates/dispatch/src/engine/answer.rs
+++ b/crates/dispatch/src/engine/answer.rs
@@ -8,11 +8,13 @@
 
 impl Engine {
     pub(super) fn answer(&mut self, request: u64, verdict: Verdict) {
-        let after = match verdict {
-            Verdict::Refuse(kind) => self.return_after(kind),
-            Verdict::Relay(_) => None,
-        };
-        self.actions.push(Action::Answer { request, verdict, after });
+        self.actions.push(Action::Answer { request, verdict, after: None });
+    }
+
+    /// Answers with an error; `room` says that the server that shed it had a slot free.
+    pub(super) fn reject(&mut self, request: u64, kind: Kind, room: bool) {
+        let after = self.return_after(kind, room);
+        self.actions.push(Action::Answer { request, verdict: Verdict::Refuse(kind), after });
     }
 
     /// Takes a request out of all books but its attempts'.
@@ -37,7 +39,7 @@
         let (tries, waited, waiting) = (state.tries, now.since(state.arrived), self.queued());
         let chances = self.chances(&state, now);
         self.notes.push(Note::Refused { request, kind, tries, waited, waiting, chances });
-        self.answer(request, Verdict::Refuse(kind));
+        self.reject(request, kind, state.shed_with_room);
     }
 
     pub(super) fn cancel_all(&mut self, attempts: &[u64]) {
--- a/crates/dispatch/src/engine/ending.rs
+++ b/crates/dispatch/src/engine/ending.rs
@@ -60,7 +60,7 @@
                 let ratio = latency.as_secs_f64() / typical.as_secs_f64();
                 backend.answered(ratio, ended.late, ended.warm.is_some(), now);
             }
-            Ending::Shed => backend.shed(now),
+            Ending::Shed => backend.shed(ended.warm.is_some(), now),
             Ending::Unreachable => backend.failed(now),
             Ending::Lost | Ending::Cut => backend.lost(now),
             Ending::Timeout if !ended.late => backend.note_late_ended(may_eject, ended.warm.is_some(), now),
@@ -74,12 +74,14 @@
             self.note_loss(ended, attempt, now);
         }
         let request = ended.request;
+        let room = self.backends.get(&ended.backend).is_some_and(|server| server.tells_room(now));
         let Some(state) = self.requests.get_mut(&request) else {
             return;
         };
         state.live.retain(|live| *live != attempt);
         if ending == Ending::Shed {
             state.barred.retain(|barred| *barred != ended.backend);
+            state.shed_with_room = room;
         }
         match ending {
             Ending::Answered(_) => {
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -157,7 +157,7 @@
             let note =
                 Note::Refused { request, kind, tries: 0, waited: Duration::ZERO, waiting, chances: [None, None] };
             self.notes.push(note);
-            return self.answer(request, Verdict::Refuse(kind));
+            return self.reject(request, kind, false);
         }
         let spec = &self.classes[class].spec;
         let object = object.filter(|_| spec.affinity).map(|object| base::hash::pair(object, spec.key));
@@ -180,6 +180,7 @@
             live: Vec::new(),
             hedged: false,
             queued: false,
+            shed_with_room: false,
             touched: None,
         };
         self.requests.insert(request, state);
--- a/crates/dispatch/src/engine/state.rs
+++ b/crates/dispatch/src/engine/state.rs
@@ -25,6 +25,8 @@
     pub(super) live: Vec<u64>,
     pub(super) hedged: bool,
     pub(super) queued: bool,
+    /// Whether the server that shed it last had a slot free.
+    pub(super) shed_with_room: bool,
     /// Set once an attempt may have run; the final error must then be an unknown outcome.
     pub(super) touched: Option<Kind>,
 }
--- a/crates/dispatch/src/engine/waiting.rs
+++ b/crates/dispatch/src/engine/waiting.rs
@@ -19,6 +19,9 @@
 const RETURN: Duration = Duration::from_millis(300);
 /// Time over which the callers that were refused together should come back.
 const SPREAD: Duration = Duration::from_millis(500);
+/// The same for a caller whose request was refused by a server that had room: waiting makes no room there.
+const RETURN_TO_ROOM: Duration = Duration::from_millis(10);
+const SPREAD_TO_ROOM: Duration = Duration::from_millis(30);
 
 impl Engine {
     /// Sends a request about an object to a home that takes it, or lets it wait for one.
@@ -96,8 +99,9 @@
     }
 
     /// When a caller that is refused for `kind` should come back, if the kind's usual time is too coarse.
-    pub(super) fn return_after(&mut self, kind: Kind) -> Option<Duration> {
+    pub(super) fn return_after(&mut self, kind: Kind, room: bool) -> Option<Duration> {
         match kind {
+            Kind::Shed if room => Some(RETURN_TO_ROOM + SPREAD_TO_ROOM.mul_f64(self.rng.f64())),
             Kind::QueueFull | Kind::WontFinish | Kind::Shed | Kind::Expired => {
                 Some(RETURN + SPREAD.mul_f64(self.rng.f64()))
             }
