--- a/crates/config/src/configs/dispatch.rs
+++ b/crates/config/src/configs/dispatch.rs
@@ -21,6 +21,8 @@
     pub max_in_flight: u64,
     /// Whole answers kept for re-sends, in bytes over all keys.
     pub kept_answers_bytes: u64,
+    /// Part of a retry that each request earns, whatever its service.
+    pub retry_part: f64,
     /// Part of a second send that each request for a service earns, over all daemons.
     pub repeat_part: f64,
     /// Second sends for one service that may be saved up, over all daemons.
@@ -42,6 +44,7 @@
             max_queued: 512,
             max_in_flight: 128,
             kept_answers_bytes: 8_388_608,
+            retry_part: 0.1,
             repeat_part: 1.0,
             repeats_saved: 1_000.0,
             starters: 3,
@@ -60,6 +63,7 @@
         check_range(name, "dispatch.max_in_flight", self.max_in_flight, 1, 4_096)?;
         check_range(name, "dispatch.kept_answers_bytes", self.kept_answers_bytes, 0, 1 << 30)?;
         check_range(name, "dispatch.starters", self.starters, 1, 1_024)?;
+        check_part(name, "dispatch.retry_part", self.retry_part, 1.0)?;
         check_part(name, "dispatch.repeat_part", self.repeat_part, 1.0)?;
         check_part(name, "dispatch.repeats_saved", self.repeats_saved, 1e6)?;
         check_range(name, "dispatch.poison_s", self.poison_s, 1, 86_400)
--- a/crates/daemon/src/view/mod.rs
+++ b/crates/daemon/src/view/mod.rs
@@ -165,6 +165,7 @@
     let settings = &context.settings.dispatch;
     let daemons = 2.0 * daemons as f64;
     Extra {
+        retry_part: settings.retry_part,
         repeat_part: settings.repeat_part * REPEATS_USED,
         repeats_saved: settings.repeats_saved / daemons,
         ..Extra::DEFAULT
