--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -1,6 +1,5 @@
 //! A backend server as one daemon sees it: own observations first, late reports second.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use base::rate::Bucket;
@@ -38,9 +37,6 @@
 const COLD_BURST: f64 = 1.0;
 /// Time for which a server's word on its pace holds by half: neighbours come and go.
 const PACE_HALF_LIFE: Duration = Duration::from_millis(400);
-/// How many times as long as expected an attempt must take to tell that its server is slow: neighbours make work
-/// take two or three times as long for a moment.
-const OVERDUE: f64 = 3.0;
 /// Time for which a server's word on the work of other daemons holds by half.
 const OTHERS_HALF_LIFE: Duration = Duration::from_millis(300);
 /// Time without a word from a server after which what it usually has from others counts less and less: a server
@@ -111,11 +107,6 @@
     pub at: Time,
 }
 
-/// How many times as long as expected an attempt has taken.
-fn stretch(sent: Time, expected: Duration, now: Time) -> f64 {
-    now.since(sent).as_secs_f64() / expected.as_secs_f64().max(1e-3)
-}
-
 /// Requests a second and at once that this daemon may send the server while it starts.
 fn pressure(spec: &Spec) -> (f64, f64) {
     let per_second = spec.start.map_or(0.0, |start| start.per_second);
@@ -152,8 +143,6 @@
     gate: Bucket,
     pace: f64,
     pace_noted: Time,
-    /// Our attempts about objects in flight: when each was sent and how long it was expected to take.
-    expected: BTreeMap<u64, (Time, Duration)>,
     /// Work of other daemons as the last answer told it, and on average.
     told_others: Option<(f64, Time)>,
     usual_others: f64,
@@ -170,7 +159,6 @@
             gate: Bucket::new(per_second, burst, now),
             pace: 1.0,
             pace_noted: Time::ZERO,
-            expected: BTreeMap::new(),
             told_others: None,
             usual_others: 0.0,
             assumed_others: 0.0,
@@ -238,32 +226,10 @@
         self.report.map(|report| report.at)
     }
 
-    /// How long work takes there, as a multiple of the usual: as far as its last word still tells, and no less than
-    /// the work that is overdue shows.
+    /// How long work takes there, as a multiple of the usual, as far as its last word still tells.
     pub fn pace(&self, now: Time) -> f64 {
         let halves = now.since(self.pace_noted).as_secs_f64() / PACE_HALF_LIFE.as_secs_f64();
-        let told = 1.0 + (self.pace - 1.0) * 0.5_f64.powf(halves);
-        let late = self.expected.values().map(|(sent, expected)| stretch(*sent, *expected, now));
-        let late: Vec<f64> = late.filter(|late| *late >= OVERDUE).collect();
-        if late.len() < 2 { return told; }
-        late.into_iter().fold(f64::MAX, f64::min).max(told)
-    }
-
-    /// An attempt about an object was sent that is expected to take so long.
-    pub fn expect(&mut self, attempt: u64, time: Duration, now: Time) {
-        self.expected.insert(attempt, (now, time));
-    }
-
-    /// The attempt ended; if no answer came, what it showed of the server's pace is kept like the server's own word.
-    pub fn expect_no_more(&mut self, attempt: u64, answered: bool, now: Time) {
-        let Some((sent, expected)) = self.expected.remove(&attempt) else {
-            return;
-        };
-        let late = stretch(sent, expected, now);
-        if !answered && late >= OVERDUE && late > self.pace(now) {
-            self.pace = late;
-            self.pace_noted = now;
-        }
+        1.0 + (self.pace - 1.0) * 0.5_f64.powf(halves)
     }
 
     /// Whether a server that starts, or may have started anew, can be sent a request now.
--- a/crates/dispatch/src/engine/ending.rs
+++ b/crates/dispatch/src/engine/ending.rs
@@ -18,7 +18,7 @@
 
 impl Engine {
     /// Takes an ended attempt out of the server's, the class's and the link's books.
-    pub(super) fn settle(&mut self, attempt: u64, ended: &Attempt, ending: Ending, now: Time) {
+    pub(super) fn settle(&mut self, ended: &Attempt, ending: Ending, now: Time) {
         let class = &mut self.classes[ended.class];
         class.in_flight -= 1;
         let waits = class.spec.may_wait;
@@ -48,7 +48,6 @@
         }
         self.judge(ended.backend, |backend| {
             backend.end(waits, ended.late, now);
-            backend.expect_no_more(attempt, matches!(ending, Ending::Answered(_) | Ending::Shed), now);
             Self::learn(backend, ended, ending, Judging { latency, typical, may_eject }, now);
         });
     }
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -189,14 +189,6 @@
         way + (work + class.work.warm().mul_f64(ahead)).mul_f64(server.pace(now))
     }
 
-    /// How long an attempt of a request about an object takes at `backend` at most, if nothing is wrong there.
-    pub(super) fn expected(&self, request: u64, backend: BackendId, now: Time) -> Option<Duration> {
-        let state = self.requests.get(&request)?;
-        let server = self.backends.get(&backend)?;
-        let warm = if self.warmth.has(backend, state.object?) { 1.0 } else { 0.0 };
-        Some(self.time_to_answer(server, state, warm, now))
-    }
-
     /// What it costs besides time to run the request at `server`, in seconds.
     fn price(&self, server: &Backend, state: &Request, warm: f64) -> f64 {
         let target = self.classes[state.class].spec.target.as_secs_f64();
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -216,7 +216,7 @@
             return;
         };
         self.timers.remove(&(ended.late_at, Timer::Late(attempt)));
-        self.settle(attempt, &ended, ending, now);
+        self.settle(&ended, ending, now);
         self.conclude(attempt, &ended, ending, now);
         self.pump_freed(Some(ended.backend), now);
     }
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -72,8 +72,6 @@
         let class = &mut self.classes[index];
         class.in_flight += 1;
         let waits = class.spec.may_wait;
-        let expected = self.expected(request, backend, now);
-        let class = &mut self.classes[index];
         let Some(server) = self.backends.get_mut(&backend) else {
             return;
         };
@@ -100,9 +98,6 @@
             reserved,
         };
         self.attempts.insert(attempt, started);
-        if let (Some(expected), Some(server)) = (expected, self.backends.get_mut(&backend)) {
-            server.expect(attempt, expected, now);
-        }
         self.timers.insert((late_at, Timer::Late(attempt)));
         let Some(state) = self.requests.get_mut(&request) else {
             return;
