Notice a watch that hears nothing by cheap calls beside it

Ruled out: peers (all were deaf alike); the policy's way after the watch. Before: a watch alone, 21 s until its time is over. Now a list of nothing each second, a tenth of a call; a pulse that failed and came back, or a revision that the watch does not reach, has the watch asked anew over a new connection. An outage is a time of failed calls now, not of silence, and keys that are missing after it are kept for 2 s, as the users say, in place of 1.5 s.

--- a/crates/daemon/src/mirror.rs
+++ b/crates/daemon/src/mirror.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use fleet::Copy;
-use store::{Call, Entry, Error, Reply, Result};
+use store::{Call, Entry, Error, Pulse, Reply, Result};
+use tokio::sync::Notify;
 
 use crate::adapter::Catalog;
 use crate::context::lock;
@@ -22,6 +23,8 @@
 const GATHER_EACH: Duration = Duration::from_millis(10);
 /// The same at least, and at most: a change must be in force within seconds.
 const GATHER: RangeInclusive<Duration> = Duration::from_millis(100)..=Duration::from_millis(500);
+/// Start of keys of which there are none: a list of them tells the store's revision and little else.
+const NOTHING: &str = "hemlock/none/";
 /// Time between two looks at what time alone changes: memberships, keys that did not come back.
 const TURN: Duration = Duration::from_millis(250);
 
@@ -41,25 +44,26 @@
     let Some(catalog) = context.catalog else {
         return Ok(Box::new(kernel::Idle));
     };
-    let watching = context.runtime.spawn(watch(Arc::clone(context), catalog));
+    let deaf = Arc::new(Notify::new());
+    let watching = context.runtime.spawn(watch(Arc::clone(context), catalog, Arc::clone(&deaf)));
+    let pulsing = context.runtime.spawn(pulse(Arc::clone(context), deaf));
     let turning = context.runtime.spawn(turn(Arc::clone(context), catalog));
-    Ok(Box::new(Tasks(vec![watching, turning])))
+    Ok(Box::new(Tasks(vec![watching, pulsing, turning])))
 }
 
-/// Lists once, then takes in changes as they come, for ever.
-async fn watch(context: Arc<Context>, catalog: Catalog) {
+/// Lists once, then takes in changes as they come, for ever; asks anew when it is told that its watch is deaf.
+async fn watch(context: Arc<Context>, catalog: Catalog, deaf: Arc<Notify>) {
     let mut listed = false;
     let mut pause = FIRST_PAUSE;
     let mut rng = fastrand::Rng::with_seed(context.incarnation);
     loop {
-        let turn = if listed { changes(&context).await } else { list(&context).await };
+        let turn = if listed { changes(&context, &deaf).await } else { list(&context).await };
         match turn {
             Ok(Turn::Changed) => {
                 listed = true;
                 pause = FIRST_PAUSE;
                 publish(&context, catalog);
-                let daemons = lock(&context.roster).alive().count() + 1;
-                tokio::time::sleep(gather(daemons)).await;
+                tokio::time::sleep(gathering(&context)).await;
             }
             Ok(Turn::Same) => {
                 listed = true;
@@ -83,6 +87,53 @@
     GATHER_EACH.saturating_mul(daemons as u32).clamp(*GATHER.start(), *GATHER.end())
 }
 
+fn gathering(context: &Context) -> Duration {
+    gather(lock(&context.roster).alive().count() + 1)
+}
+
+/// Makes a cheap call again and again, and has the watch asked anew when it is deaf.
+async fn pulse(context: Arc<Context>, deaf: Arc<Notify>) {
+    let period = Duration::from_millis(context.settings.platform.pulse_ms);
+    let mut rng = fastrand::Rng::with_seed(context.incarnation ^ 2);
+    let mut pulse = Pulse::new();
+    loop {
+        let pause = period.mul_f64(0.8 + 0.4 * rng.f64());
+        let until_overdue = pulse.wake().map(|at| at.since(context.now()));
+        tokio::time::sleep(until_overdue.map_or(pause, |time| time.min(pause))).await;
+        let known = lock(&context.mirror).revision();
+        if known == 0 {
+            continue;
+        }
+        if pulse.overdue(known, context.now()) || beat(&context, &mut pulse).await {
+            log::warn!("mirror: watch is deaf, asked anew revision={known}");
+            context.store.reconnect();
+            deaf.notify_one();
+        }
+    }
+}
+
+/// Makes one call; says whether the watch is deaf.
+async fn beat(context: &Context, pulse: &mut Pulse) -> bool {
+    let sent = context.now();
+    let list = Call::List { prefix: NOTHING.to_owned(), after: String::new(), stale: true };
+    let reply = call(context, list).await;
+    let known = lock(&context.mirror).revision();
+    match reply {
+        Ok(Reply::Page { revision, .. }) => pulse.answer(revision, known, gathering(context), sent, context.now()),
+        Ok(other) => {
+            note_failure(context, &unexpected(&other));
+            false
+        }
+        Err(error) => {
+            note_failure(context, &error);
+            pulse.fail();
+            // The next one must not go over a connection that may be silent for good.
+            context.store.reconnect();
+            false
+        }
+    }
+}
+
 /// What a call came to.
 enum Turn {
     Changed,
@@ -109,10 +160,15 @@
     }
 }
 
-async fn changes(context: &Context) -> Result<Turn> {
+async fn changes(context: &Context, deaf: &Notify) -> Result<Turn> {
     let after = lock(&context.mirror).revision();
     let wait = Duration::from_millis(context.settings.platform.watch_ms);
-    match call(context, Call::Watch { prefix: String::new(), after, wait }).await? {
+    let watch = call(context, Call::Watch { prefix: String::new(), after, wait });
+    let reply = tokio::select! {
+        reply = watch => reply?,
+        () = deaf.notified() => return Ok(Turn::Same),
+    };
+    match reply {
         Reply::Events { events, revision } => {
             let now = context.now();
             let changed = lock(&context.mirror).apply(events, revision, now);
@@ -128,7 +184,11 @@
     let result = context.store.call(&call).await;
     let label = if result.is_ok() { "ok" } else { "failed" };
     context.metrics.store_calls.with_label_values(&[call.name(), label]).inc();
-    if result.is_ok() {
+    if result.is_err() {
+        // A watch may have waited for long before it was cut.
+        let since = if matches!(call, Call::Watch { .. }) { context.now() } else { sent };
+        lock(&context.mirror).note_failure(since);
+    } else {
         let now = context.now();
         context.store_seen.store(now.as_micros(), Ordering::Relaxed);
         let lost = lock(&context.mirror).note_answer(sent, now);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod etcd;
 pub mod key;
 pub mod mirror;
+pub mod pulse;
 pub mod wire;
 
 pub use call::{Call, Event, Reply};
@@ -16,6 +17,7 @@
 pub use codec::{Codec, Message};
 pub use error::{Error, Result};
 pub use mirror::Mirror;
+pub use pulse::Pulse;
 
 use std::time::Duration;
 
--- a/crates/store/src/mirror.rs
+++ b/crates/store/src/mirror.rs
@@ -11,10 +11,11 @@
 use crate::Entry;
 use crate::call::Event;
 
-/// Time after the store's return was noticed in which writers whose leases lapsed put their keys back.
-const RETURN: Duration = Duration::from_millis(1_500);
-/// Silence of the store from which leases may have lapsed.
-const AWAY: Duration = Duration::from_secs(1);
+/// Time after the store's return was noticed in which writers whose leases lapsed put their keys back: the platform
+/// says about two seconds.
+const RETURN: Duration = Duration::from_secs(2);
+/// Time for which calls must have failed for leases to have lapsed; a connection that was cut alone is no outage.
+const AWAY: Duration = Duration::from_millis(300);
 
 /// A key as it was last seen.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -38,6 +39,8 @@
     latest: BTreeMap<String, u64>,
     /// When the store last answered.
     answered: Option<Time>,
+    /// Since when calls fail.
+    failing: Option<Time>,
     /// Until when missing keys are kept, after the store was away.
     returning: Time,
 }
@@ -76,7 +79,7 @@
 
     /// The store answered a call that was made at `sent`; says whether it was away before.
     pub fn note_answer(&mut self, sent: Time, now: Time) -> bool {
-        let away = self.answered.is_some_and(|last| sent.since(last) > AWAY);
+        let away = self.failing.take().is_some_and(|since| sent.since(since) > AWAY);
         if away {
             self.returning = now + RETURN;
         }
@@ -84,6 +87,11 @@
         away
     }
 
+    /// Calls fail since `since`: until one is answered, leases may lapse.
+    pub fn note_failure(&mut self, since: Time) {
+        self.failing.get_or_insert(since);
+    }
+
     /// Takes in changes up to `revision`; says whether anything changed.
     pub fn apply(&mut self, events: Vec<Event>, revision: u64, now: Time) -> bool {
         let mut changed = false;
