--- a/crates/daemon/src/mirror.rs
+++ b/crates/daemon/src/mirror.rs
@@ -19,8 +19,8 @@
 /// Longest pause after calls that failed.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 /// Time in which further changes are left to come before the next watch, so that one call tells several: for each
-/// daemon, so that all of them together make 100 calls a second at most while the store changes all the time.
-const GATHER_EACH: Duration = Duration::from_millis(10);
+/// daemon, so that all of them together make 50 calls a second at most while the store changes all the time.
+const GATHER_EACH: Duration = Duration::from_millis(20);
 /// The same at least, and at most: a change must be in force within seconds.
 const GATHER: RangeInclusive<Duration> = Duration::from_millis(100)..=Duration::from_millis(500);
 /// Start of keys of which there are none: a list of them tells the store's revision and little else.
