Go on with a planned stop when told to stop again

SIGTERM again was taken for an operator's impatience. After: SIGTERM again changes nothing and is logged, SIGINT during the stop ends it at once. Test: demo/tests/processes.rs a_planned_stop_cuts_no_request, told_again: Some(1) in place of Some(0) on the code before.

--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -17,7 +17,7 @@
 const LOOK: Duration = Duration::from_millis(20);
 /// Time for what is left when the parts are closed.
 const LAST: Duration = Duration::from_secs(1);
-/// Exit code of a daemon that is told to stop a second time.
+/// Exit code of a daemon that is interrupted while it stops.
 const EXIT_AT_ONCE: i32 = 1;
 
 /// Why a daemon did not run.
@@ -49,7 +49,7 @@
         signals.stop(&context, path).await;
         let (shared, path) = (Arc::clone(&context), path.to_owned());
         tokio::spawn(async move {
-            signals.stop(&shared, &path).await;
+            signals.interrupt_stop(&shared, &path).await;
             std::process::exit(EXIT_AT_ONCE);
         });
         stop(&context, kernel).await;
@@ -100,6 +100,18 @@
             }
         }
     }
+
+    /// Waits until someone at a terminal does not want to wait for the stop. Told to stop again, a daemon goes on with
+    /// it: what is told twice by a supervisor is still a planned stop, which cuts no request.
+    async fn interrupt_stop(&mut self, context: &Context, path: &Path) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => log::info!("life: told to stop again, already stopping"),
+                _ = self.interrupt.recv() => return,
+                _ = self.reload.recv() => reload(context, path),
+            }
+        }
+    }
 }
 
 /// A running daemon.
--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -41,9 +41,11 @@
     assert!(lookups.count(Ending::Complete) > 0);
 }
 
-#[test]
-fn a_planned_stop_cuts_no_request() {
-    let mut site = Site::start("bayline", 34);
+#[rstest]
+#[case::told_once(34, 1)]
+#[case::told_again(42, 3)]
+fn a_planned_stop_cuts_no_request(#[case] net: u8, #[case] times: u32) {
+    let mut site = Site::start("bayline", net);
     let flows = vec![
         flow("lookup", "GET", "/stock?work_ms=20", 150.0),
         flow("order", "POST", "/orders?work_ms=100", 20.0),
@@ -54,7 +56,10 @@
     let leaver = site.entry(3).name;
     let tallies = site.load(&plan, |deployment| {
         std::thread::sleep(Duration::from_secs(3));
-        deployment.children.signal(&leaver, "TERM").expect("the daemon runs");
+        for _ in 0..times {
+            deployment.children.signal(&leaver, "TERM").expect("the daemon runs");
+            std::thread::sleep(Duration::from_millis(400));
+        }
         let code = deployment.children.wait(&leaver, PATIENCE);
         assert_eq!(code, Some(0), "the daemon ends by itself");
     });
