--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -26,6 +26,8 @@
     Silent,
     /// All open connections are reset.
     Reset,
+    /// Open connections carry nothing any more, for good and without an end; new ones work.
+    Forget,
 }
 
 /// What happens to a process.
@@ -55,6 +57,8 @@
 pub enum Trouble {
     /// Of a link between daemons and a backend server or the store.
     Link(usize, Cut),
+    /// Of the link between callers and an entry daemon.
+    Caller(usize, Cut),
     /// Of an entry daemon.
     Entry(usize, Blow),
     /// Of a backend server.
@@ -76,27 +80,42 @@
     pub begins: bool,
 }
 
-/// `count` series of faults within `time`, in order; they overlap as they fall.
+/// `count` series of faults within `time`, and half as many more of links to callers and of connections that are
+/// forgotten, in order; they overlap as they fall. The further ones are drawn apart, so that a seed's first `count` stay
+/// what they were when it was found to fail.
 pub fn steps(seed: u64, count: usize, time: Duration) -> Vec<Step> {
-    let mut rng = Rng::with_seed(seed);
+    let (mut rng, mut further) = (Rng::with_seed(seed), Rng::with_seed(!seed));
     let mut steps = Vec::new();
-    for _ in 0..count {
-        let trouble = trouble(&mut rng);
-        let mut at = time.mul_f64(QUIET_PART + (1.0 - 3.0 * QUIET_PART) * rng.f64());
-        for _ in 0..rng.usize(1..=SERIES) {
-            let end = at + Duration::from_millis(rng.u64(SHORTEST_MS..=LONGEST_MS));
-            if end > time.mul_f64(1.0 - QUIET_PART) {
-                break;
-            }
-            steps.push(Step { at, trouble, begins: true });
-            steps.push(Step { at: end, trouble, begins: false });
-            at = end + Duration::from_millis(rng.u64(0..=LONGEST_MS / 2));
-        }
-    }
+    (0..count).for_each(|_| series(&mut rng, trouble, time, &mut steps));
+    (0..count / 2).for_each(|_| series(&mut further, trouble_of_connections, time, &mut steps));
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// One fault that comes to the same place a few times.
+fn series(rng: &mut Rng, draw: fn(&mut Rng) -> Trouble, time: Duration, steps: &mut Vec<Step>) {
+    let trouble = draw(rng);
+    let mut at = time.mul_f64(QUIET_PART + (1.0 - 3.0 * QUIET_PART) * rng.f64());
+    for _ in 0..rng.usize(1..=SERIES) {
+        let end = at + Duration::from_millis(rng.u64(SHORTEST_MS..=LONGEST_MS));
+        if end > time.mul_f64(1.0 - QUIET_PART) {
+            break;
+        }
+        steps.push(Step { at, trouble, begins: true });
+        steps.push(Step { at: end, trouble, begins: false });
+        at = end + Duration::from_millis(rng.u64(0..=LONGEST_MS / 2));
+    }
+}
+
+fn trouble_of_connections(rng: &mut Rng) -> Trouble {
+    let place = rng.usize(..1_000);
+    match rng.u8(0..4) {
+        0 => Trouble::Link(place, Cut::Forget),
+        1 => Trouble::Caller(place, Cut::Forget),
+        _ => Trouble::Caller(place, cut(rng)),
+    }
+}
+
 fn trouble(rng: &mut Rng) -> Trouble {
     let place = rng.usize(..1_000);
     match rng.u8(0..10) {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,4 +1,4 @@
-//! A link that can be delayed, cut one way, silenced or reset.
+//! A link that can be delayed, cut one way, silenced, reset, or forget its open connections.
 
 use std::io::{ErrorKind, Read as _, Write as _};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -31,10 +31,25 @@
     state: Mutex<State>,
     /// Rises whenever open connections are to be reset.
     resets: AtomicU64,
+    /// Rises whenever open connections are to carry nothing any more.
+    forgets: AtomicU64,
     /// Set when no more connections are to be taken.
     ends: AtomicBool,
 }
 
+/// What had happened to a link when a connection over it began.
+#[derive(Debug, Clone, Copy)]
+struct Begun {
+    resets: u64,
+    forgets: u64,
+}
+
+impl Begun {
+    fn now(shared: &Shared) -> Self {
+        Self { resets: shared.resets.load(Ordering::Relaxed), forgets: shared.forgets.load(Ordering::Relaxed) }
+    }
+}
+
 /// A link from its own address to a server's.
 #[derive(Debug)]
 pub struct Proxy {
@@ -62,10 +77,11 @@
             Cut::Down => state.down = true,
             Cut::Silent => (state.up, state.down) = (true, true),
             Cut::Reset => drop(self.shared.resets.fetch_add(1, Ordering::Relaxed)),
+            Cut::Forget => drop(self.shared.forgets.fetch_add(1, Ordering::Relaxed)),
         }
     }
 
-    /// Ends all faults; what was held back is passed on.
+    /// Ends all faults; what was held back is passed on, but over connections that were forgotten.
     pub fn heal(&self) {
         *self.shared.state.lock().unwrap_or_else(PoisonError::into_inner) = State::default();
     }
@@ -92,21 +108,23 @@
 
 /// Carries one connection on two threads; the link's end resets both sides.
 fn pass(shared: &Arc<Shared>, client: TcpStream, target: &str) {
+    // Before the server sees the connection: what happens to the link from then on happens to it too.
+    let begun = Begun::now(shared);
     // An accepted connection blocks, whatever its listener does.
     let blocking = client.set_nonblocking(false);
     let (Ok(server), Ok(())) = (TcpStream::connect(target), blocking) else { return reset(&client) };
     let (Ok(client_too), Ok(server_too)) = (client.try_clone(), server.try_clone()) else { return };
-    let begun = shared.resets.load(Ordering::Relaxed);
     let (up, down) = (Arc::clone(shared), Arc::clone(shared));
     thread::spawn(move || pump(&up, client, server, begun, |state| state.up));
     thread::spawn(move || pump(&down, server_too, client_too, begun, |state| state.down));
 }
 
 /// Carries bytes from `from` to `to` until either ends or the link is reset.
-fn pump(shared: &Shared, mut from: TcpStream, mut to: TcpStream, begun: u64, held: impl Fn(&State) -> bool) {
+fn pump(shared: &Shared, mut from: TcpStream, mut to: TcpStream, begun: Begun, held: impl Fn(&State) -> bool) {
     let mut buffer = [0; READ_BYTES];
     let state = || *shared.state.lock().unwrap_or_else(PoisonError::into_inner);
-    let whole = || shared.resets.load(Ordering::Relaxed) == begun;
+    let whole = || shared.resets.load(Ordering::Relaxed) == begun.resets;
+    let forgotten = || shared.forgets.load(Ordering::Relaxed) != begun.forgets;
     if from.set_read_timeout(Some(LOOK)).is_err() {
         return;
     }
@@ -117,7 +135,7 @@
             Err(_) => break,
         };
         let came = Instant::now();
-        while whole() && (held(&state()) || came.elapsed() < state().delay) {
+        while whole() && (forgotten() || held(&state()) || came.elapsed() < state().delay) {
             thread::sleep(PAUSE);
         }
         if !whole() {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -1,4 +1,4 @@
-//! A deployment whose backend servers and store stand behind links of the soak.
+//! A deployment whose backend servers, store and callers' ports stand behind links of the soak.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
@@ -17,6 +17,8 @@
 const OWN_PORT: u16 = 1_000;
 /// How much higher the store's own port is than that of the link to it.
 const STORE_PORT: u16 = 100;
+/// How much higher the port of the link to an entry daemon's callers' port is than that port.
+const CALLERS_PORT: u16 = 2_000;
 /// Longest time for a process to end by itself.
 const PATIENCE: Duration = Duration::from_mins(1);
 /// Time in which a process starts to listen to signals.
@@ -31,6 +33,8 @@
     pub deployment: Deployment,
     /// The links: one to each backend server, the store's last.
     pub links: Vec<Proxy>,
+    /// The links from callers to the entry daemons, and where callers find each.
+    pub doors: Vec<(Proxy, String)>,
     /// How often each process was started, by name.
     pub lives: BTreeMap<String, u64>,
     /// When each process was started last.
@@ -58,6 +62,11 @@
         let own = higher(&deployment.store, STORE_PORT);
         links.push(Proxy::start(&deployment.store, &own)?);
         deployment.store = own;
+        let door = |entry: &Instance| {
+            let address = higher(&entry.address, CALLERS_PORT);
+            Proxy::start(&address, &entry.address).map(|proxy| (proxy, address))
+        };
+        let doors = deployment.entries().map(door).collect::<std::io::Result<Vec<_>>>()?;
         deployment.start_platform()?;
         let revision = deployment.apply()?;
         deployment.start_daemons()?;
@@ -66,6 +75,7 @@
         Ok(Self {
             deployment,
             links,
+            doors,
             lives: BTreeMap::new(),
             begun: BTreeMap::new(),
             asked: BTreeSet::new(),
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -99,3 +99,21 @@
         assert!(matches!(stream.read(&mut [0]), Ok(0) | Err(_)), "the connection has ended");
     }
 }
+
+#[test]
+fn a_link_that_forgets_leaves_its_open_connections_silent_for_good() {
+    let address = "127.0.89.3:7300";
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let proxy = Proxy::start(address, &listener.local_addr().expect("it is bound").to_string()).expect("it is free");
+    let mut old = TcpStream::connect(address).expect("the link listens");
+    let mut old_server = listener.accept().expect("the link connects").0;
+    proxy.cut(Cut::Forget);
+    proxy.heal();
+    old.write_all(b"a").expect("the link takes it");
+    assert!(byte(&mut old_server).is_none(), "nothing comes over the old connection, and no end");
+    let mut new = TcpStream::connect(address).expect("the link listens");
+    let mut new_server = listener.accept().expect("the link connects").0;
+    new.write_all(b"b").expect("the link takes it");
+    new_server.set_read_timeout(None).expect("the option is known");
+    new_server.read_exact(&mut [0]).expect("a new connection works");
+}
