Tell how long ago each member spoke to this daemon itself

Ruled out: a gauge for each peer (300 series a daemon); three thresholds are counted, and the ages of all stand under /decisions. Test: fleet/tests/roster.rs the_age_of_a_members_word_counts_from_when_it_spoke_itself. No decision rests on it.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters for operators, in the Prometheus form.
 
 use prometheus::{
-    Encoder as _, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder as _, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// Bounds of latency buckets, in seconds.
@@ -56,6 +56,8 @@
     pub list_age: Gauge,
     /// Time since a peer answered, in seconds.
     pub peers_age: Gauge,
+    /// Living members that have not spoken to this daemon themselves for longer than so many seconds.
+    pub silent_peers: IntGaugeVec,
     /// Log lines left out.
     pub log_lines_left_out: IntGauge,
     /// Slots of the region's grants held.
@@ -95,6 +97,12 @@
             store_calls: counters(&registry, "hemlock_store_calls_total", "Calls to the store", &["purpose", "result"]),
             store_age: age(&registry, "hemlock_store_age_seconds", "Time since the store answered"),
             list_age: age(&registry, "hemlock_list_age_seconds", "Time since the list of servers was read"),
+            silent_peers: gauges(
+                &registry,
+                "hemlock_silent_peers",
+                "Living members that have not spoken to this daemon for longer",
+                &["seconds"],
+            ),
             peers_age: age(&registry, "hemlock_peers_age_seconds", "Time since a peer answered"),
             log_lines_left_out: gauge(&registry, "hemlock_log_lines_left_out", "Log lines left out since the start"),
             grants: gauge(&registry, "hemlock_grant_slots", "Slots of the region's grants held"),
@@ -135,6 +143,12 @@
     gauge
 }
 
+fn gauges(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    let gauges = IntGaugeVec::new(Opts::new(name, help), labels).expect("the options are constant");
+    register(registry, gauges.clone());
+    gauges
+}
+
 fn age(registry: &Registry, name: &str, help: &str) -> Gauge {
     let gauge = Gauge::new(name, help).expect("the options are constant");
     register(registry, gauge.clone());
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -1,8 +1,10 @@
 //! The operators' port: health, readiness, metrics, decisions in force, and burn.
 
+use std::collections::BTreeMap;
 use std::io::Read as _;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use base::time::Time;
 use burn::report::{Line, Report};
@@ -15,6 +17,8 @@
 
 /// Largest request body read and thrown away, in bytes.
 const MAX_BODY_BYTES: u64 = 65_536;
+/// Times by which members are counted that have been silent for longer, in seconds: a few exchanges, and when to look.
+const SILENCES_S: [u64; 3] = [5, 30, 120];
 
 inventory::submit! {
     Plugin(kernel::Plugin { name: "operators", stage: 5, start })
@@ -124,6 +128,8 @@
     incarnation: u64,
     state: String,
     domain: String,
+    /// Seconds since it last spoke to this daemon itself.
+    silent_s: Option<f64>,
 }
 
 #[derive(Debug, Serialize)]
@@ -164,13 +170,16 @@
     let in_force = context.policy();
     let steering = context.steering();
     let roster = lock(&context.roster);
+    let words: BTreeMap<&str, Option<Duration>> = roster.words(now).collect();
     let members = roster.records().into_iter().map(|record| Member {
+        silent_s: words.get(record.name.as_str()).copied().flatten().map(|age| age.as_secs_f64()),
         name: record.name,
         incarnation: record.incarnation,
         state: format!("{:?}", record.state).to_lowercase(),
         domain: record.domain,
     });
     let members = members.collect();
+    drop(words);
     drop(roster);
     let regions = in_force.regions.len() as u16;
     let row = |from: u16| (0..regions).map(|to| steering.shares.part(from, to)).collect();
@@ -220,10 +229,21 @@
     let listed = lock(&context.list).read.unwrap_or(Time::ZERO);
     context.metrics.store_age.set(age_s(&context.store_seen, now));
     context.metrics.peers_age.set(age_s(&context.peers_seen, now));
+    note_words(context, now);
     context.metrics.list_age.set(now.since(listed).as_secs_f64());
     context.metrics.log_lines_left_out.set(logs::left_out() as i64);
 }
 
+/// Counts the members by how long they have not spoken to this daemon themselves.
+fn note_words(context: &Context, now: Time) {
+    let roster = lock(&context.roster);
+    for seconds in SILENCES_S {
+        let limit = Duration::from_secs(seconds);
+        let silent = roster.words(now).filter(|(_, age)| age.is_none_or(|age| age > limit)).count();
+        context.metrics.silent_peers.with_label_values(&[&seconds.to_string()]).set(silent as i64);
+    }
+}
+
 fn burn_report(context: &Context) -> Report {
     let now = context.now();
     let in_force = context.policy();
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -36,6 +36,8 @@
     record: Record,
     /// When its state last changed here.
     changed: Time,
+    /// When it last spoke to us itself.
+    heard: Option<Time>,
     /// Times its record is still to be passed on.
     spread: u32,
 }
@@ -191,7 +193,7 @@
     /// Takes in a message that came at `now`.
     pub fn merge(&mut self, message: &Message, now: Time) {
         self.note(&message.from, now);
-        self.note_speaker(&message.from);
+        self.note_speaker(&message.from, now);
         for record in &message.records {
             self.note(record, now);
         }
@@ -221,7 +223,7 @@
             (Some(member), _) => member,
             (None, Some(listed)) => {
                 let record = unheard(listed);
-                let member = Member { record, changed: now, spread: 0 };
+                let member = Member { record, changed: now, heard: None, spread: 0 };
                 self.members.entry(name.to_owned()).or_insert(member)
             }
             (None, None) => return,
@@ -309,21 +311,28 @@
             }
             Some(_) => {}
             None => {
-                let member = Member { record: record.clone(), changed: now, spread };
+                let member = Member { record: record.clone(), changed: now, heard: None, spread };
                 self.members.insert(record.name.clone(), member);
             }
         }
     }
 
-    /// Lets a speaker that is believed gone hear of it, so that it can object.
-    fn note_speaker(&mut self, speaker: &Record) {
+    /// Notes that a member spoke; one that is believed gone is to hear of it, so that it can object.
+    fn note_speaker(&mut self, speaker: &Record, now: Time) {
         let spread = self.spread();
-        let member = self.members.get_mut(&speaker.name);
-        if let Some(member) = member.filter(|member| member.record.state > speaker.state) {
+        let Some(member) = self.members.get_mut(&speaker.name) else { return };
+        member.heard = Some(now);
+        if member.record.state > speaker.state {
             member.spread = spread + 1;
         }
     }
 
+    /// How long ago each living member last spoke to us itself, by name; `None` for one that never did.
+    pub fn words(&self, now: Time) -> impl Iterator<Item = (&str, Option<Duration>)> {
+        let living = self.members.values().filter(|member| member.record.state <= State::Suspect);
+        living.map(move |member| (member.record.name.as_str(), member.heard.map(|heard| now.since(heard))))
+    }
+
     /// Contradicts what is wrongly said of us, and notices a successor.
     fn note_own(&mut self, record: &Record) {
         if record.incarnation > self.own.incarnation {
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -243,3 +243,16 @@
     let usual = other.message(0, now);
     assert!(!other.answer(&usual, 0, now).records.is_empty(), "a usual message gets a usual answer");
 }
+
+/// What a member says itself is told from what others say of it.
+#[test]
+fn the_age_of_a_members_word_counts_from_when_it_spoke_itself() {
+    let mut roster = Roster::new(record("a", 1), TIMES, 1);
+    let (at, later) = (Time::from_millis(5_000), Time::from_millis(9_000));
+    let mut speaker = Roster::new(record("b", 1), TIMES, 2);
+    let mut third = Roster::new(record("c", 1), TIMES, 3);
+    speaker.merge(&third.message(0, at), at);
+    roster.merge(&speaker.message(0, at), at);
+    let words: BTreeMap<&str, Option<Duration>> = roster.words(later).collect();
+    assert_eq!(words, BTreeMap::from([("b", Some(Duration::from_secs(4))), ("c", None)]));
+}
