Name the check of a watch and the links of callers as the field does

Cause: read as a newcomer would, pulse, deaf and doors are pictures; the field says liveness check and stalled. The setting is platform.liveness_ms now. No behaviour changes; one factor got a name.

--- a/crates/config/src/configs/platform.rs
+++ b/crates/config/src/configs/platform.rs
@@ -18,7 +18,7 @@
     /// Longest wait of one watch of the store, in milliseconds.
     pub watch_ms: u64,
     /// Time between two cheap calls that show whether a watch still hears anything, in milliseconds.
-    pub pulse_ms: u64,
+    pub liveness_ms: u64,
     /// Daemons in a failure domain that read the policy from the store.
     pub readers: u64,
     /// How long the claim of a non-idempotent request is kept, in seconds.
@@ -32,7 +32,7 @@
             timeout_ms: 1_000,
             poll_ms: 2_000,
             watch_ms: 20_000,
-            pulse_ms: 1_000,
+            liveness_ms: 1_000,
             readers: 2,
             claim_kept_s: 86_400,
         }
@@ -45,7 +45,7 @@
         check_range(name, "platform.timeout_ms", self.timeout_ms, 1, 60_000)?;
         check_range(name, "platform.poll_ms", self.poll_ms, 10, 60_000)?;
         check_range(name, "platform.watch_ms", self.watch_ms, 10, 30_000)?;
-        check_range(name, "platform.pulse_ms", self.pulse_ms, 10, 60_000)?;
+        check_range(name, "platform.liveness_ms", self.liveness_ms, 10, 60_000)?;
         check_range(name, "platform.readers", self.readers, 1, 64)?;
         check_range(name, "platform.claim_kept_s", self.claim_kept_s, 600, 30 * 86_400)
     }
--- a/crates/daemon/src/mirror.rs
+++ b/crates/daemon/src/mirror.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fleet::Copy;
-use store::{Call, Entry, Error, Pulse, Reply, Result};
+use store::{Call, Entry, Error, Liveness, Reply, Result};
 use tokio::sync::Notify;
 
 use crate::adapter::Catalog;
@@ -23,6 +23,8 @@
 const GATHER_EACH: Duration = Duration::from_millis(20);
 /// The same at least, and at most: a change must be in force within seconds.
 const GATHER: RangeInclusive<Duration> = Duration::from_millis(100)..=Duration::from_millis(500);
+/// Part by which the time between two liveness checks varies, so that daemons started together do not ask together.
+const JITTER: f64 = 0.2;
 /// Start of keys of which there are none: a list of them tells the store's revision and little else.
 const NOTHING: &str = "hemlock/none/";
 /// Time between two looks at what time alone changes: memberships, keys that did not come back.
@@ -44,20 +46,20 @@
     let Some(catalog) = context.catalog else {
         return Ok(Box::new(kernel::Idle));
     };
-    let deaf = Arc::new(Notify::new());
-    let watching = context.runtime.spawn(watch(Arc::clone(context), catalog, Arc::clone(&deaf)));
-    let pulsing = context.runtime.spawn(pulse(Arc::clone(context), deaf));
+    let stalled = Arc::new(Notify::new());
+    let watching = context.runtime.spawn(watch(Arc::clone(context), catalog, Arc::clone(&stalled)));
+    let checking = context.runtime.spawn(check(Arc::clone(context), stalled));
     let turning = context.runtime.spawn(turn(Arc::clone(context), catalog));
-    Ok(Box::new(Tasks(vec![watching, pulsing, turning])))
+    Ok(Box::new(Tasks(vec![watching, checking, turning])))
 }
 
-/// Lists once, then takes in changes as they come, for ever; asks anew when it is told that its watch is deaf.
-async fn watch(context: Arc<Context>, catalog: Catalog, deaf: Arc<Notify>) {
+/// Lists once, then takes in changes as they come, for ever; asks anew when it is told that its watch stalled.
+async fn watch(context: Arc<Context>, catalog: Catalog, stalled: Arc<Notify>) {
     let mut listed = false;
     let mut pause = FIRST_PAUSE;
     let mut rng = fastrand::Rng::with_seed(context.incarnation);
     loop {
-        let turn = if listed { changes(&context, &deaf).await } else { list(&context).await };
+        let turn = if listed { changes(&context, &stalled).await } else { list(&context).await };
         match turn {
             Ok(Turn::Changed) => {
                 listed = true;
@@ -91,42 +93,42 @@
     gather(lock(&context.roster).alive().count() + 1)
 }
 
-/// Makes a cheap call again and again, and has the watch asked anew when it is deaf.
-async fn pulse(context: Arc<Context>, deaf: Arc<Notify>) {
-    let period = Duration::from_millis(context.settings.platform.pulse_ms);
+/// Makes a cheap call again and again, and has the watch asked anew when it has stalled.
+async fn check(context: Arc<Context>, stalled: Arc<Notify>) {
+    let period = Duration::from_millis(context.settings.platform.liveness_ms);
     let mut rng = fastrand::Rng::with_seed(context.incarnation ^ 2);
-    let mut pulse = Pulse::new();
+    let mut liveness = Liveness::new();
     loop {
-        let pause = period.mul_f64(0.8 + 0.4 * rng.f64());
-        let until_overdue = pulse.wake().map(|at| at.since(context.now()));
+        let pause = period.mul_f64(1.0 - JITTER + 2.0 * JITTER * rng.f64());
+        let until_overdue = liveness.wake().map(|at| at.since(context.now()));
         tokio::time::sleep(until_overdue.map_or(pause, |time| time.min(pause))).await;
         let known = lock(&context.mirror).revision();
         if known == 0 {
             continue;
         }
-        if pulse.overdue(known, context.now()) || beat(&context, &mut pulse).await {
-            log::warn!("mirror: watch is deaf, asked anew revision={known}");
+        if liveness.overdue(known, context.now()) || ask(&context, &mut liveness).await {
+            log::warn!("mirror: watch stalled, asked anew revision={known}");
             context.store.reconnect();
-            deaf.notify_one();
+            stalled.notify_one();
         }
     }
 }
 
-/// Makes one call; says whether the watch is deaf.
-async fn beat(context: &Context, pulse: &mut Pulse) -> bool {
+/// Makes one call; says whether the watch stalled.
+async fn ask(context: &Context, liveness: &mut Liveness) -> bool {
     let sent = context.now();
     let list = Call::List { prefix: NOTHING.to_owned(), after: String::new(), stale: true };
     let reply = call(context, list).await;
     let known = lock(&context.mirror).revision();
     match reply {
-        Ok(Reply::Page { revision, .. }) => pulse.answer(revision, known, gathering(context), sent, context.now()),
+        Ok(Reply::Page { revision, .. }) => liveness.answer(revision, known, gathering(context), sent, context.now()),
         Ok(other) => {
             note_failure(context, &unexpected(&other));
             false
         }
         Err(error) => {
             note_failure(context, &error);
-            pulse.fail();
+            liveness.fail();
             // The next one must not go over a connection that may be silent for good.
             context.store.reconnect();
             false
@@ -160,13 +162,13 @@
     }
 }
 
-async fn changes(context: &Context, deaf: &Notify) -> Result<Turn> {
+async fn changes(context: &Context, stalled: &Notify) -> Result<Turn> {
     let after = lock(&context.mirror).revision();
     let wait = Duration::from_millis(context.settings.platform.watch_ms);
     let watch = call(context, Call::Watch { prefix: String::new(), after, wait });
     let reply = tokio::select! {
         reply = watch => reply?,
-        () = deaf.notified() => return Ok(Turn::Same),
+        () = stalled.notified() => return Ok(Turn::Same),
     };
     match reply {
         Reply::Events { events, revision } => {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -54,7 +54,7 @@
 /// Runs a soak of the deployment in `deploy`; files and logs go to `folder`.
 pub fn run(deploy: &Path, folder: &Path, setup: Setup) -> Result<Report> {
     let mut site = Site::start(deploy, folder, setup.net)?;
-    let entries: Vec<String> = site.doors.iter().map(|(_, address)| address.clone()).collect();
+    let entries: Vec<String> = site.caller_links.iter().map(|(_, address)| address.clone()).collect();
     let (orders, lookups) = (path(&site.deployment, true), path(&site.deployment, false));
     let caller = |name: String| Caller { entries: &entries, orders: &orders, lookups: &lookups, name };
     let steps = plan::steps(setup.seed, setup.faults, setup.time);
@@ -111,8 +111,8 @@
     match (step.trouble, step.begins) {
         (Trouble::Link(place, cut), true) => site.links[place % site.links.len()].cut(cut),
         (Trouble::Link(place, _), false) => site.links[place % site.links.len()].heal(),
-        (Trouble::Caller(place, cut), true) => site.doors[place % site.doors.len()].0.cut(cut),
-        (Trouble::Caller(place, _), false) => site.doors[place % site.doors.len()].0.heal(),
+        (Trouble::Caller(place, cut), true) => site.caller_links[place % site.caller_links.len()].0.cut(cut),
+        (Trouble::Caller(place, _), false) => site.caller_links[place % site.caller_links.len()].0.heal(),
         (Trouble::Store(ill), begins) => site.sicken(begins.then_some(ill)),
         (Trouble::Change, true) => change(site, number),
         (Trouble::Change, false) => {}
@@ -150,7 +150,7 @@
 
 /// Ends all faults and waits until every daemon serves again, at one revision.
 fn peace(site: &mut Site, caller: &Caller<'_>) -> Vec<String> {
-    site.links.iter().chain(site.doors.iter().map(|(door, _)| door)).for_each(Proxy::heal);
+    site.links.iter().chain(site.caller_links.iter().map(|(link, _)| link)).for_each(Proxy::heal);
     site.sicken(None);
     change(site, usize::MAX);
     let begun = Instant::now();
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -34,7 +34,7 @@
     /// The links: one to each backend server, the store's last.
     pub links: Vec<Proxy>,
     /// The links from callers to the entry daemons, and where callers find each.
-    pub doors: Vec<(Proxy, String)>,
+    pub caller_links: Vec<(Proxy, String)>,
     /// How often each process was started, by name.
     pub lives: BTreeMap<String, u64>,
     /// When each process was started last.
@@ -62,11 +62,11 @@
         let own = higher(&deployment.store, STORE_PORT);
         links.push(Proxy::start(&deployment.store, &own)?);
         deployment.store = own;
-        let door = |entry: &Instance| {
+        let caller_link = |entry: &Instance| {
             let address = higher(&entry.address, CALLERS_PORT);
             Proxy::start(&address, &entry.address).map(|proxy| (proxy, address))
         };
-        let doors = deployment.entries().map(door).collect::<std::io::Result<Vec<_>>>()?;
+        let caller_links = deployment.entries().map(caller_link).collect::<std::io::Result<Vec<_>>>()?;
         deployment.start_platform()?;
         let revision = deployment.apply()?;
         deployment.start_daemons()?;
@@ -75,7 +75,7 @@
         Ok(Self {
             deployment,
             links,
-            doors,
+            caller_links,
             lives: BTreeMap::new(),
             begun: BTreeMap::new(),
             asked: BTreeSet::new(),
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,16 +8,16 @@
 pub mod error;
 pub mod etcd;
 pub mod key;
+pub mod liveness;
 pub mod mirror;
-pub mod pulse;
 pub mod wire;
 
 pub use call::{Call, Event, Reply};
 pub use client::Client;
 pub use codec::{Codec, Message};
 pub use error::{Error, Result};
+pub use liveness::Liveness;
 pub use mirror::Mirror;
-pub use pulse::Pulse;
 
 use std::time::Duration;
 
--- a/crates/store/src/pulse.rs
+++ b/crates/store/src/liveness.rs
@@ -1,40 +1,40 @@
-//! Tells when a watch has gone deaf.
+//! Tells when a watch has stalled.
 //!
 //! A watch waits for a long time, and a store that was away for a moment, or a connection that something in between
-//! has forgotten, leaves it waiting without an error. Cheap calls beside it, the pulse, show that: the store's
-//! revision moves on while the watch tells nothing, or a pulse failed and the next one is answered.
+//! has forgotten, leaves it waiting without an error. Cheap calls beside it, liveness checks, show that: the store's
+//! revision moves on while the watch tells nothing, or a check failed and the next one is answered.
 
 use std::time::Duration;
 
 use base::time::Time;
 
-/// Answers that a watch may take longer than a pulse: its own call, the changes' way and the next call.
+/// Answers that a watch may take longer than a check: its own call, the changes' way and the next call.
 const ANSWERS: u32 = 3;
-/// Time besides in which a change that the pulse has seen reaches the watch: some scheduling on both sides.
+/// Time besides in which a change that a check has seen reaches the watch: some scheduling on both sides.
 const SLACK: Duration = Duration::from_millis(200);
 
-/// What the pulses have shown so far.
+/// What the checks have shown so far.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Pulse {
-    /// Whether a pulse failed and none was answered since.
+pub struct Liveness {
+    /// Whether a check failed and none was answered since.
     missed: bool,
     /// A revision that the watch has yet to reach, and until when.
     awaited: Option<(u64, Time)>,
 }
 
-impl Pulse {
+impl Liveness {
     /// Nothing is known yet.
     pub const fn new() -> Self {
         Self { missed: false, awaited: None }
     }
 
-    /// A pulse was not answered.
+    /// A check was not answered.
     pub const fn fail(&mut self) {
         self.missed = true;
     }
 
-    /// A pulse sent at `sent` was answered with the store's `revision`, while the watch has told of changes up to
-    /// `known` and gathers them for `gather`; says whether the watch is deaf.
+    /// A check sent at `sent` was answered with the store's `revision`, while the watch has told of changes up to
+    /// `known` and gathers them for `gather`; says whether the watch stalled.
     pub fn answer(&mut self, revision: u64, known: u64, gather: Duration, sent: Time, now: Time) -> bool {
         if std::mem::take(&mut self.missed) {
             self.awaited = None;
--- a/crates/store/tests/pulse.rs
+++ b/crates/store/tests/liveness.rs
@@ -4,7 +4,7 @@
 
 use base::time::Time;
 use rstest::rstest;
-use store::Pulse;
+use store::Liveness;
 
 const START: Time = Time::from_millis(10_000);
 const GATHER: Duration = Duration::from_millis(100);
@@ -13,26 +13,26 @@
     Time::from_millis(10_000 + millis)
 }
 
-/// Fault: the store was silent for a moment while a watch waited; it answers pulses again, and the watch never.
+/// Fault: the store was silent for a moment while a watch waited; it answers checks again, and the watch never.
 #[test]
-fn a_pulse_that_failed_and_then_came_back_shows_a_deaf_watch() {
-    let mut pulse = Pulse::new();
-    assert!(!pulse.answer(5, 5, GATHER, START, START));
-    pulse.fail();
-    pulse.fail();
-    assert!(pulse.answer(5, 5, GATHER, after(2_000), after(2_004)), "whatever the revision is");
-    assert!(!pulse.answer(5, 5, GATHER, after(3_000), after(3_004)), "and once only");
+fn a_check_that_failed_and_then_came_back_shows_a_stalled_watch() {
+    let mut liveness = Liveness::new();
+    assert!(!liveness.answer(5, 5, GATHER, START, START));
+    liveness.fail();
+    liveness.fail();
+    assert!(liveness.answer(5, 5, GATHER, after(2_000), after(2_004)), "whatever the revision is");
+    assert!(!liveness.answer(5, 5, GATHER, after(3_000), after(3_004)), "and once only");
 }
 
 /// Fault: something between forgot the watch's connection. The store's revision moves on, the watch's does not.
 #[test]
-fn a_revision_that_the_watch_does_not_reach_shows_a_deaf_watch() {
-    let mut pulse = Pulse::new();
-    assert!(!pulse.answer(9, 5, GATHER, START, after(4)), "the change may be on its way");
-    let due = pulse.wake().expect("there is something to wait for");
-    assert!(!pulse.overdue(5, Time::from_micros(due.as_micros() - 1)));
-    assert!(pulse.overdue(5, due));
-    assert!(!pulse.overdue(5, due), "once only");
+fn a_revision_that_the_watch_does_not_reach_shows_a_stalled_watch() {
+    let mut liveness = Liveness::new();
+    assert!(!liveness.answer(9, 5, GATHER, START, after(4)), "the change may be on its way");
+    let due = liveness.wake().expect("there is something to wait for");
+    assert!(!liveness.overdue(5, Time::from_micros(due.as_micros() - 1)));
+    assert!(liveness.overdue(5, due));
+    assert!(!liveness.overdue(5, due), "once only");
     assert!(due.since(START) <= Duration::from_millis(500), "a change must be in force within two seconds");
 }
 
@@ -42,7 +42,7 @@
 #[case::slow(600, GATHER)]
 #[case::large_fleet(24, Duration::from_millis(500))]
 fn a_watch_that_keeps_up_is_left_alone(#[case] way_ms: u64, #[case] gather: Duration) {
-    let mut pulse = Pulse::new();
+    let mut liveness = Liveness::new();
     let way = Duration::from_millis(way_ms);
     // Each change is known here after the watch's way, the gathering and the next watch's way.
     let lag = way * 2 + gather;
@@ -50,9 +50,9 @@
         let now = after(step * 10);
         let revision = |at: Time| at.since(START).as_millis() as u64 / 50 + 5;
         let known = if now.since(START) > lag { revision(START + now.since(START).saturating_sub(lag)) } else { 5 };
-        assert!(!pulse.overdue(known, now), "at step {step}");
+        assert!(!liveness.overdue(known, now), "at step {step}");
         if step % 100 == 0 {
-            assert!(!pulse.answer(revision(now), known, gather, now, now + way), "at step {step}");
+            assert!(!liveness.answer(revision(now), known, gather, now, now + way), "at step {step}");
         }
     }
 }
