--- a/crates/daemon/src/logs/mod.rs
+++ b/crates/daemon/src/logs/mod.rs
@@ -51,6 +51,17 @@
     set(Levels::new(settings));
 }
 
+/// Logs each panic of a thread, libraries' own threads among them, besides what is usually done with it.
+pub fn note_panics() {
+    let usual = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        let place = panic.location().map(ToString::to_string).unwrap_or_default();
+        let reason = panic.payload_as_str().unwrap_or("not told");
+        log::error!("life: thread panicked place={place} reason={reason:?}");
+        usual(panic);
+    }));
+}
+
 /// Puts levels into force, unless the environment names others.
 pub fn set(levels: Levels) {
     if std::env::var_os(VARIABLE).is_none() {
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -78,6 +78,7 @@
                 Err(error) => return fail(name, EXIT_USAGE, &error),
             };
             logs::start(&settings);
+            logs::note_panics();
             if let Err(error) = life::run(&path, settings, adapter) {
                 return fail(name, EXIT_FAILED, &error);
             }
--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 use std::path::Path;
+use std::sync::Mutex;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use daemon::adapter::Adapter;
 use daemon::logs::{Budget, Buffer, Levels, left_out};
 use daemon::{Context, life};
-use log::{Level, LevelFilter};
+use log::{Level, LevelFilter, Log, Metadata, Record};
 use rstest::rstest;
 
 #[test]
@@ -134,3 +135,34 @@
     assert!(missing > 0 && lines.iter().all(|line| line.starts_with("1.0 INFO instance=e list: read number=")));
     assert_eq!(missing + lines.len() as u64, 101, "{lines:?}");
 }
+
+/// Keeps the lines that tell of panics.
+struct Panics(Mutex<Vec<String>>);
+
+static PANICS: Panics = Panics(Mutex::new(Vec::new()));
+
+impl Log for Panics {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let line = record.args().to_string();
+        if line.contains("panicked") {
+            self.0.lock().expect("no thread panics with it").push(line);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+#[test]
+fn a_panic_of_any_thread_is_a_line_of_the_log() {
+    log::set_logger(&PANICS).expect("no other test of this file logs");
+    log::set_max_level(LevelFilter::Error);
+    daemon::logs::note_panics();
+    assert!(std::thread::spawn(|| panic!("a library's mistake")).join().is_err());
+    let lines = PANICS.0.lock().expect("no thread panics with it");
+    let told = lines.iter().any(|line| line.starts_with("life: thread panicked place=") && line.contains("library's"));
+    assert!(told, "{lines:?}");
+}
