--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -1,10 +1,14 @@
 //! A backend server as one daemon sees it: own observations first, late reports second.
 
+mod spec;
+
 use std::time::Duration;
 
 use base::rate::Bucket;
 use base::time::Time;
 
+pub use self::spec::{BackendId, Place, Report, Spec, Start};
+
 /// Late answers in a row after which a server is ejected.
 const LATE_IN_ROW: u32 = 2;
 /// The same where attempts are about objects, and no answer at all came meanwhile: such work is often late because
@@ -45,68 +49,6 @@
 /// Part of a new word on the work of other daemons in its average.
 const OTHERS_PART: f64 = 0.2;
 
-/// A backend server's number.
-pub type BackendId = u32;
-
-/// Where a backend server stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Place {
-    /// In our failure domain.
-    Domain,
-    /// In our region.
-    Region,
-    /// In another region, by position in the list of regions.
-    Remote(u16),
-}
-
-/// What the platform's list and the policy say of a backend server.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Spec {
-    /// Its number; unique and never reused for another incarnation.
-    pub id: BackendId,
-    /// Its service, by position in the list of services.
-    pub service: u16,
-    /// Where it stands.
-    pub place: Place,
-    /// Requests it runs at once.
-    pub slots: u32,
-    /// Whether it leaves or is drained.
-    pub leaving: bool,
-    /// Whether this daemon may run waiting work on it.
-    pub hosts: bool,
-    /// Its region, by position.
-    pub region: u16,
-    /// How it starts, if it must not get its full work at once.
-    pub start: Option<Start>,
-}
-
-/// A slow start.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Start {
-    /// Until when the server starts.
-    pub until: Time,
-    /// Requests a second that this daemon may send meanwhile if it is a starter, and to try the server whenever it
-    /// is not known whether it has started anew.
-    pub per_second: f64,
-    /// Whether this daemon sends work to the server while it starts.
-    pub starter: bool,
-    /// Where this daemon stands, from 0 to 1, in the order in which those that are no starters try the server.
-    pub phase: f64,
-}
-
-/// A load report.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Report {
-    /// Requests running or waiting at the server, from all daemons.
-    pub load: u32,
-    /// Whether the server says that it is about to stop.
-    pub draining: bool,
-    /// How long work takes there now, as a multiple of the usual, if it says so.
-    pub pace: Option<f64>,
-    /// When the report was true.
-    pub at: Time,
-}
-
 /// Requests a second and at once that this daemon may send the server while it starts.
 fn pressure(spec: &Spec) -> (f64, f64) {
     let per_second = spec.start.map_or(0.0, |start| start.per_second);
