Serve what of a policy can be served, whatever else stands in it

Now routes and services are read one by one. A route of an unknown kind is served as work that runs once; one whose servers or times cannot be read is closed, so that its requests get 503 and fall to no wider route's servers; one without a place of its own is passed over. Each is told once in the log, counted (hemlock_policy_passed_over, hemlock_servers_passed_over) and shown by /decisions and hemlockctl show. Ruled out: defaults for missing times or services (a guess would run work where it must not), and going back to the policy before.

--- a/crates/config/src/policy/class.rs
+++ b/crates/config/src/policy/class.rs
@@ -9,6 +9,7 @@
 /// A class of work.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
 #[serde(deny_unknown_fields)]
+#[expect(clippy::struct_excessive_bools, reason = "each is declared on its own")]
 pub struct Class {
     /// The service whose backend servers run the work; empty if `split` names several.
     #[serde(default, skip_serializing_if = "String::is_empty")]
@@ -43,6 +44,9 @@
     /// Regions that may run the work; empty for all.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub regions: Vec<String>,
+    /// Whether all requests are refused, because nothing is known of where they may run.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub closed: bool,
 }
 
 impl Class {
@@ -62,8 +66,9 @@
         matching.map(String::len).max()
     }
 
-    pub(super) fn check(&self, name: &str, key: &str) -> Result<()> {
-        if self.service.is_empty() == self.split.is_empty() {
+    /// Checks all values; `name` stands for the policy and `key` for the class in errors.
+    pub fn check(&self, name: &str, key: &str) -> Result<()> {
+        if !self.closed && self.service.is_empty() == self.split.is_empty() {
             return Err(Error::value(name, format!("{key}.service"), "must name a service, or `split` several"));
         }
         if !self.split.is_empty() && self.split.values().all(|weight| *weight == 0) {
--- a/crates/ctl/src/verbs/show.rs
+++ b/crates/ctl/src/verbs/show.rs
@@ -1,5 +1,7 @@
 //! `show`: the state of every daemon.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 use crate::cli::Command;
@@ -28,6 +30,9 @@
     grant_share: f64,
     open: usize,
     members: Vec<Member>,
+    /// What of the policy and of the entries of backend servers is not used, and why.
+    #[serde(default)]
+    passed_over: Vec<String>,
 }
 
 #[derive(Debug, Serialize)]
@@ -43,6 +48,7 @@
     oldest: u64,
     behind: Vec<String>,
     silent: Vec<String>,
+    passed_over: BTreeSet<String>,
     daemons: Vec<Line>,
 }
 
@@ -72,7 +78,9 @@
     };
     let behind = named(&|line| line.answer.as_ref().is_some_and(|answer| answer.revision < newest));
     let silent = named(&|line| line.silent.is_some());
-    Summary { newest, oldest, behind, silent, daemons }
+    let answers = daemons.iter().filter_map(|line| line.answer.as_ref());
+    let passed_over = answers.flat_map(|answer| answer.passed_over.clone()).collect();
+    Summary { newest, oldest, behind, silent, passed_over, daemons }
 }
 
 fn table(summary: &Summary) -> String {
@@ -83,7 +91,7 @@
     for line in &summary.daemons {
         text.push_str(&row(line));
     }
-    let Summary { newest, oldest, behind, silent, .. } = summary;
+    let Summary { newest, oldest, behind, silent, passed_over, .. } = summary;
     text.push_str(&format!("revision: newest {newest}, oldest {oldest}, behind {}\n", behind.len()));
     if !behind.is_empty() {
         text.push_str(&format!("behind: {}\n", behind.join(", ")));
@@ -91,6 +99,7 @@
     if !silent.is_empty() {
         text.push_str(&format!("no answer: {}\n", silent.join(", ")));
     }
+    passed_over.iter().for_each(|reason| text.push_str(&format!("not used: {reason}\n")));
     text
 }
 
--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -1,5 +1,6 @@
 //! What joins the daemon to the platform that it runs on.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use base::instance::Instance;
@@ -18,8 +19,16 @@
     pub starts: Duration,
 }
 
-/// The policy with its revision.
-pub type Revised = (u64, Policy);
+/// The policy as the platform's store tells of it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Revised {
+    /// Its revision.
+    pub revision: u64,
+    /// The policy.
+    pub policy: Policy,
+    /// What of it cannot be used or is not known, in short sentences; all else is in force.
+    pub passed_over: BTreeSet<String>,
+}
 
 /// Reads the policy and the backend servers from keys that the platform's own tools write.
 #[derive(Debug, Clone, Copy)]
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -73,6 +73,9 @@
         return (None, Err(Kind::UnknownRoute.into()));
     };
     let (name, idempotent) = (name.to_owned(), class.idempotent);
+    if class.closed {
+        return (Some(name), Err(Kind::NoBackend.into()));
+    }
     let outcome = dispatch(context, Choice { class: position, idempotent }, incoming, id, now).await;
     (Some(name), outcome)
 }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -43,6 +43,8 @@
     pub refused: BTreeSet<String>,
     /// Why the policy was refused last.
     pub policy_refused: Option<String>,
+    /// What of the policy cannot be used or is not known.
+    pub policy_passed_over: BTreeSet<String>,
 }
 
 /// The shared state of a daemon.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -44,6 +44,10 @@
     pub policy_revision: IntGauge,
     /// Copies of the policy that were refused.
     pub policy_refused: IntCounter,
+    /// Parts of the policy in force that cannot be used or are not known.
+    pub policy_passed_over: IntGauge,
+    /// Entries of backend servers that cannot be used.
+    pub servers_passed_over: IntGauge,
     /// Exchanges with peers, by result.
     pub exchanges: IntCounterVec,
     /// Members believed to live, ourselves among them.
@@ -92,6 +96,8 @@
             connects: counter(&registry, "hemlock_backend_connects_total", "Connections made to backend servers"),
             policy_revision: gauge(&registry, "hemlock_policy_revision", "Revision of the policy in force"),
             policy_refused: counter(&registry, "hemlock_policy_refused_total", "Copies of the policy refused"),
+            policy_passed_over: gauge(&registry, "hemlock_policy_passed_over", "Parts of the policy not used"),
+            servers_passed_over: gauge(&registry, "hemlock_servers_passed_over", "Entries of backend servers not used"),
             exchanges: counters(&registry, "hemlock_exchanges_total", "Exchanges with peers", &["result"]),
             members: gauge(&registry, "hemlock_members", "Members believed to live"),
             store_calls: counters(&registry, "hemlock_store_calls_total", "Calls to the store", &["purpose", "result"]),
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -163,6 +163,8 @@
     queued: usize,
     poisonous: usize,
     drains: Vec<config::policy::Drain>,
+    /// What of the policy and of the entries of backend servers is not used, and why.
+    passed_over: Vec<String>,
 }
 
 fn decisions(context: &Context) -> Decisions {
@@ -215,9 +217,15 @@
         queued: context.driver.look(dispatch::Engine::queued),
         poisonous: context.driver.look(|engine| engine.poisonous(now)),
         drains: in_force.policy.drains.clone(),
+        passed_over: passed_over(context),
     }
 }
 
+fn passed_over(context: &Context) -> Vec<String> {
+    let known = lock(&context.servers);
+    known.policy_refused.iter().chain(&known.policy_passed_over).chain(&known.refused).cloned().collect()
+}
+
 /// Seconds since `seen`, a time in microseconds of the clock.
 fn age_s(seen: &AtomicU64, now: Time) -> f64 {
     now.since(Time::from_micros(seen.load(Ordering::Relaxed))).as_secs_f64()
