Send nothing to servers that say they leave or want nothing for a while

A server's answers may say that it leaves (whatever the store says), and a 503 may say for how long the server wants nothing from this instance. Neither was read. Now dispatch keeps what servers say of themselves (dispatch::words) apart from the list, so that a list that lags, loses a server or calls it ready changes nothing until the server has started anew. What waits for such a server goes elsewhere; peers are told of leaving at once. Where all servers of the work want nothing longer than the request may wait, it is refused at once (new kind paused) with a return past the end, spread; after the end a server gets one request of each instance and one more for every two answers. An attempt looks again right before its first byte: what was decided before the word is called back and costs no try. Ruled out: ejecting such a server (it would be tried again), and waiting for a pause that outlasts the request.

--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -58,6 +58,8 @@
     Shed,
     /// No backend server could be reached.
     Unreachable,
+    /// Every backend server that could run the work wants nothing for a while.
+    Paused,
     /// The store cannot record the claim of a non-idempotent request.
     ClaimUnavailable,
     /// The request was seen to crash backend servers.
@@ -93,7 +95,7 @@
 
 impl Kind {
     /// All kinds, in the order of declaration.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::Malformed,
         Self::AmbiguousFraming,
         Self::LengthRequired,
@@ -111,6 +113,7 @@
         Self::LinkFull,
         Self::Shed,
         Self::Unreachable,
+        Self::Paused,
         Self::ClaimUnavailable,
         Self::Poisoned,
         Self::BackendLost,
@@ -143,6 +146,7 @@
             Self::LinkFull => (503, NotRun, Some(2), false),
             Self::Shed => (503, NotRun, Some(1), false),
             Self::Unreachable => (503, NotRun, Some(2), false),
+            Self::Paused => (503, NotRun, Some(2), false),
             Self::ClaimUnavailable => (503, NotRun, Some(5), false),
             Self::Poisoned => (503, NotRun, Some(60), false),
             Self::BackendLost => (502, Unknown, Some(1), false),
@@ -176,6 +180,7 @@
             Self::LinkFull => "link-full",
             Self::Shed => "shed",
             Self::Unreachable => "unreachable",
+            Self::Paused => "paused",
             Self::ClaimUnavailable => "claim-unavailable",
             Self::Poisoned => "poisoned",
             Self::BackendLost => "backend-lost",
@@ -204,7 +209,7 @@
             Self::NoPolicy => "send again after the given time, or ask the look-up for another entry instance",
             Self::Leaving => "ask the look-up for another entry instance and send again",
             Self::QueueFull | Self::Shed | Self::WontFinish | Self::Expired => "send again after the given time",
-            Self::NoBackend | Self::LinkFull | Self::Unreachable => "send again after the given time",
+            Self::NoBackend | Self::LinkFull | Self::Unreachable | Self::Paused => "send again after the given time",
             Self::ClaimUnavailable => "send again with the same Idempotency-Key after the given time",
             Self::Poisoned => "do not send this request again; it stops the servers that run it",
             Self::BackendLost | Self::BackendTimeout | Self::AnswerCut | Self::AnswerTooLarge => {
--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -15,7 +15,7 @@
 use http::{Method, StatusCode};
 
 use crate::Context;
-use crate::backends::load;
+use crate::backends::{leaving, load};
 use crate::driver::Outgoing;
 use crate::notes;
 use crate::orders;
@@ -94,6 +94,10 @@
     let Ok(connection) = connection(context, outgoing, sending, target.address).await else {
         return (Ending::Unreachable, None);
     };
+    let now = context.now();
+    if !context.driver.look(|engine| engine.may_send(sending.backend, now)) {
+        return (Ending::Recalled, None);
+    }
     let exchange = exchange(context, outgoing, sending, &target, connection);
     let limit = sending.deadline.since(context.now());
     match tokio::time::timeout(limit, exchange).await {
@@ -178,13 +182,14 @@
 }
 
 /// What an answer means, and the answer if it is for the caller.
-fn judge(context: &Context, sending: Sending, answer: Answer) -> (Ending, Option<Arc<Whole>>) {
+fn judge(context: &Arc<Context>, sending: Sending, answer: Answer) -> (Ending, Option<Arc<Whole>>) {
     let dialect = &context.dialect;
     load::note(context, sending.backend, &answer.headers);
     if answer.status == StatusCode::MISDIRECTED_REQUEST {
         context.pool.renew(sending.backend);
         return (Ending::Unreachable, None);
     }
+    leaving::hear(context, sending.backend, answer.status, &answer.headers);
     if dialect.says_not_run(&answer.headers) {
         return (Ending::Shed, None);
     }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -76,7 +76,7 @@
     pub in_force: RwLock<Arc<InForce>>,
     /// Membership and loads.
     pub roster: Mutex<Roster>,
-    /// Bounds how often losses are told at once.
+    /// Bounds how often peers are told at once of losses and of leaving servers.
     pub telling: Mutex<Bucket>,
     /// Shares of links and other regions.
     pub keeper: Mutex<Keeper>,
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -32,6 +32,8 @@
     pub signature: Option<HeaderName>,
     /// A server's load: running, waiting, slots and its pace in hundredths, separated by commas.
     pub load: Option<HeaderName>,
+    /// Set by a server that leaves, in all its answers.
+    pub leaving: Option<HeaderName>,
     /// Set by a server that ran nothing of the request.
     pub not_run: HeaderName,
     /// The value of `not_run` that says so; `None` if its presence does.
@@ -63,6 +65,7 @@
             server: None,
             signature: None,
             load: None,
+            leaving: None,
             not_run: HeaderName::from_static("x-outcome"),
             not_run_value: Some("not-run"),
             outcome: Some(HeaderName::from_static("x-outcome")),
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -187,7 +187,7 @@
         }
         if !losses.is_empty() {
             crate::peers::spread_losses(context, &losses);
-            crate::peers::tell_losses(context);
+            crate::peers::tell_urgent(context);
         }
         self.changed.notify_one();
         result
@@ -235,7 +235,11 @@
     fn note(&self, context: &Context, note: &Note) {
         let request = match note {
             Note::Held { request, .. } | Note::Refused { request, .. } => Some(*request),
-            Note::Ejected { .. } | Note::Trusted { .. } | Note::Poisonous { .. } => None,
+            Note::Ejected { .. }
+            | Note::Trusted { .. }
+            | Note::Leaving { .. }
+            | Note::Paused { .. }
+            | Note::Poisonous { .. } => None,
         };
         let pending = lock(&self.pending);
         let outgoing = request.and_then(|request| pending.get(&request)).map(|pending| Arc::clone(&pending.outgoing));
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -28,6 +28,10 @@
     pub attempt_time: HistogramVec,
     /// Backend servers taken out of use for a while.
     pub ejections: IntCounter,
+    /// Backend servers that said that they leave before the list did.
+    pub leavings: IntCounter,
+    /// Answers of backend servers that want nothing for a while.
+    pub pauses: IntCounter,
     /// Bytes of bodies to and from backend servers of other regions, by direction.
     pub remote_bytes: IntCounterVec,
     /// Requests that wait.
@@ -83,6 +87,12 @@
             attempts: counters(&registry, "hemlock_attempts_total", "Attempts ended", &["ending"]),
             attempt_time: histograms(&registry, "hemlock_attempt_seconds", "Time of an attempt", &["ending"]),
             ejections: counter(&registry, "hemlock_ejections_total", "Backend servers taken out of use"),
+            leavings: counter(&registry, "hemlock_servers_leaving_total", "Servers that said that they leave"),
+            pauses: counter(
+                &registry,
+                "hemlock_servers_paused_total",
+                "Answers of servers that want nothing for a while",
+            ),
             remote_bytes: counters(
                 &registry,
                 "hemlock_remote_bytes_total",
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -77,6 +77,14 @@
             );
         }
         Note::Trusted { backend } => log::info!(server = name(backend); "dispatch: server trusted again"),
+        Note::Leaving { backend } => {
+            context.metrics.leavings.inc();
+            log::info!(server = name(backend); "dispatch: server says it leaves");
+        }
+        Note::Paused { backend, until } => {
+            context.metrics.pauses.inc();
+            log::info!(server = name(backend), for_ms:% = until.since(now).as_millis(); "dispatch: server wants nothing");
+        }
         Note::Poisonous { fingerprint } => {
             log::warn!(fingerprint:% = format_args!("{fingerprint:016x}"); "dispatch: requests poisonous");
         }
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -9,6 +9,7 @@
 use super::api::PeersClient as _;
 use super::client;
 use crate::Context;
+use crate::backends::leaving;
 use crate::context::lock;
 use crate::plugin::Plugin;
 use crate::policies;
@@ -64,9 +65,10 @@
         let news = context.driver.with(context, |engine| engine.merge_losses(&message.losses, now));
         // A single loss is mostly a connection's own end; told at once by all to all, each one costs more than its request.
         if super::spread_losses(context, &news) {
-            super::tell_losses(context);
+            super::tell_urgent(context);
         }
     }
+    super::spread_leaving(context, &message.leaving);
     if lock(&context.holder).wants(message.revision) {
         let address = message.from.peers.clone();
         let context = Arc::clone(context);
@@ -126,6 +128,9 @@
             Ok(snapshot) => {
                 let now = context.now();
                 lock(&context.roster).adopt(&snapshot, now);
+                for server in &snapshot.leaving {
+                    leaving::note(context, *server);
+                }
                 if let Some(copy) = snapshot.policy {
                     policies::offer(context, copy, seed);
                 }
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -9,17 +9,19 @@
 
 use base::rate::Bucket;
 use base::time::Time;
+use dispatch::backend::BackendId;
 use fleet::message::Message;
 
 use crate::Context;
+use crate::backends::leaving;
 use crate::context::lock;
 
-/// Times a second at which a daemon tells of losses at once, and as many times together: a request that crashes servers
-/// loses a few connections, a network hundreds.
+/// Times a second at which a daemon tells of losses and of leaving servers at once, and as many times together: a request
+/// that crashes servers loses a few connections, a network hundreds.
 const TELLS_PER_SECOND: f64 = 1.0;
 const TELLS_TOGETHER: f64 = 3.0;
 
-/// Bounds how often losses are told at once.
+/// Bounds how often peers are told at once.
 pub const fn telling(now: Time) -> Bucket {
     Bucket::new(TELLS_PER_SECOND, TELLS_TOGETHER, now)
 }
@@ -37,27 +39,40 @@
     let poison: Vec<(u64, u64)> =
         context.driver.look(|engine| fingerprints.flat_map(|fingerprint| engine.poison(fingerprint, now)).collect());
     let mut roster = lock(&context.roster);
-    losses.iter().for_each(|loss| roster.spread_loss(*loss, now));
-    poison.iter().for_each(|loss| roster.spread_lasting(*loss, now));
+    losses.iter().for_each(|loss| roster.losses_mut().spread(*loss, now));
+    poison.iter().for_each(|loss| roster.losses_mut().spread_lasting(*loss, now));
     !poison.is_empty()
 }
 
-/// Tells peers at once of the losses to be spread, so that a re-send elsewhere is refused; when there are many they
-/// wait for the usual messages.
-pub fn tell_losses(context: &Arc<Context>) {
+/// Tells peers at once of losses and of servers that leave, so that they send nothing there either; when there are many
+/// they wait for the usual messages.
+pub fn tell_urgent(context: &Arc<Context>) {
     let now = context.now();
     if !lock(&context.telling).take(1.0, now) {
         return;
     }
     let mut roster = lock(&context.roster);
     let chosen = roster.some(context.settings.fleet.fanout as usize);
-    let messages: Vec<Message> = chosen.iter().map(|_| roster.loss_message(0, now)).collect();
+    let messages: Vec<Message> = chosen.iter().map(|_| roster.urgent(0, now)).collect();
     drop(roster);
     for ((name, address), message) in chosen.into_iter().zip(messages) {
         send(context, name, address, message);
     }
 }
 
+/// Backend servers said that they leave, to us or to a peer: passes on what is news.
+pub fn spread_leaving(context: &Arc<Context>, servers: &[BackendId]) {
+    let now = context.now();
+    let news: Vec<BackendId> = servers.iter().copied().filter(|server| leaving::note(context, *server)).collect();
+    if news.is_empty() {
+        return;
+    }
+    let mut roster = lock(&context.roster);
+    news.iter().for_each(|server| roster.leaving_mut().spread(*server, now));
+    drop(roster);
+    tell_urgent(context);
+}
+
 /// Tells as many peers as it takes for most to hear at once that we leave.
 pub fn tell_leaving(context: &Arc<Context>) {
     tell(context, 2 * context.settings.fleet.fanout as usize);
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -43,7 +43,9 @@
     async fn snapshot(&self) -> Result<Snapshot, ErrorObjectOwned> {
         let records = lock(&self.context.roster).records();
         let policy = lock(&self.context.holder).copy().cloned();
-        Ok(Snapshot { records, policy })
+        let now = self.context.now();
+        let leaving = self.context.driver.look(|engine| engine.leaving(now).collect());
+        Ok(Snapshot { records, policy, leaving })
     }
 
     async fn word(&self, incarnation: u64, key: String) -> Result<Word, ErrorObjectOwned> {
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -7,6 +7,8 @@
 use base::rate::Bucket;
 use base::time::Time;
 
+use crate::words::Word;
+
 pub use self::spec::{BackendId, Place, Report, Spec, Start};
 
 /// Late answers in a row after which a server is ejected.
@@ -80,6 +82,12 @@
     closed_until: Time,
     /// Whether the server must prove itself with one request.
     trial: bool,
+    /// What the server said of itself.
+    word: Word,
+    /// Whether it said that it leaves.
+    left: bool,
+    /// Whether it takes work again after a pause, little by little.
+    resuming: bool,
     answered: u32,
     /// Paces the requests to a server that starts.
     gate: Bucket,
@@ -117,6 +125,9 @@
             ejections: 0,
             closed_until: Time::ZERO,
             trial: false,
+            word: Word::default(),
+            left: false,
+            resuming: false,
             answered: 0,
         }
     }
@@ -209,16 +220,52 @@
         self.own_noted = now;
     }
 
+    /// Takes in what the server says of itself.
+    pub fn hear(&mut self, word: Word, now: Time) {
+        if word.paused() > self.word.paused() && word.paused() > now {
+            self.resuming = true;
+            self.answered = 0;
+        }
+        self.left = word.leaves(now);
+        self.word = word;
+    }
+
     /// Whether it takes no new work for good.
     pub fn leaving(&self) -> bool {
-        self.spec.leaving || self.report.is_some_and(|report| report.draining)
+        self.spec.leaving || self.left || self.report.is_some_and(|report| report.draining)
     }
 
-    /// Whether it takes no work at `now` because of what we saw.
+    /// Whether it takes no work at `now` because of what we saw or it said.
     pub fn closed(&self, now: Time) -> bool {
+        self.ejected(now) || self.paused(now)
+    }
+
+    /// Whether it is ejected or shed work a moment before `now`.
+    pub fn ejected(&self, now: Time) -> bool {
         now < self.closed_until
     }
 
+    /// Whether it said that it wants nothing at `now`.
+    pub fn paused(&self, now: Time) -> bool {
+        now < self.word.paused()
+    }
+
+    /// Until when it wants nothing; in the past if it takes work.
+    pub const fn paused_until(&self) -> Time {
+        self.word.paused()
+    }
+
+    /// When it takes work again, as far as known.
+    pub fn back(&self) -> Time {
+        self.closed_until.max(self.word.paused())
+    }
+
+    /// Whether it has as much of ours as it may have so soon after a pause: many that send to it again at once would
+    /// fill it at once.
+    pub fn eased(&self) -> bool {
+        self.resuming && self.in_flight >= self.limit()
+    }
+
     /// Until when it takes no work because of what we saw.
     pub const fn closed_until(&self) -> Time {
         self.closed_until
@@ -274,6 +321,7 @@
     /// `keyed` if it was about an object.
     pub fn answered(&mut self, ratio: f64, late: bool, keyed: bool, now: Time) {
         self.answered = self.answered.saturating_add(1);
+        self.resuming &= self.limit() < self.spec.slots;
         self.lost_in_row = 0;
         if keyed {
             self.late_in_row = 0;
@@ -331,7 +379,7 @@
     }
 
     fn eject(&mut self, now: Time) {
-        if self.closed(now) && self.trial {
+        if self.ejected(now) && self.trial {
             return;
         }
         let time = EJECTION.saturating_mul(1 << self.ejections.min(5)).min(LONGEST_EJECTION);
--- a/crates/dispatch/src/engine/answer.rs
+++ b/crates/dispatch/src/engine/answer.rs
@@ -1,5 +1,7 @@
 //! The end of a request: its one answer, true of all its attempts.
 
+use std::time::Duration;
+
 use base::error::{Kind, Outcome};
 use base::time::Time;
 
@@ -11,9 +13,8 @@
         self.actions.push(Action::Answer { request, verdict, after: None });
     }
 
-    /// Answers with an error; `room` says that the server that shed it had a slot free.
-    pub(super) fn reject(&mut self, request: u64, kind: Kind, room: bool) {
-        let after = self.return_after(kind, room);
+    /// Answers with an error; its caller should come back `after`, if not after the usual time.
+    pub(super) fn reject(&mut self, request: u64, kind: Kind, after: Option<Duration>) {
         self.actions.push(Action::Answer { request, verdict: Verdict::Refuse(kind), after });
     }
 
@@ -39,7 +40,9 @@
         let (tries, waited, waiting) = (state.tries, now.since(state.arrived), self.queued());
         let chances = self.chances(&state, now);
         self.notes.push(Note::Refused { request, kind, tries, waited, waiting, chances });
-        self.reject(request, kind, state.shed_with_room);
+        let pause_end = (kind == Kind::Paused).then(|| self.pause_end(&state)).flatten();
+        let after = self.return_after(kind, state.shed_with_room, pause_end, now);
+        self.reject(request, kind, after);
     }
 
     pub(super) fn cancel_all(&mut self, attempts: &[u64]) {
--- a/crates/dispatch/src/engine/ending.rs
+++ b/crates/dispatch/src/engine/ending.rs
@@ -6,7 +6,7 @@
 use base::time::Time;
 
 use super::{Attempt, Ending, Engine, Verdict};
-use crate::backend::Backend;
+use crate::backend::{Backend, BackendId};
 
 /// What an ended attempt is measured by.
 #[derive(Clone, Copy)]
@@ -64,7 +64,7 @@
             Ending::Unreachable => backend.failed(now),
             Ending::Lost | Ending::Cut => backend.lost(now),
             Ending::Timeout if !ended.late => backend.note_late_ended(may_eject, ended.warm.is_some(), now),
-            Ending::Timeout | Ending::TooLarge | Ending::Withheld(_) | Ending::Cancelled => {}
+            Ending::Timeout | Ending::TooLarge | Ending::Withheld(_) | Ending::Recalled | Ending::Cancelled => {}
         }
     }
 
@@ -92,6 +92,7 @@
                 self.answer(request, Verdict::Relay(attempt));
             }
             Ending::Withheld(kind) => self.refuse(request, kind, now),
+            Ending::Recalled => self.elsewhere(request, ended.backend, now),
             Ending::Shed => self.again(request, Kind::Shed, now),
             Ending::Unreachable => self.again(request, Kind::Unreachable, now),
             Ending::Lost => self.again(request, Kind::BackendLost, now),
@@ -130,6 +131,22 @@
         self.enqueue(request, true);
     }
 
+    /// Sends a request somewhere else after an attempt of which no byte was sent.
+    fn elsewhere(&mut self, request: u64, from: BackendId, now: Time) {
+        let Some(state) = self.requests.get_mut(&request) else {
+            return;
+        };
+        state.tries -= 1;
+        state.barred.retain(|barred| *barred != from);
+        if !state.live.is_empty() {
+            return;
+        }
+        if state.object.is_some() {
+            return self.place(request, now);
+        }
+        self.enqueue(request, true);
+    }
+
     fn note_loss(&mut self, ended: &Attempt, attempt: u64, now: Time) {
         let Some(state) = self.requests.get(&ended.request) else {
             return;
--- a/crates/dispatch/src/engine/event.rs
+++ b/crates/dispatch/src/engine/event.rs
@@ -26,6 +26,8 @@
     TooLarge,
     /// The attempt was given up before any byte was sent, for this reason.
     Withheld(Kind),
+    /// No byte was sent, since the server was not to get it any more.
+    Recalled,
     /// The attempt was cancelled by us.
     Cancelled,
 }
@@ -42,6 +44,7 @@
             Self::Cut => "cut",
             Self::TooLarge => "too-large",
             Self::Withheld(_) => "withheld",
+            Self::Recalled => "recalled",
             Self::Cancelled => "cancelled",
         }
     }
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -159,7 +159,7 @@
 
     /// Whether a server can be sent a request now that would be answered after `finish`: in time, or on a free slot.
     fn takes(&self, server: &Backend, state: &Request, finish: Duration, lives: bool, now: Time) -> bool {
-        if !server.admits(now) || !self.channel_open(server.spec.place, state, now) {
+        if !server.admits(now) || server.eased() || !self.channel_open(server.spec.place, state, now) {
             return false;
         }
         if server.suspect() {
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -26,6 +26,7 @@
 use crate::class::{self, Class};
 use crate::poison::Poison;
 use crate::warmth::Warmth;
+use crate::words::Words;
 
 /// Time after which waiting requests are looked at again.
 const LOOK_AGAIN: Duration = Duration::from_millis(2);
@@ -57,6 +58,9 @@
     /// Hedges and retries together, by service.
     repeats: BTreeMap<u16, Budget>,
     warmth: Warmth,
+    words: Words,
+    /// When the last pause ends that a server asked for.
+    pauses_end: Time,
     /// Parts of the objects that live near, by service.
     near_parts: Vec<f64>,
     /// When the loads of servers that told none were last guessed, by service.
@@ -94,6 +98,8 @@
             retries: Budget::new(limits.extra.retry_part, limits.extra.retries_saved),
             repeats: BTreeMap::new(),
             warmth: Warmth::new(),
+            words: Words::new(),
+            pauses_end: Time::ZERO,
             near_parts: Vec::new(),
             guessed: BTreeMap::new(),
             poison: Poison::new(limits.poison),
@@ -157,7 +163,8 @@
             let note =
                 Note::Refused { request, kind, tries: 0, waited: Duration::ZERO, waiting, chances: [None, None] };
             self.notes.push(note);
-            return self.reject(request, kind, false);
+            let after = self.return_after(kind, false, None, now);
+            return self.reject(request, kind, after);
         }
         let spec = &self.classes[class].spec;
         let object = object.filter(|_| spec.affinity).map(|object| base::hash::pair(object, spec.key));
--- a/crates/dispatch/src/engine/note.rs
+++ b/crates/dispatch/src/engine/note.rs
@@ -62,6 +62,18 @@
         /// The server.
         backend: BackendId,
     },
+    /// A server said that it leaves.
+    Leaving {
+        /// The server.
+        backend: BackendId,
+    },
+    /// A server wants nothing for a while.
+    Paused {
+        /// The server.
+        backend: BackendId,
+        /// Until when.
+        until: Time,
+    },
     /// Requests with this fingerprint are refused: servers went away while they ran them.
     Poisonous {
         /// The fingerprint.
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -170,7 +170,8 @@
         let serves = |server: &&Backend| {
             !server.leaving() && !state.barred.contains(&server.spec.id) && spec.allows(server.spec.region)
         };
-        let reached = |server: &&Backend| !server.closed(state.deadline);
+        let reached = |server: &&Backend| !server.ejected(state.deadline);
+        let wanted = |server: &&Backend| !server.paused(self.latest(state));
         let granted = |server: &&Backend| self.granted(server.spec.place);
         if !ids().any(|server| serves(&server)) {
             return Some(Kind::NoBackend);
@@ -178,12 +179,21 @@
         if !ids().any(|server| serves(&server) && reached(&server)) {
             return Some(Kind::Unreachable);
         }
-        if !ids().any(|server| serves(&server) && reached(&server) && granted(&server)) {
+        if !ids().any(|server| serves(&server) && reached(&server) && wanted(&server)) {
+            return Some(Kind::Paused);
+        }
+        if !ids().any(|server| serves(&server) && reached(&server) && wanted(&server) && granted(&server)) {
             return Some(Kind::LinkFull);
         }
         None
     }
 
+    /// Until when a request waits for a server.
+    pub(super) fn latest(&self, state: &Request) -> Time {
+        let target = state.arrived + self.classes[state.class].spec.target;
+        if state.object.is_some() { target.min(state.deadline) } else { state.deadline }
+    }
+
     /// Whether we may use the region of a server at all.
     fn granted(&self, place: Place) -> bool {
         let Place::Remote(region) = place else { return true };
--- a/crates/dispatch/src/engine/waiting.rs
+++ b/crates/dispatch/src/engine/waiting.rs
@@ -10,8 +10,8 @@
 use base::error::Kind;
 use base::time::Time;
 
-use super::Engine;
-use crate::backend::BackendId;
+use super::{Engine, Request};
+use crate::backend::{Backend, BackendId};
 
 /// Requests of one service that wait at most.
 const HELD: usize = 256;
@@ -19,6 +19,8 @@
 const RETURN: Duration = Duration::from_millis(300);
 /// Time over which the callers that were refused together should come back.
 const SPREAD: Duration = Duration::from_millis(500);
+/// Part of the time to the end of a pause, beyond it, over which callers that were refused for it should come back.
+const SPREAD_PAST_PAUSE: f64 = 0.5;
 /// The same for a caller whose request was refused by a server that had room: waiting makes no room there.
 const RETURN_TO_ROOM: Duration = Duration::from_millis(10);
 const SPREAD_TO_ROOM: Duration = Duration::from_millis(30);
@@ -81,6 +83,10 @@
             self.refuse(request, Kind::WontFinish, now);
             return false;
         }
+        if now < self.pauses_end && self.impossible(request) == Some(Kind::Paused) {
+            self.refuse(request, Kind::Paused, now);
+            return false;
+        }
         true
     }
 
@@ -98,9 +104,29 @@
         now.since(state.arrived) >= class.spec.target || now + class.work.warm() > state.deadline
     }
 
-    /// When a caller that is refused for `kind` should come back, if the kind's usual time is too coarse.
-    pub(super) fn return_after(&mut self, kind: Kind, room: bool) -> Option<Duration> {
+    /// The first end of a pause among the servers that might run the work of `state`.
+    pub(super) fn pause_end(&self, state: &Request) -> Option<Time> {
+        let spec = &self.classes[state.class].spec;
+        let servers = self.tiers.get(usize::from(state.service)).into_iter().flatten().flatten();
+        let serving = servers.filter_map(|id| self.backends.get(id)).filter(|server| !server.leaving());
+        serving.filter(|server| spec.allows(server.spec.region)).map(Backend::back).min()
+    }
+
+    /// When a caller that is refused for `kind` should come back, if the kind's usual time is too coarse; `pause_end` is
+    /// when servers take its work again.
+    pub(super) fn return_after(
+        &mut self,
+        kind: Kind,
+        room: bool,
+        pause_end: Option<Time>,
+        now: Time,
+    ) -> Option<Duration> {
         match kind {
+            Kind::Paused => {
+                let left = pause_end.unwrap_or(now).since(now);
+                let spread = SPREAD + left.mul_f64(SPREAD_PAST_PAUSE);
+                Some(left + spread.mul_f64(self.rng.f64()))
+            }
             Kind::Shed if room => Some(RETURN_TO_ROOM + SPREAD_TO_ROOM.mul_f64(self.rng.f64())),
             Kind::QueueFull | Kind::WontFinish | Kind::Shed | Kind::Expired => {
                 Some(RETURN + SPREAD.mul_f64(self.rng.f64()))
--- a/crates/dispatch/src/engine/world.rs
+++ b/crates/dispatch/src/engine/world.rs
@@ -1,12 +1,13 @@
 //! What the engine is told of the world: classes, servers, links, loads, losses.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use base::rate;
 use base::time::Time;
 
 use super::state::Channel;
-use super::{Engine, Extra, Remote, pick};
+use super::{Engine, Extra, Note, Remote, pick};
 use crate::backend::{Backend, BackendId, Place, Report, Spec};
 use crate::class::{self, Class};
 
@@ -28,13 +29,14 @@
         let mut kept = BTreeMap::new();
         for spec in specs {
             let known = self.backends.remove(&spec.id);
-            let backend = match known {
+            let mut backend = match known {
                 Some(mut backend) => {
                     backend.declare(spec, now);
                     backend
                 }
                 None => Backend::new(spec, now),
             };
+            backend.hear(self.words.get(backend.spec.id), now);
             kept.insert(backend.spec.id, backend);
         }
         for (id, mut gone) in std::mem::take(&mut self.backends) {
@@ -89,6 +91,45 @@
         self.pump(now);
     }
 
+    /// A backend server said that it leaves, to us or to a peer; says whether that is news. What waits for it goes
+    /// elsewhere.
+    pub fn note_leaving(&mut self, backend: BackendId, until: Time, now: Time) -> bool {
+        if !self.words.leave(backend, until, now) {
+            return false;
+        }
+        let Some(server) = self.backends.get_mut(&backend) else {
+            return true;
+        };
+        let news = !server.leaving();
+        server.hear(self.words.get(backend), now);
+        if news {
+            self.notes.push(Note::Leaving { backend });
+            self.index();
+            self.pump(now);
+        }
+        news
+    }
+
+    /// A backend server that turned a request away wants nothing from us for `pause`.
+    pub fn note_pause(&mut self, backend: BackendId, pause: Duration, now: Time) {
+        self.words.pause(backend, pause, now);
+        if let Some(server) = self.backends.get_mut(&backend) {
+            server.hear(self.words.get(backend), now);
+            self.pauses_end = self.pauses_end.max(server.paused_until());
+            self.notes.push(Note::Paused { backend, until: server.paused_until() });
+        }
+    }
+
+    /// The backend servers that said that they leave.
+    pub fn leaving(&self, now: Time) -> impl Iterator<Item = BackendId> {
+        self.words.leaving(now)
+    }
+
+    /// Whether a request may still be sent to `backend`: what was decided a moment ago may not hold any more.
+    pub fn may_send(&self, backend: BackendId, now: Time) -> bool {
+        self.backends.get(&backend).is_some_and(|server| !server.leaving() && !server.paused(now))
+    }
+
     /// Takes in losses that peers saw; gives those that were news, to be passed on.
     pub fn merge_losses(&mut self, losses: &[(u64, u64)], now: Time) -> Vec<(u64, u64)> {
         losses.iter().filter(|(fingerprint, loss)| self.note_poison(*fingerprint, *loss, now)).copied().collect()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod split;
 pub mod subset;
 pub mod warmth;
+pub mod words;
 pub mod work;
 
 pub use engine::{Action, Ending, Engine, Verdict};
--- a/crates/dispatch/tests/common/cluster.rs
+++ b/crates/dispatch/tests/common/cluster.rs
@@ -16,6 +16,8 @@
 const WORK: Duration = Duration::from_millis(400);
 /// One way to another region.
 const FAR: Duration = Duration::from_millis(12);
+/// Time in which what was on its way to a server still reaches it.
+const GRACE: Duration = Duration::from_millis(100);
 /// Requests that wait at a server before it refuses more.
 const QUEUE: usize = 9;
 
@@ -40,6 +42,7 @@
     Reach { server: BackendId, engine: usize, attempt: u64, object: u64 },
     Done { server: BackendId, attempt: u64 },
     Answer { server: BackendId, engine: usize, attempt: u64, shed: bool, load: u32 },
+    Pause { server: BackendId, engine: usize, attempt: u64, pause: Duration },
     Lost { engine: usize, attempt: u64 },
 }
 
@@ -66,6 +69,18 @@
     next: u64,
     /// The part of its answers that every other server loses: the connection ends when the work is done.
     pub losing: f64,
+    /// Servers that want nothing until then, and say so to each request.
+    pub paused: BTreeMap<BackendId, Time>,
+    /// When each engine was told so.
+    told: BTreeMap<(usize, BackendId), Time>,
+    /// Requests that reached a server although it had told the engine long before that it wants nothing.
+    pub unwanted: u32,
+    /// The longest time that a refused caller waited for its refusal.
+    pub refused_after: Duration,
+    /// When refused callers are to come back.
+    pub returns: Vec<Time>,
+    /// Requests at one server at most, by second.
+    pub fullest: BTreeMap<u64, usize>,
     rng: fastrand::Rng,
 }
 
@@ -87,6 +102,12 @@
             rounds: [Vec::new(), Vec::new(), Vec::new()],
             next: 0,
             losing: 0.0,
+            paused: BTreeMap::new(),
+            told: BTreeMap::new(),
+            unwanted: 0,
+            refused_after: Duration::ZERO,
+            returns: Vec::new(),
+            fullest: BTreeMap::new(),
             rng: fastrand::Rng::with_seed(seed),
         };
         let mut id = 0;
@@ -132,6 +153,11 @@
         engine
     }
 
+    /// All servers, by number.
+    pub fn servers(&self) -> Vec<BackendId> {
+        self.servers.keys().copied().collect()
+    }
+
     /// All engines start anew and know nothing; the servers go on.
     pub fn restart(&mut self) {
         for index in 0..self.engines.len() {
@@ -214,6 +240,12 @@
             Event::Reach { server, engine, attempt, object } => self.reach(server, engine, attempt, object),
             Event::Done { server, attempt } => self.done(server, attempt),
             Event::Lost { engine, attempt } => self.lose(engine, attempt),
+            Event::Pause { server, engine, attempt, pause } => {
+                self.told.insert((engine, server), self.now);
+                self.engines[engine].0.note_pause(server, pause, self.now);
+                self.engines[engine].0.finish(attempt, Ending::Shed, self.now);
+                self.settle(engine);
+            }
             Event::Answer { server, engine, attempt, shed, load } => {
                 let report = Report { load, draining: false, pace: Some(1.0), at: self.now };
                 let engine_state = &mut self.engines[engine].0;
@@ -230,7 +262,15 @@
     }
 
     fn reach(&mut self, id: BackendId, engine: usize, attempt: u64, object: u64) {
+        if let Some(until) = self.paused.get(&id).copied().filter(|until| self.now < *until) {
+            let told = self.told.get(&(engine, id));
+            self.unwanted += u32::from(told.is_some_and(|told| self.now.since(*told) > GRACE));
+            let (at, pause) = (self.now + self.way(engine, id), until.since(self.now));
+            return self.plan(at, Event::Pause { server: id, engine, attempt, pause });
+        }
         let server = &self.servers[&id];
+        let fullest = self.fullest.entry(self.now.as_millis() / 1_000).or_default();
+        *fullest = (*fullest).max(server.running.len() + server.waiting.len());
         if server.running.len() >= 3 && server.waiting.len() >= QUEUE {
             let load = (server.running.len() + server.waiting.len()) as u32;
             let at = self.now + self.way(engine, id);
@@ -287,7 +327,7 @@
                     self.plan(at, Event::Reach { server: backend, engine, attempt, object });
                 }
                 Action::Cancel { attempt, backend } => self.cancel(engine, attempt, backend),
-                Action::Answer { request, verdict, .. } => self.answer(request, verdict),
+                Action::Answer { request, verdict, after } => self.answer(request, verdict, after),
             }
         }
     }
@@ -306,7 +346,7 @@
         self.engines[engine].0.finish(attempt, Ending::Cancelled, self.now);
     }
 
-    fn answer(&mut self, request: u64, verdict: Verdict) {
+    fn answer(&mut self, request: u64, verdict: Verdict, after: Option<Duration>) {
         let Some(known) = self.requests.remove(&request) else { return };
         let region = self.engines[known.engine].1;
         let good = self.now.since(known.arrived) <= self.target;
@@ -316,7 +356,11 @@
                 outcome.answered += 1;
                 outcome.good += u32::from(good);
             }
-            Verdict::Refuse(_) => outcome.refused += 1,
+            Verdict::Refuse(_) => {
+                outcome.refused += 1;
+                self.refused_after = self.refused_after.max(self.now.since(known.arrived));
+                self.returns.extend(after.map(|after| self.now + after));
+            }
         }
     }
 
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -103,7 +103,7 @@
 
     pub fn end(&mut self, attempt: u64, ending: Ending) {
         let Some(live) = self.live.remove(&attempt) else { return };
-        let ran = !matches!(ending, Ending::Shed | Ending::Unreachable | Ending::Withheld(_));
+        let ran = !matches!(ending, Ending::Shed | Ending::Unreachable | Ending::Withheld(_) | Ending::Recalled);
         if let Some(trace) = self.traces.get_mut(&live.request) {
             trace.may_have_run += u32::from(ran);
         }
--- a/crates/dispatch/tests/properties.rs
+++ b/crates/dispatch/tests/properties.rs
@@ -18,6 +18,8 @@
     Pass(u16),
     Report(u32, u32),
     Leave(u32, bool),
+    SaysLeaving(u32),
+    WantsNothing(u32, u16),
 }
 
 fn ending() -> impl Strategy<Value = Ending> {
@@ -29,6 +31,7 @@
         1 => Just(Ending::Timeout),
         1 => Just(Ending::Cut),
         1 => Just(Ending::TooLarge),
+        1 => Just(Ending::Recalled),
     ]
 }
 
@@ -40,6 +43,8 @@
         6 => (0_u16..400).prop_map(Event::Pass),
         2 => (1_u32..7, 0_u32..6).prop_map(|(id, load)| Event::Report(id, load)),
         1 => (1_u32..5, any::<bool>()).prop_map(|(id, leaving)| Event::Leave(id, leaving)),
+        1 => (1_u32..4).prop_map(Event::SaysLeaving),
+        2 => (1_u32..7, 0_u16..2_000).prop_map(|(id, pause)| Event::WantsNothing(id, pause)),
     ]
 }
 
@@ -57,6 +62,14 @@
         }
         Event::Pass(millis) => world.pass(Duration::from_millis(millis.into())),
         Event::Report(id, load) => world.report(id, load, false),
+        Event::SaysLeaving(id) => {
+            let now = world.now;
+            world.engine.note_leaving(id, now + Duration::from_secs(2), now);
+            world.pass(Duration::ZERO);
+        }
+        Event::WantsNothing(id, pause) => {
+            world.engine.note_pause(id, Duration::from_millis(pause.into()), world.now);
+        }
         Event::Leave(id, leaving) => {
             specs.iter_mut().filter(|spec| spec.id == id).for_each(|spec| spec.leaving = leaving);
             let now = world.now;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! All of it is pure: the daemon carries the messages.
 
 pub mod copy;
+pub mod gossip;
 pub mod load;
 pub mod message;
 pub mod roster;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -8,6 +8,8 @@
 pub const LOADS: usize = 6;
 /// Most losses in one message.
 pub const LOSSES: usize = 16;
+/// Most backend servers that leave in one message.
+pub const LEAVING: usize = 32;
 
 /// What is believed of a member; later ones win at the same incarnation and beat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -94,12 +96,16 @@
     /// Losses of connections: a request's fingerprint and the loss's number.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub losses: Vec<(u64, u64)>,
+    /// Numbers of backend servers that said that they leave.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<u32>,
 }
 
 impl Message {
-    /// Whether it was sent to tell of losses.
-    pub const fn tells_losses_alone(&self) -> bool {
-        self.records.is_empty() && self.loads.is_empty() && !self.losses.is_empty()
+    /// Whether it was sent to tell of losses or of servers that leave.
+    pub const fn is_urgent(&self) -> bool {
+        let tells = !self.losses.is_empty() || !self.leaving.is_empty();
+        self.records.is_empty() && self.loads.is_empty() && tells
     }
 }
 
@@ -110,4 +116,7 @@
     pub records: Vec<Record>,
     /// The policy that the peer has in force.
     pub policy: Option<super::Copy>,
+    /// Numbers of backend servers that said that they leave.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<u32>,
 }
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -9,18 +9,15 @@
 use base::instance::{Instance, Role};
 use base::time::Time;
 
+use crate::gossip::Gossip;
 use crate::load::Loads;
-use crate::message::{LOADS, LOSSES, Message, RECORDS, Record, Snapshot, State};
+use crate::message::{LEAVING, LOADS, LOSSES, Message, RECORDS, Record, Snapshot, State};
 use crate::target::Targets;
 
 /// One in so many exchanges goes to a member believed dead, so that a healed partition is noticed.
 const DEAD_CHANCE: u32 = 8;
 /// Times a piece of news is passed on, for each doubling of the members.
 const SPREAD: u32 = 2;
-/// Messages in which each daemon passes on a loss of a connection: with five about one daemon in 150 does not hear.
-const LOSS_MESSAGES: u32 = 5;
-/// How long a loss of a connection is passed on.
-const LOSS_SPREAD: Duration = Duration::from_secs(30);
 /// How long the record of a dead or departed member is kept.
 const GRAVE: Duration = Duration::from_mins(10);
 
@@ -51,21 +48,13 @@
     listed: BTreeMap<String, Instance>,
     targets: Targets,
     loads: Loads,
-    losses: Vec<Loss>,
+    /// Losses of connections.
+    losses: Gossip<(u64, u64)>,
+    /// Backend servers that said that they leave, by number.
+    leaving: Gossip<u32>,
     superseded: bool,
 }
 
-/// A loss that is passed on.
-#[derive(Debug, Clone, Copy)]
-struct Loss {
-    id: (u64, u64),
-    until: Time,
-    /// Messages that held it.
-    sent: u32,
-    /// Whether all must hear of it.
-    lasting: bool,
-}
-
 impl Roster {
     /// A roster that knows only its own daemon, `own`.
     pub fn new(own: Record, times: Times, seed: u64) -> Self {
@@ -76,7 +65,8 @@
             listed: BTreeMap::new(),
             targets: Targets::new(seed),
             loads: Loads::new(),
-            losses: Vec::new(),
+            losses: Gossip::new(),
+            leaving: Gossip::new(),
             superseded: false,
         }
     }
@@ -101,6 +91,16 @@
         &mut self.loads
     }
 
+    /// Losses of connections, to be passed on.
+    pub const fn losses_mut(&mut self) -> &mut Gossip<(u64, u64)> {
+        &mut self.losses
+    }
+
+    /// Numbers of backend servers that said that they leave, to be passed on.
+    pub const fn leaving_mut(&mut self) -> &mut Gossip<u32> {
+        &mut self.leaving
+    }
+
     /// Takes the platform's list.
     pub fn list(&mut self, instances: &[Instance]) {
         let entries = instances.iter().filter(|instance| instance.role == Role::Entry);
@@ -117,20 +117,6 @@
         self.own.state = State::Left;
     }
 
-    /// A loss to be passed on to peers, in a few messages.
-    pub fn spread_loss(&mut self, loss: (u64, u64), now: Time) {
-        if !self.losses.iter().any(|known| known.id == loss) {
-            self.losses.push(Loss { id: loss, until: now + LOSS_SPREAD, sent: 0, lasting: false });
-        }
-    }
-
-    /// A loss that all must hear of: it is in every message for a while.
-    pub fn spread_lasting(&mut self, loss: (u64, u64), now: Time) {
-        self.spread_loss(loss, now);
-        let known = self.losses.iter_mut().filter(|known| known.id == loss);
-        known.for_each(|known| known.lasting = true);
-    }
-
     /// Who to speak with next, and where it is reached.
     pub fn target(&mut self, now: Time) -> Option<(String, String)> {
         self.bury(now);
@@ -162,32 +148,19 @@
     pub fn message(&mut self, revision: u64, now: Time) -> Message {
         let records = self.news();
         let loads = self.loads.next(LOADS, now);
-        let losses = self.told_losses(now);
-        Message { from: self.own.clone(), revision, records, loads, losses }
+        Message { records, loads, ..self.urgent(revision, now) }
     }
 
-    /// A message that tells of losses and of nothing else.
-    pub fn loss_message(&mut self, revision: u64, now: Time) -> Message {
-        let losses = self.told_losses(now);
-        Message { from: self.own.clone(), revision, records: Vec::new(), loads: Vec::new(), losses }
+    /// A message that tells of losses and of servers that leave, and of nothing else.
+    pub fn urgent(&mut self, revision: u64, now: Time) -> Message {
+        let losses = self.losses.next(LOSSES, now);
+        let leaving = self.leaving.next(LEAVING, now);
+        Message { from: self.own.clone(), revision, records: Vec::new(), loads: Vec::new(), losses, leaving }
     }
 
-    /// The answer to a message: one about losses alone gets one of its kind.
+    /// The answer to a message: an urgent one gets one of its kind.
     pub fn answer(&mut self, message: &Message, revision: u64, now: Time) -> Message {
-        if message.tells_losses_alone() { self.loss_message(revision, now) } else { self.message(revision, now) }
-    }
-
-    /// The losses for a message: those that all must hear of, then those told least often, so that many that come at
-    /// once are all told.
-    fn told_losses(&mut self, now: Time) -> Vec<(u64, u64)> {
-        self.losses.retain(|known| now < known.until && (known.lasting || known.sent < LOSS_MESSAGES));
-        self.losses.sort_by_key(|known| (!known.lasting, known.sent));
-        let told = self.losses.iter_mut().take(LOSSES);
-        told.map(|known| {
-            known.sent += 1;
-            known.id
-        })
-        .collect()
+        if message.is_urgent() { self.urgent(revision, now) } else { self.message(revision, now) }
     }
 
     /// Takes in a message that came at `now`.
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -80,7 +80,11 @@
         self.told += message.losses.len();
         let news = message.losses.iter().filter(|loss| heard.insert(**loss));
         news.for_each(|loss| {
-            if loss.0 == 7 { roster.spread_lasting(*loss, self.now) } else { roster.spread_loss(*loss, self.now) }
+            if loss.0 == 7 {
+                roster.losses_mut().spread_lasting(*loss, self.now);
+            } else {
+                roster.losses_mut().spread(*loss, self.now);
+            }
         });
     }
 
@@ -214,8 +218,8 @@
     let mut fleet = Fleet::new(count);
     let now = fleet.now;
     let first = fleet.rosters.get_mut("n0").expect("it is there");
-    (0..LOST).for_each(|loss| first.spread_loss((loss, loss), now));
-    first.spread_lasting((7, 7), now);
+    (0..LOST).for_each(|loss| first.losses_mut().spread((loss, loss), now));
+    first.losses_mut().spread_lasting((7, 7), now);
     fleet.heard.insert("n0".to_owned(), (0..LOST).map(|loss| (loss, loss)).collect());
     fleet.seconds(30);
     let heard: usize = fleet.heard.values().map(BTreeSet::len).sum();
@@ -234,11 +238,11 @@
     let now = fleet.now;
     let mut one = fleet.rosters["n1"].clone();
     let mut other = fleet.rosters["n2"].clone();
-    one.spread_loss((1, 2), now);
-    other.spread_loss((3, 4), now);
-    let message = one.loss_message(0, now);
+    one.losses_mut().spread((1, 2), now);
+    other.losses_mut().spread((3, 4), now);
+    let message = one.urgent(0, now);
     let answer = other.answer(&message, 0, now);
-    assert!(message.tells_losses_alone() && answer.tells_losses_alone());
+    assert!(message.is_urgent() && answer.is_urgent());
     assert_eq!((message.losses, answer.losses), (vec![(1, 2)], vec![(3, 4)]));
     let usual = other.message(0, now);
     assert!(!other.answer(&usual, 0, now).records.is_empty(), "a usual message gets a usual answer");
--- a/crates/size/src/membership.rs
+++ b/crates/size/src/membership.rs
@@ -42,7 +42,14 @@
 fn roster(number: usize, count: usize) -> Roster {
     let mut roster = Roster::new(record(number), Times { suspect: Duration::from_secs(3) }, number as u64);
     let records = (0..count).filter(|other| *other != number).map(record).collect();
-    let message = Message { from: record((number + 1) % count), revision: 0, records, loads: vec![], losses: vec![] };
+    let message = Message {
+        from: record((number + 1) % count),
+        revision: 0,
+        records,
+        loads: vec![],
+        losses: vec![],
+        leaving: vec![],
+    };
     roster.merge(&message, Time::ZERO);
     roster
 }
