Bound answers that never end, and the answers that a caller does not take

An answer of endless trailers was read for ever (Decoder had no bound; the new test hung on it), and so were interim answers and answers to earlier requests; endless bodies were bounded one by one, 8 MB each, so that 50 such servers could take 400 MB of an instance with 260. A caller that sent requests and took no answer had all of them run: 2,000 of 100 KB in the test, held in memory; after its idle time the loop spun. Bytes without an end count against the server like a broken answer; an answer that says it is too large is refused before it is read. No request is begun behind 64 KB that the caller has not taken, and a caller that takes nothing for its idle time is let go. Ruled out: ejecting at the first such answer (a part of the answers of a spoiled network would eject sound servers).

--- a/crates/config/src/configs/dispatch.rs
+++ b/crates/config/src/configs/dispatch.rs
@@ -15,6 +15,8 @@
     pub probe_ms: u64,
     /// Largest answer of a backend server, in bytes.
     pub max_answer_bytes: u64,
+    /// Answers of backend servers that are being read, in bytes over all of them.
+    pub answers_bytes: u64,
     /// Most requests that wait, over all classes.
     pub max_queued: u64,
     /// Most requests sent to backend servers at once.
@@ -41,6 +43,7 @@
             connect_ms: 250,
             probe_ms: 1_000,
             max_answer_bytes: 8_388_608,
+            answers_bytes: 67_108_864,
             max_queued: 512,
             max_in_flight: 128,
             kept_answers_bytes: 8_388_608,
@@ -59,6 +62,7 @@
         check_range(name, "dispatch.connect_ms", self.connect_ms, 1, 60_000)?;
         check_range(name, "dispatch.probe_ms", self.probe_ms, 10, 60_000)?;
         check_range(name, "dispatch.max_answer_bytes", self.max_answer_bytes, 1_024, 1 << 30)?;
+        check_range(name, "dispatch.answers_bytes", self.answers_bytes, 1_024, 1 << 40)?;
         check_range(name, "dispatch.max_queued", self.max_queued, 1, 100_000)?;
         check_range(name, "dispatch.max_in_flight", self.max_in_flight, 1, 4_096)?;
         check_range(name, "dispatch.kept_answers_bytes", self.kept_answers_bytes, 0, 1 << 30)?;
--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -65,6 +65,7 @@
     let Some(path) = context.dialect.cancel_path else { return };
     let Some(target) = target(context, backend) else { return };
     let url = format!("{path}?id={}", attempt_id(context, attempt));
+    let shared = Arc::clone(context);
     context.runtime.spawn(async move {
         let call = Call {
             method: &Method::POST,
@@ -72,6 +73,7 @@
             headers: &host(target.address),
             body: &Bytes::new(),
             max_answer: 0,
+            room: &shared.answers,
         };
         let sent = async { Connection::open(target.address, SILENCE).await.ok()?.exchange(call, |_| true).await.ok() };
         if !matches!(tokio::time::timeout(CANCEL_TIMEOUT, sent).await, Ok(Some(_))) {
@@ -164,6 +166,7 @@
         headers: &headers,
         body: &outgoing.body,
         max_answer: context.settings.dispatch.max_answer_bytes as usize,
+        room: &context.answers,
     };
     note_bytes(context, target, "sent", outgoing.body.len());
     let answer = connection.exchange(call, ours).await?;
@@ -221,7 +224,7 @@
     match fault {
         Fault::Unsent => Ending::Unreachable,
         Fault::Lost => Ending::Lost,
-        Fault::Cut | Fault::Malformed => Ending::Cut,
+        Fault::Cut | Fault::Malformed | Fault::Endless => Ending::Cut,
         Fault::TooLarge => Ending::TooLarge,
     }
 }
--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -27,6 +27,8 @@
 const READ_BYTES: usize = 4_096;
 /// Bytes read ahead of the requests that run, at most.
 const AHEAD_BYTES: usize = 65_536;
+/// Bytes of answers that a caller has not taken yet, beyond which none of its further requests is begun.
+const UNTAKEN_BYTES: usize = 65_536;
 /// Time for a caller to take the last answer before the connection is dropped.
 const LINGER: Duration = Duration::from_secs(2);
 
@@ -173,6 +175,8 @@
     closing: bool,
     /// When the request that is coming must be whole, or an idle connection ends.
     due: Instant,
+    /// When the caller last took bytes of an answer, or the first of them was written for it.
+    taken: Instant,
 }
 
 /// Serves one connection to its end.
@@ -186,8 +190,7 @@
         }
         let room = connection.input.len() < AHEAD_BYTES;
         connection.input.reserve(READ_BYTES);
-        let due = connection.due;
-        let timed = connection.answers.is_empty();
+        let limit = connection.limit();
         tokio::select! {
             Some(answered) = connection.answers.next(), if !connection.answers.is_empty() => {
                 connection.write(&answered, *stop.borrow() >= Phase::Leaving);
@@ -201,8 +204,14 @@
                 if !written.is_ok_and(|bytes| bytes > 0) {
                     return;
                 }
+                connection.taken = Instant::now();
+            }
+            () = tokio::time::sleep_until(limit.unwrap_or(connection.due)), if limit.is_some() => {
+                if !connection.output.is_empty() {
+                    return log::info!("callers: connection dropped, the caller takes no answer");
+                }
+                connection.expire();
             }
-            () = tokio::time::sleep_until(due), if timed => connection.expire(),
             changed = stop.changed() => if changed.is_err() { return },
         }
     }
@@ -247,6 +256,7 @@
             answers: FuturesOrdered::new(),
             closing: false,
             due,
+            taken: due,
         }
     }
 
@@ -255,6 +265,14 @@
         self.closing && self.answers.is_empty() && self.output.is_empty()
     }
 
+    /// Until when something must happen: the caller takes what is written, or sends more.
+    fn limit(&self) -> Option<Instant> {
+        if !self.output.is_empty() {
+            return Some(self.taken + Duration::from_millis(self.context.settings.callers.idle_timeout_ms));
+        }
+        self.answers.is_empty().then_some(self.due)
+    }
+
     /// Whether nothing of a further request has come.
     fn quiet(&self) -> bool {
         self.held.is_none() && !self.reader.begun(&self.input)
@@ -262,7 +280,7 @@
 
     /// Starts what has come whole.
     fn take_requests(&mut self, stopping: bool) {
-        while !self.closing && self.answers.len() < PIPELINED {
+        while !self.closing && self.answers.len() < PIPELINED && self.output.len() < UNTAKEN_BYTES {
             if let Some(held) = self.held.take() {
                 self.start(held);
                 if self.held.is_some() {
@@ -317,6 +335,9 @@
 
     /// Writes an answer; while stopping, the last one says that the connection ends.
     fn write(&mut self, answered: &Answered, stopping: bool) {
+        if self.output.is_empty() {
+            self.taken = Instant::now();
+        }
         let last = answered.last || (stopping && self.answers.is_empty() && self.quiet());
         answered.reply.write(&mut self.output, &answered.method, last);
         if last {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -14,6 +14,7 @@
 use fleet::copy::Holder;
 use fleet::message::{Record, State};
 use fleet::roster::{Roster, Times};
+use h1::Room;
 use ledger::Ledger;
 use steer::grant::Keeper;
 use steer::shift::Controller;
@@ -88,6 +89,8 @@
     pub preparing: Mutex<Preparing>,
     /// Instances in the platform's list.
     pub list: Mutex<List>,
+    /// Answers of backend servers that are being read.
+    pub answers: Room,
     /// Idle connections to backend servers.
     pub pool: Pool,
     /// Requests under way.
@@ -157,6 +160,7 @@
             steering: RwLock::new(Arc::new(Steering::default())),
             preparing: Mutex::new(Preparing::default()),
             list: Mutex::new(List::default()),
+            answers: Room::new(settings.dispatch.answers_bytes as usize),
             pool: Pool::new(),
             driver: Driver::new(Engine::new(Vec::new(), limits, incarnation)),
             ledger: Mutex::new(Ledger::new(keys)),
--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -8,6 +8,8 @@
 
 /// Longest line between chunks, in bytes.
 const MAX_LINE_BYTES: usize = 4_096;
+/// Lines behind the last chunk at most.
+const MAX_TRAILERS: u32 = 100;
 
 /// How the end of a body is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,7 +55,8 @@
     Chunk(u64),
     /// Before the line break behind a chunk.
     Break,
-    Trailer,
+    /// Before a line behind the last chunk, with the lines before it.
+    Trailer(u32),
     UntilClose,
     End,
 }
@@ -104,7 +107,7 @@
                 State::UntilClose => return Ok(Some(buffer.split().freeze())),
                 State::Size => {
                     let Some(size) = chunk_size(buffer)? else { return Ok(None) };
-                    self.state = if size == 0 { State::Trailer } else { State::Chunk(size) };
+                    self.state = if size == 0 { State::Trailer(0) } else { State::Chunk(size) };
                 }
                 State::Break => {
                     let Some(line) = line(buffer)? else { return Ok(None) };
@@ -113,11 +116,10 @@
                     }
                     self.state = State::Size;
                 }
-                State::Trailer => {
+                State::Trailer(MAX_TRAILERS) => return Err(Error::Malformed),
+                State::Trailer(lines) => {
                     let Some(line) = line(buffer)? else { return Ok(None) };
-                    if line.is_empty() {
-                        self.state = State::End;
-                    }
+                    self.state = if line.is_empty() { State::End } else { State::Trailer(lines + 1) };
                 }
             }
         }
--- a/crates/h1/src/client.rs
+++ b/crates/h1/src/client.rs
@@ -12,10 +12,13 @@
 
 use crate::body::{Decoder, Framing};
 use crate::error::Error;
+use crate::room::{Part, Room};
 use crate::{encode, head};
 
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 65_536;
+/// Interim answers, and answers to earlier requests, that are passed over for one request.
+const MAX_PASSED_OVER: usize = 16;
 /// Room made for each read, in bytes.
 const READ_BYTES: usize = 4_096;
 /// Time without traffic after which an open connection is probed; the system counts in whole seconds.
@@ -38,9 +41,12 @@
     /// The bytes received are no answer.
     #[error("the answer is not valid HTTP/1.1")]
     Malformed,
-    /// The answer is larger than allowed.
+    /// The answer says that it is larger than allowed.
     #[error("the answer is too large")]
     TooLarge,
+    /// Bytes came without an end in sight.
+    #[error("the answer does not end")]
+    Endless,
 }
 
 /// A request.
@@ -56,6 +62,8 @@
     pub body: &'a Bytes,
     /// Largest body of an answer, in bytes.
     pub max_answer: usize,
+    /// Where the bodies of answers are held while they come.
+    pub room: &'a Room,
 }
 
 /// A whole answer.
@@ -150,12 +158,26 @@
     head: Option<head::Response>,
     decoder: Decoder,
     body: BytesMut,
+    part: Part<'a>,
+    /// Bytes of the body that have come.
+    length: usize,
     stray: bool,
+    /// Heads that were passed over.
+    passed_over: usize,
 }
 
 impl<'a> Reading<'a> {
     fn new(call: Call<'a>) -> Self {
-        Self { call, head: None, decoder: Decoder::new(Framing::Length(0)), body: BytesMut::new(), stray: false }
+        Self {
+            call,
+            head: None,
+            decoder: Decoder::new(Framing::Length(0)),
+            body: BytesMut::new(),
+            part: call.room.part(),
+            length: 0,
+            stray: false,
+            passed_over: 0,
+        }
     }
 
     /// Takes what has come; gives the answer once it is whole.
@@ -165,10 +187,7 @@
                 return Ok(None);
             }
             while let Some(part) = self.decoder.take(buffer).map_err(fault)? {
-                if self.body.len() + part.len() > self.call.max_answer {
-                    return Err(Fault::TooLarge);
-                }
-                self.body.extend_from_slice(&part);
+                self.hold(&part)?;
             }
             if !self.decoder.ended() {
                 return Ok(None);
@@ -181,17 +200,38 @@
         }
     }
 
+    /// Keeps a part of the body; what belongs to nobody is only counted.
+    fn hold(&mut self, part: &[u8]) -> Result<(), Fault> {
+        self.length += part.len();
+        if self.length > self.call.max_answer || (!self.stray && !self.part.take(part.len())) {
+            return Err(Fault::Endless);
+        }
+        if !self.stray {
+            self.body.extend_from_slice(part);
+        }
+        Ok(())
+    }
+
     /// Reads the head of an answer; says whether there is one.
     fn start(&mut self, buffer: &mut BytesMut, ours: impl Fn(&head::Response) -> bool) -> Result<bool, Fault> {
         loop {
             let Some(head) = head::Response::take(buffer, MAX_HEAD_BYTES).map_err(fault)? else {
                 return Ok(false);
             };
-            if head.status.is_informational() {
+            let interim = head.status.is_informational();
+            self.stray = !interim && !ours(&head);
+            self.passed_over += usize::from(interim || self.stray);
+            if self.passed_over > MAX_PASSED_OVER {
+                return Err(Fault::Endless);
+            }
+            if interim {
                 continue;
             }
             let framing = Framing::of_response(self.call.method, head.status, &head.headers).map_err(fault)?;
-            self.stray = !ours(&head);
+            if matches!(framing, Framing::Length(length) if length > self.call.max_answer as u64) {
+                return Err(Fault::TooLarge);
+            }
+            self.length = 0;
             if self.stray && framing == Framing::UntilClose {
                 return Err(Fault::Malformed);
             }
@@ -226,7 +266,7 @@
 
 fn fault(error: Error) -> Fault {
     match error {
-        Error::HeadTooLarge | Error::BodyTooLarge => Fault::TooLarge,
+        Error::HeadTooLarge | Error::BodyTooLarge => Fault::Endless,
         Error::Cut => Fault::Cut,
         Error::Malformed | Error::Ambiguous => Fault::Malformed,
     }
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod encode;
 pub mod error;
 pub mod head;
+pub mod room;
 
 pub use body::{Decoder, Framing};
 pub use error::{Error, Result};
+pub use room::Room;
--- a/crates/h1/tests/client.rs
+++ b/crates/h1/tests/client.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use h1::Room;
 use h1::client::{Answer, Call, Connection, Fault};
 use http::Method;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -38,7 +39,8 @@
 async fn send(connection: &mut Connection, id: &str, body: &Bytes) -> Result<Answer, Fault> {
     let mut headers = HeaderMap::new();
     headers.insert(ID, HeaderValue::from_str(id).expect("it is plain"));
-    let call = Call { method: &Method::POST, target: "/", headers: &headers, body, max_answer: 100 };
+    let room = Room::new(1_000);
+    let call = Call { method: &Method::POST, target: "/", headers: &headers, body, max_answer: 100, room: &room };
     let id = id.to_owned();
     connection.exchange(call, |head| head.headers.get(&ID).is_none_or(|echoed| *echoed == *id)).await
 }
@@ -118,6 +120,36 @@
     });
 }
 
+/// Load: a server sends bytes that are no answer and does not stop.
+#[rstest]
+#[case::head(
+    "HTTP/1.1 200 OK\r\nx: ",
+    "yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy"
+)]
+#[case::headers("HTTP/1.1 200 OK\r\n", "x: y\r\n")]
+#[case::interim("", "HTTP/1.1 102 Processing\r\n\r\n")]
+#[case::others("", "HTTP/1.1 200 OK\r\nx-id: old\r\ncontent-length: 3\r\n\r\nold")]
+#[case::body("HTTP/1.1 200 OK\r\n\r\n", "more")]
+#[case::chunks("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "4\r\nmore\r\n")]
+#[case::chunk_line("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4", ";extension")]
+#[case::trailers("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x: y\r\n")]
+#[case::no_http("", "hello, I have not stopped talking since ")]
+fn bytes_without_an_end_end_the_connection(#[case] begin: &'static str, #[case] again: &'static str) {
+    let (ended, end) = std::sync::mpsc::channel();
+    let address = server(move |mut stream| {
+        read_head(&mut stream);
+        stream.write_all(begin.as_bytes()).expect("the client reads");
+        while stream.write_all(again.as_bytes()).is_ok() {}
+        ended.send(()).expect("the test waits");
+    });
+    let fault = runtime().block_on(async {
+        let mut connection = Connection::open(address, Duration::from_secs(5)).await.expect("the server listens");
+        send(&mut connection, "new", &Bytes::new()).await.expect_err("it is no answer")
+    });
+    assert!(matches!(fault, Fault::Endless | Fault::Malformed), "{fault:?}");
+    end.recv().expect("the connection is closed, so that the server stops");
+}
+
 /// Waits until the client closes.
 fn told_end(stream: &mut TcpStream) {
     drop(stream.read_to_end(&mut Vec::new()));
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use h1::Room;
 use h1::client::{self, Connection, Fault};
 use http::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use tokio::runtime::{Builder, Handle, Runtime};
@@ -16,7 +17,9 @@
 use crate::{Change, Commit, Entry, Lease, Store, etcd};
 
 /// Largest answer taken from the store, in bytes.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Bytes of all answers together that are read at once.
+const ROOM_BYTES: usize = 16 << 20;
 /// Longest time a connection is kept idle.
 const IDLE: Duration = Duration::from_secs(5);
 /// Idle connections kept.
@@ -38,6 +41,7 @@
     runner: Runner,
     idle: Mutex<Vec<(Connection, Instant)>>,
     calls: AtomicU64,
+    room: Room,
 }
 
 impl Client {
@@ -55,7 +59,8 @@
 
     fn with_runner(codec: Codec, address: &str, timeout: Duration, runner: Runner) -> Self {
         let address = address.to_owned();
-        Self { codec, address, timeout, runner, idle: Mutex::new(Vec::new()), calls: AtomicU64::new(0) }
+        let (idle, calls, room) = (Mutex::new(Vec::new()), AtomicU64::new(0), Room::new(ROOM_BYTES));
+        Self { codec, address, timeout, runner, idle, calls, room }
     }
 
     /// Calls made since the start.
@@ -105,6 +110,7 @@
             headers: &headers,
             body: &body,
             max_answer: MAX_ANSWER_BYTES,
+            room: &self.room,
         };
         let answer = connection.exchange(call, |_| true).await.map_err(fault)?;
         if answer.reusable {
