Act on nothing believed before a stall, and blame servers for what they did only

Cause: looked for, as the users ask, with a process of its own stopped for two seconds under load. (a) After waking, what had been decided or came in meanwhile was sent on beliefs from before: a server that had left got requests. (c) An attempt sent with a millisecond left counted against its server when that had passed. (d) The clock did not count time in which the machine was suspended, so leases and deadlines stood still then. Now: signs of life are noted where anything is decided or sent (base::Stall); after more than a second without one nothing is sent until the store has confirmed what is believed, or for 400 ms if it does not answer; attempts that ran meanwhile are not judged by that time. Late answers eject no server that cannot be done without, and where none is left those ejected for late answers are taken back. A timeout tells of a server only if the attempt lasted as long as work usually may. The clock is CLOCK_BOOTTIME (nix). Ruled out: refusing what comes after a stall (the callers would lose a round trip for a few milliseconds of waiting).

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod hash;
 pub mod instance;
 pub mod rate;
+pub mod stall;
 pub mod time;
--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -19,6 +19,7 @@
 use crate::driver::Outgoing;
 use crate::notes;
 use crate::orders;
+use crate::stall;
 use crate::whole::Whole;
 
 /// Time for a cancellation to be taken.
@@ -96,6 +97,7 @@
     let Ok(connection) = connection(context, outgoing, sending, target.address).await else {
         return (Ending::Unreachable, None);
     };
+    stall::note(context);
     let now = context.now();
     if !context.driver.look(|engine| engine.may_send(sending.backend, now)) {
         return (Ending::Recalled, None);
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,13 +1,14 @@
 //! The process's clocks; the only place of the daemon that reads them.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use base::time::Time;
+use nix::time::{ClockId, clock_gettime};
 
-/// Monotonic time since the process started.
+/// Time since the process started, counted also while the machine was suspended: leases and deadlines go on then.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Default for Clock {
@@ -19,13 +20,13 @@
 impl Clock {
     /// A clock that starts now.
     pub fn new() -> Self {
-        Self { start: Instant::now() }
+        Self { start: since_boot() }
     }
 
     /// The present time.
     pub fn now(&self) -> Time {
         // One second is added so that times before the start can be told.
-        Time::from_micros(self.start.elapsed().as_micros() as u64 + 1_000_000)
+        Time::from_micros(since_boot().saturating_sub(self.start).as_micros() as u64 + 1_000_000)
     }
 
     /// Waits until `time` is reached.
@@ -34,6 +35,11 @@
     }
 }
 
+/// Time since the machine started.
+fn since_boot() -> Duration {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).expect("each Linux has this clock").into()
+}
+
 /// Milliseconds of the calendar, for incarnations only.
 pub fn calendar_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use base::rate::Bucket;
+use base::stall::Stall;
 use base::time::Time;
 use config::configs::Settings;
 use config::policy::Policy;
@@ -55,6 +56,8 @@
     pub settings: Settings,
     /// What callers and backend servers call the things that cross the wire.
     pub dialect: Arc<Dialect>,
+    /// Notices that the process stood still.
+    pub stall: Mutex<Stall>,
     /// The clock.
     pub clock: Clock,
     /// When the process started.
@@ -146,6 +149,7 @@
             catalog: adapter.catalog,
             mirror: Mutex::new(store::Mirror::new()),
             servers: Mutex::new(Servers::default()),
+            stall: Mutex::new(Stall::new(now)),
             clock,
             begun: now,
             incarnation,
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -21,6 +21,7 @@
 use crate::notes;
 use crate::orders::Order;
 use crate::plugin::Plugin;
+use crate::stall;
 use crate::whole::Whole;
 
 /// Longest sleep of the timer.
@@ -143,6 +144,7 @@
         let Submission { class, fingerprint, limit, object } = submission;
         let bytes = outgoing.body.len() as u64;
         let arrival = Arrival { request: outgoing.number, class, fingerprint, bytes, limit, object };
+        stall::note(context);
         let now = context.now();
         lock(&self.pending).insert(outgoing.number, Pending { outgoing, reply, came: now });
         self.with(context, |engine| engine.submit(arrival, now));
@@ -161,6 +163,7 @@
 
     /// An attempt ended; `whole` is its answer, if it has one.
     pub fn finish(&self, context: &Arc<Context>, attempt: u64, ending: Ending, whole: Option<Arc<Whole>>) {
+        stall::note(context);
         context.metrics.attempts.with_label_values(&[ending.name()]).inc();
         lock(&self.running).remove(&attempt);
         if let Some(whole) = whole {
@@ -302,6 +305,7 @@
             () = tokio::time::sleep(sleep) => {}
             () = driver.changed.notified() => {}
         }
+        stall::note(context);
         let now = context.now();
         if driver.look(Engine::wake).is_some_and(|wake| wake <= now) {
             driver.with(context, |engine| engine.tick(now));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod policies;
 pub mod program;
 pub mod reader;
+pub mod stall;
 pub mod view;
 pub mod whole;
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -32,6 +32,8 @@
     pub leavings: IntCounter,
     /// Answers of backend servers that want nothing for a while.
     pub pauses: IntCounter,
+    /// Times that the process stood still.
+    pub stalls: IntCounter,
     /// Bytes of bodies to and from backend servers of other regions, by direction.
     pub remote_bytes: IntCounterVec,
     /// Requests that wait.
@@ -93,6 +95,7 @@
                 "hemlock_servers_paused_total",
                 "Answers of servers that want nothing for a while",
             ),
+            stalls: counter(&registry, "hemlock_stalls_total", "Times that the process stood still"),
             remote_bytes: counters(
                 &registry,
                 "hemlock_remote_bytes_total",
--- a/crates/daemon/src/mirror.rs
+++ b/crates/daemon/src/mirror.rs
@@ -136,6 +136,22 @@
     }
 }
 
+/// Waits until the copy holds all that the store had accepted when this was called.
+pub async fn confirm(context: &Context) {
+    let list = || Call::List { prefix: NOTHING.to_owned(), after: String::new(), stale: false };
+    loop {
+        let reply = call(context, list()).await;
+        if let Ok(Reply::Page { revision, .. }) = reply {
+            while lock(&context.mirror).revision() < revision {
+                tokio::time::sleep(FIRST_PAUSE / 10).await;
+            }
+            return;
+        }
+        context.store.reconnect();
+        tokio::time::sleep(FIRST_PAUSE).await;
+    }
+}
+
 /// What a call came to.
 enum Turn {
     Changed,
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -59,6 +59,7 @@
 
 /// A backend server.
 #[derive(Debug, Clone)]
+#[expect(clippy::struct_excessive_bools, reason = "each is seen or said on its own")]
 pub struct Backend {
     /// What is declared of it.
     pub spec: Spec,
@@ -82,6 +83,8 @@
     closed_until: Time,
     /// Whether the server must prove itself with one request.
     trial: bool,
+    /// Whether it was ejected last because its answers were late; it could be reached.
+    slow: bool,
     /// What the server said of itself.
     word: Word,
     /// Whether it said that it leaves.
@@ -125,6 +128,7 @@
             ejections: 0,
             closed_until: Time::ZERO,
             trial: false,
+            slow: false,
             word: Word::default(),
             left: false,
             resuming: false,
@@ -338,16 +342,28 @@
         }
     }
 
-    /// An attempt is late now, while it still runs.
+    /// An attempt is late now, while it still runs. A server that cannot be done without is not ejected for it.
     pub fn note_late(&mut self, may_eject: bool, keyed: bool, now: Time) {
         self.late += 1;
         self.late_in_row += 1;
         let most = if keyed { SILENT_IN_ROW } else { LATE_IN_ROW };
-        if self.trial || (self.late_in_row >= most && may_eject) {
+        if may_eject && (self.trial || self.late_in_row >= most) {
             self.eject(now);
+            self.slow = true;
         }
     }
 
+    /// Takes a server that was ejected for late answers back at once; says whether that changed anything.
+    pub fn pardon(&mut self, now: Time) -> bool {
+        let pardoned = self.slow && self.ejected(now);
+        if pardoned {
+            self.trial = false;
+            self.ejections = 0;
+            self.closed_until = now;
+        }
+        pardoned
+    }
+
     /// An attempt ended by its deadline before it was noted as late.
     pub fn note_late_ended(&mut self, may_eject: bool, keyed: bool, now: Time) {
         self.note_late(may_eject, keyed, now);
@@ -391,6 +407,7 @@
             self.gate.charge(level + start.phase, now);
         }
         self.late_in_row = 0;
+        self.slow = false;
         self.closed_until = now + time;
     }
 }
--- a/crates/dispatch/src/engine/ending.rs
+++ b/crates/dispatch/src/engine/ending.rs
@@ -13,6 +13,8 @@
 struct Judging {
     latency: Duration,
     typical: Duration,
+    /// From this time on an attempt without an answer tells of its server, and not of how little time it had.
+    enough: Duration,
     may_eject: bool,
 }
 
@@ -41,6 +43,7 @@
             Some(false) => class.work.cold(),
             None => class.typical(),
         };
+        let enough = class.late_after(true).min(class.spec.target);
         if matches!(ending, Ending::Answered(_)) {
             class.note(latency, bytes);
             let free = ended.warm.filter(|_| ended.free);
@@ -48,13 +51,13 @@
         }
         self.judge(ended.backend, |backend| {
             backend.end(waits, ended.late, now);
-            Self::learn(backend, ended, ending, Judging { latency, typical, may_eject }, now);
+            Self::learn(backend, ended, ending, Judging { latency, typical, enough, may_eject }, now);
         });
     }
 
     /// What a server's ending of an attempt tells of it.
     fn learn(backend: &mut Backend, ended: &Attempt, ending: Ending, judging: Judging, now: Time) {
-        let Judging { latency, typical, may_eject } = judging;
+        let Judging { latency, typical, enough, may_eject } = judging;
         match ending {
             Ending::Answered(_) => {
                 let ratio = latency.as_secs_f64() / typical.as_secs_f64();
@@ -63,7 +66,9 @@
             Ending::Shed => backend.shed(ended.warm.is_some(), now),
             Ending::Unreachable => backend.failed(now),
             Ending::Lost | Ending::Cut => backend.lost(now),
-            Ending::Timeout if !ended.late => backend.note_late_ended(may_eject, ended.warm.is_some(), now),
+            Ending::Timeout if !ended.late && latency >= enough => {
+                backend.note_late_ended(may_eject, ended.warm.is_some(), now);
+            }
             Ending::Timeout | Ending::TooLarge | Ending::Withheld(_) | Ending::Recalled | Ending::Cancelled => {}
         }
     }
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -59,6 +59,8 @@
     repeats: BTreeMap<u16, Budget>,
     warmth: Warmth,
     words: Words,
+    /// Until when what is believed of servers is not acted on.
+    doubted_until: Time,
     /// When the last pause ends that a server asked for.
     pauses_end: Time,
     /// Parts of the objects that live near, by service.
@@ -99,6 +101,7 @@
             repeats: BTreeMap::new(),
             warmth: Warmth::new(),
             words: Words::new(),
+            doubted_until: Time::ZERO,
             pauses_end: Time::ZERO,
             near_parts: Vec::new(),
             guessed: BTreeMap::new(),
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -38,6 +38,9 @@
         if self.policy != super::policy::Policy::Steered {
             return self.pick_plain(request);
         }
+        if now < self.doubted_until {
+            return None;
+        }
         let state = self.requests.get(&request)?.clone();
         if let Some(object) = state.object {
             let (backend, homes) = self.pick_keyed(&state, object, now);
@@ -154,10 +157,33 @@
             return false;
         };
         let members = &tiers[tier];
-        let suspects = members.iter().filter(|id| self.backends.get(id).is_some_and(Backend::suspect)).count();
+        let others = members.iter().filter(|id| **id != backend).filter_map(|id| self.backends.get(id));
+        let suspects = others.filter(|server| server.suspect()).count();
         (suspects + 1) as f64 <= members.len() as f64 * EJECTED_PART
     }
 
+    /// Takes servers back that were ejected for late answers, if no other server is left for the work of `request`; says
+    /// whether there were any. Late answers are better than none.
+    pub(super) fn pardon(&mut self, request: u64, now: Time) -> bool {
+        let Some(state) = self.requests.get(&request) else { return false };
+        let (class, service) = (state.class, usize::from(state.service));
+        let Some(tiers) = self.tiers.get(service) else { return false };
+        let serving: Vec<BackendId> = tiers.iter().flatten().copied().collect();
+        let spec = &self.classes[class].spec;
+        let open = |id: &BackendId| {
+            let server = self.backends.get(id);
+            server.is_some_and(|server| !server.leaving() && !server.ejected(now) && spec.allows(server.spec.region))
+        };
+        if now < self.doubted_until || serving.iter().any(open) {
+            return false;
+        }
+        let pardoned = serving.iter().filter(|id| {
+            let allowed = self.backends.get(id).is_some_and(|server| spec.allows(server.spec.region));
+            allowed && self.backends.get_mut(id).is_some_and(|server| server.pardon(now))
+        });
+        pardoned.count() > 0
+    }
+
     /// Why `request` can never be sent before its deadline, if so.
     pub(super) fn impossible(&self, request: u64) -> Option<Kind> {
         let state = self.requests.get(&request)?;
--- a/crates/dispatch/src/engine/queue.rs
+++ b/crates/dispatch/src/engine/queue.rs
@@ -89,6 +89,9 @@
                 continue;
             }
             let Some(backend) = self.pick(request, now) else {
+                if self.pardon(request, now) {
+                    continue;
+                }
                 match self.impossible(request) {
                     Some(kind) => self.refuse(request, kind, now),
                     None => return,
--- a/crates/dispatch/src/engine/waiting.rs
+++ b/crates/dispatch/src/engine/waiting.rs
@@ -31,6 +31,11 @@
         if let Some(backend) = self.pick(request, now) {
             return self.start(request, backend, now);
         }
+        if self.pardon(request, now)
+            && let Some(backend) = self.pick(request, now)
+        {
+            return self.start(request, backend, now);
+        }
         if let Some(kind) = self.impossible(request) {
             return self.refuse(request, kind, now);
         }
--- a/crates/dispatch/src/engine/world.rs
+++ b/crates/dispatch/src/engine/world.rs
@@ -6,7 +6,7 @@
 use base::rate;
 use base::time::Time;
 
-use super::state::Channel;
+use super::state::{Channel, Timer};
 use super::{Engine, Extra, Note, Remote, pick};
 use crate::backend::{Backend, BackendId, Place, Report, Spec};
 use crate::class::{self, Class};
@@ -125,9 +125,29 @@
         self.words.leaving(now)
     }
 
+    /// The process stood still for `stood`, so what is believed of servers may not hold any more: nothing is sent until
+    /// `until`, or until it is trusted again. Servers are not blamed for that time.
+    pub fn doubt(&mut self, stood: Duration, until: Time) {
+        self.doubted_until = self.doubted_until.max(until);
+        for (number, attempt) in &mut self.attempts {
+            attempt.started = attempt.started + stood;
+            if self.timers.remove(&(attempt.late_at, Timer::Late(*number))) {
+                attempt.late_at = attempt.late_at + stood;
+                self.timers.insert((attempt.late_at, Timer::Late(*number)));
+            }
+        }
+    }
+
+    /// What is believed holds: sends what has waited.
+    pub fn trust(&mut self, now: Time) {
+        self.doubted_until = Time::ZERO;
+        self.pump(now);
+    }
+
     /// Whether a request may still be sent to `backend`: what was decided a moment ago may not hold any more.
     pub fn may_send(&self, backend: BackendId, now: Time) -> bool {
-        self.backends.get(&backend).is_some_and(|server| !server.leaving() && !server.paused(now))
+        let trusted = now >= self.doubted_until;
+        trusted && self.backends.get(&backend).is_some_and(|server| !server.leaving() && !server.paused(now))
     }
 
     /// Takes in losses that peers saw; gives those that were news, to be passed on.
--- a/crates/dispatch/tests/words.rs
+++ b/crates/dispatch/tests/words.rs
@@ -216,3 +216,26 @@
     let after = cluster.outcome(end + 3, end + 8);
     assert!(f64::from(after.good) >= 0.85 * f64::from(after.asked), "{after:?}");
 }
+
+/// Load: requests come while the process has just woken and what it believes may be old.
+#[rstest]
+#[case::trusted_again(Some(50), 50)]
+#[case::nobody_confirms(None, 300)]
+fn what_is_doubted_is_not_acted_on(#[case] trusted_after: Option<u64>, #[case] sent_after: u64) {
+    let mut world = world(3);
+    let before = world.send(LOOKUP);
+    let on_its_way = world.attempts_of(before)[0];
+    let begun = world.now;
+    world.engine.doubt(SECOND * 5, begun + Duration::from_millis(300));
+    assert!(!world.engine.may_send(world.live[&on_its_way].backend, begun), "nor what was decided before");
+    world.end(on_its_way, Ending::Recalled);
+    let requests = [world.send(LOOKUP), world.send(ORDER), before];
+    world.pass(Duration::from_millis(sent_after - 10));
+    assert!(requests.iter().all(|request| world.attempts_of(*request).is_empty()));
+    if let Some(after) = trusted_after {
+        world.pass((begun + Duration::from_millis(after)).since(world.now));
+        world.engine.trust(world.now);
+    }
+    world.pass(Duration::from_millis(20));
+    assert!(requests.iter().all(|request| world.attempts_of(*request).len() == 1));
+}
