Take no success without an id on a connection that was used before

Cause: looked for, as the users ask (a late second copy of an answer). A copy that carries the id of its request was dropped already; one without any was handed to the next caller on that connection (platform/crossed.rs, failed first). Now a success without an id counts only on a connection that carried nothing before, and such a connection is not used again. Answers that are no success may lack it: servers that turn work away need not name it. Also tested, and held before: a copy on an idle connection, running work at a server whose entry lapses or calls it leaving (it is neither given up nor started again elsewhere).

--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -158,9 +158,12 @@
     let dialect = &context.dialect;
     let headers = headers(context, outgoing, sending, target);
     let id = headers.get(&dialect.request_id).cloned();
-    let ours = |head: &head::Response| {
-        let echoed = head.headers.get(&dialect.request_id);
-        !dialect.callers_id || echoed.is_none() || echoed == id.as_ref()
+    // On a connection that was used before, a success without an id may be a late copy of an earlier one.
+    let used = connection.used();
+    let ours = |head: &head::Response| match head.headers.get(&dialect.request_id) {
+        _ if !dialect.callers_id => true,
+        None => !(used && head.status.is_success()),
+        echoed => echoed == id.as_ref(),
     };
     let call = Call {
         method: &outgoing.method,
@@ -173,7 +176,8 @@
     note_bytes(context, target, "sent", outgoing.body.len());
     let answer = connection.exchange(call, ours).await?;
     note_bytes(context, target, "received", answer.body.len());
-    if answer.reusable {
+    let named = !dialect.callers_id || answer.headers.contains_key(&dialect.request_id);
+    if answer.reusable && (named || !answer.status.is_success()) {
         context.pool.put(sending.backend, connection, answer.idle_limit(), context.now());
     }
     Ok(answer)
--- a/crates/h1/src/client.rs
+++ b/crates/h1/src/client.rs
@@ -96,6 +96,8 @@
 pub struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// Whether a request was sent before.
+    used: bool,
 }
 
 impl Connection {
@@ -108,7 +110,7 @@
         let probes =
             socket2::TcpKeepalive::new().with_time(PROBE_AFTER).with_interval(PROBE_AFTER).with_retries(PROBES);
         socket.set_tcp_keepalive(&probes)?;
-        Ok(Self { stream, buffer: BytesMut::new() })
+        Ok(Self { stream, buffer: BytesMut::new(), used: false })
     }
 
     /// Whether an idle connection is still of use: it is open, and nothing came that nobody asked for.
@@ -118,9 +120,15 @@
         self.buffer.is_empty() && read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Whether a request was sent before, so that an answer may be to an earlier one.
+    pub const fn used(&self) -> bool {
+        self.used
+    }
+
     /// Sends `call` and gives its whole answer. Answers for which `ours` does not hold belong to an earlier
     /// request and are dropped.
     pub async fn exchange(&mut self, call: Call<'_>, ours: impl Fn(&head::Response) -> bool) -> Result<Answer, Fault> {
+        self.used = true;
         let mut out = BytesMut::new();
         encode::request(&mut out, call.method, call.target, call.headers, call.body.len());
         out.extend_from_slice(call.body);
