Let one daemon of a region watch the store, and the others learn from it

Now (fleet::source): in each region the first daemon in an order that all know watches; the first of each other failure domain learns from it, the others from theirs, by questions that wait for news. Each word tells how old it is; a daemon avoids a source that is silent or stale (1.25 s), and asks the store itself when nobody has confirmed its copy for 1.7 s, whatever its source says. Checks are no stale reads any more. A starting daemon asks the store and its peers at the same time and takes what comes first, however old; at the first start of all it waits 0.4 s to meet the others. store::Mirror passes itself on: what changed after a revision, or pages of all keys; older pictures than ours, pictures with a gap, and keys that another copy only keeps for a while change nothing. Ruled out: watchers by failure domain (twice the calls, no bytes less), pushing (no end to a silent follower), answers of a watch as confirmation (a watch may tell nothing while changes are made).

--- a/crates/config/src/configs/fleet.rs
+++ b/crates/config/src/configs/fleet.rs
@@ -13,6 +13,8 @@
     pub address: String,
     /// Peers to ask first, `IP:PORT` each.
     pub seeds: Vec<String>,
+    /// Whether all daemons start now for the first time: they may wait a moment to meet, since nobody serves yet.
+    pub first_start: bool,
     /// Time between two exchanges with a peer, in milliseconds.
     pub exchange_ms: u64,
     /// Longest time to wait for a peer's answer, in milliseconds.
@@ -28,6 +30,7 @@
         Self {
             address: "127.0.0.1:7200".to_owned(),
             seeds: Vec::new(),
+            first_start: false,
             exchange_ms: 1_000,
             timeout_ms: 500,
             suspect_ms: 3_000,
--- a/crates/config/src/configs/platform.rs
+++ b/crates/config/src/configs/platform.rs
@@ -17,7 +17,7 @@
     pub poll_ms: u64,
     /// Longest wait of one watch of the store, in milliseconds.
     pub watch_ms: u64,
-    /// Time between two cheap calls that show whether a watch still hears anything, in milliseconds.
+    /// Time between two calls that show whether a watch still hears anything, in milliseconds.
     pub liveness_ms: u64,
     /// Daemons in a failure domain that read the policy from the store.
     pub readers: u64,
@@ -32,7 +32,7 @@
             timeout_ms: 1_000,
             poll_ms: 2_000,
             watch_ms: 20_000,
-            liveness_ms: 1_000,
+            liveness_ms: 900,
             readers: 2,
             claim_kept_s: 86_400,
         }
--- a/crates/daemon/examples/prepare.rs
+++ b/crates/daemon/examples/prepare.rs
@@ -77,7 +77,7 @@
         lock(&context.list).take(items, context.now());
         let now = context.now();
         let records = (0..daemons).map(record).collect();
-        lock(&context.roster).adopt(&Snapshot { records, policy: None, leaving: Vec::new() }, now);
+        lock(&context.roster).adopt(&Snapshot { records, policy: None, leaving: Vec::new(), copy: false }, now);
         policies::offer(&context, Copy::new(1, policy()), "example");
         let unchanged = time(|_| view::refresh(&context));
         let changed = time(|round| {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -27,6 +27,7 @@
 use crate::driver::Driver;
 use crate::list::{Entries, List};
 use crate::metrics::Metrics;
+use crate::mirror::Learning;
 use crate::orders::Span;
 use crate::peers;
 use crate::policies::InForce;
@@ -72,6 +73,8 @@
     pub catalog: Option<Catalog>,
     /// A copy of the store's keys, if the platform keeps policy and backend servers there.
     pub mirror: Mutex<store::Mirror>,
+    /// How that copy learns of changes.
+    pub learning: Learning,
     /// What is known of backend servers beside the list of instances.
     pub servers: Mutex<Servers>,
     /// The policy in force, with its copy for peers.
@@ -148,6 +151,7 @@
             dialect: Arc::new(adapter.dialect),
             catalog: adapter.catalog,
             mirror: Mutex::new(store::Mirror::new()),
+            learning: Learning::new(),
             servers: Mutex::new(Servers::default()),
             stall: Mutex::new(Stall::new(now)),
             clock,
--- a/crates/daemon/src/peers/api.rs
+++ b/crates/daemon/src/peers/api.rs
@@ -4,6 +4,7 @@
 use fleet::message::{Message, Snapshot};
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
+use store::Changes;
 
 use crate::whole::Packed;
 
@@ -35,6 +36,16 @@
     #[method(name = "snapshot")]
     async fn snapshot(&self) -> Result<Snapshot, jsonrpsee::types::ErrorObjectOwned>;
 
+    /// What the copy of the store knows beyond the revision `after`, once there is something or `wait_ms` have passed;
+    /// a page of all keys behind `from` if that is named. Nothing if there is no copy yet.
+    #[method(name = "changes")]
+    async fn changes(
+        &self,
+        after: u64,
+        from: String,
+        wait_ms: u64,
+    ) -> Result<Option<Changes>, jsonrpsee::types::ErrorObjectOwned>;
+
     /// What is known of the key with the hash `key`, in hexadecimal, by the incarnation that claimed it.
     #[method(name = "word")]
     async fn word(&self, incarnation: u64, key: String) -> Result<Word, jsonrpsee::types::ErrorObjectOwned>;
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -14,7 +14,11 @@
 
 /// A client of the peer at `address`.
 pub fn client(context: &Context, address: &str) -> Option<HttpClient> {
-    let timeout = Duration::from_millis(context.settings.fleet.timeout_ms);
+    client_with(address, Duration::from_millis(context.settings.fleet.timeout_ms))
+}
+
+/// A client of the peer at `address` whose calls end within `timeout`.
+pub fn client_with(address: &str, timeout: Duration) -> Option<HttpClient> {
     let builder = HttpClientBuilder::default().request_timeout(timeout).max_response_size(MAX_BYTES);
     match builder.build(format!("http://{address}")) {
         Ok(client) => Some(client),
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use fleet::message::Message;
+use fleet::message::{Message, Snapshot};
 
 use super::api::PeersClient as _;
 use super::client;
@@ -16,6 +16,8 @@
 
 /// Longest pause of a daemon that finds no peer at its start.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(8);
+/// Time in which daemons that are started together have told a seed that they are there.
+const MEETING: Duration = Duration::from_millis(400);
 
 inventory::submit! {
     Plugin(kernel::Plugin { name: "exchange", stage: 30, start })
@@ -38,6 +40,7 @@
     let shared = Arc::clone(context);
     let task = context.runtime.spawn(async move {
         join(&shared).await;
+        shared.learning.note_joined();
         run(&shared).await;
     });
     Ok(Box::new(Exchange(task, Arc::clone(context))))
@@ -126,15 +129,11 @@
         };
         match client.snapshot().await {
             Ok(snapshot) => {
-                let now = context.now();
-                lock(&context.roster).adopt(&snapshot, now);
-                for server in &snapshot.leaving {
-                    leaving::note(context, *server);
+                let starting = !snapshot.copy && context.settings.fleet.first_start;
+                adopt(context, snapshot, seed);
+                if starting && context.catalog.is_some() {
+                    meet(context, seed).await;
                 }
-                if let Some(copy) = snapshot.policy {
-                    policies::offer(context, copy, seed);
-                }
-                log::info!("peers: joined through peer={seed} members={}", snapshot.records.len());
                 return;
             }
             Err(error) => log::debug!("peers: seed skipped peer={seed} reason={:?}", error.to_string()),
@@ -146,6 +145,31 @@
     log::warn!("peers: no peer answered seeds={}", seeds.len());
 }
 
+/// Takes in what a peer knows.
+fn adopt(context: &Arc<Context>, snapshot: Snapshot, seed: &str) {
+    let now = context.now();
+    lock(&context.roster).adopt(&snapshot, now);
+    for server in &snapshot.leaving {
+        leaving::note(context, *server);
+    }
+    log::info!("peers: joined through peer={seed} members={}", snapshot.records.len());
+    if let Some(copy) = snapshot.policy {
+        policies::offer(context, copy, seed);
+    }
+}
+
+/// Tells a peer that has just started itself that we are here, and asks it a moment later who else is: where all start
+/// together, each would take itself for the first one of its region.
+async fn meet(context: &Arc<Context>, seed: &str) {
+    with(context, seed, seed, message(context)).await;
+    tokio::time::sleep(MEETING).await;
+    let Some(client) = client::client(context, seed) else { return };
+    match client.snapshot().await {
+        Ok(snapshot) => adopt(context, snapshot, seed),
+        Err(error) => log::debug!("peers: seed skipped peer={seed} reason={:?}", error.to_string()),
+    }
+}
+
 async fn run(context: &Arc<Context>) {
     let base = context.settings.fleet.exchange_ms;
     let mut rng = fastrand::Rng::with_seed(context.incarnation ^ 1);
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -1,17 +1,20 @@
 //! The peers' port.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use fleet::Copy;
 use fleet::message::{Message, Snapshot};
 use jsonrpsee::core::async_trait;
 use jsonrpsee::server::{ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
+use store::Changes;
 
 use super::api::{PeersServer, Word};
 use super::exchange;
 use crate::Context;
 use crate::context::lock;
+use crate::mirror;
 use crate::orders;
 use crate::plugin::Plugin;
 
@@ -45,7 +48,12 @@
         let policy = lock(&self.context.holder).copy().cloned();
         let now = self.context.now();
         let leaving = self.context.driver.look(|engine| engine.leaving(now).collect());
-        Ok(Snapshot { records, policy, leaving })
+        let copy = lock(&self.context.mirror).revision() > 0;
+        Ok(Snapshot { records, policy, leaving, copy })
+    }
+
+    async fn changes(&self, after: u64, from: String, wait_ms: u64) -> Result<Option<Changes>, ErrorObjectOwned> {
+        Ok(mirror::changes(&self.context, after, &from, Duration::from_millis(wait_ms)).await)
     }
 
     async fn word(&self, incarnation: u64, key: String) -> Result<Word, ErrorObjectOwned> {
--- a/crates/daemon/tests/view.rs
+++ b/crates/daemon/tests/view.rs
@@ -160,7 +160,8 @@
     assert_eq!((backends(&context), known), (8, 8), "a server left the list");
 
     let gone = Record { name: "e2".to_owned(), state: Standing::Left, ..lock(&context.roster).own().clone() };
-    lock(&context.roster).adopt(&Snapshot { records: vec![gone], policy: None, leaving: Vec::new() }, context.now());
+    lock(&context.roster)
+        .adopt(&Snapshot { records: vec![gone], policy: None, leaving: Vec::new(), copy: false }, context.now());
     view::refresh(&context);
     let steering = context.steering();
     let standing = steering.view.entries().iter().find(|entry| entry.name == "e2").map(|entry| entry.standing);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod load;
 pub mod message;
 pub mod roster;
+pub mod source;
 pub mod target;
 
 pub use copy::Copy;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -119,4 +119,7 @@
     /// Numbers of backend servers that said that they leave.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<u32>,
+    /// Whether the peer has a copy of the platform's store; without one it has just started and knows few members.
+    #[serde(default)]
+    pub copy: bool,
 }
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -235,6 +235,12 @@
         living.map(|member| member.record.name.as_str())
     }
 
+    /// Members that answer, ourselves among them: name and failure domain.
+    pub fn answering(&self) -> impl Iterator<Item = (&str, &str)> {
+        let others = self.members.values().map(|member| &member.record).filter(|record| record.state == State::Alive);
+        std::iter::once(&self.own).chain(others).map(|record| (record.name.as_str(), record.domain.as_str()))
+    }
+
     /// Names of all living members of `domain`, ourselves among them.
     pub fn alive_in<'a>(&'a self, domain: &'a str) -> impl Iterator<Item = &'a str> {
         let others = self.members.values().map(|member| &member.record);
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,6 +3,7 @@
 //! What a call looks like on the wire is a [`Codec`]: [`etcd::CODEC`] here, others in adapters.
 
 pub mod call;
+pub mod changes;
 pub mod client;
 pub mod codec;
 pub mod error;
@@ -13,6 +14,7 @@
 pub mod wire;
 
 pub use call::{Call, Event, Reply};
+pub use changes::Changes;
 pub use client::Client;
 pub use codec::{Codec, Message};
 pub use error::{Error, Result};
--- a/crates/store/src/liveness.rs
+++ b/crates/store/src/liveness.rs
@@ -20,12 +20,14 @@
     missed: bool,
     /// A revision that the watch has yet to reach, and until when.
     awaited: Option<(u64, Time)>,
+    /// The revision of the last answer and when its check was sent.
+    last: Option<(u64, Time)>,
 }
 
 impl Liveness {
     /// Nothing is known yet.
     pub const fn new() -> Self {
-        Self { missed: false, awaited: None }
+        Self { missed: false, awaited: None, last: None }
     }
 
     /// A check was not answered.
@@ -36,6 +38,7 @@
     /// A check sent at `sent` was answered with the store's `revision`, while the watch has told of changes up to
     /// `known` and gathers them for `gather`; says whether the watch stalled.
     pub fn answer(&mut self, revision: u64, known: u64, gather: Duration, sent: Time, now: Time) -> bool {
+        self.last = Some((revision, sent));
         if std::mem::take(&mut self.missed) {
             self.awaited = None;
             return true;
@@ -46,6 +49,11 @@
         self.overdue(known, now)
     }
 
+    /// When all changes up to `known` were all there were, if the last answer shows it.
+    pub fn confirmed(&self, known: u64) -> Option<Time> {
+        self.last.filter(|(revision, _)| *revision <= known).map(|(_, sent)| sent)
+    }
+
     /// Whether the watch should have told by `now` of a revision above `known`.
     pub fn overdue(&mut self, known: u64, now: Time) -> bool {
         self.awaited = self.awaited.filter(|(revision, _)| *revision > known);
--- a/crates/store/src/mirror.rs
+++ b/crates/store/src/mirror/mod.rs
@@ -3,7 +3,9 @@
 //! A key that is found missing soon after the store was away may have gone with a lease that nobody could renew;
 //! its writer gets a moment to come back before it is believed gone.
 
-use std::collections::BTreeMap;
+mod passing;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use base::time::Time;
@@ -17,6 +19,9 @@
 /// Time for which calls must have failed for leases to have lapsed; a connection that was cut alone is no outage.
 const AWAY: Duration = Duration::from_millis(300);
 
+/// Deleted keys that are remembered for other copies.
+const GONE: usize = 4_096;
+
 /// A key as it was last seen.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Held {
@@ -43,6 +48,11 @@
     failing: Option<Time>,
     /// Until when missing keys are kept, after the store was away.
     returning: Time,
+    /// When the copy was last known to hold all that the store did.
+    confirmed: Option<Time>,
+    /// Keys deleted after the revision `gone_since`, in the order in which that was learnt.
+    gone: VecDeque<(String, u64)>,
+    gone_since: u64,
 }
 
 impl Mirror {
@@ -107,18 +117,50 @@
 
     /// Takes a whole list that was true at `revision`; says whether anything changed.
     pub fn replace(&mut self, entries: Vec<Entry>, revision: u64, now: Time) -> bool {
-        let listed: std::collections::BTreeSet<String> = entries.iter().map(|entry| entry.key.clone()).collect();
-        let missing = self.held.iter().filter(|(key, held)| held.revision <= revision && !listed.contains(*key));
+        let listed: BTreeSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
+        let mut changed = self.lose_all_but(&listed, revision, now);
+        for entry in entries {
+            changed |= self.put(entry, now);
+        }
+        self.learn_whole(revision);
+        changed
+    }
+
+    /// The copy held all that the store did at `as_of`; says whether that is news.
+    pub fn confirm(&mut self, as_of: Time) -> bool {
+        let news = self.confirmed.is_none_or(|known| known < as_of);
+        if news {
+            self.confirmed = Some(as_of);
+            // Somebody reaches the store: a call of our own that failed before is no outage of it.
+            self.failing = self.failing.filter(|since| *since > as_of);
+        }
+        news
+    }
+
+    /// How long ago the copy was last known to hold all that the store did; `None` if it never was.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.confirmed.map(|confirmed| now.since(confirmed))
+    }
+
+    /// Drops the keys that are not `listed` at `revision`.
+    fn lose_all_but(&mut self, listed: &BTreeSet<&str>, revision: u64, now: Time) -> bool {
+        let missing =
+            self.held.iter().filter(|(key, held)| held.revision <= revision && !listed.contains(key.as_str()));
         let missing: Vec<String> = missing.map(|(key, _)| key.clone()).collect();
         let mut changed = false;
         for key in missing {
-            changed |= self.delete(&key, revision + 1, now);
+            changed |= self.lose(&key, revision, now);
         }
-        for entry in entries {
-            changed |= self.put(entry, now);
+        changed
+    }
+
+    /// All that there was at `revision` is known; what was deleted before is not.
+    fn learn_whole(&mut self, revision: u64) {
+        if self.revision == 0 || revision > self.revision {
+            self.gone_since = revision;
+            self.gone.retain(|(_, deleted)| *deleted > revision);
         }
         self.revision = self.revision.max(revision);
-        changed
     }
 
     /// Drops keys that did not come back in time; says whether anything changed.
@@ -158,10 +200,28 @@
     }
 
     fn delete(&mut self, key: &str, revision: u64, now: Time) -> bool {
-        let returning = self.returning;
-        let Some(held) = self.held.get_mut(key).filter(|held| held.revision < revision) else {
+        // Noted also if the key is not held: another copy may hold it.
+        self.note_gone(key, revision);
+        if self.held.get(key).is_none_or(|held| held.revision >= revision) {
             return false;
-        };
+        }
+        self.lose(key, revision, now)
+    }
+
+    /// Remembers a deletion for other copies.
+    fn note_gone(&mut self, key: &str, revision: u64) {
+        self.gone.push_back((key.to_owned(), revision));
+        if self.gone.len() > GONE
+            && let Some((_, forgotten)) = self.gone.pop_front()
+        {
+            self.gone_since = self.gone_since.max(forgotten);
+        }
+    }
+
+    /// A key is missing as of `revision`: it is gone, or kept for a moment after the store was away.
+    fn lose(&mut self, key: &str, revision: u64, now: Time) -> bool {
+        let returning = self.returning;
+        let Some(held) = self.held.get_mut(key) else { return false };
         if now < returning {
             held.missing.get_or_insert(returning);
             return false;
