Let a copy of the store be corrected by those that heard of the store all the while

Now what a teller with fresh knowledge says of the store's return replaces what our own failed calls suggest. Ruled out: no grace at all (leases do lapse in an outage), asking others first (the link is choked). Test: store/changes.rs a_copy_that_takes_its_own_trouble_for_an_outage_is_corrected, failed first.

--- a/crates/store/src/mirror/passing.rs
+++ b/crates/store/src/mirror/passing.rs
@@ -9,6 +9,9 @@
 use super::{Held, Mirror};
 use crate::changes::{Changes, Item, PAGE_BYTES};
 
+/// Age of a teller's knowledge up to which it has heard of the store all the while.
+const KNOWING: Duration = Duration::from_millis(1_250);
+
 impl Mirror {
     /// What has changed after the revision `after`, for another copy; or all keys behind `from`, a page of them, if
     /// that is not known any more. Nothing if there is nothing to pass on yet.
@@ -59,9 +62,7 @@
     /// Takes in what another copy passes on; says whether anything changed. `items` are those of all pages, if it is
     /// the whole. `sent` is when the question was sent.
     pub fn merge(&mut self, told: &Changes, items: Vec<Item>, sent: Time, now: Time) -> bool {
-        if told.returning_ms > 0 {
-            self.returning = self.returning.max(now + Duration::from_millis(told.returning_ms));
-        }
+        self.learn_returning(told, now.since(sent), now);
         let mut changed = false;
         // A gap would go unnoticed, and an older picture than ours would bring back what has gone since.
         let fits = told.after <= self.revision && told.revision >= self.revision;
@@ -80,6 +81,20 @@
         changed
     }
 
+    /// Whoever has heard of the store all the while knows best whether it was away: our own calls may have failed for
+    /// another reason.
+    fn learn_returning(&mut self, told: &Changes, took: Duration, now: Time) {
+        let returning = now + Duration::from_millis(told.returning_ms);
+        if told.age(took).is_none_or(|age| age >= KNOWING) {
+            self.returning = if told.returning_ms > 0 { self.returning.max(returning) } else { self.returning };
+            return;
+        }
+        self.returning = returning;
+        for held in self.held.values_mut() {
+            held.missing = held.missing.map(|until| until.min(returning));
+        }
+    }
+
     fn put_all(&mut self, items: Vec<Item>, now: Time) -> bool {
         let mut changed = false;
         for item in items {
--- a/crates/store/tests/changes.rs
+++ b/crates/store/tests/changes.rs
@@ -212,6 +212,25 @@
     assert_eq!(knowing.revision(), 20);
 }
 
+/// Fault: a daemon's own link is choked for a while, so that its calls fail; the store was there for all others.
+#[test]
+fn a_copy_that_takes_its_own_trouble_for_an_outage_is_corrected() {
+    let mut choked = Mirror::new();
+    choked.note_answer(START, START);
+    choked.replace(vec![entry("a/1", "x", 3), entry("b/1", "y", 5)], 5, START);
+    let mut knowing = choked.clone();
+    knowing.apply(vec![Event::Delete("b/1".to_owned(), 9)], 9, START);
+    let back = START + Duration::from_secs(2);
+    choked.note_failure(START + Duration::from_millis(500));
+    assert!(choked.note_answer(back, back));
+    choked.apply(vec![Event::Delete("b/1".to_owned(), 9)], 9, back);
+    assert!(choked.get("b/1").is_some(), "it may come back, if the store was away");
+    knowing.confirm(back);
+    pass_on(&knowing, &mut choked, back);
+    choked.tick(back);
+    assert!(choked.get("b/1").is_none(), "the store was not away");
+}
+
 #[rstest]
 #[case::at_once(0, 20, 400, 420)]
 #[case::kept_waiting(900, 930, 10, 40)]
