Log and count the rate limits that backend servers announce

The header is read into the announcements of a server and each change is logged and counted. Nothing acts on it yet. The native interface gets the same word as x-rate-limit.

--- a/crates/daemon/src/backends/announcement.rs
+++ b/crates/daemon/src/backends/announcement.rs
@@ -1,15 +1,21 @@
-//! Announcements in the answers of backend servers: that a server is leaving, or paused for a while.
+//! Announcements in the answers of backend servers: that a server is leaving, paused for a while, or limits the rate of
+//! requests.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use dispatch::announcements::RateLimit;
 use dispatch::backend::BackendId;
 use h1::head;
 use http::StatusCode;
-use http::header::{HeaderMap, RETRY_AFTER};
+use http::header::{HeaderMap, HeaderValue, RETRY_AFTER};
 
 use crate::{Context, peers};
 
+/// The value of a header that cannot be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unreadable;
+
 /// How long a server counts as leaving after its announcement. Its id includes its start time, so a successor has
 /// another id.
 const LEAVING_MAX_AGE: Duration = Duration::from_hours(1);
@@ -17,12 +23,13 @@
 const LEAVING_MAX_AGE_WITHOUT_START: Duration = Duration::from_mins(1);
 
 /// Applies the announcements in an answer's headers: the leaving header in any answer, which is also passed on to the
-/// peers, and `Retry-After` in an answer with status 503, which pauses the server.
+/// peers, the rate limit, and `Retry-After` in an answer with status 503, which pauses the server.
 pub fn apply(context: &Arc<Context>, backend: BackendId, status: StatusCode, headers: &HeaderMap) {
     if context.dialect.leaving.as_ref().is_some_and(|name| headers.contains_key(name)) {
         context.pool.clear(backend);
         peers::spread_leaving(context, &[backend]);
     }
+    apply_rate_limit(context, backend, headers);
     if status != StatusCode::SERVICE_UNAVAILABLE {
         return;
     }
@@ -41,6 +48,31 @@
     context.driver.with_engine_mut(context, |engine| engine.record_leaving(backend, until, now))
 }
 
+/// Records the rate limit that the answer states, or that it states none.
+fn apply_rate_limit(context: &Arc<Context>, backend: BackendId, headers: &HeaderMap) {
+    let Some(name) = &context.dialect.rate_limit else { return };
+    let limit = parse_rate_limit(headers.get_all(name).iter().map(HeaderValue::as_bytes));
+    let observed_at = context.now();
+    let Ok(per_second) = limit else {
+        log::debug!(backend; "dispatch: server rate limit not readable");
+        return;
+    };
+    let limit = RateLimit { per_second, observed_at };
+    context.driver.with_engine_mut(context, |engine| engine.record_rate_limit(backend, limit, observed_at));
+}
+
+/// Parses the values of a rate limit header, in requests per second. Returns the lowest readable one, `None` if the
+/// header is absent, and an error if it is present and no value is a number of zero or more.
+pub fn parse_rate_limit<'a>(values: impl Iterator<Item = &'a [u8]>) -> Result<Option<f64>, Unreadable> {
+    let mut values = values.peekable();
+    if values.peek().is_none() {
+        return Ok(None);
+    }
+    let number = |value: &[u8]| std::str::from_utf8(value).ok()?.trim().parse::<f64>().ok();
+    let valid = values.filter_map(number).filter(|rate| rate.is_finite() && *rate >= 0.0);
+    valid.min_by(f64::total_cmp).map(Some).ok_or(Unreadable)
+}
+
 /// Parses a number of seconds, with or without a fraction.
 fn parse_seconds(text: &str) -> Option<Duration> {
     text.trim().parse().ok().and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -86,12 +86,25 @@
             context.metrics.servers_paused.inc();
             log::info!(server = name(backend), for_ms:% = until.since(now).as_millis(); "dispatch: server paused");
         }
+        Decision::RateLimited { backend, per_second, before, observed_at } => {
+            context.metrics.servers_rate_limited.inc();
+            log::info!(
+                server = name(backend), per_second:% = rate(*per_second), before:% = rate(*before),
+                told_ms:% = now.since(*observed_at).as_millis();
+                "dispatch: server rate limit changed"
+            );
+        }
         Decision::Quarantined { fingerprint } => {
             log::warn!(fingerprint:% = format_args!("{fingerprint:016x}"); "dispatch: requests poisonous");
         }
     }
 }
 
+/// Formats a rate in requests per second; a dash for no limit.
+fn rate(per_second: Option<f64>) -> String {
+    per_second.map_or_else(|| "-".to_owned(), |per_second| per_second.to_string())
+}
+
 /// Formats a server that was considered as `name/load/pace/ms to the answer`; a dash for none.
 fn candidate(steering: &Steering, considered: Option<Candidate>) -> String {
     let Some(Candidate { backend, load, pace, expected_latency }) = considered else {
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -34,6 +34,8 @@
     pub load: Option<HeaderName>,
     /// Header that a leaving server sets in all its answers.
     pub leaving: Option<HeaderName>,
+    /// Header with the requests per second that a server takes from all daemons together; absent while it has no limit.
+    pub rate_limit: Option<HeaderName>,
     /// Header that a server sets if it ran nothing of the request.
     pub not_run: HeaderName,
     /// The value of `not_run` that states so; `None` if its presence is enough.
@@ -66,6 +68,7 @@
             signature: None,
             load: None,
             leaving: None,
+            rate_limit: Some(HeaderName::from_static("x-rate-limit")),
             not_run: HeaderName::from_static("x-outcome"),
             not_run_value: Some("not-run"),
             outcome: Some(HeaderName::from_static("x-outcome")),
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -252,6 +252,7 @@
             | Decision::Reinstated { .. }
             | Decision::Leaving { .. }
             | Decision::Paused { .. }
+            | Decision::RateLimited { .. }
             | Decision::Quarantined { .. } => None,
         };
         let pending = lock(&self.pending);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -32,6 +32,8 @@
     pub servers_leaving: IntCounter,
     /// Answers by which backend servers announced a pause.
     pub servers_paused: IntCounter,
+    /// Changes of the rate limits of backend servers.
+    pub servers_rate_limited: IntCounter,
     /// Stalls of the process.
     pub stalls: IntCounter,
     /// Bytes of bodies to and from backend servers of other regions, by direction.
@@ -95,6 +97,11 @@
                 "hemlock_servers_paused_total",
                 "Answers of servers that want nothing for a while",
             ),
+            servers_rate_limited: counter(
+                &registry,
+                "hemlock_servers_rate_limited_total",
+                "Rate limits of servers that began, changed or ended",
+            ),
             stalls: counter(&registry, "hemlock_stalls_total", "Times that the process stood still"),
             remote_bytes: counters(
                 &registry,
--- a/crates/dispatch/src/engine/decision.rs
+++ b/crates/dispatch/src/engine/decision.rs
@@ -74,6 +74,17 @@
         /// End of the pause.
         until: Time,
     },
+    /// A server's limit on the rate of requests from all daemons together began, changed or ended.
+    RateLimited {
+        /// The backend server.
+        backend: BackendId,
+        /// Requests per second from now on; `None` for no limit.
+        per_second: Option<f64>,
+        /// The same until now.
+        before: Option<f64>,
+        /// When the answer arrived that stated it, here or at a peer.
+        observed_at: Time,
+    },
     /// Requests with this fingerprint are refused, as connections to servers were lost while they ran.
     Quarantined {
         /// The fingerprint.
--- a/crates/dispatch/src/engine/update.rs
+++ b/crates/dispatch/src/engine/update.rs
@@ -8,6 +8,7 @@
 
 use super::state::{Link, Timer};
 use super::{Budgets, Decision, Engine, Remote, pick};
+use crate::announcements::RateLimit;
 use crate::backend::{Backend, BackendId, Place, Report, Spec};
 use crate::class::{self, Class};
 
@@ -122,6 +123,17 @@
         }
     }
 
+    /// Records the rate limit of a backend server. Returns whether its rate changed.
+    pub fn record_rate_limit(&mut self, backend: BackendId, limit: RateLimit, now: Time) -> bool {
+        let before = self.announcements.get(backend).per_second();
+        let changed = self.announcements.record_rate_limit(backend, limit, now);
+        if changed {
+            let RateLimit { per_second, observed_at } = limit;
+            self.decisions.push(Decision::RateLimited { backend, per_second, before, observed_at });
+        }
+        changed
+    }
+
     /// Returns the backend servers that announced that they are leaving.
     pub fn leaving_backends(&self, now: Time) -> impl Iterator<Item = BackendId> {
         self.announcements.leaving(now)
