--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -60,6 +60,8 @@
     Unreachable,
     /// Every backend server that could run the work has announced that it accepts no requests for a while.
     Paused,
+    /// Every backend server that could run the work limits its rate of requests, and no room is left in time.
+    RateLimited,
     /// The store cannot record the claim of a non-idempotent request.
     ClaimUnavailable,
     /// Earlier attempts of this request crashed backend servers.
@@ -95,7 +97,7 @@
 
 impl Kind {
     /// All kinds, in the order of declaration.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 28] = [
         Self::Malformed,
         Self::AmbiguousFraming,
         Self::LengthRequired,
@@ -114,6 +116,7 @@
         Self::Shed,
         Self::Unreachable,
         Self::Paused,
+        Self::RateLimited,
         Self::ClaimUnavailable,
         Self::Poisoned,
         Self::BackendLost,
@@ -147,6 +150,7 @@
             Self::Shed => (503, NotRun, Some(1), false),
             Self::Unreachable => (503, NotRun, Some(2), false),
             Self::Paused => (503, NotRun, Some(2), false),
+            Self::RateLimited => (503, NotRun, Some(2), false),
             Self::ClaimUnavailable => (503, NotRun, Some(5), false),
             Self::Poisoned => (503, NotRun, Some(60), false),
             Self::BackendLost => (502, Unknown, Some(1), false),
@@ -181,6 +185,7 @@
             Self::Shed => "shed",
             Self::Unreachable => "unreachable",
             Self::Paused => "paused",
+            Self::RateLimited => "rate-limited",
             Self::ClaimUnavailable => "claim-unavailable",
             Self::Poisoned => "poisoned",
             Self::BackendLost => "backend-lost",
@@ -209,7 +214,8 @@
             Self::NoPolicy => "send again after the given time, or ask the look-up for another entry instance",
             Self::Leaving => "ask the look-up for another entry instance and send again",
             Self::QueueFull | Self::Shed | Self::WontFinish | Self::Expired => "send again after the given time",
-            Self::NoBackend | Self::LinkFull | Self::Unreachable | Self::Paused => "send again after the given time",
+            Self::NoBackend | Self::LinkFull | Self::Unreachable => "send again after the given time",
+            Self::Paused | Self::RateLimited => "send again after the given time",
             Self::ClaimUnavailable => "send again with the same Idempotency-Key after the given time",
             Self::Poisoned => "do not send this request again; it stops the servers that run it",
             Self::BackendLost | Self::BackendTimeout | Self::AnswerCut | Self::AnswerTooLarge => {
--- a/crates/base/src/rate.rs
+++ b/crates/base/src/rate.rs
@@ -1,7 +1,28 @@
 //! Rate limiting.
 
+use std::time::Duration;
+
 use crate::time::Time;
 
+/// Time after which a limit that no answer has confirmed no longer applies.
+const LIMIT_MAX_AGE: Duration = Duration::from_mins(3);
+
+/// The rate of requests that a backend server takes from all daemons together, as last observed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Requests per second; `None` if the server takes them without a limit.
+    pub per_second: Option<f64>,
+    /// When the answer arrived that stated it, at this daemon or at the peer that passed it on.
+    pub observed_at: Time,
+}
+
+impl Limit {
+    /// Returns when the limit no longer applies, unless a later answer confirms it.
+    pub fn ends_at(&self) -> Time {
+        if self.per_second.is_some() { self.observed_at + LIMIT_MAX_AGE } else { self.observed_at }
+    }
+}
+
 /// A token bucket.
 #[derive(Debug, Clone)]
 pub struct Bucket {
--- a/crates/daemon/examples/prepare.rs
+++ b/crates/daemon/examples/prepare.rs
@@ -78,8 +78,10 @@
         lock(&context.instance_list).replace(items, context.now());
         let now = context.now();
         let records = (0..daemons).map(record).collect();
-        lock(&context.roster)
-            .merge_snapshot(&Snapshot { records, policy: None, leaving: Vec::new(), has_mirror: false }, now);
+        lock(&context.roster).merge_snapshot(
+            &Snapshot { records, policy: None, leaving: Vec::new(), rate_limits: Vec::new(), has_mirror: false },
+            now,
+        );
         policies::apply(&context, Document::new(1, policy()), "example");
         let unchanged = time(|_| view::refresh(&context));
         let changed = time(|round| {
--- a/crates/daemon/src/backends/announcement.rs
+++ b/crates/daemon/src/backends/announcement.rs
@@ -4,12 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dispatch::announcements::RateLimit;
+use base::rate::Limit;
+use dispatch::Engine;
 use dispatch::backend::BackendId;
 use h1::head;
 use http::StatusCode;
 use http::header::{HeaderMap, HeaderValue, RETRY_AFTER};
 
+use super::attempt::Attempt;
 use crate::{Context, peers};
 
 /// The value of a header that cannot be read.
@@ -24,12 +26,13 @@
 
 /// Applies the announcements in an answer's headers: the leaving header in any answer, which is also passed on to the
 /// peers, the rate limit, and `Retry-After` in an answer with status 503, which pauses the server.
-pub fn apply(context: &Arc<Context>, backend: BackendId, status: StatusCode, headers: &HeaderMap) {
+pub fn apply(context: &Arc<Context>, attempt: Attempt, status: StatusCode, headers: &HeaderMap) {
+    let backend = attempt.backend;
     if context.dialect.leaving.as_ref().is_some_and(|name| headers.contains_key(name)) {
         context.pool.clear(backend);
         peers::spread_leaving(context, &[backend]);
     }
-    apply_rate_limit(context, backend, headers);
+    apply_rate_limit(context, attempt, headers);
     if status != StatusCode::SERVICE_UNAVAILABLE {
         return;
     }
@@ -48,17 +51,34 @@
     context.driver.with_engine_mut(context, |engine| engine.record_leaving(backend, until, now))
 }
 
-/// Records the rate limit that the answer states, or that it states none.
-fn apply_rate_limit(context: &Arc<Context>, backend: BackendId, headers: &HeaderMap) {
+/// Records the rate limit that the answer to `attempt` states, or that it states none, and passes on what is new. A
+/// limit that cannot be read changes nothing.
+fn apply_rate_limit(context: &Arc<Context>, attempt: Attempt, headers: &HeaderMap) {
     let Some(name) = &context.dialect.rate_limit else { return };
-    let limit = parse_rate_limit(headers.get_all(name).iter().map(HeaderValue::as_bytes));
-    let observed_at = context.now();
-    let Ok(per_second) = limit else {
-        log::debug!(backend; "dispatch: server rate limit not readable");
-        return;
-    };
-    let limit = RateLimit { per_second, observed_at };
-    context.driver.with_engine_mut(context, |engine| engine.record_rate_limit(backend, limit, observed_at));
+    let now = context.now();
+    match parse_rate_limit(headers.get_all(name).iter().map(HeaderValue::as_bytes)) {
+        // Most answers: they need not disturb the engine.
+        Ok(None) if context.driver.with_engine(|engine| engine.rate_limit(attempt.backend).is_none()) => {}
+        Ok(per_second) => {
+            let number = attempt.number;
+            let record = |engine: &mut Engine| engine.record_rate_limit(number, per_second, now);
+            let news = context.driver.with_engine_mut(context, record);
+            peers::spread_rate_limit(context, attempt.backend, Limit { per_second, observed_at: now }, news);
+        }
+        Err(Unreadable) => {
+            let is_new =
+                context.driver.with_engine_mut(context, |engine| engine.record_unreadable(attempt.backend, now));
+            if is_new {
+                let value = headers.get(name);
+                log::warn!(server = server_name(context, attempt.backend), value:?; "dispatch: server rate limit not readable");
+            }
+        }
+    }
+}
+
+fn server_name(context: &Context, backend: BackendId) -> String {
+    let steering = context.steering();
+    steering.backends.get(&backend).map_or_else(|| backend.to_string(), |instance| instance.name.clone())
 }
 
 /// Parses the values of a rate limit header, in requests per second. Returns the lowest readable one, `None` if the
--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -107,7 +107,7 @@
     };
     stall::check(context);
     let now = context.now();
-    if !context.driver.with_engine(|engine| engine.may_send(attempt.backend, now)) {
+    if !context.driver.with_engine(|engine| engine.may_send(attempt.number, attempt.backend, now)) {
         return (Ending::Recalled, None);
     }
     let exchange = exchange(context, outgoing, attempt, &target, connection);
@@ -213,7 +213,7 @@
         context.pool.clear(attempt.backend);
         return (Ending::Unreachable, None);
     }
-    announcement::apply(context, attempt.backend, answer.status, &answer.headers);
+    announcement::apply(context, attempt, answer.status, &answer.headers);
     if dialect.is_not_run(&answer.headers) {
         return (Ending::Shed, None);
     }
--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -86,11 +86,13 @@
             context.metrics.servers_paused.inc();
             log::info!(server = name(backend), for_ms:% = until.since(now).as_millis(); "dispatch: server paused");
         }
-        Decision::RateLimited { backend, per_second, before, observed_at } => {
+        Decision::RateLimited { backend, limit, before, share, position } => {
             context.metrics.servers_rate_limited.inc();
             log::info!(
-                server = name(backend), per_second:% = rate(*per_second), before:% = rate(*before),
-                told_ms:% = now.since(*observed_at).as_millis();
+                server = name(backend), per_second:% = rate(limit.per_second), before:% = rate(*before),
+                own:% = format_args!("{share:.2}"), rank = position.rank, daemons = position.daemons,
+                coverage:% = format_args!("{:.2}", position.coverage),
+                told_ms:% = now.since(limit.observed_at).as_millis();
                 "dispatch: server rate limit changed"
             );
         }
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -60,7 +60,7 @@
     lock(&context.roster).answer(message, revision, now)
 }
 
-/// Applies a peer's message: merges members, loads, losses and leaving servers, and starts fetching the peer's policy
+/// Applies a peer's message: merges members, loads, losses, leaving servers and rate limits, and starts fetching the peer's policy
 /// if that is newer.
 pub fn apply_message(context: &Arc<Context>, message: &Message) {
     let now = context.now();
@@ -74,6 +74,7 @@
         }
     }
     super::spread_leaving(context, &message.leaving);
+    super::merge_rate_limits(context, &message.rate_limits);
     if lock(&context.policy_replica).needs(message.revision) {
         let address = message.from.peer_address.clone();
         let context = Arc::clone(context);
@@ -147,13 +148,14 @@
     log::warn!("peers: no peer answered seeds={}", seeds.len());
 }
 
-/// Merges the snapshot of a peer: its members, leaving servers and policy.
+/// Merges the snapshot of a peer: its members, leaving servers, rate limits and policy.
 fn apply_snapshot(context: &Arc<Context>, snapshot: Snapshot, seed: &str) {
     let now = context.now();
     lock(&context.roster).merge_snapshot(&snapshot, now);
     for server in &snapshot.leaving {
         announcement::record_leaving(context, *server);
     }
+    super::merge_rate_limits(context, &snapshot.rate_limits);
     log::info!("peers: joined through peer={seed} members={}", snapshot.records.len());
     if let Some(document) = snapshot.policy {
         policies::apply(context, document, seed);
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -7,10 +7,12 @@
 
 use std::sync::Arc;
 
-use base::rate::Bucket;
+use base::rate::{Bucket, Limit};
 use base::time::Time;
+use dispatch::Engine;
+use dispatch::announcements::News;
 use dispatch::backend::BackendId;
-use fleet::message::Message;
+use fleet::message::{self, Message};
 
 use crate::Context;
 use crate::backends::announcement;
@@ -50,7 +52,7 @@
     !quarantined.is_empty()
 }
 
-/// Pushes losses and leaving backend servers to a few random peers, so that they send nothing there either. Above the
+/// Pushes losses, leaving backend servers and rate limits to a few random peers, so that they send nothing there either. Above the
 /// rate limit they are left to the regular exchanges.
 pub fn push_urgent(context: &Arc<Context>) {
     let now = context.now();
@@ -81,6 +83,28 @@
     push_urgent(context);
 }
 
+/// Passes on a rate limit that this daemon has recorded, and pushes it if it began, changed or ended.
+pub fn spread_rate_limit(context: &Arc<Context>, server: BackendId, limit: Limit, news: News) {
+    if news == News::None {
+        return;
+    }
+    lock(&context.roster).pass_on_rate_limit(server, limit, context.now());
+    if news != News::Confirmed {
+        push_urgent(context);
+    }
+}
+
+/// Applies rate limits that peers have passed on, and passes on those that are new here.
+pub fn merge_rate_limits(context: &Arc<Context>, limits: &[message::RateLimit]) {
+    let now = context.now();
+    for limit in limits {
+        let (server, limit) = limit.received(now);
+        let apply = |engine: &mut Engine| engine.apply_rate_limit(server, limit, now);
+        let news = context.driver.with_engine_mut(context, apply);
+        spread_rate_limit(context, server, limit, news);
+    }
+}
+
 /// Pushes the departure of this daemon to twice the usual number of peers, so that most members receive it soon.
 pub fn push_departure(context: &Arc<Context>) {
     push(context, 2 * context.settings.fleet.fanout as usize);
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fleet::Document;
-use fleet::message::{Message, Snapshot};
+use fleet::message::{self, Message, Snapshot};
 use jsonrpsee::core::async_trait;
 use jsonrpsee::server::{ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
@@ -47,9 +47,12 @@
         let records = lock(&self.context.roster).records();
         let policy = lock(&self.context.policy_replica).document().cloned();
         let now = self.context.now();
-        let leaving = self.context.driver.with_engine(|engine| engine.leaving_backends(now).collect());
+        let engine = &self.context.driver;
+        let leaving = engine.with_engine(|engine| engine.leaving_backends(now).collect());
+        let limit = |(server, limit)| message::RateLimit::new(server, limit, now);
+        let rate_limits = engine.with_engine(|engine| engine.rate_limits(now).map(limit).collect());
         let has_mirror = lock(&self.context.mirror).revision() > 0;
-        Ok(Snapshot { records, policy, leaving, has_mirror })
+        Ok(Snapshot { records, policy, leaving, rate_limits, has_mirror })
     }
 
     async fn changes(&self, after: u64, from: String, wait_ms: u64) -> Result<Option<Changes>, ErrorObjectOwned> {
--- a/crates/daemon/src/view/servers.rs
+++ b/crates/daemon/src/view/servers.rs
@@ -5,8 +5,10 @@
 
 use base::hash;
 use base::instance::{Instance, Role, State as Listed};
-use dispatch::backend::{BackendId, Place, SlowStart, Spec};
+use config::policy::Region;
+use dispatch::backend::{BackendId, Place, Position, SlowStart, Spec};
 use dispatch::subset;
+use fleet::message::State;
 use fleet::roster::Roster;
 
 use crate::Context;
@@ -31,6 +33,8 @@
     start_share: f64,
     /// Whether this daemon sends work to the server while it is cold.
     starter: bool,
+    /// This daemon's position among those that share the server's rate limit.
+    position: Position,
 }
 
 /// This daemon's assignments to backend servers. They are computed from the set of live daemons and cached as long as
@@ -43,6 +47,10 @@
     region: Vec<u64>,
     /// The same for all regions.
     all: Vec<u64>,
+    /// Those of the live daemons that are in other regions than the key.
+    elsewhere: BTreeMap<String, Vec<u64>>,
+    /// Live daemons as a fraction of all that have not announced their departure.
+    coverage: f64,
     /// Number of daemons that send work to a cold server.
     starters: usize,
     settled: bool,
@@ -53,13 +61,26 @@
     /// Updates the set of live daemons; clears the assignments if it changed.
     pub fn update(&mut self, context: &Context, roster: &Roster, active: &ActivePolicy) {
         let own = hash::bytes(context.settings.instance.as_bytes());
-        let domains = active.policy.regions.get(&context.settings.region);
-        let domains = domains.map(|region| region.domains.as_slice()).unwrap_or_default();
-        let region = name_hashes(own, domains.iter().flat_map(|domain| roster.live_members_in(domain)));
+        let members = |region: &Region| {
+            let inside = region.domains.iter().flat_map(|domain| roster.live_members_in(domain));
+            inside.map(|name| hash::bytes(name.as_bytes())).collect::<Vec<u64>>()
+        };
+        let by_region: BTreeMap<&String, Vec<u64>> =
+            active.policy.regions.iter().map(|(name, region)| (name, members(region))).collect();
+        let mut region = by_region.get(&context.settings.region).cloned().unwrap_or_default();
+        if !region.contains(&own) {
+            region.push(own);
+        }
         let all = name_hashes(own, roster.live_members());
+        let outside = |inside: &Vec<u64>| all.iter().filter(|member| !inside.contains(member)).copied().collect();
+        let elsewhere: BTreeMap<String, Vec<u64>> =
+            by_region.iter().map(|(name, inside)| ((*name).clone(), outside(inside))).collect();
         let (starters, settled) = (context.settings.dispatch.starters as usize, settled(context));
-        if (&self.region, &self.all, self.settled) != (&region, &all, settled) {
-            *self = Self { own, region, all, starters, settled, by_backend: BTreeMap::new() };
+        let known = roster.remaining_members().max(context.settings.fleet.seeds.len()).max(all.len());
+        let in_service = settled && roster.own().state == State::Alive;
+        let coverage = if in_service { all.len() as f64 / known as f64 } else { 0.0 };
+        if (&self.region, &self.elsewhere, self.coverage, self.settled) != (&region, &elsewhere, coverage, settled) {
+            *self = Self { own, region, all, elsewhere, coverage, starters, settled, by_backend: BTreeMap::new() };
         }
     }
 
@@ -67,26 +88,41 @@
     /// any other one, in this region or elsewhere, is used by at most `MAX_DAEMONS_PER_BACKEND` daemons of this region.
     pub fn used<'a>(&mut self, items: &'a [Item], active: &ActivePolicy) -> Vec<&'a Item> {
         let used = |item: &&Item| {
-            let Item { id, instance, .. } = item;
+            let instance = &item.instance;
             instance.role == Role::Backend
                 && active.service_position(&instance.service).is_some()
-                && self.assignment(*id).used
+                && self.assignment(item).used
         };
         items.iter().filter(used).collect()
     }
 
-    fn assignment(&mut self, id: BackendId) -> Assignment {
+    fn assignment(&mut self, item: &Item) -> Assignment {
+        let id = item.id;
         if let Some(known) = self.by_backend.get(&id) {
             return *known;
         }
         let used = subset::uses(self.own, &self.region, u64::from(id), MAX_DAEMONS_PER_BACKEND);
         let (start_share, starter) =
             subset::start_share(self.own, &self.all, u64::from(id), self.starters, self.settled);
-        let assignment = Assignment { used, start_share, starter };
+        let position = self.position(id, &item.instance.region);
+        let assignment = Assignment { used, start_share, starter, position };
         self.by_backend.insert(id, assignment);
         assignment
     }
 
+    /// Returns this daemon's position among those that share the rate limit of the server `id` in `region`. The daemons
+    /// of that region come first: they have the requests that the server is near to, and after the region is cut off,
+    /// they are the ones that reach it.
+    fn position(&self, id: BackendId, region: &str) -> Position {
+        let outside = self.elsewhere.get(region).map(Vec::as_slice).unwrap_or_default();
+        let rank = if outside.contains(&self.own) {
+            self.all.len() - outside.len() + subset::rank(self.own, outside, u64::from(id))
+        } else {
+            subset::rank(self.own, &self.region, u64::from(id))
+        };
+        Position { rank: rank as u32, daemons: self.all.len() as u32, coverage: self.coverage }
+    }
+
     /// Returns the specs of the `used` servers for the dispatch engine.
     pub fn specs(&mut self, context: &Context, used: &[&Item], active: &ActivePolicy) -> Vec<Spec> {
         let in_region = used.iter().filter(|item| item.instance.region == context.settings.region);
@@ -107,6 +143,7 @@
                 hosts: hosts.get(&u64::from(item.id)).copied().unwrap_or(false),
                 region,
                 slow_start: self.slow_start(item, active),
+                position: self.assignment(item).position,
             })
         };
         used.iter().filter_map(spec).collect()
@@ -115,7 +152,7 @@
     /// Returns this daemon's share of the server's slow start; `None` if its service has none.
     fn slow_start(&mut self, item: &Item, active: &ActivePolicy) -> Option<SlowStart> {
         let service = active.policy.services.get(&item.instance.service)?;
-        let Assignment { start_share, starter, .. } = self.assignment(item.id);
+        let Assignment { start_share, starter, .. } = self.assignment(item);
         let per_second = service.start_per_second * start_share;
         let phase = hash::unit_interval(hash::combine(self.own, item.id.into()));
         (service.start_per_second > 0.0).then_some(SlowStart { until: item.cold_until, per_second, starter, phase })
--- a/crates/daemon/tests/view.rs
+++ b/crates/daemon/tests/view.rs
@@ -166,7 +166,13 @@
 
     let left = Record { name: "e2".to_owned(), state: Standing::Left, ..lock(&context.roster).own().clone() };
     lock(&context.roster).merge_snapshot(
-        &Snapshot { records: vec![left], policy: None, leaving: Vec::new(), has_mirror: false },
+        &Snapshot {
+            records: vec![left],
+            policy: None,
+            leaving: Vec::new(),
+            rate_limits: Vec::new(),
+            has_mirror: false,
+        },
         context.now(),
     );
     view::refresh(&context);
--- a/crates/dispatch/src/announcements.rs
+++ b/crates/dispatch/src/announcements.rs
@@ -6,24 +6,30 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use base::rate::Limit;
 use base::time::Time;
 
 use crate::backend::BackendId;
 
 /// Maximum length of a pause; longer ones are cut to it.
 const MAX_PAUSE: Duration = Duration::from_mins(10);
-/// Time after which a rate limit that no answer has confirmed no longer applies.
-const LIMIT_MAX_AGE: Duration = Duration::from_mins(3);
+/// Time after which a limit that is still stated is told to others again.
+const LIMIT_NEWS_INTERVAL: Duration = Duration::from_secs(45);
 /// Maximum number of servers with announcements; those that expire first are evicted first.
 const MAX_ENTRIES: usize = 4_096;
 
-/// The rate of requests that a server takes from all daemons together, as last observed.
+/// What an observation of a rate limit adds to what was known.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RateLimit {
-    /// Requests per second; `None` if the server takes them without a limit.
-    pub per_second: Option<f64>,
-    /// When the answer arrived that stated it, at this daemon or at the peer that passed it on.
-    pub observed_at: Time,
+pub enum News {
+    /// Nothing that others have to learn.
+    None,
+    /// The limit still applies; others are told from time to time, so that it does not expire there.
+    Confirmed,
+    /// The limit began, changed or ended.
+    Changed {
+        /// Requests per second until now; `None` for no limit.
+        before: Option<f64>,
+    },
 }
 
 /// What one server last announced.
@@ -34,7 +40,11 @@
     /// End of the pause; zero if there was none.
     paused_until: Time,
     /// The last observed rate limit; `None` if it never had one.
-    rate_limit: Option<RateLimit>,
+    rate_limit: Option<Limit>,
+    /// When the limit was observed that was last told to others.
+    limit_news_at: Time,
+    /// Whether it last stated a limit that cannot be read.
+    limit_unreadable: bool,
 }
 
 impl Announcement {
@@ -48,14 +58,14 @@
         self.paused_until
     }
 
-    /// Returns the requests per second that the server takes; `None` if it has no limit.
-    pub fn per_second(&self) -> Option<f64> {
-        self.rate_limit?.per_second
+    /// Returns the last observed rate limit; `None` if the server never had one.
+    pub const fn rate_limit(&self) -> Option<Limit> {
+        self.rate_limit
     }
 
     /// Returns when nothing of the announcement applies any longer.
     fn expires_at(&self) -> Time {
-        let limited_until = self.rate_limit.map_or(Time::ZERO, |limit| limit.observed_at + LIMIT_MAX_AGE);
+        let limited_until = self.rate_limit.map_or(Time::ZERO, |limit| limit.ends_at());
         self.leaving_until.max(self.paused_until).max(limited_until)
     }
 }
@@ -89,14 +99,35 @@
         announcement.paused_until = announcement.paused_until.max(now + pause.min(MAX_PAUSE));
     }
 
-    /// Records a rate limit of `server`, unless a later observation is known. Returns whether its rate changed.
-    pub fn record_rate_limit(&mut self, server: BackendId, limit: RateLimit, now: Time) -> bool {
-        let known = self.get(server).rate_limit;
-        if known.map_or(limit.per_second.is_none(), |known| limit.observed_at <= known.observed_at) {
-            return false;
+    /// Records a rate limit of `server`, unless a later observation is known. Returns what is new about it.
+    pub fn record_rate_limit(&mut self, server: BackendId, limit: Limit, now: Time) -> News {
+        let known = self.get(server);
+        let before = known.rate_limit.filter(|known| now < known.ends_at()).and_then(|known| known.per_second);
+        let outdated = known.rate_limit.is_some_and(|known| limit.observed_at <= known.observed_at);
+        if outdated || (before, limit.per_second) == (None, None) {
+            return News::None;
         }
-        self.entry(server, now).rate_limit = Some(limit);
-        known.and_then(|known| known.per_second) != limit.per_second
+        let changed = before != limit.per_second;
+        let due = limit.observed_at.since(known.limit_news_at) >= LIMIT_NEWS_INTERVAL;
+        let announcement = self.entry(server, now);
+        announcement.limit_unreadable = false;
+        announcement.rate_limit = Some(limit);
+        if !changed && !due {
+            return News::None;
+        }
+        announcement.limit_news_at = limit.observed_at;
+        if changed { News::Changed { before } } else { News::Confirmed }
+    }
+
+    /// Records that `server` states a rate limit that cannot be read. Returns whether this is new.
+    pub fn record_unreadable(&mut self, server: BackendId, now: Time) -> bool {
+        !std::mem::replace(&mut self.entry(server, now).limit_unreadable, true)
+    }
+
+    /// Returns the rate limits that apply, by server.
+    pub fn rate_limits(&self, now: Time) -> impl Iterator<Item = (BackendId, Limit)> {
+        let limits = self.0.iter().filter_map(|(server, announcement)| Some((*server, announcement.rate_limit?)));
+        limits.filter(move |(_, limit)| limit.per_second.is_some() && now < limit.ends_at())
     }
 
     /// Returns the servers that are leaving.
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -1,6 +1,7 @@
 //! The state of a backend server as one daemon observes it. Own observations take precedence over reports, which
 //! arrive late.
 
+mod limiter;
 mod spec;
 
 use std::time::Duration;
@@ -8,9 +9,11 @@
 use base::rate::Bucket;
 use base::time::Time;
 
+use self::limiter::Limiter;
 use crate::announcements::Announcement;
 
-pub use self::spec::{BackendId, Place, Report, SlowStart, Spec};
+pub use self::limiter::share;
+pub use self::spec::{BackendId, Place, Position, Report, SlowStart, Spec};
 
 /// Number of late attempts in a row after which a server is ejected.
 const LATE_EJECTION_THRESHOLD: u32 = 2;
@@ -99,6 +102,8 @@
     answers: u32,
     /// Limits the rate of requests to a server in slow start.
     slow_start_bucket: Bucket,
+    /// Limits the rate of requests while the server states a limit.
+    limiter: Limiter,
     /// Last reported pace: how long work takes, as a multiple of the usual time.
     pace: f64,
     pace_reported_at: Time,
@@ -115,6 +120,7 @@
     pub fn new(spec: Spec, now: Time) -> Self {
         let (per_second, burst) = slow_start_rate(&spec);
         Self {
+            limiter: Limiter::new(spec.position, now),
             spec,
             slow_start_bucket: Bucket::new(per_second, burst, now),
             pace: 1.0,
@@ -147,6 +153,7 @@
     pub fn update_spec(&mut self, spec: Spec, now: Time) {
         let (per_second, burst) = slow_start_rate(&spec);
         self.slow_start_bucket.set_rate(per_second, burst, now);
+        self.limiter.set_position(spec.position, now);
         self.spec = spec;
     }
 
@@ -213,6 +220,7 @@
         if self.in_slow_start(now) {
             self.slow_start_bucket.charge(1.0, now);
         }
+        self.limiter.charge(now);
         self.in_flight += 1;
         self.waiting_in_flight += u32::from(may_wait);
     }
@@ -238,6 +246,11 @@
             self.resuming = true;
             self.answers = 0;
         }
+        if let Some(limit) = announcement.rate_limit()
+            && self.announcement.rate_limit() != Some(limit)
+        {
+            self.limiter.set_limit(limit, now);
+        }
         self.announced_leaving = announcement.is_leaving(now);
         self.announcement = announcement;
     }
@@ -248,9 +261,30 @@
         self.spec.leaving || self.announced_leaving || self.report.is_some_and(|report| report.draining)
     }
 
-    /// Returns whether the server gets no work at `now`, because of our observations or an announced pause.
+    /// Returns whether the server gets no work at `now`, because of our observations, an announced pause or its rate
+    /// limit.
     pub fn unavailable(&self, now: Time) -> bool {
-        self.ejected(now) || self.paused(now)
+        self.ejected(now) || self.paused(now) || !self.limiter.admits(now)
+    }
+
+    /// Returns whether the server's rate limit applies at `now`.
+    pub fn rate_limited(&self, now: Time) -> bool {
+        self.limiter.applies(now)
+    }
+
+    /// Returns the requests per second that this daemon may send while the rate limit applies.
+    pub fn rate_share(&self) -> f64 {
+        self.limiter.per_second()
+    }
+
+    /// Returns when the rate limit leaves room for a request; in the past if there is room or no limit.
+    pub fn rate_room_at(&self, now: Time) -> Time {
+        self.limiter.room_at(now)
+    }
+
+    /// Returns the number of requests for which the rate limit leaves this daemon room until `until`.
+    pub fn rate_room(&self, until: Time, now: Time) -> f64 {
+        self.limiter.room(until, now)
     }
 
     /// Returns whether the server is ejected at `now`, or has just shed a request.
@@ -269,8 +303,8 @@
     }
 
     /// Returns when the server can get work again, as far as known.
-    pub fn available_at(&self) -> Time {
-        self.unavailable_until.max(self.announcement.paused_until())
+    pub fn available_at(&self, now: Time) -> Time {
+        self.unavailable_until.max(self.announcement.paused_until()).max(self.limiter.room_at(now))
     }
 
     /// Returns whether the server has as many of our attempts as it may have so soon after a pause. Without this
--- a/crates/dispatch/src/backend/spec.rs
+++ b/crates/dispatch/src/backend/spec.rs
@@ -35,6 +35,25 @@
     pub region: u16,
     /// Limits while the server is new; `None` if it may get its full work at once.
     pub slow_start: Option<SlowStart>,
+    /// This daemon's position among those that share the server's rate limit if it states one.
+    pub position: Position,
+}
+
+/// A daemon's position in the order in which daemons share the rate limit of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Position {
+    /// Number of live daemons that come before this one.
+    pub rank: u32,
+    /// Number of live daemons, this one included.
+    pub daemons: u32,
+    /// Live daemons as a fraction of all that have not announced their departure, from 0 to 1; zero while this daemon
+    /// does not know the others yet.
+    pub coverage: f64,
+}
+
+impl Position {
+    /// The position of a daemon that is the only one.
+    pub const ALONE: Self = Self { rank: 0, daemons: 1, coverage: 1.0 };
 }
 
 /// Limits on the requests to a cold server.
--- a/crates/dispatch/src/engine/answer.rs
+++ b/crates/dispatch/src/engine/answer.rs
@@ -40,7 +40,8 @@
         let (attempts, waited, waiting) = (state.attempts, now.since(state.arrived), self.queued());
         let candidates = self.candidates(&state, now);
         self.decisions.push(Decision::Refused { request, kind, attempts, waited, waiting, candidates });
-        let pause_end = (kind == Kind::Paused).then(|| self.pause_end(&state)).flatten();
+        let closed = matches!(kind, Kind::Paused | Kind::RateLimited);
+        let pause_end = closed.then(|| self.pause_end(&state, now)).flatten();
         let retry_after = self.retry_after(kind, state.shed_with_free_slot, pause_end, now);
         self.answer_error(request, kind, retry_after);
     }
--- a/crates/dispatch/src/engine/decision.rs
+++ b/crates/dispatch/src/engine/decision.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use base::error::Kind;
+use base::rate::Limit;
 use base::time::Time;
 
 use super::Engine;
-use crate::backend::{Backend, BackendId};
+use crate::backend::{Backend, BackendId, Position};
 
 /// A home server that was considered for a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -78,12 +79,14 @@
     RateLimited {
         /// The backend server.
         backend: BackendId,
-        /// Requests per second from now on; `None` for no limit.
-        per_second: Option<f64>,
-        /// The same until now.
+        /// The limit from now on.
+        limit: Limit,
+        /// Requests per second until now; `None` for no limit.
         before: Option<f64>,
-        /// When the answer arrived that stated it, here or at a peer.
-        observed_at: Time,
+        /// Requests per second that this daemon may send from now on if there is a limit.
+        share: f64,
+        /// This daemon's position among those that share the limit.
+        position: Position,
     },
     /// Requests with this fingerprint are refused, as connections to servers were lost while they ran.
     Quarantined {
--- a/crates/dispatch/src/engine/held.rs
+++ b/crates/dispatch/src/engine/held.rs
@@ -11,7 +11,7 @@
 use base::time::Time;
 
 use super::{Engine, Request};
-use crate::backend::{Backend, BackendId};
+use crate::backend::BackendId;
 
 /// Maximum number of held requests of one service.
 const MAX_HELD: usize = 256;
@@ -38,7 +38,7 @@
         {
             return self.start(request, backend, now);
         }
-        if let Some(kind) = self.unplaceable(request) {
+        if let Some(kind) = self.unplaceable(request, now) {
             return self.refuse(request, kind, now);
         }
         let Some(service) = self.requests.get(&request).map(|state| state.service) else {
@@ -90,8 +90,10 @@
             self.refuse(request, Kind::WontFinish, now);
             return false;
         }
-        if now < self.last_pause_end && self.unplaceable(request) == Some(Kind::Paused) {
-            self.refuse(request, Kind::Paused, now);
+        if now < self.last_pause_end.max(self.limits_end_at)
+            && let Some(kind @ (Kind::Paused | Kind::RateLimited)) = self.unplaceable(request, now)
+        {
+            self.refuse(request, kind, now);
             return false;
         }
         true
@@ -112,11 +114,11 @@
     }
 
     /// Returns the earliest time at which one of the servers that may run the work of `state` accepts work again.
-    pub(super) fn pause_end(&self, state: &Request) -> Option<Time> {
+    pub(super) fn pause_end(&self, state: &Request, now: Time) -> Option<Time> {
         let spec = &self.classes[state.class].spec;
         let servers = self.tiers.get(usize::from(state.service)).into_iter().flatten().flatten();
         let serving = servers.filter_map(|id| self.backends.get(id)).filter(|server| !server.leaving());
-        serving.filter(|server| spec.allows(server.spec.region)).map(Backend::available_at).min()
+        serving.filter(|server| spec.allows(server.spec.region)).map(|server| server.available_at(now)).min()
     }
 
     /// Returns when a caller refused for `kind` should retry; `None` for the usual time of the kind. `free_slot` is
@@ -129,7 +131,7 @@
         now: Time,
     ) -> Option<Duration> {
         match kind {
-            Kind::Paused => {
+            Kind::Paused | Kind::RateLimited => {
                 let left = pause_end.unwrap_or(now).since(now);
                 let spread = RETRY_SPREAD + left.mul_f64(PAUSE_SPREAD_RATIO);
                 Some(left + spread.mul_f64(self.rng.f64()))
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -71,7 +71,28 @@
         let homes = self.homes(state, object, now);
         let ids = homes.each_ref().map(|home| home.as_ref().map(|home| home.id));
         let scored = homes.into_iter().flatten().filter_map(score);
-        (scored.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, id)| id), ids)
+        let home = scored.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, id)| id);
+        (home.or_else(|| self.pick_rate_limited(state, now)), ids)
+    }
+
+    /// Picks a server that limits its rate and has room in this daemon's share, for a request that no home accepts.
+    ///
+    /// Load pattern: many servers of a service limit their rate, and the others are full. A daemon that may send to such
+    /// a server has requests about only few of its objects, so most of the allowed rate would be unused.
+    fn pick_rate_limited(&self, state: &Request, now: Time) -> Option<BackendId> {
+        if now >= self.limits_end_at {
+            return None;
+        }
+        let class = &self.classes[state.class].spec;
+        let accepts = |server: &Backend| {
+            let available = !server.leaving() && !server.unavailable(now) && !state.excluded.contains(&server.spec.id);
+            let latency = self.expected_latency(server, state, 0.0, now);
+            let in_use = available && class.allows(server.spec.region) && now + latency <= state.deadline;
+            in_use && self.accepts(server, state, latency, false, now)
+        };
+        let servers = self.tiers.get(usize::from(state.service))?.iter().flatten();
+        let mut limited = servers.filter_map(|id| self.backends.get(id)).filter(|server| server.rate_limited(now));
+        limited.find(|server| accepts(server)).map(|server| server.spec.id)
     }
 
     /// Returns the load and the expected latency of both home servers, for logs.
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -66,6 +66,8 @@
     suspended_until: Time,
     /// When the last of the announced pauses ends.
     last_pause_end: Time,
+    /// When the last of the rate limits ends, unless it is confirmed.
+    limits_end_at: Time,
     /// Share of the objects whose primary home is in this region, by service.
     near_shares: Vec<f64>,
     /// When the load of servers without a report was last estimated, by service.
@@ -108,6 +110,7 @@
             announcements: Announcements::new(),
             suspended_until: Time::ZERO,
             last_pause_end: Time::ZERO,
+            limits_end_at: Time::ZERO,
             near_shares: Vec::new(),
             loads_estimated_at: BTreeMap::new(),
             quarantine: Quarantine::new(limits.quarantine),
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -30,6 +30,34 @@
 /// Requests above its slots that a server without attempts of this daemon still gets when its reports show it as full.
 const OVERBOOKING: f64 = 1.0;
 
+/// What keeps a server from taking a request, the furthest from taking it first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Obstacle {
+    /// It is not one of the servers that may run the request.
+    NoBackend,
+    /// It is ejected for as long as the request may wait.
+    Unreachable,
+    /// It accepts no requests for as long.
+    Paused,
+    /// Its rate limit leaves no room for as long.
+    RateLimited,
+    /// This daemon has no share of its region.
+    LinkFull,
+}
+
+impl Obstacle {
+    /// Returns the error of a request that no server has less of an obstacle to take.
+    const fn kind(self) -> Kind {
+        match self {
+            Self::NoBackend => Kind::NoBackend,
+            Self::Unreachable => Kind::Unreachable,
+            Self::Paused => Kind::Paused,
+            Self::RateLimited => Kind::RateLimited,
+            Self::LinkFull => Kind::LinkFull,
+        }
+    }
+}
+
 impl Engine {
     /// Picks the server for the next attempt of `request`; returns `None` if the request has to wait.
     pub(super) fn pick(&mut self, request: u64, now: Time) -> Option<BackendId> {
@@ -85,6 +113,7 @@
         let (own_in_flight, load, pace, reported_at) =
             (server.in_flight, server.load(now), server.pace(now), server.reported_at());
         let slots = f64::from(server.spec.slots);
+        let rate_limited = server.rate_limited(now);
         server.record_start(may_wait, now);
         let server_place = server.spec.place;
         let reserved = self.reserve_link(server_place, index, bytes as f64, now);
@@ -100,6 +129,7 @@
             started: now,
             late_at,
             late: false,
+            rate_limited,
             reserved,
         };
         self.attempts.insert(attempt, started);
@@ -169,12 +199,16 @@
     pub(super) fn reinstate_slow(&mut self, request: u64, now: Time) -> bool {
         let Some(state) = self.requests.get(&request) else { return false };
         let (class, service) = (state.class, usize::from(state.service));
+        let wait_deadline = self.wait_deadline(state);
         let Some(tiers) = self.tiers.get(service) else { return false };
         let serving: Vec<BackendId> = tiers.iter().flatten().copied().collect();
         let spec = &self.classes[class].spec;
         let available = |id: &BackendId| {
             let server = self.backends.get(id);
-            server.is_some_and(|server| !server.leaving() && !server.ejected(now) && spec.allows(server.spec.region))
+            server.is_some_and(|server| {
+                let in_use = !server.leaving() && !server.ejected(now) && spec.allows(server.spec.region);
+                in_use && server.rate_room_at(now) <= wait_deadline
+            })
         };
         if now < self.suspended_until || serving.iter().any(available) {
             return false;
@@ -186,34 +220,37 @@
         reinstated.count() > 0
     }
 
-    /// Returns why `request` cannot be sent before its deadline; `None` if it may be.
-    pub(super) fn unplaceable(&self, request: u64) -> Option<Kind> {
+    /// Returns why `request` cannot be sent before its deadline; `None` if it may be. Of the servers, the one that is
+    /// the least far from taking it decides.
+    pub(super) fn unplaceable(&self, request: u64, now: Time) -> Option<Kind> {
         let state = self.requests.get(&request)?;
-        let service = usize::from(state.service);
-        let Some(tiers) = self.tiers.get(service) else {
+        let Some(tiers) = self.tiers.get(usize::from(state.service)) else {
             return Some(Kind::NoBackend);
         };
-        let candidates = || tiers.iter().flatten().filter_map(|id| self.backends.get(id));
-        let spec = &self.classes[state.class].spec;
-        let serves = |server: &&Backend| {
-            !server.leaving() && !state.excluded.contains(&server.spec.id) && spec.allows(server.spec.region)
-        };
-        let reachable = |server: &&Backend| !server.ejected(state.deadline);
-        let accepting = |server: &&Backend| !server.paused(self.wait_deadline(state));
-        let granted = |server: &&Backend| self.remote_granted(server.spec.place);
-        if !candidates().any(|server| serves(&server)) {
-            return Some(Kind::NoBackend);
-        }
-        if !candidates().any(|server| serves(&server) && reachable(&server)) {
-            return Some(Kind::Unreachable);
+        let mut least = Obstacle::NoBackend;
+        for server in tiers.iter().flatten().filter_map(|id| self.backends.get(id)) {
+            least = least.max(self.obstacle(server, state, now)?);
         }
-        if !candidates().any(|server| serves(&server) && reachable(&server) && accepting(&server)) {
-            return Some(Kind::Paused);
-        }
-        if !candidates().any(|server| serves(&server) && reachable(&server) && accepting(&server) && granted(&server)) {
-            return Some(Kind::LinkFull);
+        Some(least.kind())
+    }
+
+    /// Returns what keeps `server` from taking the request before its deadline; `None` if nothing does.
+    fn obstacle(&self, server: &Backend, state: &Request, now: Time) -> Option<Obstacle> {
+        let spec = &self.classes[state.class].spec;
+        let wait_deadline = self.wait_deadline(state);
+        if server.leaving() || state.excluded.contains(&server.spec.id) || !spec.allows(server.spec.region) {
+            Some(Obstacle::NoBackend)
+        } else if server.ejected(state.deadline) {
+            Some(Obstacle::Unreachable)
+        } else if server.paused(wait_deadline) {
+            Some(Obstacle::Paused)
+        } else if server.rate_room_at(now) > wait_deadline {
+            Some(Obstacle::RateLimited)
+        } else if !self.remote_granted(server.spec.place) {
+            Some(Obstacle::LinkFull)
+        } else {
+            None
         }
-        None
     }
 
     /// Returns until when a request waits for a server, at most.
--- a/crates/dispatch/src/engine/queue.rs
+++ b/crates/dispatch/src/engine/queue.rs
@@ -7,6 +7,7 @@
 
 use super::{Engine, HELD_RECHECK_INTERVAL, RECHECK_INTERVAL, Timer};
 use crate::backend::BackendId;
+use crate::class::Class;
 
 impl Engine {
     /// Returns why a request of `class` cannot be accepted. If the queue is full, drops a waiting request of lower
@@ -24,9 +25,30 @@
         if self.expected_wait(class) > self.classes[class].spec.deadline {
             return Some(Kind::WontFinish);
         }
+        if now < self.limits_end_at && self.lacks_rate_room(class, now) {
+            return Some(Kind::RateLimited);
+        }
         None
     }
 
+    /// Returns whether every server that may run a new request of `class` limits its rate, and those that wait already
+    /// use up the room until the request's deadline.
+    fn lacks_rate_room(&self, class: usize, now: Time) -> bool {
+        let Class { spec, queue, .. } = &self.classes[class];
+        let Some(tiers) = self.tiers.get(usize::from(spec.service)) else { return false };
+        let mut room = 0.0;
+        for server in tiers.iter().flatten().filter_map(|id| self.backends.get(id)) {
+            if server.leaving() || !spec.allows(server.spec.region) {
+                continue;
+            }
+            if !server.rate_limited(now) {
+                return false;
+            }
+            room += server.rate_room(now + spec.deadline, now).max(0.0);
+        }
+        !queue.is_empty() && queue.len() as f64 >= room
+    }
+
     /// Puts a request into the queue of its class, at the front if it was sent before.
     pub(super) fn enqueue(&mut self, request: u64, at_front: bool) {
         let Some(state) = self.requests.get_mut(&request) else {
@@ -96,7 +118,7 @@
                 if self.reinstate_slow(request, now) {
                     continue;
                 }
-                match self.unplaceable(request) {
+                match self.unplaceable(request, now) {
                     Some(kind) => self.refuse(request, kind, now),
                     None => return,
                 }
--- a/crates/dispatch/src/engine/state.rs
+++ b/crates/dispatch/src/engine/state.rs
@@ -47,6 +47,8 @@
     /// When the attempt counts as late.
     pub(super) late_at: Time,
     pub(super) late: bool,
+    /// Whether the attempt was counted towards the server's rate limit when it started.
+    pub(super) rate_limited: bool,
     /// Capacity reserved for the attempt; `None` if it uses no link.
     pub(super) reserved: Option<Reservation>,
 }
--- a/crates/dispatch/src/engine/update.rs
+++ b/crates/dispatch/src/engine/update.rs
@@ -3,15 +3,19 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use base::rate;
+use base::rate::{self, Limit};
 use base::time::Time;
 
 use super::state::{Link, Timer};
-use super::{Budgets, Decision, Engine, Remote, pick};
-use crate::announcements::RateLimit;
+use super::{Attempt, Budgets, Decision, Engine, Remote, pick};
+use crate::announcements::News;
 use crate::backend::{Backend, BackendId, Place, Report, Spec};
 use crate::class::{self, Class};
 
+/// Longest time between the start of an attempt at a server with a rate limit and the moment at which it is sent. Sends
+/// that were held up by a slow connection or a stall would arrive together.
+const MAX_SEND_DELAY: Duration = Duration::from_secs(1);
+
 impl Engine {
     /// Sets the classes. Known classes keep their positions and statistics, new ones follow.
     pub fn set_classes(&mut self, specs: Vec<class::Spec>) {
@@ -123,15 +127,47 @@
         }
     }
 
-    /// Records the rate limit of a backend server. Returns whether its rate changed.
-    pub fn record_rate_limit(&mut self, backend: BackendId, limit: RateLimit, now: Time) -> bool {
-        let before = self.announcements.get(backend).per_second();
-        let changed = self.announcements.record_rate_limit(backend, limit, now);
-        if changed {
-            let RateLimit { per_second, observed_at } = limit;
-            self.decisions.push(Decision::RateLimited { backend, per_second, before, observed_at });
+    /// Records the rate limit that the answer to `attempt` states, or that it states none. An answer without a limit
+    /// ends one only if its request was sent after the limit was last stated, since answers may overtake each other.
+    pub fn record_rate_limit(&mut self, attempt: u64, per_second: Option<f64>, now: Time) -> News {
+        let Some(Attempt { backend, started, .. }) = self.attempts.get(&attempt).copied() else {
+            return News::None;
+        };
+        let known = self.rate_limit(backend);
+        let stated_since = known.is_some_and(|known| started <= known.observed_at);
+        if per_second.is_none() && (known.is_none() || stated_since) {
+            return News::None;
         }
-        changed
+        self.apply_rate_limit(backend, Limit { per_second, observed_at: now }, now)
+    }
+
+    /// Records that a server states a rate limit that cannot be read. Returns whether this is new.
+    pub fn record_unreadable(&mut self, backend: BackendId, now: Time) -> bool {
+        self.announcements.record_unreadable(backend, now)
+    }
+
+    /// Applies a rate limit that was observed here or by a peer; returns what is new about it.
+    pub fn apply_rate_limit(&mut self, backend: BackendId, limit: Limit, now: Time) -> News {
+        let news = self.announcements.record_rate_limit(backend, limit, now);
+        self.limits_end_at = self.limits_end_at.max(limit.ends_at());
+        if let Some(server) = self.backends.get_mut(&backend) {
+            server.apply_announcement(self.announcements.get(backend), now);
+            if let News::Changed { before } = news {
+                let (share, position) = (server.rate_share(), server.spec.position);
+                self.decisions.push(Decision::RateLimited { backend, limit, before, share, position });
+            }
+        }
+        news
+    }
+
+    /// Returns the rate limit of a server as last observed; `None` if it never stated one.
+    pub fn rate_limit(&self, backend: BackendId) -> Option<Limit> {
+        self.announcements.get(backend).rate_limit()
+    }
+
+    /// Returns the rate limits that apply, by server.
+    pub fn rate_limits(&self, now: Time) -> impl Iterator<Item = (BackendId, Limit)> {
+        self.announcements.rate_limits(now)
     }
 
     /// Returns the backend servers that announced that they are leaving.
@@ -158,10 +194,20 @@
         self.dispatch_waiting(now);
     }
 
-    /// Returns whether a request may still be sent to `backend`: the state may have changed since the choice was made.
-    pub fn may_send(&self, backend: BackendId, now: Time) -> bool {
-        let confirmed = now >= self.suspended_until;
-        confirmed && self.backends.get(&backend).is_some_and(|server| !server.leaving() && !server.paused(now))
+    /// Returns whether `attempt` may still be sent to `backend`: the state may have changed since the choice was made.
+    pub fn may_send(&self, attempt: u64, backend: BackendId, now: Time) -> bool {
+        let accepts = |server: &Backend| {
+            let within_limit = !server.rate_limited(now) || self.counted_lately(attempt, now);
+            !server.leaving() && !server.paused(now) && within_limit
+        };
+        now >= self.suspended_until && self.backends.get(&backend).is_some_and(accepts)
+    }
+
+    /// Returns whether an attempt was counted towards its server's rate limit, so lately that it still belongs to the
+    /// present rate.
+    fn counted_lately(&self, attempt: u64, now: Time) -> bool {
+        let attempt = self.attempts.get(&attempt);
+        attempt.is_some_and(|attempt| attempt.rate_limited && now.since(attempt.started) < MAX_SEND_DELAY)
     }
 
     /// Records losses that peers observed; returns those that were new, to be passed on.
--- a/crates/dispatch/src/subset.rs
+++ b/crates/dispatch/src/subset.rs
@@ -12,9 +12,13 @@
     if daemons.len() <= limit {
         return true;
     }
+    rank(daemon, daemons, backend) < limit
+}
+
+/// Returns the number of `daemons` that come before `daemon` in the order of `backend`.
+pub fn rank(daemon: u64, daemons: &[u64], backend: u64) -> usize {
     let own = hash::combine(backend, daemon);
-    let ranked_higher = daemons.iter().filter(|other| hash::combine(backend, **other) > own).count();
-    ranked_higher < limit
+    daemons.iter().filter(|other| hash::combine(backend, **other) > own).count()
 }
 
 /// Returns the share of the requests of `backend` in slow start that `daemon` may send, when `starters` daemons send
--- a/crates/dispatch/tests/announcements.rs
+++ b/crates/dispatch/tests/announcements.rs
@@ -116,11 +116,11 @@
 #[test]
 fn leaving_and_paused_servers_may_not_be_sent_to() {
     let mut world = world(3);
-    assert!(world.engine.may_send(1, world.now) && !world.engine.may_send(4, world.now));
+    assert!(world.engine.may_send(0, 1, world.now) && !world.engine.may_send(0, 4, world.now));
     world.engine.record_leaving(1, world.now + HOUR, world.now);
     world.engine.record_pause(2, SECOND, world.now);
-    assert!(!world.engine.may_send(1, world.now) && !world.engine.may_send(2, world.now));
-    assert!(world.engine.may_send(2, world.now + SECOND));
+    assert!(!world.engine.may_send(0, 1, world.now) && !world.engine.may_send(0, 2, world.now));
+    assert!(world.engine.may_send(0, 2, world.now + SECOND));
 }
 
 #[rstest]
@@ -230,7 +230,10 @@
     let in_flight = world.attempts_of(before)[0];
     let begun = world.now;
     world.engine.suspend(SECOND * 5, begun + Duration::from_millis(300));
-    assert!(!world.engine.may_send(world.live[&in_flight].backend, begun), "not even what was decided before");
+    assert!(
+        !world.engine.may_send(in_flight, world.live[&in_flight].backend, begun),
+        "not even what was decided before"
+    );
     world.end(in_flight, Ending::Recalled);
     let requests = [world.send(LOOKUP), world.send(ORDER), before];
     world.pass(Duration::from_millis(sent_after - 10));
--- a/crates/dispatch/tests/common/cluster.rs
+++ b/crates/dispatch/tests/common/cluster.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use base::time::Time;
-use dispatch::backend::{BackendId, Place, Report, Spec};
+use dispatch::backend::{BackendId, Place, Position, Report, Spec};
 use dispatch::class;
 use dispatch::engine::{Arrival, Budgets, Limits, Remote};
 use dispatch::{Action, Ending, Engine, Verdict};
@@ -163,6 +163,7 @@
             hosts: true,
             region: server.region,
             slow_start: None,
+            position: Position::ALONE,
         };
         engine.set_backends(self.servers.iter().map(spec).collect(), self.now);
         engine
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -8,7 +8,7 @@
 
 use base::error::{Kind, Outcome};
 use base::time::Time;
-use dispatch::backend::{BackendId, Place, Report, Spec};
+use dispatch::backend::{BackendId, Place, Position, Report, Spec};
 use dispatch::class;
 use dispatch::engine::{Arrival, Budgets, Limits, Remote};
 use dispatch::{Action, Ending, Engine, Verdict};
@@ -28,7 +28,17 @@
 }
 
 pub fn backend(id: BackendId, place: Place) -> Spec {
-    Spec { id, service: 0, place, slots: 3, leaving: false, hosts: true, region: 0, slow_start: None }
+    Spec {
+        id,
+        service: 0,
+        place,
+        slots: 3,
+        leaving: false,
+        hosts: true,
+        region: 0,
+        slow_start: None,
+        position: Position::ALONE,
+    }
 }
 
 /// An attempt in flight.
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Removes the updates that `matches` accepts.
+    pub fn remove(&mut self, matches: impl Fn(&T) -> bool) {
+        self.0.retain(|update| !matches(&update.value));
+    }
+
     /// Adds an update that all daemons must receive: it goes into every message until it expires.
     pub fn add_persistent(&mut self, value: T, now: Time) {
         self.add(value, now);
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -1,5 +1,9 @@
 //! Messages between daemons. Serialized field names are short because every exchange carries them.
 
+use std::time::Duration;
+
+use base::rate::Limit;
+use base::time::Time;
 use serde::{Deserialize, Serialize};
 
 /// Maximum number of member records in a message.
@@ -10,6 +14,8 @@
 pub const MAX_LOSSES: usize = 16;
 /// Maximum number of leaving backend servers in a message.
 pub const MAX_LEAVING: usize = 32;
+/// Maximum number of rate limits in a message.
+pub const MAX_RATE_LIMITS: usize = 16;
 
 /// State of a member; at the same incarnation and number of refutations, a later variant supersedes an earlier one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -99,12 +105,33 @@
     /// Numbers of backend servers that announced that they leave.
     #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<u32>,
+    /// Rate limits of backend servers.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub rate_limits: Vec<RateLimit>,
+}
+
+/// A backend server's number, the requests per second that it takes from all daemons together, and the age of the answer
+/// that stated it, in milliseconds. Serialized as an array.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct RateLimit(u32, Option<f64>, u64);
+
+impl RateLimit {
+    /// Creates the message's form of a limit that was observed at a time of our clock.
+    pub fn new(server: u32, limit: Limit, now: Time) -> Self {
+        Self(server, limit.per_second, now.since(limit.observed_at).as_millis() as u64)
+    }
+
+    /// Returns the server's number and its limit at a time of our clock, if the message was received at `now`.
+    pub fn received(self, now: Time) -> (u32, Limit) {
+        let Self(server, per_second, age_ms) = self;
+        (server, Limit { per_second, observed_at: now - Duration::from_millis(age_ms) })
+    }
 }
 
 impl Message {
-    /// Whether the message contains nothing but losses and leaving backend servers, at least one of them.
+    /// Whether the message contains nothing but losses, leaving backend servers and rate limits, at least one of them.
     pub const fn is_urgent(&self) -> bool {
-        let has_urgent = !self.losses.is_empty() || !self.leaving.is_empty();
+        let has_urgent = !self.losses.is_empty() || !self.leaving.is_empty() || !self.rate_limits.is_empty();
         self.records.is_empty() && self.loads.is_empty() && has_urgent
     }
 }
@@ -119,6 +146,9 @@
     /// Numbers of backend servers that announced that they leave.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<u32>,
+    /// Rate limits of backend servers that apply.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rate_limits: Vec<RateLimit>,
     /// Whether the peer has a mirror of the platform's store; without one it has just started and knows few members.
     #[serde(rename = "copy", default)]
     pub has_mirror: bool,
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -8,11 +8,14 @@
 
 use base::hash;
 use base::instance::{Instance, Role};
+use base::rate::Limit;
 use base::time::Time;
 
 use crate::gossip::Gossip;
 use crate::load::Loads;
-use crate::message::{MAX_LEAVING, MAX_LOADS, MAX_LOSSES, MAX_RECORDS, Message, Record, Snapshot, State};
+use crate::message::{
+    self, MAX_LEAVING, MAX_LOADS, MAX_LOSSES, MAX_RATE_LIMITS, MAX_RECORDS, Message, Record, Snapshot, State,
+};
 use crate::target::Targets;
 
 /// One in this many exchanges may go to a dead member, so that the end of a partition is noticed.
@@ -54,6 +57,8 @@
     losses: Gossip<(u64, u64)>,
     /// Numbers of backend servers that announced that they leave.
     leaving: Gossip<u32>,
+    /// Rate limits of backend servers that began, changed, ended or were confirmed, by the server's number.
+    rate_limits: Gossip<(u32, Limit)>,
     /// Whether a process with a higher incarnation runs under this daemon's name.
     superseded: bool,
 }
@@ -70,6 +75,7 @@
             loads: Loads::new(),
             losses: Gossip::new(),
             leaving: Gossip::new(),
+            rate_limits: Gossip::new(),
             superseded: false,
         }
     }
@@ -104,6 +110,12 @@
         &mut self.leaving
     }
 
+    /// Adds the rate limit of a backend server to the next messages, in place of an earlier one of the same server.
+    pub fn pass_on_rate_limit(&mut self, server: u32, limit: Limit, now: Time) {
+        self.rate_limits.remove(|(known, _)| *known == server);
+        self.rate_limits.add((server, limit), now);
+    }
+
     /// Stores the entry instances of the platform's list.
     pub fn set_listed(&mut self, instances: &[Instance]) {
         let entries = instances.iter().filter(|instance| instance.role == Role::Entry);
@@ -156,11 +168,15 @@
         Message { records, loads, ..self.urgent_message(revision, now) }
     }
 
-    /// Creates a message that contains losses and leaving backend servers only.
+    /// Creates a message that contains only losses, leaving backend servers and rate limits.
     pub fn urgent_message(&mut self, revision: u64, now: Time) -> Message {
         let losses = self.losses.next_batch(MAX_LOSSES, now);
         let leaving = self.leaving.next_batch(MAX_LEAVING, now);
-        Message { from: self.own.clone(), revision, records: Vec::new(), loads: Vec::new(), losses, leaving }
+        let rate_limits = self.rate_limits.next_batch(MAX_RATE_LIMITS, now);
+        let rate_limits =
+            rate_limits.into_iter().map(|(server, limit)| message::RateLimit::new(server, limit, now)).collect();
+        let (from, records, loads) = (self.own.clone(), Vec::new(), Vec::new());
+        Message { from, revision, records, loads, losses, leaving, rate_limits }
     }
 
     /// Creates the answer to a message: an urgent one gets an urgent answer.
@@ -240,6 +256,14 @@
         live.map(|member| member.record.name.as_str())
     }
 
+    /// Returns the number of members that have not announced their departure, whether or not they answer; listed
+    /// instances and this daemon are included.
+    pub fn remaining_members(&self) -> usize {
+        let remaining = self.members.values().filter(|member| member.record.state != State::Left);
+        let unmet = self.listed.keys().filter(|name| !self.members.contains_key(*name) && **name != self.own.name);
+        remaining.count() + unmet.count() + 1
+    }
+
     /// Returns the name and the failure domain of each alive member, this daemon among them; suspects are left out.
     pub fn responsive_members(&self) -> impl Iterator<Item = (&str, &str)> {
         let others = self.members.values().map(|member| &member.record).filter(|record| record.state == State::Alive);
--- a/crates/replay/src/simulation/updates.rs
+++ b/crates/replay/src/simulation/updates.rs
@@ -4,7 +4,7 @@
 use base::hash;
 use base::instance::Instance;
 use base::time::Time;
-use dispatch::backend::{Place, Report, Spec};
+use dispatch::backend::{Place, Position, Report, Spec};
 use dispatch::engine::Remote;
 use dispatch::engine::policy::Policy;
 use dispatch::{Ending, subset};
@@ -71,6 +71,7 @@
             let spec = |(position, server): (usize, &Instance)| Spec {
                 region: site.region_position(&server.region).unwrap_or(0) as u16,
                 slow_start: None,
+                position: Position::ALONE,
                 id: position as u32,
                 service: site.services.iter().position(|service| *service == server.service).unwrap_or(0) as u16,
                 place: place(site, entry, server),
--- a/crates/size/src/dispatching.rs
+++ b/crates/size/src/dispatching.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::time::Time;
-use dispatch::backend::{Place, Spec};
+use dispatch::backend::{Place, Position, Spec};
 use dispatch::class;
 use dispatch::engine::{Arrival, Budgets, Limits};
 use dispatch::{Action, Ending, Engine};
@@ -33,6 +33,7 @@
         hosts: true,
         region: 0,
         slow_start: None,
+        position: Position::ALONE,
     };
     engine.set_backends((0..servers).map(server).collect(), Time::from_millis(1));
     engine
--- a/crates/size/src/membership.rs
+++ b/crates/size/src/membership.rs
@@ -51,6 +51,7 @@
         loads: vec![],
         losses: vec![],
         leaving: vec![],
+        rate_limits: Vec::new(),
     };
     roster.merge(&message, Time::ZERO);
     roster
