--- a/crates/dispatch/tests/rate_limit.rs
+++ b/crates/dispatch/tests/rate_limit.rs
@@ -1,4 +1,4 @@
-//! Backend servers that state the rate of requests they take from all daemons together.
+//! One daemon in front of backend servers that state the rate of requests they take from all daemons together.
 
 mod common;
 
@@ -11,52 +11,15 @@
 use dispatch::announcements::{Announcements, News};
 use dispatch::backend::{Backend, BackendId, Place, Position, Spec, share};
 use dispatch::engine::{Arrival, Limits};
-use dispatch::{Action, Ending, Engine, Verdict, class, subset};
+use dispatch::{Action, Ending, Engine, Verdict, class};
 use rstest::rstest;
 
 const START: Time = Time::from_millis(10_000);
-/// Window in which a server counts its arrivals.
-const WINDOW: Duration = Duration::from_secs(4);
-/// Arrivals in a window above one and a half times the limit that still count as kept.
-const SLACK: f64 = 5.0;
-/// Time between two moments at which each daemon sends what it may.
-const STEP: Duration = Duration::from_millis(20);
-/// Length of a schedule.
-const RUN_TIME: Duration = Duration::from_secs(40);
-/// Mean time between two changes of what daemons believe.
-const CHANGE_INTERVAL: Duration = Duration::from_secs(6);
-/// Longest time until a daemon learns of a change.
-const SPREAD_TIME: Duration = Duration::from_secs(3);
-/// The server's number.
-const SERVER: u32 = 77;
-
-/// A daemon's belief about the fleet.
-#[derive(Debug, Clone)]
-struct Belief {
-    live: Vec<usize>,
-    /// Number of daemons that have not announced their departure.
-    known: usize,
-}
-
-/// A daemon in front of one limited server.
-struct Daemon {
-    server: Backend,
-    /// Beliefs to come, with the time at which each takes effect.
-    pending: Vec<(Time, Belief)>,
-    /// It does nothing before this time, and then goes on with what it believed.
-    stopped_until: Time,
-}
-
-fn hash_of(daemon: usize) -> u64 {
-    base::hash::bytes(format!("entry-{daemon}").as_bytes())
-}
-
-fn position(daemon: usize, belief: &Belief) -> Position {
-    let hashes: Vec<u64> = belief.live.iter().map(|other| hash_of(*other)).collect();
-    let rank = subset::rank(hash_of(daemon), &hashes, u64::from(SERVER)) as u32;
-    let coverage = belief.live.len() as f64 / belief.known as f64;
-    Position { rank, daemons: belief.live.len() as u32, coverage }
-}
+/// A server's number.
+const SERVER: BackendId = 77;
+const SECOND: Duration = Duration::from_secs(1);
+/// A position at which a daemon sends nothing to servers with a low limit.
+const LAST: Position = Position { rank: 6, daemons: 7, coverage: 1.0 };
 
 fn server(position: Position, limit: f64, now: Time) -> Backend {
     let spec = Spec { position, slots: u32::MAX, ..backend(SERVER, Place::Region) };
@@ -72,133 +35,6 @@
     server.apply_announcement(announcements.get(SERVER), observed_at);
 }
 
-/// A change of what the daemons of a fleet believe: for each daemon its next belief.
-fn draw_beliefs(daemons: usize, rng: &mut fastrand::Rng) -> Vec<Belief> {
-    let all: Vec<usize> = (0..daemons).collect();
-    let full = Belief { live: all.clone(), known: daemons };
-    match rng.u8(0..5) {
-        0 => vec![full; daemons],
-        1 => {
-            let parts = rng.usize(2..=4);
-            let part_of: Vec<usize> = all.iter().map(|_| rng.usize(..parts)).collect();
-            let inside = |part: usize| all.iter().copied().filter(|other| part_of[*other] == part).collect();
-            all.iter().map(|daemon| Belief { live: inside(part_of[*daemon]), known: daemons }).collect()
-        }
-        2 => {
-            let alone = rng.usize(..daemons);
-            let others: Vec<usize> = all.iter().copied().filter(|other| *other != alone).collect();
-            let belief = |daemon: &usize| match (*daemon == alone, rng.bool()) {
-                (true, _) => Belief { live: vec![alone], known: daemons },
-                (false, true) => Belief { live: others.clone(), known: daemons },
-                (false, false) => full.clone(),
-            };
-            all.iter().map(belief).collect()
-        }
-        _ => {
-            let fresh = [rng.usize(..daemons), rng.usize(..daemons)];
-            let without: Vec<usize> = all.iter().copied().filter(|other| !fresh.contains(other)).collect();
-            let old = Belief { known: without.len(), live: without };
-            all.iter()
-                .map(|daemon| if fresh.contains(daemon) || rng.bool() { full.clone() } else { old.clone() })
-                .collect()
-        }
-    }
-}
-
-/// Lets each daemon send whatever it may for [`RUN_TIME`], while beliefs change and daemons stop for seconds; returns the
-/// times of the sends.
-fn run_schedule(daemons: usize, limit: f64, rng: &mut fastrand::Rng) -> Vec<Time> {
-    let full = Belief { live: (0..daemons).collect(), known: daemons };
-    let daemon = |number| Daemon {
-        server: server(position(number, &full), limit, START),
-        pending: Vec::new(),
-        stopped_until: Time::ZERO,
-    };
-    let mut fleet: Vec<Daemon> = (0..daemons).map(daemon).collect();
-    let (mut now, mut sends) = (START, Vec::new());
-    let mut change_at = START + CHANGE_INTERVAL.mul_f64(rng.f64());
-    while now < START + RUN_TIME {
-        if now >= change_at {
-            for (daemon, belief) in fleet.iter_mut().zip(draw_beliefs(daemons, rng)) {
-                daemon.pending.push((now + SPREAD_TIME.mul_f64(rng.f64()), belief));
-            }
-            let stopped = rng.usize(..daemons);
-            fleet[stopped].stopped_until = now + Duration::from_secs(rng.u64(0..7));
-            change_at = now + CHANGE_INTERVAL.mul_f64(0.5 + rng.f64());
-        }
-        for (number, daemon) in fleet.iter_mut().enumerate() {
-            step(number, daemon, now, &mut sends);
-        }
-        now = now + STEP;
-    }
-    sends
-}
-
-/// Applies the beliefs that are due to a daemon, and sends what it may.
-fn step(number: usize, daemon: &mut Daemon, now: Time, sends: &mut Vec<Time>) {
-    if now < daemon.stopped_until {
-        return;
-    }
-    while let Some(index) = daemon.pending.iter().position(|(at, _)| *at <= now) {
-        let (_, belief) = daemon.pending.remove(index);
-        let spec = Spec { position: position(number, &belief), ..daemon.server.spec.clone() };
-        daemon.server.update_spec(spec, now);
-    }
-    while !daemon.server.unavailable(now) {
-        daemon.server.record_start(false, now);
-        sends.push(now);
-    }
-}
-
-/// Returns the most sends in a window of [`WINDOW`].
-fn most_in_window(sends: &[Time]) -> usize {
-    let mut first = 0;
-    let in_window = |(last, at): (usize, &Time)| {
-        while at.since(sends[first]) >= WINDOW {
-            first += 1;
-        }
-        last + 1 - first
-    };
-    sends.iter().enumerate().map(in_window).max().unwrap_or(0)
-}
-
-/// Guards against a limit that holds for each daemon and not for their sum: fleets of several sizes, split, with members
-/// that only some know, with one that believes the others gone, and with daemons that go on after a stop of seconds.
-#[rstest]
-#[case::small(7, 300)]
-#[case::grown(34, 60)]
-#[case::large(119, 20)]
-fn a_fleet_keeps_a_servers_limit_whatever_each_daemon_believes(#[case] daemons: usize, #[case] schedules: u64) {
-    let schedules = std::env::var("SCHEDULES").ok().and_then(|text| text.parse().ok()).unwrap_or(schedules);
-    let mut highest = (0.0, 0);
-    for seed in 0..schedules {
-        let mut rng = fastrand::Rng::with_seed(seed);
-        let limit = 0.1 * 300.0_f64.powf(rng.f64());
-        let most = most_in_window(&run_schedule(daemons, limit, &mut rng));
-        let allowed = 1.5 * limit * WINDOW.as_secs_f64() + SLACK;
-        assert!(most as f64 <= allowed, "seed {seed}: {most} requests in {WINDOW:?} at {limit} a second");
-        highest = if most as f64 / allowed > highest.0 { (most as f64 / allowed, seed) } else { highest };
-    }
-    println!("{daemons} daemons: at most {:.2} of what is allowed, seed {}", highest.0, highest.1);
-}
-
-/// A fleet of any size that agrees uses most of the limit, through few daemons.
-#[rstest]
-#[case::small(7)]
-#[case::large(119)]
-fn a_fleet_that_agrees_uses_most_of_a_limit(#[case] daemons: u32) {
-    for limit in [0.5, 1.5, 5.0, 50.0] {
-        let at = |rank| share(limit, Position { rank, daemons, coverage: 1.0 });
-        let sum: f64 = (0..daemons).map(at).sum();
-        assert!(sum >= 0.7 * limit && sum <= limit, "{sum} of {limit} by {daemons} daemons");
-        assert!(at(1) > 0.0, "the failure of one sender leaves another");
-    }
-}
-
-const SECOND: Duration = Duration::from_secs(1);
-/// A position at which a daemon sends nothing to servers with a low limit.
-const LAST: Position = Position { rank: 6, daemons: 7, coverage: 1.0 };
-
 /// One daemon in front of `servers` servers, at `position` for each.
 fn world(servers: u32, position: Position) -> World {
     World::new((1..=servers).map(|id| Spec { position, ..backend(id, Place::Domain) }).collect(), 7)
