Scale a cold server's share by the members that a daemon hears

What backend servers would have seen: a server in slow start, reached by both parts of a split fleet, gets its whole rate from each part (24 requests in a second at a rate of 5.6, allowed 18.4 with the slack of 10 stated for that size), and crashes. Cause: three starters for each server, each with a third of the rate, are chosen from the members that a daemon believes to live, so each part of a split fleet has three of its own. Besides, a daemon that became a starter had a request saved up. Now the share is scaled by the live members as a fraction of all that have not announced their departure, and a new starter begins with nothing saved. In a fleet that hears all its members nothing changes.

--- a/crates/daemon/src/view/servers.rs
+++ b/crates/daemon/src/view/servers.rs
@@ -103,7 +103,7 @@
         }
         let used = subset::uses(self.own, &self.region, u64::from(id), MAX_DAEMONS_PER_BACKEND);
         let (start_share, starter) =
-            subset::start_share(self.own, &self.all, u64::from(id), self.starters, self.settled);
+            subset::start_share(self.own, &self.all, u64::from(id), self.starters, self.coverage);
         let position = self.position(id, &item.instance.region);
         let assignment = Assignment { used, start_share, starter, position };
         self.by_backend.insert(id, assignment);
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -153,6 +153,12 @@
     pub fn update_spec(&mut self, spec: Spec, now: Time) {
         let (per_second, burst) = slow_start_rate(&spec);
         self.slow_start_bucket.set_rate(per_second, burst, now);
+        // A daemon that becomes a starter has no request saved up: its predecessor may just have sent its own.
+        let starts = |spec: &Spec| spec.slow_start.is_some_and(|start| start.starter);
+        if starts(&spec) && !starts(&self.spec) {
+            let level = self.slow_start_bucket.level(now).max(0.0);
+            self.slow_start_bucket.charge(level, now);
+        }
         self.limiter.set_position(spec.position, now);
         self.spec = spec;
     }
--- a/crates/dispatch/src/subset.rs
+++ b/crates/dispatch/src/subset.rs
@@ -24,15 +24,16 @@
 /// Returns the share of the requests of `backend` in slow start that `daemon` may send, when `starters` daemons send
 /// it work, and whether it is one of them. The share of the others is only for trial requests after an ejection.
 ///
-/// Load pattern: servers and daemons start at the same time. A daemon that is not `settled` does not know the others
-/// yet; each would send as if it were the only one.
-pub fn start_share(daemon: u64, daemons: &[u64], backend: u64, starters: usize, settled: bool) -> (f64, bool) {
-    if !settled {
+/// Load pattern: servers and daemons start at the same time, or a fleet is split. Each part would send as if it were the
+/// whole fleet, so shares are scaled by `coverage`, the live daemons as a fraction of all that remain; it is zero for a
+/// daemon that does not know the others yet.
+pub fn start_share(daemon: u64, daemons: &[u64], backend: u64, starters: usize, coverage: f64) -> (f64, bool) {
+    if coverage <= 0.0 {
         return (0.0, false);
     }
     let starter = uses(daemon, daemons, backend, starters);
     let sharing = if starter { starters } else { daemons.len() };
-    (1.0 / sharing as f64, starter)
+    (coverage / sharing as f64, starter)
 }
 
 /// Returns, for each of `backends`, whether `daemon` may run waiting work on it.
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -75,7 +75,8 @@
         Bound::Limit(_) => None,
         Bound::Cold(per_second) => {
             let hashes: Vec<u64> = belief.live.iter().map(|other| hash_of(*other)).collect();
-            let (part, starter) = subset::start_share(hash_of(daemon), &hashes, u64::from(SERVER), STARTERS, true);
+            let (part, starter) =
+                subset::start_share(hash_of(daemon), &hashes, u64::from(SERVER), STARTERS, position.coverage);
             Some(SlowStart { until: Time::MAX, per_second: per_second * part, starter, phase: 0.5 })
         }
     };
@@ -209,17 +210,20 @@
 
 /// Guards against a cold server's rate that every part of a split fleet sends in full.
 #[rstest]
-#[case::small(7, 300)]
-#[case::grown(34, 60)]
-#[case::large(119, 20)]
-#[ignore = "KNOWN-RED 4"]
-fn a_fleet_keeps_a_cold_servers_rate_whatever_each_daemon_believes(#[case] daemons: usize, #[case] schedules: u64) {
+#[case::small(7, 5.0, 300)]
+#[case::grown(34, 8.0, 60)]
+#[case::large(119, 10.0, 20)]
+fn a_fleet_keeps_a_cold_servers_rate_whatever_each_daemon_believes(
+    #[case] daemons: usize,
+    #[case] slack: f64,
+    #[case] schedules: u64,
+) {
     let mut highest = (0.0, 0);
     for seed in 0..schedules_or(schedules) {
         let mut rng = fastrand::Rng::with_seed(seed);
         let per_second = 2.0 + 6.0 * rng.f64();
         let most = most_in_window(&run_schedule(daemons, Bound::Cold(per_second), &mut rng), Duration::from_secs(1));
-        let allowed = 1.5 * per_second + SLACK;
+        let allowed = 1.5 * per_second + slack;
         assert!(most as f64 <= allowed, "seed {seed}: {most} requests in a second at {per_second} a second");
         highest = if most as f64 / allowed > highest.0 { (most as f64 / allowed, seed) } else { highest };
     }
--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -137,13 +137,13 @@
 #[test]
 fn daemons_that_do_not_know_each_other_yet_send_a_starting_server_nothing() {
     let all: Vec<u64> = (100..133).collect();
-    let sum = |known: &dyn Fn(u64) -> Vec<u64>, settled: bool| -> f64 {
-        let shares = all.iter().map(|daemon| subset::start_share(*daemon, &known(*daemon), 7, 3, settled));
+    let sum = |known: &dyn Fn(u64) -> Vec<u64>, coverage: f64| -> f64 {
+        let shares = all.iter().map(|daemon| subset::start_share(*daemon, &known(*daemon), 7, 3, coverage));
         shares.filter(|(_, starter)| *starter).map(|(share, _)| share).sum()
     };
-    assert!(sum(&|daemon| vec![daemon], false) < f64::EPSILON);
-    assert!((sum(&|_| all.clone(), true) - 1.0).abs() < 1e-9);
-    let (share, starter) = subset::start_share(100, &[100], 7, 3, true);
+    assert!(sum(&|daemon| vec![daemon], 0.0) < f64::EPSILON);
+    assert!((sum(&|_| all.clone(), 1.0) - 1.0).abs() < 1e-9);
+    let (share, starter) = subset::start_share(100, &[100], 7, 3, 1.0);
     assert!(starter && (share - 1.0 / 3.0).abs() < 1e-9, "a daemon alone sends only its share");
 }
 
