--- a/crates/daemon/src/view/mod.rs
+++ b/crates/daemon/src/view/mod.rs
@@ -112,7 +112,7 @@
     let steering = shift_callers(context, active, now);
     context.pool.retain(|backend| steering.backends.contains_key(&backend), now);
     let remotes = remotes(context, &state.slots, active, now);
-    let budgets = budgets(context, lock(&context.roster).live_members().count() + 1);
+    let budgets = budgets(context, servers::known_daemons(context, &lock(&context.roster)));
     context.driver.with_engine_mut(context, |engine| {
         engine.set_budgets(budgets);
         for (region, remote) in remotes {
@@ -167,7 +167,8 @@
 }
 
 /// Returns this daemon's budgets. Its share of the accumulated hedges and retries that all daemons may cause together
-/// assumes twice as many daemons as are known, since there may be others that this one has not seen yet.
+/// assumes twice as many daemons as are known, since there may be others that this one has not seen yet. Daemons that it
+/// does not hear count, since they may have retries saved up as well.
 fn budgets(context: &Context, daemons: usize) -> Budgets {
     let settings = &context.settings.dispatch;
     let daemons = 2.0 * daemons as f64;
--- a/crates/daemon/src/view/servers.rs
+++ b/crates/daemon/src/view/servers.rs
@@ -25,6 +25,12 @@
     context.settings.fleet.seeds.is_empty() || context.uptime() > SETTLE_TIME
 }
 
+/// Returns the number of daemons that have not announced their departure, this one included, whether or not it hears
+/// them. A daemon that has not met any other yet counts its seeds.
+pub fn known_daemons(context: &Context, roster: &Roster) -> usize {
+    roster.remaining_members().max(context.settings.fleet.seeds.len())
+}
+
 /// This daemon's assignment to one backend server.
 #[derive(Debug, Clone, Copy)]
 struct Assignment {
@@ -76,7 +82,7 @@
         let elsewhere: BTreeMap<String, Vec<u64>> =
             by_region.iter().map(|(name, inside)| ((*name).clone(), outside(inside))).collect();
         let (starters, settled) = (context.settings.dispatch.starters as usize, settled(context));
-        let known = roster.remaining_members().max(context.settings.fleet.seeds.len()).max(all.len());
+        let known = known_daemons(context, roster).max(all.len());
         let in_service = settled && roster.own().state == State::Alive;
         let coverage = if in_service { all.len() as f64 / known as f64 } else { 0.0 };
         if (&self.region, &self.elsewhere, self.coverage, self.settled) != (&region, &elsewhere, coverage, settled) {
--- a/crates/daemon/tests/view.rs
+++ b/crates/daemon/tests/view.rs
@@ -192,3 +192,35 @@
     let delay = daemon::mirror::batch_delay(watchers);
     assert_eq!(delay, Duration::from_millis(ms));
 }
+
+/// Guards against budgets of hedges and retries that add up to more than all daemons may use together: each part of a
+/// split fleet, or a daemon that believes all others gone, would divide the saved-up part among fewer.
+#[rstest]
+#[case::all_hear_each_other(&[7])]
+#[case::halves(&[3, 4])]
+#[case::each_alone(&[1; 7])]
+fn the_parts_of_a_split_fleet_share_the_saved_up_retries(#[case] parts: &[usize]) {
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+    let daemons: usize = parts.iter().sum();
+    let burst_of = |live: usize| {
+        let context = context(&runtime, Vec::new());
+        let record = |number: usize| Record {
+            name: format!("e{number}"),
+            incarnation: 1,
+            refutations: 0,
+            state: if number < live { Standing::Alive } else { Standing::Dead },
+            peer_address: format!("127.0.0.{number}:7200"),
+            domain: "d".to_owned(),
+            caller_address: String::new(),
+        };
+        let records = (1..daemons).map(record).collect();
+        let snapshot =
+            Snapshot { records, policy: None, leaving: Vec::new(), rate_limits: Vec::new(), has_mirror: false };
+        lock(&context.roster).merge_snapshot(&snapshot, context.now());
+        view::refresh(&context);
+        context.driver.with_engine(Engine::budgets).repeat_burst
+    };
+    let total = Settings::default().dispatch.repeat_burst;
+    let used: f64 = parts.iter().map(|live| *live as f64 * burst_of(*live)).sum();
+    assert!(used <= total, "{used} of {total}");
+}
--- a/crates/dispatch/src/engine/update.rs
+++ b/crates/dispatch/src/engine/update.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Returns the budgets for hedges and retries.
+    pub const fn budgets(&self) -> Budgets {
+        self.limits.budgets
+    }
+
     /// Records a load report that arrived with an answer, without dispatching waiting requests; the end of the attempt
     /// does that.
     pub fn record_report(&mut self, backend: BackendId, report: Report) {
