Look only at the limited servers that are this daemon's for a request that no home accepts

At 119 daemons with half of 1,077 servers limited, each recheck of up to 256 held requests would have gone through all servers of the service, fifty times a second; a daemon has a part of about 14 of them. They are kept in a set now, and answers of servers that state no limit no longer wake the engine.

--- a/crates/daemon/src/backends/announcement.rs
+++ b/crates/daemon/src/backends/announcement.rs
@@ -58,7 +58,7 @@
     let now = context.now();
     match parse_rate_limit(headers.get_all(name).iter().map(HeaderValue::as_bytes)) {
         // Most answers: they need not disturb the engine.
-        Ok(None) if context.driver.with_engine(|engine| engine.rate_limit(attempt.backend).is_none()) => {}
+        Ok(None) if !context.driver.with_engine(|engine| engine.is_rate_limited(attempt.backend)) => {}
         Ok(per_second) => {
             let number = attempt.number;
             let record = |engine: &mut Engine| engine.record_rate_limit(number, per_second, now);
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -80,19 +80,19 @@
     /// Load pattern: many servers of a service limit their rate, and the others are full. A daemon that may send to such
     /// a server has requests about only few of its objects, so most of the allowed rate would be unused.
     fn pick_rate_limited(&self, state: &Request, now: Time) -> Option<BackendId> {
-        if now >= self.limits_end_at {
-            return None;
-        }
-        let class = &self.classes[state.class].spec;
-        let accepts = |server: &Backend| {
-            let available = !server.leaving() && !server.unavailable(now) && !state.excluded.contains(&server.spec.id);
+        let accepts = |server: &&Backend| {
+            let serves = server.spec.service == state.service && self.available(server, state, now);
             let latency = self.expected_latency(server, state, 0.0, now);
-            let in_use = available && class.allows(server.spec.region) && now + latency <= state.deadline;
-            in_use && self.accepts(server, state, latency, false, now)
+            serves && now + latency <= state.deadline && self.accepts(server, state, latency, false, now)
         };
-        let servers = self.tiers.get(usize::from(state.service))?.iter().flatten();
-        let mut limited = servers.filter_map(|id| self.backends.get(id)).filter(|server| server.rate_limited(now));
-        limited.find(|server| accepts(server)).map(|server| server.spec.id)
+        let limited = self.shared_limits.iter().filter_map(|id| self.backends.get(id));
+        limited.filter(|server| server.rate_limited(now)).find(accepts).map(|server| server.spec.id)
+    }
+
+    /// Returns whether `server` may get the request at all now, however long it would take there.
+    fn available(&self, server: &Backend, state: &Request, now: Time) -> bool {
+        let in_use = !server.leaving() && !server.unavailable(now) && !state.excluded.contains(&server.spec.id);
+        in_use && self.classes[state.class].spec.allows(server.spec.region)
     }
 
     /// Returns the load and the expected latency of both home servers, for logs.
@@ -132,14 +132,7 @@
     /// Returns the highest ranked available server of `servers` for the object. Only servers that rank above the best
     /// one so far are looked up.
     fn home_in(&self, servers: &[BackendId], state: &Request, object: u64, now: Time) -> Option<BackendId> {
-        let class = &self.classes[state.class].spec;
-        let usable = |id: &BackendId| {
-            let server = self.backends.get(id);
-            server.is_some_and(|server| {
-                let available = !server.leaving() && !server.unavailable(now) && !state.excluded.contains(id);
-                available && class.allows(server.spec.region)
-            })
-        };
+        let usable = |id: &BackendId| self.backends.get(id).is_some_and(|server| self.available(server, state, now));
         let mut highest = None;
         for id in servers {
             let rank = hash::combine(object, u64::from(*id));
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -68,6 +68,8 @@
     last_pause_end: Time,
     /// When the last of the rate limits ends, unless it is confirmed.
     limits_end_at: Time,
+    /// Servers with a rate limit of which a part is this daemon's.
+    shared_limits: BTreeSet<BackendId>,
     /// Share of the objects whose primary home is in this region, by service.
     near_shares: Vec<f64>,
     /// When the load of servers without a report was last estimated, by service.
@@ -111,6 +113,7 @@
             suspended_until: Time::ZERO,
             last_pause_end: Time::ZERO,
             limits_end_at: Time::ZERO,
+            shared_limits: BTreeSet::new(),
             near_shares: Vec::new(),
             loads_estimated_at: BTreeMap::new(),
             quarantine: Quarantine::new(limits.quarantine),
--- a/crates/dispatch/src/engine/update.rs
+++ b/crates/dispatch/src/engine/update.rs
@@ -52,6 +52,8 @@
             }
         }
         self.warmth.retain(|id| in_use.contains_key(&id));
+        self.shared_limits =
+            in_use.values().filter(|server| server.rate_share() > 0.0).map(|server| server.spec.id).collect();
         self.backends = in_use;
         self.rebuild_tiers();
         self.dispatch_waiting(now);
@@ -138,9 +140,8 @@
         let Some(Attempt { backend, started, .. }) = self.attempts.get(&attempt).copied() else {
             return News::None;
         };
-        let known = self.rate_limit(backend);
-        let stated_since = known.is_some_and(|known| started <= known.observed_at);
-        if per_second.is_none() && (known.is_none() || stated_since) {
+        let known = self.announcements.get(backend).rate_limit();
+        if per_second.is_none() && known.is_some_and(|known| started <= known.observed_at) {
             return News::None;
         }
         self.apply_rate_limit(backend, Limit { per_second, observed_at: now }, now)
@@ -157,6 +158,11 @@
         self.limits_end_at = self.limits_end_at.max(limit.ends_at());
         if let Some(server) = self.backends.get_mut(&backend) {
             server.apply_announcement(self.announcements.get(backend), now);
+            if server.rate_share() > 0.0 {
+                self.shared_limits.insert(backend);
+            } else {
+                self.shared_limits.remove(&backend);
+            }
             if let News::Changed { before } = news {
                 let (share, position) = (server.rate_share(), server.spec.position);
                 self.decisions.push(Decision::RateLimited { backend, limit, before, share, position });
@@ -165,9 +171,9 @@
         news
     }
 
-    /// Returns the rate limit of a server as last observed; `None` if it never stated one.
-    pub fn rate_limit(&self, backend: BackendId) -> Option<Limit> {
-        self.announcements.get(backend).rate_limit()
+    /// Returns whether the server last stated a rate limit, whether or not it still applies.
+    pub fn is_rate_limited(&self, backend: BackendId) -> bool {
+        self.announcements.get(backend).rate_limit().is_some_and(|limit| limit.per_second.is_some())
     }
 
     /// Returns the rate limits that apply, by server.
