--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -6,6 +6,8 @@
 mod event;
 mod held;
 mod keyed;
+mod link;
+mod obstacle;
 mod pick;
 #[cfg(feature = "policies")]
 pub mod policy;
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -2,15 +2,11 @@
 
 use std::time::Duration;
 
-use base::error::Kind;
 use base::time::Time;
 
-use super::state::Reservation;
 use super::{Action, Attempt, Basis, Engine, Request, Timer};
 use crate::backend::{Backend, BackendId, Place};
 
-/// Burst that may pass over a link, as time at the link's rate.
-pub(super) const LINK_BURST: Duration = Duration::from_millis(100);
 /// Number of usable servers that are compared.
 const CHOICES: u32 = 2;
 /// Number of random samples taken to find them.
@@ -30,34 +26,6 @@
 /// Requests above its slots that a server without attempts of this daemon still gets when its reports show it as full.
 const OVERBOOKING: f64 = 1.0;
 
-/// What keeps a server from taking a request, the furthest from taking it first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Obstacle {
-    /// It is not one of the servers that may run the request.
-    NoBackend,
-    /// It is ejected for as long as the request may wait.
-    Unreachable,
-    /// It accepts no requests for as long.
-    Paused,
-    /// Its rate limit leaves no room for as long.
-    RateLimited,
-    /// This daemon has no share of its region.
-    LinkFull,
-}
-
-impl Obstacle {
-    /// Returns the error of a request that no server has less of an obstacle to take.
-    const fn kind(self) -> Kind {
-        match self {
-            Self::NoBackend => Kind::NoBackend,
-            Self::Unreachable => Kind::Unreachable,
-            Self::Paused => Kind::Paused,
-            Self::RateLimited => Kind::RateLimited,
-            Self::LinkFull => Kind::LinkFull,
-        }
-    }
-}
-
 impl Engine {
     /// Picks the server for the next attempt of `request`; returns `None` if the request has to wait.
     pub(super) fn pick(&mut self, request: u64, now: Time) -> Option<BackendId> {
@@ -220,51 +188,12 @@
         reinstated.count() > 0
     }
 
-    /// Returns why `request` cannot be sent before its deadline; `None` if it may be. Of the servers, the one that is
-    /// the least far from taking it decides.
-    pub(super) fn unplaceable(&self, request: u64, now: Time) -> Option<Kind> {
-        let state = self.requests.get(&request)?;
-        let Some(tiers) = self.tiers.get(usize::from(state.service)) else {
-            return Some(Kind::NoBackend);
-        };
-        let mut least = Obstacle::NoBackend;
-        for server in tiers.iter().flatten().filter_map(|id| self.backends.get(id)) {
-            least = least.max(self.obstacle(server, state, now)?);
-        }
-        Some(least.kind())
-    }
-
-    /// Returns what keeps `server` from taking the request before its deadline; `None` if nothing does.
-    fn obstacle(&self, server: &Backend, state: &Request, now: Time) -> Option<Obstacle> {
-        let spec = &self.classes[state.class].spec;
-        let wait_deadline = self.wait_deadline(state);
-        if server.leaving() || state.excluded.contains(&server.spec.id) || !spec.allows(server.spec.region) {
-            Some(Obstacle::NoBackend)
-        } else if server.ejected(state.deadline) {
-            Some(Obstacle::Unreachable)
-        } else if server.paused(wait_deadline) {
-            Some(Obstacle::Paused)
-        } else if server.rate_room_at(now) > wait_deadline {
-            Some(Obstacle::RateLimited)
-        } else if !self.remote_granted(server.spec.place) {
-            Some(Obstacle::LinkFull)
-        } else {
-            None
-        }
-    }
-
     /// Returns until when a request waits for a server, at most.
     pub(super) fn wait_deadline(&self, state: &Request) -> Time {
         let target = state.arrived + self.classes[state.class].spec.target;
         if state.object.is_some() { target.min(state.deadline) } else { state.deadline }
     }
 
-    /// Returns whether this daemon has any share of a server's region.
-    fn remote_granted(&self, place: Place) -> bool {
-        let Place::Remote(region) = place else { return true };
-        self.links.get(&region).is_some_and(|link| link.max_in_flight > 0)
-    }
-
     /// Picks a server of this region (`tier` 0) or of the other regions (`tier` 1): the best of some random usable
     /// ones.
     fn pick_tier(&mut self, service: usize, tier: usize, state: &Request, now: Time) -> Option<BackendId> {
@@ -381,32 +310,4 @@
         }
         now.since(state.arrived) >= REMOTE_WAIT_THRESHOLD || self.expected_wait(state.class) >= REMOTE_WAIT_THRESHOLD
     }
-
-    /// Returns whether the link and the other region have capacity left in our share. Until a class has had an answer,
-    /// its answers may be of any size, so they cross a capped link one at a time.
-    pub(super) fn link_has_capacity(&self, place: Place, state: &Request, now: Time) -> bool {
-        let Place::Remote(region) = place else { return true };
-        let Some(link) = self.links.get(&region) else {
-            return false;
-        };
-        let class = &self.classes[state.class];
-        if !class.answer_size_known() && !link.uncapped && link.unsized_in_flight > 0 {
-            return false;
-        }
-        let bytes = class.answer_size().max(state.bytes as f64);
-        link.in_flight < link.max_in_flight && link.bucket.clone().level(now) >= bytes
-    }
-
-    /// Reserves a link's bytes for an attempt: the larger of its request and its expected answer.
-    fn reserve_link(&mut self, place: Place, class: usize, bytes: f64, now: Time) -> Option<Reservation> {
-        let Place::Remote(region) = place else { return None };
-        let link = self.links.get_mut(&region)?;
-        let class = &self.classes[class];
-        let reservation =
-            Reservation { region, bytes: bytes.max(class.answer_size()), answer_size_known: class.answer_size_known() };
-        link.in_flight += 1;
-        link.unsized_in_flight += u32::from(!reservation.answer_size_known);
-        link.bucket.charge(reservation.bytes, now);
-        Some(reservation)
-    }
 }
--- a/crates/dispatch/src/engine/update.rs
+++ b/crates/dispatch/src/engine/update.rs
@@ -7,7 +7,7 @@
 use base::time::Time;
 
 use super::state::{Link, Timer};
-use super::{Attempt, Budgets, Decision, Engine, Remote, pick};
+use super::{Attempt, Budgets, Decision, Engine, Remote, link};
 use crate::announcements::News;
 use crate::backend::{Backend, BackendId, Place, Report, Spec};
 use crate::class::{self, Class};
@@ -61,7 +61,7 @@
 
     /// Sets this daemon's share of another region and of the link to it.
     pub fn set_remote(&mut self, region: u16, remote: Remote, now: Time) {
-        let burst = (remote.bytes_per_second * pick::LINK_BURST.as_secs_f64()).max(0.0);
+        let burst = (remote.bytes_per_second * link::LINK_BURST.as_secs_f64()).max(0.0);
         let link = self.links.entry(region).or_insert_with(|| Link {
             max_in_flight: 0,
             in_flight: 0,
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -3,6 +3,8 @@
 //! A member is suspected before it counts as dead, and it can refute the suspicion. A record of a higher incarnation
 //! supersedes all records of lower ones.
 
+mod outgoing;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -13,9 +15,7 @@
 
 use crate::gossip::Gossip;
 use crate::load::Loads;
-use crate::message::{
-    self, MAX_LEAVING, MAX_LOADS, MAX_LOSSES, MAX_RATE_LIMITS, MAX_RECORDS, Message, Record, Snapshot, State,
-};
+use crate::message::{Message, Record, Snapshot, State};
 use crate::target::Targets;
 
 /// One in this many exchanges may go to a dead member, so that the end of a partition is noticed.
@@ -100,22 +100,6 @@
         &mut self.loads
     }
 
-    /// Returns the losses of connections that are being passed on.
-    pub const fn losses_mut(&mut self) -> &mut Gossip<(u64, u64)> {
-        &mut self.losses
-    }
-
-    /// Returns the numbers of leaving backend servers that are being passed on.
-    pub const fn leaving_mut(&mut self) -> &mut Gossip<u32> {
-        &mut self.leaving
-    }
-
-    /// Adds the rate limit of a backend server to the next messages, in place of an earlier one of the same server.
-    pub fn pass_on_rate_limit(&mut self, server: u32, limit: Limit, now: Time) {
-        self.rate_limits.remove(|(known, _)| *known == server);
-        self.rate_limits.add((server, limit), now);
-    }
-
     /// Stores the entry instances of the platform's list.
     pub fn set_listed(&mut self, instances: &[Instance]) {
         let entries = instances.iter().filter(|instance| instance.role == Role::Entry);
@@ -161,29 +145,6 @@
         member.or_else(|| self.listed.get(name).map(|instance| instance.peers.as_str()))
     }
 
-    /// Creates the message for the next exchange; `revision` is that of the policy in force.
-    pub fn message(&mut self, revision: u64, now: Time) -> Message {
-        let records = self.next_records();
-        let loads = self.loads.next_batch(MAX_LOADS, now);
-        Message { records, loads, ..self.urgent_message(revision, now) }
-    }
-
-    /// Creates a message that contains only losses, leaving backend servers and rate limits.
-    pub fn urgent_message(&mut self, revision: u64, now: Time) -> Message {
-        let losses = self.losses.next_batch(MAX_LOSSES, now);
-        let leaving = self.leaving.next_batch(MAX_LEAVING, now);
-        let rate_limits = self.rate_limits.next_batch(MAX_RATE_LIMITS, now);
-        let rate_limits =
-            rate_limits.into_iter().map(|(server, limit)| message::RateLimit::new(server, limit, now)).collect();
-        let (from, records, loads) = (self.own.clone(), Vec::new(), Vec::new());
-        Message { from, revision, records, loads, losses, leaving, rate_limits }
-    }
-
-    /// Creates the answer to a message: an urgent one gets an urgent answer.
-    pub fn answer(&mut self, message: &Message, revision: u64, now: Time) -> Message {
-        if message.is_urgent() { self.urgent_message(revision, now) } else { self.message(revision, now) }
-    }
-
     /// Applies the records and loads of a message received at `now`.
     pub fn merge(&mut self, message: &Message, now: Time) {
         self.apply(&message.from, now);
@@ -356,25 +317,6 @@
         }
     }
 
-    /// Returns the records for the next message: those that are still to be sent most often first.
-    fn next_records(&mut self) -> Vec<Record> {
-        let mut pending: Vec<(u32, String)> = self
-            .members
-            .values()
-            .filter(|member| member.sends_left > 0)
-            .map(|member| (member.sends_left, member.record.name.clone()))
-            .collect();
-        pending.sort_unstable_by(|one, other| other.cmp(one));
-        let mut records = Vec::new();
-        for (_, name) in pending.into_iter().take(MAX_RECORDS) {
-            if let Some(member) = self.members.get_mut(&name) {
-                member.sends_left -= 1;
-                records.push(member.record.clone());
-            }
-        }
-        records
-    }
-
     /// Removes old records of members that died or left and are not listed.
     fn remove_expired(&mut self, now: Time) {
         let listed = &self.listed;
