Let servers of the soak state rate limits, and count what arrives there

A backend server of the soak states a limit of 0.5 to 2 requests a second, which changes, ends for a while or stays, while daemons are killed, stopped and paused and links fail. The stand-in counts by the rule's own text: arrivals in 4 s from daemons that had an answer with the limit half a second before, from three seconds after it was first stated.

--- a/crates/fakes/src/backend.rs
+++ b/crates/fakes/src/backend.rs
@@ -2,7 +2,8 @@
 //! on demand.
 //!
 //! `GET /load` returns the load report, `POST /cancel?id=` cancels a request, `POST /fault` sets [`Faults`] given as
-//! JSON, and `GET /runs` returns how often each idempotency key was run. Any other path is work: `work_ms=` in its
+//! JSON, `GET /runs` returns how often each idempotency key was run, and `GET /peak` how many requests arrived beside the
+//! rate limit that it stated. Any other path is work: `work_ms=` in its
 //! query sets its running time and `bytes=` the size of its answer. A request with `crash=1` in its query crashes the
 //! server.
 
@@ -15,6 +16,7 @@
 use tiny_http::{Request, Response};
 
 use crate::http;
+use crate::tally::Tally;
 
 /// Time between two checks whether running work was cancelled.
 const CANCEL_POLL_INTERVAL: Duration = Duration::from_millis(2);
@@ -79,11 +81,22 @@
     pub dead: bool,
     /// All work is rejected with status 421, as by another server that has taken over the address.
     pub misdirected: bool,
+    /// Requests per second from all daemons together that answers state as the server's limit.
+    pub rate_limit: Option<f64>,
 }
 
 impl Default for Faults {
     fn default() -> Self {
-        Self { slow: 1.0, draining: false, silent: false, cut: false, shed: false, dead: false, misdirected: false }
+        Self {
+            slow: 1.0,
+            draining: false,
+            silent: false,
+            cut: false,
+            shed: false,
+            dead: false,
+            misdirected: false,
+            rate_limit: None,
+        }
     }
 }
 
@@ -113,6 +126,7 @@
     reports: Vec<(Instant, u32, u32)>,
     cancelled: BTreeSet<String>,
     runs: BTreeMap<String, u32>,
+    tally: Tally,
     served: u64,
 }
 
@@ -147,6 +161,7 @@
             reports: Vec::new(),
             cancelled: BTreeSet::new(),
             runs: BTreeMap::new(),
+            tally: Tally::default(),
             served: 0,
         };
         let shared = Arc::new(Shared { state: Mutex::new(state), slot_freed: Condvar::new() });
@@ -236,6 +251,10 @@
         Load { busy, queued, slots: self.setup.slots, draining: self.faults.draining, age_ms }
     }
 
+    fn record_arrival(&mut self, id: &str) {
+        self.tally.record_arrival(daemon_of(id), self.faults.rate_limit, Instant::now());
+    }
+
     fn work_time(&self, requested_ms: Option<u64>) -> Duration {
         let cold = self.start.elapsed() < Duration::from_millis(self.setup.cold_ms);
         let factor = self.faults.slow * if cold { 3.0 } else { 1.0 };
@@ -255,6 +274,10 @@
             let runs = shared.lock().runs.clone();
             http::answer_json(request, &runs);
         }
+        "/peak" => {
+            let peak = shared.lock().tally.peak();
+            http::answer_json(request, &peak);
+        }
         "/cancel" => {
             let id = http::query_param(&url, "id").unwrap_or_default().to_owned();
             shared.lock().cancelled.insert(id);
@@ -271,6 +294,11 @@
     }
 }
 
+/// Returns the part of an attempt's id that names the daemon's process.
+fn daemon_of(id: &str) -> &str {
+    id.split('-').next().unwrap_or_default()
+}
+
 fn handle_work(request: Request, url: &str, body: &[u8], shared: &Shared) {
     if shared.lock().faults.dead {
         return drop(request.into_writer());
@@ -278,6 +306,8 @@
     if shared.lock().faults.misdirected {
         return http::answer_status(request, 421);
     }
+    let id = http::header(&request, "x-request-id").unwrap_or_default().to_owned();
+    shared.lock().record_arrival(&id);
     if !shared.acquire_slot() {
         return shed(request);
     }
@@ -286,7 +316,6 @@
         shared.release_slot();
         return drop(request.into_writer());
     }
-    let id = http::header(&request, "x-request-id").unwrap_or_default().to_owned();
     if let Some(key) = http::header(&request, "idempotency-key") {
         *shared.lock().runs.entry(key.to_owned()).or_default() += 1;
     }
@@ -301,7 +330,7 @@
     if !finished {
         return http::answer_status(request, 499);
     }
-    reply(request, url, body, shared, faults.cut);
+    reply(request, url, body, shared, &faults);
 }
 
 /// Ends the process, or makes the server close all later work connections without an answer.
@@ -340,17 +369,23 @@
 
 /// Answers with the request's `x-echo` header and a hash of its body, so that callers can detect answers to other
 /// requests.
-fn reply(request: Request, url: &str, body: &[u8], shared: &Shared, cut: bool) {
+fn reply(request: Request, url: &str, body: &[u8], shared: &Shared, faults: &Faults) {
     let size: usize = http::query_param(url, "bytes").and_then(|text| text.parse().ok()).unwrap_or(0);
     let echo = http::header(&request, "x-echo").unwrap_or_default().to_owned();
     let name = shared.lock().setup.name.clone();
     let text = format!("echo={echo} body={:016x} server={name}\n", base::hash::bytes(body));
     let mut data = text.into_bytes();
     data.resize(data.len().max(size), b'.');
-    if cut {
+    if faults.cut {
         return reply_truncated(request, &data);
     }
-    drop(request.respond(Response::from_data(data)));
+    let mut response = Response::from_data(data);
+    if let Some(limit) = faults.rate_limit {
+        let id = http::header(&request, "x-request-id").unwrap_or_default();
+        shared.lock().tally.record_answer(daemon_of(id), Instant::now());
+        response.add_header(http::make_header("x-rate-limit", &limit.to_string()));
+    }
+    drop(request.respond(response));
 }
 
 /// Announces 1000 bytes more than it sends, then closes the connection.
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod memory;
 pub mod state;
 pub mod store;
+pub mod tally;
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use fakes::tally::Peak;
 use load::answer::Ending;
 
 use crate::caller::Trace;
@@ -30,6 +31,16 @@
     violations
 }
 
+/// Returns a description of each backend server that got more requests than the rate limit that it stated allows.
+pub fn exceeded_limits(peaks: &BTreeMap<String, Peak>) -> Vec<String> {
+    let exceeded = peaks.iter().filter(|(_, peak)| peak.exceeded());
+    exceeded
+        .map(|(name, Peak { arrived, allowed })| {
+            format!("{name}: {arrived} requests in 4 s, its rate limit allows {allowed}")
+        })
+        .collect()
+}
+
 /// The revision last seen in force at each daemon.
 #[derive(Debug, Clone, Default)]
 pub struct Revisions {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -49,7 +49,11 @@
         let report = run::run(&options.deployment, &folder, Setup { seed, ..options.setup })?;
         let counts: Vec<String> =
             report.endings.iter().map(|(ending, count)| format!("{}={count}", ending.as_str())).collect();
-        println!("seed {seed}: {} faults, {}, {} violations", report.faults, counts.join(" "), report.violations.len());
+        let (faults, limit_use, violations) = (report.faults, report.limit_use, report.violations.len());
+        println!(
+            "seed {seed}: {faults} faults, {}, limits used {limit_use:.2}, {violations} violations",
+            counts.join(" ")
+        );
         report.violations.iter().for_each(|line| println!("  {line}"));
         if report.violations.is_empty() {
             std::fs::remove_dir_all(&folder)?;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -10,6 +10,12 @@
 const MIN_FAULT_MS: u64 = 200;
 /// Maximum duration of a fault, in milliseconds.
 const MAX_FAULT_MS: u64 = 4_000;
+/// Lowest rate limit of a backend server, in tenths of a request per second.
+const MIN_LIMIT_TENTHS: u32 = 5;
+/// Highest rate limit of a backend server, in tenths of a request per second.
+const MAX_LIMIT_TENTHS: u32 = 20;
+/// Keeps the random numbers of rate limits apart from those of other faults.
+const LIMIT_SEED: u64 = 0x6c69_6d69_7473;
 /// Maximum number of times that one series injects its fault.
 const MAX_FAULTS_PER_SERIES: usize = 3;
 
@@ -67,6 +73,8 @@
     Store(StoreFault),
     /// A change of the policy.
     PolicyChange,
+    /// A backend server states a limit of its rate, in tenths of a request per second.
+    RateLimit(usize, u32),
 }
 
 /// A step of the run: the start or the end of a fault.
@@ -81,13 +89,16 @@
 }
 
 /// Returns `count` series of faults within `time`, and half as many series of faults of links to callers and of
-/// blackholed connections, ordered by time; they may overlap. The second group has a random generator of its own, so
-/// that the first `count` series of a seed are still those with which the seed was once found to fail.
+/// blackholed connections, and as many of rate limits, ordered by time; they may overlap. Each further group has a random
+/// generator of its own, so that the first `count` series of a seed are still those with which the seed was once found to
+/// fail.
 pub fn steps(seed: u64, count: usize, time: Duration) -> Vec<Step> {
     let (mut rng, mut connection_rng) = (Rng::with_seed(seed), Rng::with_seed(!seed));
+    let mut limit_rng = Rng::with_seed(seed.rotate_left(32) ^ LIMIT_SEED);
     let mut steps = Vec::new();
     (0..count).for_each(|_| push_series(&mut rng, random_fault, time, &mut steps));
     (0..count / 2).for_each(|_| push_series(&mut connection_rng, random_connection_fault, time, &mut steps));
+    (0..count / 2).for_each(|_| push_limits(&mut limit_rng, time, &mut steps));
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -107,6 +118,22 @@
     }
 }
 
+/// Appends the limits that one backend server states one after the other, each until the next one or for a while.
+fn push_limits(rng: &mut Rng, time: Duration, steps: &mut Vec<Step>) {
+    let target = rng.usize(..1_000);
+    let end = 1.0 - QUIET_FRACTION;
+    let mut at = QUIET_FRACTION + (0.5 - QUIET_FRACTION) * rng.f64();
+    for _ in 0..rng.usize(1..=MAX_FAULTS_PER_SERIES) {
+        let fault = Fault::RateLimit(target, rng.u32(MIN_LIMIT_TENTHS..=MAX_LIMIT_TENTHS));
+        steps.push(Step { at: time.mul_f64(at), fault, starts: true });
+        at += (end - at) * rng.f64();
+        if rng.bool() {
+            steps.push(Step { at: time.mul_f64(at), fault, starts: false });
+            at += (end - at) * rng.f64();
+        }
+    }
+}
+
 fn random_connection_fault(rng: &mut Rng) -> Fault {
     let target = rng.usize(..1_000);
     match rng.u8(0..4) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,6 +10,7 @@
 use base::instance::Role;
 use config::policy::Policy;
 use demo::deployment::Deployment;
+use fakes::tally::Peak;
 use load::answer::Ending;
 use load::plan::Flow;
 
@@ -47,6 +48,8 @@
     pub endings: BTreeMap<Ending, usize>,
     /// Number of faults in the plan.
     pub faults: usize,
+    /// Most requests that a backend server with a rate limit got, as a fraction of what it allowed.
+    pub limit_use: f64,
     /// Descriptions of violated guarantees; empty if all held.
     pub violations: Vec<String>,
 }
@@ -72,8 +75,11 @@
     violations.extend(check_recovery(&mut testbed, &caller(format!("{:x}-end", setup.seed))));
     let trace = trace.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
     violations.extend(check::violations(&trace, &testbed.runs()));
+    let peaks = testbed.limit_peaks();
+    violations.extend(check::exceeded_limits(&peaks));
+    let limit_use = peaks.values().map(Peak::used).fold(0.0, f64::max);
     let faults = steps.iter().filter(|step| step.starts).count();
-    Ok(Report { endings: last_endings(&trace), faults, violations })
+    Ok(Report { endings: last_endings(&trace), faults, limit_use, violations })
 }
 
 /// Returns the path and query of the first flow with short work and, as `keyed` says, with or without idempotency keys;
@@ -117,6 +123,7 @@
         }
         (Fault::CallerLink(target, _), false) => testbed.caller_links[target % testbed.caller_links.len()].0.heal(),
         (Fault::Store(fault), starts) => testbed.set_store_fault(starts.then_some(fault)),
+        (Fault::RateLimit(target, tenths), starts) => testbed.set_rate_limit(target, starts.then_some(tenths)),
         (Fault::PolicyChange, true) => change_policy(testbed, number),
         (Fault::PolicyChange, false) => {}
         (Fault::Entry(target, fault), true) => testbed.inject(&testbed.instance(Role::Entry, target), fault),
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -6,6 +6,7 @@
 
 use base::instance::{Instance, Role};
 use demo::deployment::Deployment;
+use fakes::tally::Peak;
 
 use crate::Result;
 use crate::caller;
@@ -170,6 +171,28 @@
         drop(self.agent.post(format!("http://{}/fault", self.deployment.store_address)).send(&faults));
     }
 
+    /// Makes the backend server at position `target` state a rate limit, in tenths of a request per second; `None` for no
+    /// limit.
+    pub fn set_rate_limit(&self, target: usize, tenths: Option<u32>) {
+        let instance = self.instance(Role::Backend, target);
+        let faults =
+            tenths.map_or_else(|| "{}".to_owned(), |tenths| format!("{{\"rate_limit\":{}}}", f64::from(tenths) / 10.0));
+        // A server that is paused or has ended states nothing.
+        if !self.is_paused(&instance.name) {
+            drop(self.agent.post(format!("http://{}/fault", instance.address)).send(&faults));
+        }
+    }
+
+    /// Returns, for each backend server that answers, the most requests that it got beside the rate limit that it stated.
+    pub fn limit_peaks(&self) -> BTreeMap<String, Peak> {
+        let backends = self.deployment.instances.iter().filter(|instance| instance.role == Role::Backend);
+        let peak = |instance: &Instance| {
+            let url = format!("http://{}/peak", instance.address);
+            Some((instance.name.clone(), ctl::fleet::get(&self.agent, &url).ok()?))
+        };
+        backends.filter_map(peak).collect()
+    }
+
     /// Asks a backend server how often it ran each key; empty if it does not answer.
     fn fetch_runs(&self, instance: &Instance) -> Runs {
         ctl::fleet::get(&self.agent, &format!("http://{}/runs", instance.address)).unwrap_or_default()
