--- a/crates/dispatch/tests/rate_limit.rs
+++ b/crates/dispatch/tests/rate_limit.rs
@@ -178,6 +178,7 @@
     let mut end = START + stated_after.unwrap_or(Duration::from_mins(3));
     assert!(fleet.iter().skip(4).all(|server| server.unavailable(end - Duration::from_millis(1))));
     let mut returned = fleet.iter().filter(|server| !server.unavailable(end)).count();
+    assert!(returned <= 4, "{returned} daemons return at once");
     for _ in 0..40 {
         end = end + Duration::from_millis(100);
         let now = fleet.iter().filter(|server| !server.unavailable(end)).count();
