Refuse at once where only other daemons have room within a server's limit

What callers would have seen: at an instance that sends nothing to the limited servers of a service, a request waited for its target and was then refused as wont-finish, although it was known at once that it could not be served there. Cause: the time at which the other daemons have room was taken for this daemon's own. It is now used for Retry-After only. Evidence: the new case other_daemons_have_room_soon failed before. The readings of the header get their table of cases. Nothing more is sent than before.

--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -60,8 +60,8 @@
     lock(&context.roster).answer(message, revision, now)
 }
 
-/// Applies a peer's message: merges members, loads, losses, leaving servers and rate limits, and starts fetching the peer's policy
-/// if that is newer.
+/// Applies a peer's message: merges members, loads, losses, leaving servers and rate limits, and starts fetching the
+/// peer's policy if that is newer.
 pub fn apply_message(context: &Arc<Context>, message: &Message) {
     let now = context.now();
     lock(&context.roster).merge(message, now);
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -52,8 +52,8 @@
     !quarantined.is_empty()
 }
 
-/// Pushes losses, leaving backend servers and rate limits to a few random peers, so that they send nothing there either. Above the
-/// rate limit they are left to the regular exchanges.
+/// Pushes losses, leaving backend servers and rate limits to a few random peers, so that they heed them as well. Above
+/// the rate limit of pushes they are left to the regular exchanges.
 pub fn push_urgent(context: &Arc<Context>) {
     let now = context.now();
     if !lock(&context.gossip_limiter).take(1.0, now) {
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -265,7 +265,8 @@
         self.limiter.per_second()
     }
 
-    /// Returns when the rate limit leaves room for a request; in the past if there is room or no limit.
+    /// Returns when the rate limit leaves this daemon room for a request; in the past if there is room or no limit,
+    /// `Time::MAX` if it sends none while the limit applies.
     pub fn rate_room_at(&self, now: Time) -> Time {
         self.limiter.room_at(now)
     }
@@ -292,7 +293,7 @@
 
     /// Returns when the server can get work again, as far as known.
     pub fn available_at(&self, now: Time) -> Time {
-        self.unavailable_until.max(self.announcement.paused_until()).max(self.limiter.room_at(now))
+        self.unavailable_until.max(self.announcement.paused_until()).max(self.limiter.fleet_room_at(now))
     }
 
     /// Returns whether the server has as many of our attempts as it may have so soon after a pause. Without this
--- a/crates/dispatch/src/backend/limiter.rs
+++ b/crates/dispatch/src/backend/limiter.rs
@@ -6,7 +6,7 @@
 //! differ, the sum still has to hold:
 //!
 //! - A daemon scales its part down by the members that it does not hear, so the parts of a split fleet add up to one.
-//! - The parts leave room for as many further senders as two members that only some daemons know of can add.
+//! - The parts leave room for the further senders that there are while some daemons do not know of two members yet.
 //! - A daemon that starts to send begins without a saved-up request.
 
 use std::time::Duration;
@@ -100,20 +100,26 @@
         self.bucket.clone().level(now) + self.per_second() * until.since(now).as_secs_f64()
     }
 
-    /// Returns when a request may be sent next. Where this daemon sends none, that is when the other daemons together
-    /// have room for one: its callers may reach one of them.
+    /// Returns when this daemon may send a request next; `Time::MAX` if it sends none while the limit applies.
     pub(super) fn room_at(&self, now: Time) -> Time {
         if !self.applies(now) {
             return self.returns_at();
         }
-        let limit = self.limit.unwrap_or_default().max(MIN_LIMIT);
-        let (missing, per_second) = match self.per_second() {
-            0.0 => (1.0, limit),
-            own => (1.0 - self.bucket.clone().level(now), own),
-        };
+        let per_second = self.per_second();
+        if per_second <= 0.0 {
+            return Time::MAX;
+        }
+        let missing = 1.0 - self.bucket.clone().level(now);
         now + Duration::from_secs_f64(missing.max(0.0) / per_second)
     }
 
+    /// Returns when this daemon, or if it sends none, one of the others may send a request next: a caller that comes back
+    /// may reach any of them.
+    pub(super) fn fleet_room_at(&self, now: Time) -> Time {
+        let limit = self.limit.unwrap_or_default().max(MIN_LIMIT);
+        self.room_at(now).min(now + Duration::from_secs_f64(limit.recip()))
+    }
+
     /// Returns when this daemon may use the server again after the end of its limit.
     fn returns_at(&self) -> Time {
         let turn = f64::from(self.position.rank) / f64::from(self.position.daemons.max(1));
--- a/crates/dispatch/tests/rate_limit.rs
+++ b/crates/dispatch/tests/rate_limit.rs
@@ -97,12 +97,17 @@
 /// Guards against requests that wait until their deadline passes where all servers limit their rate: those beyond the
 /// room are refused at once, with the time at which there is room.
 #[rstest]
-#[case::lookup(LOOKUP)]
-#[case::order(ORDER)]
-fn where_every_server_is_limited_requests_without_room_are_refused_at_once(#[case] class: usize) {
+#[case::lookup(LOOKUP, 0.2, 5_000)]
+#[case::order(ORDER, 0.2, 5_000)]
+#[case::other_daemons_have_room_soon(LOOKUP, 2.0, 500)]
+fn where_every_server_is_limited_requests_without_room_are_refused_at_once(
+    #[case] class: usize,
+    #[case] per_second: f64,
+    #[case] room_after_ms: u64,
+) {
     let mut world = world(3, LAST);
     for server in 1..=3 {
-        limit(&mut world, server, Some(0.2));
+        limit(&mut world, server, Some(per_second));
     }
     let (now, request) = (world.now, 900);
     world.engine.submit(Arrival::new(request, class, request, 10), now);
@@ -112,10 +117,8 @@
     });
     let (verdict, retry_after) = answer.expect("it is refused at once");
     assert_eq!(verdict, Verdict::Refuse(Kind::RateLimited));
-    assert!(
-        retry_after.is_some_and(|after| after >= SECOND * 5),
-        "a server has room every five seconds: {retry_after:?}"
-    );
+    let room_after = Duration::from_millis(room_after_ms);
+    assert!(retry_after.is_some_and(|after| after >= room_after), "when a server has room: {retry_after:?}");
 }
 
 #[test]
