Log and count the store's eras and lists

What was missing: a list after a restore left no line that shows its era, its revision against the one known, and whether it changed anything, so a mirror that takes nothing and a replica that refuses looked the same. The codec names the header, the client keeps the latest era of any answer; nothing decides by it yet.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -62,6 +62,10 @@
     pub members: IntGauge,
     /// Calls to the store, by purpose and result.
     pub store_calls: IntCounterVec,
+    /// Lists of all keys that were read from the store.
+    pub store_lists: IntCounter,
+    /// The store's era; zero if it names none.
+    pub store_era: IntGauge,
     /// Time since the store last answered, in seconds.
     pub store_age: Gauge,
     /// Time since the list of backend servers was last read or changed, in seconds.
@@ -125,6 +129,8 @@
             exchanges: counters(&registry, "hemlock_exchanges_total", "Exchanges with peers", &["result"]),
             members: gauge(&registry, "hemlock_members", "Members believed to live"),
             store_calls: counters(&registry, "hemlock_store_calls_total", "Calls to the store", &["purpose", "result"]),
+            store_lists: counter(&registry, "hemlock_store_lists_total", "Lists of all keys read from the store"),
+            store_era: gauge(&registry, "hemlock_store_era", "Era of the store; 0 if it names none"),
             store_age: age(&registry, "hemlock_store_age_seconds", "Time since the store answered"),
             list_age: age(&registry, "hemlock_list_age_seconds", "Time since the list of servers was read"),
             silent_peers: gauges(
--- a/crates/daemon/src/mirror/store.rs
+++ b/crates/daemon/src/mirror/store.rs
@@ -29,8 +29,14 @@
         if done {
             let now = context.now();
             let mut mirror = lock(&context.mirror);
-            mirror.replace(all, first, now);
+            let (known, keys) = (mirror.revision(), all.len());
+            let changed = mirror.replace(all, first, now);
             mirror.confirm(sent);
+            let era = context.store.era();
+            log::info!(
+                "mirror: all keys listed era={era} revision={first} known={known} keys={keys} changed={changed}"
+            );
+            context.metrics.store_lists.inc();
             return Ok(Outcome::Changed);
         }
     }
@@ -85,6 +91,7 @@
     let sent = context.now();
     let result = context.store.call(&call).await;
     let label = if result.is_ok() { "ok" } else { "failed" };
+    record_era(context);
     context.metrics.store_calls.with_label_values(&[call.name(), label]).inc();
     if result.is_err() {
         // A watch may have waited for a long time before it failed, so its failure counts from now on, not from its
@@ -102,6 +109,15 @@
     result
 }
 
+/// Logs the store's era when an answer named a later one than before.
+fn record_era(context: &Context) {
+    let (era, before) = (context.store.era() as i64, context.metrics.store_era.get());
+    if era > before {
+        context.metrics.store_era.set(era);
+        log::info!("mirror: store era changed era={era} before={before}");
+    }
+}
+
 fn unexpected(reply: &Reply) -> Error {
     Error::Ambiguous(format!("the store's answer belongs to another call: {reply:?}"))
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -41,6 +41,8 @@
     runner: Runner,
     idle: Mutex<Vec<(Connection, Instant)>>,
     calls: AtomicU64,
+    /// The latest era that an answer named.
+    era: AtomicU64,
     budget: Budget,
 }
 
@@ -61,8 +63,9 @@
 
     fn with_runner(codec: Codec, address: &str, timeout: Duration, runner: Runner) -> Self {
         let address = address.to_owned();
-        let (idle, calls, budget) = (Mutex::new(Vec::new()), AtomicU64::new(0), Budget::new(ANSWER_BUDGET_BYTES));
-        Self { codec, address, timeout, runner, idle, calls, budget }
+        let (idle, budget) = (Mutex::new(Vec::new()), Budget::new(ANSWER_BUDGET_BYTES));
+        let (calls, era) = (AtomicU64::new(0), AtomicU64::new(0));
+        Self { codec, address, timeout, runner, idle, calls, era, budget }
     }
 
     /// Returns the number of calls made since the client was created.
@@ -70,6 +73,11 @@
         self.calls.load(Ordering::Relaxed)
     }
 
+    /// Returns the latest era that an answer of the store named, whatever its status; zero before the first.
+    pub fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
+    }
+
     /// Makes a call; it ends within the client's timeout, plus the wait for a watch.
     pub async fn call(&self, call: &Call) -> Result<Reply> {
         self.calls.fetch_add(1, Ordering::Relaxed);
@@ -121,9 +129,21 @@
                 idle.push((connection, Instant::now()));
             }
         }
+        self.observe_era(&answer.headers);
         Ok((answer.status.as_u16(), answer.body))
     }
 
+    /// Records the era that an answer names.
+    fn observe_era(&self, headers: &HeaderMap) {
+        let Some(value) = self.codec.era_header.and_then(|name| headers.get(name)) else { return };
+        match value.to_str().ok().and_then(|text| text.trim().parse().ok()) {
+            Some(era) => {
+                self.era.fetch_max(era, Ordering::Relaxed);
+            }
+            None => log::warn!("store: era is not a number value={value:?}"),
+        }
+    }
+
     async fn connection(&self) -> Result<Connection> {
         let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
         if let Some((connection, _)) = idle.filter(|(open, since)| since.elapsed() < MAX_IDLE && open.is_idle()) {
--- a/crates/store/src/codec.rs
+++ b/crates/store/src/codec.rs
@@ -23,4 +23,6 @@
     pub encode: fn(&Call) -> Result<Message>,
     /// Decodes the answer to a call from its status and body.
     pub decode: fn(&Call, u16, &[u8]) -> Result<Reply>,
+    /// Header that names the store's era in every answer; `None` if the store names no era.
+    pub era_header: Option<&'static str>,
 }
--- a/crates/store/src/etcd.rs
+++ b/crates/store/src/etcd.rs
@@ -17,7 +17,7 @@
 use crate::{Change, Entry, Lease};
 
 /// The codec of the etcd v3 JSON gateway.
-pub const CODEC: Codec = Codec { encode, decode };
+pub const CODEC: Codec = Codec { encode, decode, era_header: None };
 
 fn encode(call: &Call) -> Result<Message> {
     match call {
