--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod rate;
 pub mod stall;
 pub mod time;
+pub mod version;
--- a/crates/ctl/src/change.rs
+++ b/crates/ctl/src/change.rs
@@ -86,7 +86,9 @@
     match store.commit(std::slice::from_ref(&change)) {
         Ok(Commit::Done(revision)) => Ok(Some(Outcome::Applied(revision))),
         Ok(Commit::Conflict) => Ok(None),
-        Err(store::Error::Ambiguous(reason)) => read_back(store, id, &change, reason),
+        Err(error @ (store::Error::Ambiguous(_) | store::Error::Outdated { .. })) => {
+            read_back(store, id, &change, error.to_string())
+        }
         Err(error) => Err(Error::Failed(error.to_string())),
     }
 }
--- a/crates/ctl/src/verbs/show.rs
+++ b/crates/ctl/src/verbs/show.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use ::fleet::replica::Version;
 use serde::{Deserialize, Serialize};
 
 use crate::cli::Command;
@@ -24,7 +25,8 @@
 struct Decisions {
     region: String,
     domain: String,
-    revision: u64,
+    #[serde(flatten)]
+    version: Version,
     ready: Ready,
     store_silent_s: f64,
     grant_share: f64,
@@ -46,7 +48,9 @@
 
 #[derive(Debug, Serialize)]
 struct Summary {
+    /// Revision of the newest policy in force; a restored store may number it lower than older ones.
     newest: u64,
+    /// Revision of the oldest policy in force.
     oldest: u64,
     behind: Vec<String>,
     silent: Vec<String>,
@@ -72,16 +76,17 @@
 }
 
 fn summarize(daemons: Vec<Daemon>) -> Summary {
-    let revisions = daemons.iter().filter_map(|daemon| daemon.answer.as_ref().map(|answer| answer.revision));
-    let newest = revisions.clone().max().unwrap_or(0);
-    let oldest = revisions.min().unwrap_or(0);
+    let versions = daemons.iter().filter_map(|daemon| daemon.answer.as_ref().map(|answer| answer.version));
+    let newest = versions.clone().max().unwrap_or_default();
+    let oldest = versions.min().unwrap_or_default();
     let names = |keep: &dyn Fn(&Daemon) -> bool| -> Vec<String> {
         daemons.iter().filter(|daemon| keep(daemon)).map(|daemon| daemon.instance.clone()).collect()
     };
-    let behind = names(&|daemon| daemon.answer.as_ref().is_some_and(|answer| answer.revision < newest));
+    let behind = names(&|daemon| daemon.answer.as_ref().is_some_and(|answer| answer.version < newest));
     let silent = names(&|daemon| daemon.silent.is_some());
     let answers = daemons.iter().filter_map(|daemon| daemon.answer.as_ref());
     let passed_over = answers.flat_map(|answer| answer.passed_over.clone()).collect();
+    let (newest, oldest) = (newest.stored.revision, oldest.stored.revision);
     Summary { newest, oldest, behind, silent, passed_over, daemons }
 }
 
@@ -116,7 +121,7 @@
         daemon.instance,
         answer.region,
         answer.domain,
-        answer.revision,
+        answer.version.stored.revision,
         answer.grant_share * 100.0,
         answer.open,
         answer.store_silent_s,
--- a/crates/daemon/examples/prepare.rs
+++ b/crates/daemon/examples/prepare.rs
@@ -13,6 +13,7 @@
 use daemon::{policies, view};
 use fleet::Document;
 use fleet::message::{Record, Snapshot, State as Standing};
+use fleet::replica::Origin;
 
 const ROUNDS: u32 = 50;
 const REGIONS: usize = 3;
@@ -82,7 +83,7 @@
             &Snapshot { records, policy: None, leaving: Vec::new(), rate_limits: Vec::new(), has_mirror: false },
             now,
         );
-        policies::apply(&context, Document::new(1, policy()), "example");
+        policies::apply(&context, Document::new(1, policy()), Origin::Peer, "example");
         let unchanged = time(|_| view::refresh(&context));
         let changed = time(|round| {
             let mut items = lock(&context.instance_list).items.to_vec();
--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -6,7 +6,8 @@
 use base::instance::Instance;
 use config::configs::Settings;
 use config::policy::Policy;
-use store::{Codec, Mirror, etcd};
+use fleet::replica::Version;
+use store::{Codec, Mirror, OrderFn, etcd};
 
 use crate::dialect::Dialect;
 
@@ -22,8 +23,8 @@
 /// The policy as the platform's store has it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PolicyUpdate {
-    /// Revision of the policy.
-    pub revision: u64,
+    /// Version of the policy.
+    pub version: Version,
     /// The policy.
     pub policy: Policy,
     /// Items of the policy that cannot be used or are unknown, one sentence each; all others apply.
@@ -33,8 +34,12 @@
 /// Parsers of the policy and of backend servers, from keys that the platform's own tools write.
 #[derive(Debug, Clone, Copy)]
 pub struct Catalog {
-    /// Returns the policy if its revision is above the one given; an error if the stored policy cannot be used.
-    pub read_policy: fn(&Mirror, &Settings, u64) -> Result<Option<PolicyUpdate>, String>,
+    /// Returns the policy unless its version is below the one given; an error if the stored policy cannot be used.
+    pub read_policy: fn(&Mirror, &Settings, Version) -> Result<Option<PolicyUpdate>, String>,
+    /// Folder of the keys that the policy is read from.
+    pub policy_folder: &'static str,
+    /// Returns the order of a key's value among the values of that key; `None` if it has none.
+    pub order: OrderFn,
     /// Prefix of the keys of backend servers, one key each.
     pub server_prefix: &'static str,
     /// Parses a backend server from its name and the value of its key; an error if it cannot be read.
--- a/crates/daemon/src/callers/lookup.rs
+++ b/crates/daemon/src/callers/lookup.rs
@@ -52,7 +52,7 @@
         entries,
         ttl_s: context.settings.callers.answer_ttl_s,
         region: region.map_or("", String::as_str),
-        revision: active.revision,
+        revision: active.version.stored.revision,
         session: context.session(),
     })
 }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -13,7 +13,7 @@
 use dispatch::Engine;
 use dispatch::engine::{Budgets, Limits};
 use fleet::message::{Record, State};
-use fleet::replica::Replica;
+use fleet::replica::{Replica, Version};
 use fleet::roster::{Roster, Timeouts};
 use h1::Budget;
 use ledger::Ledger;
@@ -47,6 +47,8 @@
     pub entries_passed_over: BTreeSet<String>,
     /// Why the policy in the store was refused; `None` once one was accepted.
     pub policy_error: Option<String>,
+    /// Era of the mirror and number of changes of the policy's keys there when the policy was last read; `None` before.
+    pub policy_changes: Option<(u64, u64)>,
     /// Items of the policy in force that cannot be used or are unknown, one reason each.
     pub policy_passed_over: BTreeSet<String>,
 }
@@ -151,7 +153,11 @@
         Self {
             dialect: Arc::new(adapter.dialect),
             catalog: adapter.catalog,
-            mirror: Mutex::new(store::Mirror::new()),
+            mirror: Mutex::new(
+                adapter
+                    .catalog
+                    .map_or_else(store::Mirror::new, |catalog| store::Mirror::new().with_order(catalog.order)),
+            ),
             mirror_sync: SyncState::new(),
             catalog_state: Mutex::new(CatalogState::default()),
             stall_detector: Mutex::new(stall::Detector::new(now)),
@@ -161,7 +167,7 @@
             runtime,
             store,
             policy_replica: Mutex::new(Replica::new()),
-            active_policy: RwLock::new(Arc::new(ActivePolicy::new(0, Policy::default()))),
+            active_policy: RwLock::new(Arc::new(ActivePolicy::new(Version::default(), Policy::default()))),
             roster: Mutex::new(Roster::new(record, timeouts, incarnation)),
             gossip_limiter: Mutex::new(peers::gossip_limiter(now)),
             grant_manager: Mutex::new(Manager::new()),
--- a/crates/daemon/src/grants.rs
+++ b/crates/daemon/src/grants.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fleet::replica::Version;
 use steer::grant::{LEASE_TTL, Manager, Plan, SLOTS};
 use store::{Change, Commit, Entry, Lease, Store as _, key};
 
@@ -54,7 +55,7 @@
 /// Carries out the next step of the plan.
 fn step(context: &Context, current_lease: &std::sync::Mutex<Option<Lease>>) {
     let active = context.policy();
-    if active.revision == 0 || context.stopping() {
+    if active.version == Version::default() || context.stopping() {
         return;
     }
     let live = live_in_region(context);
--- a/crates/daemon/src/instance_list.rs
+++ b/crates/daemon/src/instance_list.rs
@@ -8,7 +8,7 @@
 use base::time::Time;
 use config::configs::Settings;
 use dispatch::backend::BackendId;
-use store::Mirror;
+use store::{Mirror, Version};
 
 use crate::adapter::Catalog;
 
@@ -60,23 +60,25 @@
     }
 }
 
-/// Entries of backend servers in the store, by key, with the revision and the result of parsing; each is parsed again only
+/// Entries of backend servers in the store, by key, with the version and the result of parsing; each is parsed again only
 /// after it was written again.
 #[derive(Debug, Clone, Default)]
-pub struct ServerEntries(BTreeMap<String, (u64, Result<Item, String>)>);
+pub struct ServerEntries(BTreeMap<String, (Version, Result<Item, String>)>);
 
 impl ServerEntries {
     /// Parses what is new in `mirror`; returns all servers, and the reason for each entry that was skipped.
     pub fn read(&mut self, mirror: &Mirror, catalog: Catalog, settings: &Settings) -> (Vec<Item>, BTreeSet<String>) {
         let mut previous = std::mem::take(&mut self.0);
+        let era = mirror.version().era;
         for (key, stored) in mirror.range(catalog.server_prefix) {
-            let unchanged = previous.remove_entry(key).filter(|(_, (revision, _))| *revision == stored.revision);
+            let version = Version::new(era, stored.revision);
+            let unchanged = previous.remove_entry(key).filter(|(_, (known, _))| *known == version);
             let (key, entry) = unchanged.unwrap_or_else(|| {
                 let name = key.strip_prefix(catalog.server_prefix).unwrap_or(key);
                 let server = (catalog.parse_server)(name, &stored.value, settings);
                 let item = server.map(|server| Item::new(server.instance, stored.first_seen + server.cold_for));
                 let result = item.map_err(|reason| format!("{key} at revision {}: {reason}", stored.revision));
-                (key.to_owned(), (stored.revision, result))
+                (key.to_owned(), (version, result))
             });
             self.0.insert(key, entry);
         }
--- a/crates/daemon/src/mirror/check.rs
+++ b/crates/daemon/src/mirror/check.rs
@@ -8,7 +8,7 @@
 
 use base::time::Time;
 use fleet::source::MAX_STALENESS;
-use store::{Error, Liveness};
+use store::{Error, Liveness, Version};
 
 use super::{Outcome, Upstream, current_batch_delay, log_failure, publish, store as direct, upstream};
 use crate::Context;
@@ -37,9 +37,9 @@
     loop {
         let now = context.now();
         tokio::time::sleep(time_to_next(&context, &liveness, was_watching, next_check, now)).await;
-        let (revision, age) = {
+        let (version, age) = {
             let mirror = lock(&context.mirror);
-            (mirror.revision(), mirror.age(context.now()))
+            (mirror.version(), mirror.age(context.now()))
         };
         let now = context.now();
         let watching = upstream(&context, false, now) == Upstream::Store;
@@ -47,13 +47,13 @@
             context.mirror_sync.reselect.notify_one();
             liveness = Liveness::new();
         }
-        if revision == 0 {
+        if version.revision == 0 {
             continue;
         }
         if watching {
-            record_confirmation(&context, &liveness, revision);
-            if liveness.check_overdue(revision, now) {
-                restart_watch(&context, revision);
+            record_confirmation(&context, &liveness, version);
+            if liveness.check_overdue(version, now) {
+                restart_watch(&context, version);
             }
         }
         let due = now >= next_check && (watching || age.is_none_or(|age| age >= MAX_STALENESS));
@@ -82,20 +82,20 @@
 }
 
 /// Starts a stalled watch again over a new connection.
-fn restart_watch(context: &Context, revision: u64) {
-    log::warn!("mirror: watch stalled, starting it again revision={revision}");
+fn restart_watch(context: &Context, version: Version) {
+    log::warn!("mirror: watch stalled, starting it again version={version}");
     context.store.reconnect();
     context.mirror_sync.reselect.notify_one();
 }
 
-/// Asks the store for its revision and compares it with what the watch has returned so far.
+/// Asks the store for its version and compares it with what the watch has returned so far.
 async fn check(context: &Context, liveness: &mut Liveness) -> Result<(), Error> {
     let sent = context.now();
-    match direct::revision(context).await {
-        Ok(revision) => {
+    match direct::version(context).await {
+        Ok(version) => {
             let now = context.now();
-            let known = lock(&context.mirror).revision();
-            if liveness.record_answer(revision, known, current_batch_delay(context), sent, now) {
+            let known = lock(&context.mirror).version();
+            if liveness.record_answer(version, known, current_batch_delay(context), sent, now) {
                 restart_watch(context, known);
             }
             record_confirmation(context, liveness, known);
@@ -111,9 +111,9 @@
     }
 }
 
-/// Marks the mirror as complete as of the last check if it has reached that check's revision, and notifies followers.
-fn record_confirmation(context: &Context, liveness: &Liveness, revision: u64) {
-    let Some(as_of) = liveness.confirmed(revision) else { return };
+/// Marks the mirror as complete as of the last check if it has reached that check's version, and notifies followers.
+fn record_confirmation(context: &Context, liveness: &Liveness, version: Version) {
+    let Some(as_of) = liveness.confirmed(version) else { return };
     if lock(&context.mirror).confirm(as_of) {
         context.mirror_sync.notify();
     }
@@ -123,9 +123,9 @@
 async fn catch_up(context: &Arc<Context>, catalog: Catalog) -> Result<(), Error> {
     let sent = context.now();
     let fetch = async {
-        let revision = direct::revision(context).await?;
+        let version = direct::version(context).await?;
         let mut changed = false;
-        if lock(&context.mirror).revision() < revision {
+        if lock(&context.mirror).version() < version {
             let outcome = match direct::changes_within(context, FETCH_WAIT).await? {
                 Outcome::Compacted => direct::list(context).await?,
                 outcome => outcome,
@@ -133,7 +133,7 @@
             changed = matches!(outcome, Outcome::Changed);
         }
         let mut mirror = lock(&context.mirror);
-        if mirror.revision() >= revision {
+        if mirror.version() >= version {
             mirror.confirm(sent);
         }
         Ok(changed)
--- a/crates/daemon/src/mirror/follow.rs
+++ b/crates/daemon/src/mirror/follow.rs
@@ -6,7 +6,7 @@
 use base::time::Time;
 use jsonrpsee_http_client::HttpClient;
 use store::changes::{Changes, Item};
-use store::{Error, Result};
+use store::{Error, Result, Version};
 
 use super::{Outcome, STARTUP_GRACE};
 use crate::Context;
@@ -81,7 +81,7 @@
         let sent = context.now();
         let (after, age) = {
             let mirror = lock(&context.mirror);
-            (mirror.revision(), mirror.age(sent).unwrap_or_default())
+            (mirror.version(), mirror.age(sent).unwrap_or_default())
         };
         // The answer must come before this daemon's own knowledge is stale, so that a stale source is noticed in time.
         let wait = stale_after.saturating_sub(age).clamp(MIN_WAIT, MAX_WAIT);
@@ -90,13 +90,16 @@
         let mut more = first.more;
         while more {
             let from = items.last().map(|item: &Item| item.key.clone()).unwrap_or_default();
-            let page = request(client, 0, from, MAX_WAIT).await?;
+            let page = request(client, Version::new(first.era, 0), from, MAX_WAIT).await?;
+            if page.era != first.era {
+                return Err(Failure::NoAnswer("the store was restored between two pages".to_owned()));
+            }
             more = page.more && !page.items.is_empty();
             items.extend(page.items);
         }
         let now = context.now();
         let changed = lock(&context.mirror).merge(&first, items, sent, now);
-        Ok(if changed || after == 0 { Outcome::Changed } else { Outcome::Unchanged })
+        Ok(if changed || after.revision == 0 { Outcome::Changed } else { Outcome::Unchanged })
     }
 
     /// Returns the client of the member `name`; creates it if the member or its address is another one than before.
@@ -116,11 +119,11 @@
 
 async fn request(
     client: &HttpClient,
-    after: u64,
+    after: Version,
     from: String,
     wait: Duration,
 ) -> std::result::Result<Changes, Failure> {
-    let call = client.changes(after, from, wait.as_millis() as u64);
+    let call = client.changes(after.revision, from, wait.as_millis() as u64, Some(after.era));
     match tokio::time::timeout(wait + RESPONSE_MARGIN, call).await {
         Ok(Ok(Some(changes))) => Ok(changes),
         Ok(Ok(None)) => Err(Failure::EmptyMirror),
@@ -129,12 +132,12 @@
     }
 }
 
-/// Returns the changes after the revision `after`, or a page of all keys that follow the key `from` if that is not
+/// Returns the changes after the version `after`, or a page of all keys that follow the key `from` if that is not
 /// empty.
 ///
 /// Waits until there is a change or the mirror is confirmed again to be complete, for at most `wait`; a page is
 /// returned at once. `None` if the mirror is empty.
-pub async fn changes(context: &Arc<Context>, after: u64, from: &str, wait: Duration) -> Option<Changes> {
+pub async fn changes(context: &Arc<Context>, after: Version, from: &str, wait: Duration) -> Option<Changes> {
     let asked = context.now();
     let mut updates = context.mirror_sync.updates.subscribe();
     let confirmed = confirmed_at(context, asked);
@@ -142,7 +145,7 @@
     loop {
         let now = context.now();
         let changes = lock(&context.mirror).changes(after, from, now)?;
-        let is_new = changes.revision > after || !from.is_empty() || confirmed_at(context, now) > confirmed;
+        let is_new = changes.version() > after || !from.is_empty() || confirmed_at(context, now) > confirmed;
         let update = tokio::time::timeout_at(deadline, updates.changed());
         if is_new || update.await.is_err() {
             return Some(Changes { waited_ms: context.now().since(asked).as_millis() as u64, ..changes });
--- a/crates/daemon/src/mirror/mod.rs
+++ b/crates/daemon/src/mirror/mod.rs
@@ -52,6 +52,8 @@
 pub struct SyncState {
     /// Sources that are avoided for a while because they were silent or stale.
     backoff: std::sync::Mutex<Backoff>,
+    /// Held while the mirror's contents are published, so that an earlier reading never replaces a later one.
+    publishing: std::sync::Mutex<()>,
     /// Notified when the mirror changed or was confirmed to be complete again.
     updates: watch::Sender<()>,
     /// Notified when the source should be selected again.
@@ -65,6 +67,7 @@
     pub fn new() -> Self {
         Self {
             backoff: std::sync::Mutex::default(),
+            publishing: std::sync::Mutex::default(),
             updates: watch::Sender::new(()),
             reselect: Notify::new(),
             joined: watch::Sender::new(false),
@@ -145,6 +148,7 @@
 /// Applies changes from the current source as they come; runs until the task is aborted.
 async fn sync(context: Arc<Context>, catalog: Catalog) {
     let mut compacted = false;
+    let mut compacted_at = None;
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut rng = fastrand::Rng::with_seed(context.incarnation);
     let mut follower = follow::Follower::default();
@@ -157,7 +161,7 @@
             previous = Some(source.clone());
         }
         let outcome = match &source {
-            Upstream::Store if compacted || lock(&context.mirror).revision() == 0 => store::list(&context).await,
+            Upstream::Store if compacted || store::must_list(&context) => store::list(&context).await,
             Upstream::Store => store::changes(&context).await,
             Upstream::Member { name, stale_after } => follower.poll(&context, name, *stale_after).await,
         };
@@ -175,7 +179,13 @@
                 context.mirror_sync.notify();
             }
             Ok(Outcome::Compacted) => {
-                log::info!("mirror: history compacted by the store, listing all keys");
+                let version = lock(&context.mirror).version();
+                log::info!("mirror: the store lacks the history, listing all keys version={version}");
+                // A store that went back without naming an era: a list does not help until it has passed the version.
+                if compacted_at.replace(version) == Some(version) {
+                    log::warn!("mirror: the store is behind what it said before version={version}");
+                    tokio::time::sleep(MAX_FOLLOWER_RETRY_DELAY).await;
+                }
                 compacted = true;
             }
             Err(error) => {
--- a/crates/daemon/src/mirror/publish.rs
+++ b/crates/daemon/src/mirror/publish.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use fleet::Document;
+use fleet::replica::Origin;
 
 use crate::adapter::{Catalog, PolicyUpdate};
 use crate::context::lock;
@@ -14,9 +15,8 @@
 
 /// Applies the policy and the servers that the mirror holds now; logs each reason for a skipped entry once.
 pub fn publish(context: &Arc<Context>, catalog: Catalog) {
-    let active = lock(&context.policy_replica).revision();
-    let read = (catalog.read_policy)(&lock(&context.mirror), &context.settings, active);
-    match read {
+    let _publishing = lock(&context.mirror_sync.publishing);
+    match read_policy(context, catalog) {
         Ok(Some(update)) => apply_policy(context, update),
         Ok(None) => {}
         Err(reason) => {
@@ -37,21 +37,33 @@
     view::refresh(context);
 }
 
+/// Reads the policy from the mirror if its keys changed since it was last read and it is not older than the one in force.
+fn read_policy(context: &Context, catalog: Catalog) -> Result<Option<PolicyUpdate>, String> {
+    let in_force = lock(&context.policy_replica).version();
+    let mut state = lock(&context.catalog_state);
+    let mirror = lock(&context.mirror);
+    let changes = Some((mirror.version().era, mirror.change_count(catalog.policy_folder)));
+    if std::mem::replace(&mut state.policy_changes, changes) == changes {
+        return Ok(None);
+    }
+    (catalog.read_policy)(&mirror, &context.settings, in_force)
+}
+
 /// Applies a policy that was read from the store; logs each reason why something in it was ignored once.
 fn apply_policy(context: &Arc<Context>, update: PolicyUpdate) {
-    let PolicyUpdate { revision, policy, passed_over } = update;
+    let PolicyUpdate { version, policy, passed_over } = update;
     match policy.to_text() {
         Ok(text) => {
-            if policies::apply(context, Document::new(revision, text), "store") {
+            if policies::apply(context, Document::new(version, text), Origin::Store, "store") {
                 peers::push_revision(context);
             }
         }
-        Err(error) => log::warn!("policy: refused revision={revision} reason={:?}", error.to_string()),
+        Err(error) => log::warn!("policy: refused version={version} reason={:?}", error.to_string()),
     }
     context.metrics.policy_passed_over.set(passed_over.len() as i64);
     let mut state = lock(&context.catalog_state);
     let new_reasons = passed_over.iter().filter(|reason| !state.policy_passed_over.contains(*reason));
-    new_reasons.for_each(|reason| log::warn!("policy: entry ignored revision={revision} reason={reason:?}"));
+    new_reasons.for_each(|reason| log::warn!("policy: entry ignored version={version} reason={reason:?}"));
     state.policy_error = None;
     state.policy_passed_over = passed_over;
 }
--- a/crates/daemon/src/mirror/store.rs
+++ b/crates/daemon/src/mirror/store.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use store::{Call, Entry, Error, Reply, Result};
+use store::{Answer, Call, Entry, Error, Reply, Result, Version};
 
 use super::{MIN_RETRY_DELAY, Outcome};
 use crate::Context;
@@ -12,6 +12,12 @@
 /// Prefix of which there are no keys: a list of them returns the store's revision and little else.
 const EMPTY_PREFIX: &str = "hemlock/none/";
 
+/// Whether the mirror has nothing yet of the store's era, so that a watch cannot follow on it.
+pub fn must_list(context: &Context) -> bool {
+    let version = lock(&context.mirror).version();
+    version.revision == 0 || version.era < context.store.era()
+}
+
 /// Lists all keys and replaces the mirror's contents with them.
 pub async fn list(context: &Context) -> Result<Outcome> {
     let sent = context.now();
@@ -19,23 +25,23 @@
     let mut first = None;
     loop {
         let after = all.last().map(|entry| entry.key.clone()).unwrap_or_default();
-        let reply = call(context, Call::List { prefix: String::new(), after, stale: false }).await?;
+        let Answer { era, reply } = call(context, Call::List { prefix: String::new(), after, stale: false }).await?;
         let Reply::Page { entries, more, revision } = reply else { return Err(unexpected(&reply)) };
         // Later pages may be newer. The watch starts at the first page's revision and returns what the earlier ones
         // missed.
-        let first = *first.get_or_insert(revision);
+        let first: Version = *first.get_or_insert(Version::new(era, revision));
+        if era != first.era {
+            return Err(Error::Outdated { era: first.era, newest: era });
+        }
         let done = !more || entries.is_empty();
         all.extend(entries);
         if done {
             let now = context.now();
             let mut mirror = lock(&context.mirror);
-            let (known, keys) = (mirror.revision(), all.len());
+            let (known, keys) = (mirror.version(), all.len());
             let changed = mirror.replace(all, first, now);
             mirror.confirm(sent);
-            let era = context.store.era();
-            log::info!(
-                "mirror: all keys listed era={era} revision={first} known={known} keys={keys} changed={changed}"
-            );
+            log::info!("mirror: all keys listed version={first} known={known} keys={keys} changed={changed}");
             context.metrics.store_lists.inc();
             return Ok(Outcome::Changed);
         }
@@ -53,11 +59,15 @@
 
 /// Applies the changes that come within `wait`.
 pub async fn changes_within(context: &Context, wait: Duration) -> Result<Outcome> {
-    let after = lock(&context.mirror).revision();
-    match call(context, Call::Watch { prefix: String::new(), after, wait }).await? {
+    let after = lock(&context.mirror).version();
+    let call = call(context, Call::Watch { prefix: String::new(), after: after.revision, wait });
+    let Answer { era, reply } = call.await?;
+    match reply {
+        // The revision after which the store was asked is not one of this era.
+        Reply::Events { .. } if era != after.era => Ok(Outcome::Compacted),
         Reply::Events { events, revision } => {
             let now = context.now();
-            let changed = lock(&context.mirror).apply(events, revision, now);
+            let changed = lock(&context.mirror).apply(events, Version::new(era, revision), now);
             Ok(if changed { Outcome::Changed } else { Outcome::Unchanged })
         }
         Reply::Compacted => Ok(Outcome::Compacted),
@@ -65,10 +75,12 @@
     }
 }
 
-/// Returns the store's revision; every change accepted before this call has that revision or a lower one.
-pub async fn revision(context: &Context) -> Result<u64> {
-    match call(context, Call::List { prefix: EMPTY_PREFIX.to_owned(), after: String::new(), stale: false }).await? {
-        Reply::Page { revision, .. } => Ok(revision),
+/// Returns the store's version; every change accepted before this call has that version or a lower one.
+pub async fn version(context: &Context) -> Result<Version> {
+    let call = call(context, Call::List { prefix: EMPTY_PREFIX.to_owned(), after: String::new(), stale: false });
+    let Answer { era, reply } = call.await?;
+    match reply {
+        Reply::Page { revision, .. } => Ok(Version::new(era, revision)),
         other => Err(unexpected(&other)),
     }
 }
@@ -76,8 +88,8 @@
 /// Waits until the mirror has every change that the store had accepted before this call.
 pub async fn confirm(context: &Context) {
     loop {
-        if let Ok(revision) = revision(context).await {
-            while lock(&context.mirror).revision() < revision {
+        if let Ok(version) = version(context).await {
+            while lock(&context.mirror).version() < version {
                 tokio::time::sleep(MIN_RETRY_DELAY / 10).await;
             }
             return;
@@ -87,9 +99,15 @@
     }
 }
 
-async fn call(context: &Context, call: Call) -> Result<Reply> {
+/// Makes a call; an answer from an era before that of the mirror is an error.
+async fn call(context: &Context, call: Call) -> Result<Answer> {
     let sent = context.now();
     let result = context.store.call(&call).await;
+    let newest = lock(&context.mirror).version().era;
+    let result = result.and_then(|answer| match answer.era {
+        era if era < newest => Err(Error::Outdated { era, newest }),
+        _ => Ok(answer),
+    });
     let label = if result.is_ok() { "ok" } else { "failed" };
     record_era(context);
     context.metrics.store_calls.with_label_values(&[call.name(), label]).inc();
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -8,6 +8,7 @@
 
 use base::time::Time;
 use burn::report::{Line, Report};
+use fleet::replica::Version;
 use serde::Serialize;
 use tiny_http::{Header, Request, Response, Server};
 
@@ -84,7 +85,7 @@
         reasons.push("no list of instances");
     }
     let ready = reasons.is_empty();
-    if inputs.revision == 0 && inputs.policy {
+    if inputs.version == Version::default() && inputs.policy {
         reasons.push("policy of the settings only");
     }
     Readiness { ready, reasons }
@@ -162,8 +163,9 @@
     instance: String,
     region: String,
     domain: String,
-    /// Revision of the policy that the routing state was built from; zero for the policy of the settings or none.
-    revision: u64,
+    /// Version of the policy that the routing state was built from; zero for the policy of the settings or none.
+    #[serde(flatten)]
+    version: Version,
     ready: Readiness,
     /// Seconds since the store last answered; since one second before the start if it never did.
     store_silent_s: f64,
@@ -224,7 +226,7 @@
         instance: context.settings.instance.clone(),
         region: context.settings.region.clone(),
         domain: context.settings.domain.clone(),
-        revision: context.steering_inputs().revision,
+        version: context.steering_inputs().version,
         ready: readiness(context),
         store_silent_s: age_s(&context.store_answered_at, now),
         members,
--- a/crates/daemon/src/peers/api.rs
+++ b/crates/daemon/src/peers/api.rs
@@ -2,6 +2,7 @@
 
 use fleet::Document;
 use fleet::message::{Message, Snapshot};
+use fleet::replica::Version;
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
 use store::Changes;
@@ -28,23 +29,28 @@
     #[method(name = "exchange")]
     async fn exchange(&self, message: Message) -> Result<Message, jsonrpsee::types::ErrorObjectOwned>;
 
-    /// Returns the active policy if its revision is above `after`.
+    /// Returns the active policy if its version is above `version`; an earlier build sends only the revision `after`.
     #[method(name = "policy")]
-    async fn policy(&self, after: u64) -> Result<Option<Document>, jsonrpsee::types::ErrorObjectOwned>;
+    async fn policy(
+        &self,
+        after: u64,
+        version: Option<Version>,
+    ) -> Result<Option<Document>, jsonrpsee::types::ErrorObjectOwned>;
 
     /// Returns the members, the policy and the leaving backend servers for a starting daemon.
     #[method(name = "snapshot")]
     async fn snapshot(&self) -> Result<Snapshot, jsonrpsee::types::ErrorObjectOwned>;
 
-    /// Returns the changes of the store's mirror after the revision `after`, once there are some, the mirror is
+    /// Returns the changes of the store's mirror after the revision `after` of `era`, once there are some, the mirror is
     /// confirmed again or `wait_ms` have passed; or a page of all keys that follow the key `from` if that is not empty.
-    /// `None` if the mirror is still empty.
+    /// `None` if the mirror is still empty. An earlier build sends no era; it stands for zero.
     #[method(name = "changes")]
     async fn changes(
         &self,
         after: u64,
         from: String,
         wait_ms: u64,
+        era: Option<u64>,
     ) -> Result<Option<Changes>, jsonrpsee::types::ErrorObjectOwned>;
 
     /// Returns the status of the key with the hash `key`, in hexadecimal; `Unknown` if `incarnation` is not that of
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fleet::message::{Message, Snapshot};
+use fleet::replica::Origin;
 
 use super::api::PeersClient as _;
 use super::client;
@@ -48,16 +49,16 @@
 
 /// Returns the next regular gossip message.
 pub fn message(context: &Context) -> Message {
-    let revision = lock(&context.policy_replica).revision();
+    let version = lock(&context.policy_replica).version();
     let now = context.now();
-    lock(&context.roster).message(revision, now)
+    lock(&context.roster).message(version, now)
 }
 
 /// Returns the answer to a peer's message.
 pub fn answer(context: &Context, message: &Message) -> Message {
-    let revision = lock(&context.policy_replica).revision();
+    let version = lock(&context.policy_replica).version();
     let now = context.now();
-    lock(&context.roster).answer(message, revision, now)
+    lock(&context.roster).answer(message, version, now)
 }
 
 /// Applies a peer's message: merges members, loads, losses, leaving servers and rate limits, and starts fetching the
@@ -75,7 +76,7 @@
     }
     super::spread_leaving(context, &message.leaving);
     super::merge_rate_limits(context, &message.rate_limits);
-    if lock(&context.policy_replica).needs(message.revision) {
+    if lock(&context.policy_replica).needs(message.version) {
         let address = message.from.peer_address.clone();
         let context = Arc::clone(context);
         let runtime = context.runtime.clone();
@@ -104,13 +105,13 @@
 }
 
 async fn fetch_policy(context: &Arc<Context>, address: &str) {
-    let after = lock(&context.policy_replica).revision();
+    let after = lock(&context.policy_replica).version();
     let Some(client) = client::client(context, address) else {
         return;
     };
-    match client.policy(after).await {
+    match client.policy(after.stored.revision, Some(after)).await {
         Ok(Some(document)) => {
-            if policies::apply(context, document, address) {
+            if policies::apply(context, document, Origin::Peer, address) {
                 super::push_revision(context);
             }
         }
@@ -158,7 +159,7 @@
     super::merge_rate_limits(context, &snapshot.rate_limits);
     log::info!("peers: joined through peer={seed} members={}", snapshot.records.len());
     if let Some(document) = snapshot.policy {
-        policies::apply(context, document, seed);
+        policies::apply(context, document, Origin::Peer, seed);
     }
 }
 
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -5,6 +5,7 @@
 
 use fleet::Document;
 use fleet::message::{self, Message, Snapshot};
+use fleet::replica::Version;
 use jsonrpsee::core::async_trait;
 use jsonrpsee::server::{ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
@@ -38,9 +39,10 @@
         Ok(exchange::answer(&self.context, &message))
     }
 
-    async fn policy(&self, after: u64) -> Result<Option<Document>, ErrorObjectOwned> {
+    async fn policy(&self, after: u64, version: Option<Version>) -> Result<Option<Document>, ErrorObjectOwned> {
+        let after = version.unwrap_or_else(|| after.into());
         let replica = lock(&self.context.policy_replica);
-        Ok(replica.document().filter(|document| document.revision > after).cloned())
+        Ok(replica.document().filter(|document| document.version > after).cloned())
     }
 
     async fn snapshot(&self) -> Result<Snapshot, ErrorObjectOwned> {
@@ -55,7 +57,14 @@
         Ok(Snapshot { records, policy, leaving, rate_limits, has_mirror })
     }
 
-    async fn changes(&self, after: u64, from: String, wait_ms: u64) -> Result<Option<Changes>, ErrorObjectOwned> {
+    async fn changes(
+        &self,
+        after: u64,
+        from: String,
+        wait_ms: u64,
+        era: Option<u64>,
+    ) -> Result<Option<Changes>, ErrorObjectOwned> {
+        let after = store::Version::new(era.unwrap_or(0), after);
         Ok(mirror::changes(&self.context, after, &from, Duration::from_millis(wait_ms)).await)
     }
 
--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -9,6 +9,7 @@
 use dispatch::class;
 use dispatch::split::Share;
 use fleet::Document;
+use fleet::replica::{Origin, Version};
 
 use crate::context::lock;
 use crate::{Context, view};
@@ -16,8 +17,8 @@
 /// The policy in force with its revision, and the names that the engine refers to by position.
 #[derive(Debug, Clone, Default)]
 pub struct ActivePolicy {
-    /// Revision in the store; zero for the policy of the settings file or before any was applied.
-    pub revision: u64,
+    /// Version of the policy; zero for that of the settings file or before any was applied.
+    pub version: Version,
     /// The policy.
     pub policy: Policy,
     /// Class names; the index is the class's position.
@@ -31,18 +32,18 @@
 }
 
 impl ActivePolicy {
-    /// Prepares `policy` at `revision`, with no policy before it.
-    pub fn new(revision: u64, policy: Policy) -> Self {
-        Self::replacing(&Self::default(), revision, policy)
+    /// Prepares `policy` at `version`, with no policy before it.
+    pub fn new(version: impl Into<Version>, policy: Policy) -> Self {
+        Self::replacing(&Self::default(), version.into(), policy)
     }
 
-    /// Prepares `policy` at `revision`; classes and services keep the positions that they have in `previous`.
-    pub fn replacing(previous: &Self, revision: u64, policy: Policy) -> Self {
+    /// Prepares `policy` at `version`; classes and services keep the positions that they have in `previous`.
+    pub fn replacing(previous: &Self, version: Version, policy: Policy) -> Self {
         let classes = append_new(&previous.classes, policy.classes.keys());
         let services = append_new(&previous.services, policy.classes.values().flat_map(Class::services));
         let regions = policy.regions.keys().cloned().collect();
         let table = Arc::new(steer::Table::from_policy(&policy));
-        Self { revision, policy, classes, services, regions, table }
+        Self { version, policy, classes, services, regions, table }
     }
 
     /// Returns the position of a service; `None` if no class of this policy or of an earlier one refers to it.
@@ -90,23 +91,28 @@
     }
 }
 
-/// Applies a policy document from the store or a peer; returns whether it is now in force, that is, valid and newer
-/// than the one before. `source` names its origin in the log.
-pub fn apply(context: &Arc<Context>, document: Document, source: &str) -> bool {
-    let revision = document.revision;
+/// Applies a policy document; returns whether it is now in force, that is, valid and newer than the one before. `source`
+/// names its origin in the log.
+pub fn apply(context: &Arc<Context>, document: Document, origin: Origin, source: &str) -> bool {
+    let version = document.version;
     let mut replica = lock(&context.policy_replica);
-    match replica.apply(document) {
+    match replica.apply(document, origin) {
         Ok(Some(policy)) => {
-            activate(context, revision, policy);
-            log::info!("policy: in force revision={revision} source={source}");
+            activate(context, version, policy);
+            log::info!("policy: in force version={version} source={source}");
             true
         }
         Ok(None) => {
-            log::debug!("policy: skipped, not newer revision={revision} source={source}");
+            let in_force = replica.version();
+            if version.declared < in_force.declared {
+                log::warn!("policy: skipped, counted lower version={version} in_force={in_force} source={source}");
+            } else {
+                log::debug!("policy: skipped, not newer version={version} source={source}");
+            }
             false
         }
         Err(error) => {
-            log::warn!("policy: refused revision={revision} source={source} reason={:?}", error.to_string());
+            log::warn!("policy: refused version={version} source={source} reason={:?}", error.to_string());
             context.metrics.policy_refused.inc();
             false
         }
@@ -121,17 +127,17 @@
     }
     let policy = Policy::read(Path::new(path))?;
     let _replica = lock(&context.policy_replica);
-    activate(context, 0, policy);
+    activate(context, Version::default(), policy);
     log::info!("policy: in force from the settings file={path}");
     Ok(())
 }
 
 /// Replaces the active policy. The caller holds the lock of the policy replica, so that policies are applied in the order
-/// of their revisions.
-fn activate(context: &Arc<Context>, revision: u64, policy: Policy) {
-    let next = ActivePolicy::replacing(&context.policy(), revision, policy);
+/// of their versions.
+fn activate(context: &Arc<Context>, version: Version, policy: Policy) {
+    let next = ActivePolicy::replacing(&context.policy(), version, policy);
     view::activate(context, Arc::new(next));
-    context.metrics.policy_revision.set(revision as i64);
+    context.metrics.policy_revision.set(version.stored.revision as i64);
 }
 
 /// Appends the names that `known` lacks, so that known names keep their positions.
--- a/crates/daemon/src/policy_poller.rs
+++ b/crates/daemon/src/policy_poller.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fleet::Document;
+use fleet::replica::Origin;
 use store::{Store as _, key};
 
 use crate::Context;
@@ -31,7 +32,7 @@
     let context = Arc::clone(context);
     let thread = PeriodicThread::start("reader", move || {
         polls = polls.saturating_add(1);
-        let no_policy = polls > MAX_POLLS_WITHOUT_POLICY && lock(&context.policy_replica).revision() == 0;
+        let no_policy = polls > MAX_POLLS_WITHOUT_POLICY && lock(&context.policy_replica).document().is_none();
         if no_policy || lock(&context.roster).reads_store(readers) {
             read(&context);
         }
@@ -49,7 +50,7 @@
         Ok(Some(entry)) => {
             context.store_answered_at.store(context.now().as_micros(), Ordering::Relaxed);
             let text = String::from_utf8_lossy(&entry.value).into_owned();
-            if policies::apply(context, Document::new(entry.revision, text), "store") {
+            if policies::apply(context, Document::new(entry.revision, text), Origin::Store, "store") {
                 peers::push_revision(context);
             }
         }
--- a/crates/daemon/src/view/mod.rs
+++ b/crates/daemon/src/view/mod.rs
@@ -12,6 +12,7 @@
 use base::time::Time;
 use dispatch::backend::{BackendId, Spec};
 use dispatch::engine::{Budgets, Remote};
+use fleet::replica::Version;
 use steer::grant;
 use steer::shift::{Controller, Shares};
 use steer::{Table, View};
@@ -43,8 +44,8 @@
 /// Inputs that the current routing state was built from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Inputs {
-    /// Revision of the policy.
-    pub revision: u64,
+    /// Version of the policy.
+    pub version: Version,
     /// Whether a policy with at least one region was active.
     pub policy: bool,
     /// Whether the instance list had been read.
@@ -123,7 +124,7 @@
         }
     });
     let policy = !active.policy.regions.is_empty();
-    state.inputs = Inputs { revision: active.revision, policy, list: list.read_at.is_some() };
+    state.inputs = Inputs { version: active.version, policy, list: list.read_at.is_some() };
 }
 
 /// Rebuilds backend servers and entry instances from the list and the members; returns the specs of the used servers
--- a/crates/daemon/tests/view.rs
+++ b/crates/daemon/tests/view.rs
@@ -15,6 +15,7 @@
 use dispatch::{Action, Ending, Engine};
 use fleet::Document;
 use fleet::message::{Record, Snapshot, State as Standing};
+use fleet::replica::Origin;
 use rstest::rstest;
 
 /// Threads that refresh the routing state while a policy becomes active.
@@ -79,7 +80,7 @@
                 });
             }
             start.wait();
-            assert!(policies::apply(&context, policy(revision), "test"));
+            assert!(policies::apply(&context, policy(revision), Origin::Peer, "test"));
         });
         let leaving =
             context.driver.with_engine(|engine| engine.backends().filter(|server| server.spec.leaving).count());
@@ -121,23 +122,23 @@
             let mut seen = 0;
             while seen < ROUNDS {
                 let active = context.policy();
-                if active.revision == seen {
+                if active.version.stored.revision == seen {
                     std::hint::spin_loop();
                     continue;
                 }
-                seen = active.revision;
+                seen = active.version.stored.revision;
                 let class = active.class_position(&format!("c{seen}")).expect("the active policy has the class");
                 let started =
                     context.driver.with_engine_mut(&context, |engine| send(engine, seen, class, context.now()));
                 // A class may be refused if its policy was replaced meanwhile.
-                if !started && context.policy().revision == seen {
+                if !started && context.policy().version.stored.revision == seen {
                     refused.push(seen);
                 }
             }
             refused
         });
         for revision in 1..=ROUNDS {
-            assert!(policies::apply(&context, unique_class_policy(revision), "test"));
+            assert!(policies::apply(&context, unique_class_policy(revision), Origin::Peer, "test"));
         }
         caller.join().expect("requests of an active class do not panic")
     });
@@ -152,7 +153,7 @@
     let entry = Instance { name: "e2".to_owned(), role: Role::Entry, ..server(100, String::new()) };
     servers.push(entry);
     let context = context(&runtime, servers);
-    assert!(policies::apply(&context, policy(1), "test"));
+    assert!(policies::apply(&context, policy(1), Origin::Peer, "test"));
     let before = context.steering();
     view::refresh(&context);
     assert!(Arc::ptr_eq(&before, &context.steering()), "nothing changed");
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -6,6 +6,8 @@
 use base::time::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::replica::Version;
+
 /// Maximum number of member records in a message.
 pub const MAX_RECORDS: usize = 6;
 /// Maximum number of load reports in a message.
@@ -90,9 +92,9 @@
     /// The sender's own record.
     #[serde(rename = "f")]
     pub from: Record,
-    /// Revision of the policy that the sender has in force.
-    #[serde(rename = "v")]
-    pub revision: u64,
+    /// Version of the policy that the sender has in force.
+    #[serde(flatten, with = "short_version")]
+    pub version: Version,
     /// Records of members that changed.
     #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
     pub records: Vec<Record>,
@@ -153,3 +155,31 @@
     #[serde(rename = "copy", default)]
     pub has_mirror: bool,
 }
+
+/// A policy's version with short field names.
+mod short_version {
+    use base::version::{self, is_zero};
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    use crate::replica::Version;
+
+    #[derive(Serialize, Deserialize)]
+    struct Short {
+        #[serde(rename = "v")]
+        revision: u64,
+        #[serde(rename = "e", default, skip_serializing_if = "is_zero")]
+        era: u64,
+        #[serde(rename = "d", default, skip_serializing_if = "is_zero")]
+        declared: u64,
+    }
+
+    pub(super) fn serialize<S: Serializer>(version: &Version, serializer: S) -> Result<S::Ok, S::Error> {
+        let Version { declared, stored: version::Version { era, revision } } = *version;
+        Short { revision, era, declared }.serialize(serializer)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Version, D::Error> {
+        let Short { revision, era, declared } = Short::deserialize(deserializer)?;
+        Ok(Version::new(declared, version::Version::new(era, revision)))
+    }
+}
--- a/crates/fleet/src/roster/outgoing.rs
+++ b/crates/fleet/src/roster/outgoing.rs
@@ -6,6 +6,7 @@
 use super::Roster;
 use crate::gossip::Gossip;
 use crate::message::{self, MAX_LEAVING, MAX_LOADS, MAX_LOSSES, MAX_RATE_LIMITS, MAX_RECORDS, Message, Record};
+use crate::replica::Version;
 
 impl Roster {
     /// Returns the losses of connections that are being passed on.
@@ -24,27 +25,27 @@
         self.rate_limits.add((server, limit), now);
     }
 
-    /// Creates the message for the next exchange; `revision` is that of the policy in force.
-    pub fn message(&mut self, revision: u64, now: Time) -> Message {
+    /// Creates the message for the next exchange; `version` is that of the policy in force.
+    pub fn message(&mut self, version: impl Into<Version>, now: Time) -> Message {
         let records = self.next_records();
         let loads = self.loads.next_batch(MAX_LOADS, now);
-        Message { records, loads, ..self.urgent_message(revision, now) }
+        Message { records, loads, ..self.urgent_message(version, now) }
     }
 
     /// Creates a message that contains only losses, leaving backend servers and rate limits.
-    pub fn urgent_message(&mut self, revision: u64, now: Time) -> Message {
+    pub fn urgent_message(&mut self, version: impl Into<Version>, now: Time) -> Message {
         let losses = self.losses.next_batch(MAX_LOSSES, now);
         let leaving = self.leaving.next_batch(MAX_LEAVING, now);
         let rate_limits = self.rate_limits.next_batch(MAX_RATE_LIMITS, now);
         let rate_limits =
             rate_limits.into_iter().map(|(server, limit)| message::RateLimit::new(server, limit, now)).collect();
         let (from, records, loads) = (self.own.clone(), Vec::new(), Vec::new());
-        Message { from, revision, records, loads, losses, leaving, rate_limits }
+        Message { from, version: version.into(), records, loads, losses, leaving, rate_limits }
     }
 
     /// Creates the answer to a message: an urgent one gets an urgent answer.
-    pub fn answer(&mut self, message: &Message, revision: u64, now: Time) -> Message {
-        if message.is_urgent() { self.urgent_message(revision, now) } else { self.message(revision, now) }
+    pub fn answer(&mut self, message: &Message, version: impl Into<Version>, now: Time) -> Message {
+        if message.is_urgent() { self.urgent_message(version, now) } else { self.message(version, now) }
     }
 
     /// Returns the records for the next message: those that are still to be sent most often first.
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -5,7 +5,7 @@
 
 use base::time::Time;
 use fleet::message::{Message, Record, State};
-use fleet::replica::{Document, Replica};
+use fleet::replica::{Document, Origin, Replica, Version};
 use fleet::roster::{Roster, Timeouts};
 use rstest::rstest;
 
@@ -195,10 +195,10 @@
 #[case::older(7, 6, false)]
 fn a_policy_never_goes_back_to_an_older_revision(#[case] current: u64, #[case] received: u64, #[case] applied: bool) {
     let mut replica = Replica::new();
-    replica.apply(Document::new(current, POLICY.to_owned())).expect("the policy is valid");
-    let result = replica.apply(Document::new(received, POLICY.to_owned()));
+    replica.apply(Document::new(current, POLICY.to_owned()), Origin::Peer).expect("the policy is valid");
+    let result = replica.apply(Document::new(received, POLICY.to_owned()), Origin::Peer);
     assert_eq!(result.expect("the policy is valid").is_some(), applied);
-    assert_eq!(replica.revision(), current.max(received));
+    assert_eq!(replica.version(), Version::from(current.max(received)));
 }
 
 #[test]
@@ -206,8 +206,8 @@
     let mut replica = Replica::new();
     let mut document = Document::new(3, POLICY.to_owned());
     document.text.push('#');
-    replica.apply(document).expect_err("the document is damaged");
-    assert_eq!(replica.revision(), 0);
+    replica.apply(document, Origin::Peer).expect_err("the document is damaged");
+    assert_eq!(replica.version(), Version::default());
     assert!(replica.needs(3), "another peer may have it intact");
 }
 
@@ -215,15 +215,15 @@
 fn an_old_document_with_a_new_revision_is_damaged() {
     let mut replica = Replica::new();
     let mut document = Document::new(3, POLICY.to_owned());
-    document.revision = 9;
-    replica.apply(document).expect_err("the document is damaged");
+    document.version.stored.revision = 9;
+    replica.apply(document, Origin::Peer).expect_err("the document is damaged");
 }
 
 #[test]
 fn an_invalid_policy_changes_nothing_and_is_not_fetched_again() {
     let mut replica = Replica::new();
-    replica.apply(Document::new(3, "regions = 5".to_owned())).expect_err("the policy is invalid");
-    assert_eq!(replica.revision(), 0);
+    replica.apply(Document::new(3, "regions = 5".to_owned()), Origin::Peer).expect_err("the policy is invalid");
+    assert_eq!(replica.version(), Version::default());
     assert!(!replica.needs(3));
     assert!(replica.needs(4));
 }
--- a/crates/size/src/membership.rs
+++ b/crates/size/src/membership.rs
@@ -7,6 +7,7 @@
 
 use base::time::Time;
 use fleet::message::{Message, Record, State};
+use fleet::replica::Version;
 use fleet::roster::{Roster, Timeouts};
 
 use crate::probe::{line, nanos, resident};
@@ -46,7 +47,7 @@
     let records = (0..count).filter(|other| *other != number).map(record).collect();
     let message = Message {
         from: record((number + 1) % count),
-        revision: 0,
+        version: Version::default(),
         records,
         loads: vec![],
         losses: vec![],
--- a/crates/size/src/policies.rs
+++ b/crates/size/src/policies.rs
@@ -2,7 +2,7 @@
 
 use config::policy::{Class, Drain, Link, Policy, Region, Scope};
 use fleet::Document;
-use fleet::replica::Replica;
+use fleet::replica::{Origin, Replica};
 
 use crate::probe::{line, nanos};
 
@@ -47,7 +47,7 @@
         line("policy, size", &size, text.len() as f64, "bytes");
         let apply = |call: u32| {
             let mut replica = Replica::new();
-            replica.apply(Document::new(u64::from(call) + 1, text.clone())).is_ok()
+            replica.apply(Document::new(u64::from(call) + 1, text.clone()), Origin::Peer).is_ok()
         };
         line("policy, check and put into force", &size, nanos(50, apply) / 1e3, "us");
     }
--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -61,6 +61,15 @@
     Delete(String, u64),
 }
 
+/// A reply with the store's era that it belongs to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// The era; zero for a store that names none.
+    pub era: u64,
+    /// The reply.
+    pub reply: Reply,
+}
+
 /// The reply to a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reply {
--- a/crates/store/src/changes.rs
+++ b/crates/store/src/changes.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use base::version::{Version, is_zero};
 use serde::{Deserialize, Serialize};
 
 use crate::Entry;
@@ -54,6 +55,9 @@
     /// milliseconds. `None` for a key that exists.
     #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
     pub expires_in_ms: Option<u64>,
+    /// Whether the value is known from an earlier era of the store only, and was not written again since.
+    #[serde(rename = "c", default, skip_serializing_if = "std::ops::Not::not")]
+    pub carried: bool,
 }
 
 impl Item {
@@ -66,6 +70,9 @@
 /// The changes after a revision, or all keys.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Changes {
+    /// Era of the store that all revisions here belong to.
+    #[serde(rename = "e", default, skip_serializing_if = "is_zero")]
+    pub era: u64,
     /// Revision up to which the sender knows all changes.
     #[serde(rename = "v")]
     pub revision: u64,
@@ -97,6 +104,11 @@
 }
 
 impl Changes {
+    /// Returns the version up to which the sender knows all changes.
+    pub const fn version(&self) -> Version {
+        Version::new(self.era, self.revision)
+    }
+
     /// Returns the age of the sender's knowledge when the answer arrived, `elapsed` after the request was sent; the
     /// time that the sender waited for changes does not count. `None` if the sender's mirror was never known to be up
     /// to date.
@@ -110,8 +122,3 @@
         self.tombstones.iter().map(|(key, revision)| Event::Delete(key.clone(), *revision))
     }
 }
-
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "the serializer passes a reference")]
-const fn is_zero(value: &u64) -> bool {
-    *value == 0
-}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -11,7 +11,7 @@
 use http::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use tokio::runtime::{Builder, Handle, Runtime};
 
-use crate::call::{Call, Reply};
+use crate::call::{Answer, Call, Reply};
 use crate::codec::{Codec, Message};
 use crate::error::{Error, Result};
 use crate::{Change, Commit, Entry, Lease, Store, etcd};
@@ -79,17 +79,24 @@
     }
 
     /// Makes a call; it ends within the client's timeout, plus the wait for a watch.
-    pub async fn call(&self, call: &Call) -> Result<Reply> {
+    ///
+    /// An answer from before the latest era known is an error: the store may have lost what it says.
+    pub async fn call(&self, call: &Call) -> Result<Answer> {
         self.calls.fetch_add(1, Ordering::Relaxed);
         let message = (self.codec.encode)(call)?;
         let wait = if let Call::Watch { wait, .. } = call { *wait } else { Duration::ZERO };
         let limit = self.timeout + wait;
+        let known = self.era();
         let exchange = self.exchange(&message);
-        let (status, body) = match tokio::time::timeout(limit, exchange).await {
+        let (status, named, body) = match tokio::time::timeout(limit, exchange).await {
             Ok(done) => done?,
             Err(_) => return Err(Error::Ambiguous(format!("no answer within {} ms", limit.as_millis()))),
         };
-        (self.codec.decode)(call, status, &body)
+        let (era, newest) = (named.unwrap_or(known), self.era());
+        if era < newest {
+            return Err(Error::Outdated { era, newest });
+        }
+        (self.codec.decode)(call, status, &body).map(|reply| Answer { era, reply })
     }
 
     /// Drops the idle connections, so that the next call opens a new one.
@@ -103,9 +110,10 @@
             Runner::Own(runtime) => runtime.block_on(self.call(call)),
             Runner::Shared(handle) => handle.block_on(self.call(call)),
         }
+        .map(|answer| answer.reply)
     }
 
-    async fn exchange(&self, message: &Message) -> Result<(u16, Bytes)> {
+    async fn exchange(&self, message: &Message) -> Result<(u16, Option<u64>, Bytes)> {
         let mut connection = self.connection().await?;
         let mut headers = HeaderMap::new();
         let host = HeaderValue::from_str(&self.address).map_err(|source| Error::Unreachable(source.to_string()))?;
@@ -129,19 +137,21 @@
                 idle.push((connection, Instant::now()));
             }
         }
-        self.observe_era(&answer.headers);
-        Ok((answer.status.as_u16(), answer.body))
+        let era = self.observe_era(&answer.headers);
+        Ok((answer.status.as_u16(), era, answer.body))
     }
 
-    /// Records the era that an answer names.
-    fn observe_era(&self, headers: &HeaderMap) {
-        let Some(value) = self.codec.era_header.and_then(|name| headers.get(name)) else { return };
-        match value.to_str().ok().and_then(|text| text.trim().parse().ok()) {
+    /// Records the era that an answer names, and returns it; `None` if it names none.
+    fn observe_era(&self, headers: &HeaderMap) -> Option<u64> {
+        let value = self.codec.era_header.and_then(|name| headers.get(name))?;
+        let era = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+        match era {
             Some(era) => {
                 self.era.fetch_max(era, Ordering::Relaxed);
             }
             None => log::warn!("store: era is not a number value={value:?}"),
         }
+        era
     }
 
     async fn connection(&self) -> Result<Connection> {
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -9,6 +9,14 @@
     /// The call was sent and its answer was lost: it may have taken effect.
     #[error("store answer lost: {0}")]
     Ambiguous(String),
+    /// The answer is from before the store was restored from an older copy: what it says may be lost.
+    #[error("store answer outdated: era {era} after era {newest}")]
+    Outdated {
+        /// The era that the answer belongs to.
+        era: u64,
+        /// The latest era known.
+        newest: u64,
+    },
     /// The store refused the call: it had no effect.
     #[error("store refused the call: {0}")]
     Refused(String),
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -13,13 +13,15 @@
 pub mod mirror;
 pub mod wire;
 
-pub use call::{Call, Event, Reply};
+pub use base::version::Version;
+pub use call::{Answer, Call, Event, Reply};
 pub use changes::Changes;
 pub use client::Client;
 pub use codec::{Codec, Message};
 pub use error::{Error, Result};
 pub use liveness::Liveness;
 pub use mirror::Mirror;
+pub use mirror::{Order, OrderFn};
 
 use std::time::Duration;
 
--- a/crates/store/src/liveness.rs
+++ b/crates/store/src/liveness.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use base::time::Time;
+use base::version::Version;
 
 /// Round trips of a check that the watch may take to return a change: its own call, the transfer of the changes and the
 /// next call.
@@ -19,10 +20,10 @@
 pub struct Liveness {
     /// Whether a check failed and none was answered since.
     missed: bool,
-    /// A revision that the watch has not reached yet, and the deadline for it.
-    awaited: Option<(u64, Time)>,
-    /// The revision in the last answer, and when that check was sent.
-    last_answer: Option<(u64, Time)>,
+    /// A version that the watch has not reached yet, and the deadline for it.
+    awaited: Option<(Version, Time)>,
+    /// The version in the last answer, and when that check was sent.
+    last_answer: Option<(Version, Time)>,
 }
 
 impl Liveness {
@@ -36,31 +37,42 @@
         self.missed = true;
     }
 
-    /// Records that a check sent at `sent` was answered with the store's `revision`; returns whether the watch has
-    /// stalled. The watch has returned changes up to the revision `known`, and its caller pauses for `gather` between
+    /// Records that a check sent at `sent` was answered with the store's `version`; returns whether the watch has
+    /// stalled. The watch has returned changes up to the version `known`, and its caller pauses for `gather` between
     /// watches so that one call returns several changes.
-    pub fn record_answer(&mut self, revision: u64, known: u64, gather: Duration, sent: Time, now: Time) -> bool {
-        self.last_answer = Some((revision, sent));
-        if std::mem::take(&mut self.missed) {
+    pub fn record_answer(
+        &mut self,
+        version: impl Into<Version>,
+        known: impl Into<Version>,
+        gather: Duration,
+        sent: Time,
+        now: Time,
+    ) -> bool {
+        let (version, known) = (version.into(), known.into());
+        self.last_answer = Some((version, sent));
+        // A watch that began before the store was restored waits for a revision of the former era.
+        if std::mem::take(&mut self.missed) || version.era > known.era {
             self.awaited = None;
             return true;
         }
-        if self.awaited.is_none() && revision > known {
-            self.awaited = Some((revision, now + gather * 2 + now.since(sent) * ROUND_TRIPS + SLACK));
+        if self.awaited.is_none() && version > known {
+            self.awaited = Some((version, now + gather * 2 + now.since(sent) * ROUND_TRIPS + SLACK));
         }
         self.check_overdue(known, now)
     }
 
-    /// Returns a time at which the store had no changes beyond the revision `known`: when the last answered check was
-    /// sent; `None` if its answer showed a later revision.
-    pub fn confirmed(&self, known: u64) -> Option<Time> {
-        self.last_answer.filter(|(revision, _)| *revision <= known).map(|(_, sent)| sent)
+    /// Returns a time at which the store had no changes beyond the version `known`: when the last answered check was
+    /// sent; `None` if its answer showed a later version.
+    pub fn confirmed(&self, known: impl Into<Version>) -> Option<Time> {
+        let known = known.into();
+        self.last_answer.filter(|(version, _)| version.era == known.era && *version <= known).map(|(_, sent)| sent)
     }
 
-    /// Returns whether the watch should have returned a revision above `known` by `now`. Returns true only once for
+    /// Returns whether the watch should have returned a version above `known` by `now`. Returns true only once for
     /// each missed deadline.
-    pub fn check_overdue(&mut self, known: u64, now: Time) -> bool {
-        self.awaited = self.awaited.filter(|(revision, _)| *revision > known);
+    pub fn check_overdue(&mut self, known: impl Into<Version>, now: Time) -> bool {
+        let known = known.into();
+        self.awaited = self.awaited.filter(|(version, _)| *version > known);
         let overdue = self.awaited.is_some_and(|(_, deadline)| now >= deadline);
         if overdue {
             self.awaited = None;
@@ -68,7 +80,7 @@
         overdue
     }
 
-    /// Returns when the watch becomes overdue; `None` if no revision is awaited.
+    /// Returns when the watch becomes overdue; `None` if no version is awaited.
     pub fn next_deadline(&self) -> Option<Time> {
         self.awaited.map(|(_, deadline)| deadline)
     }
--- a/crates/store/src/mirror/mod.rs
+++ b/crates/store/src/mirror/mod.rs
@@ -3,13 +3,17 @@
 //! A key that is missing soon after an outage of the store may have been deleted with a lease that its holder could not
 //! renew; it is kept for a grace period, in which its writer can write it again.
 
+mod era;
 mod relay;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use base::time::Time;
+use base::version::Version;
 
+use self::era::{Deletion, Withheld};
+pub use self::era::{Order, OrderFn};
 use crate::Entry;
 use crate::call::Event;
 
@@ -27,10 +31,12 @@
 pub struct Record {
     /// The value.
     pub value: Vec<u8>,
-    /// Revision of the last change.
+    /// Revision of the last change, in the mirror's era; zero if it was not seen in this era yet.
     pub revision: u64,
     /// When this value was first seen.
     pub first_seen: Time,
+    /// Whether the value is known from an earlier era only: an older one does not replace it.
+    carried: bool,
     /// When the key is removed; set while it is missing in the store and kept for the grace period.
     expires_at: Option<Time>,
 }
@@ -39,9 +45,21 @@
 #[derive(Debug, Clone, Default)]
 pub struct Mirror {
     records: BTreeMap<String, Record>,
+    /// The store's era, to which all revisions here belong.
+    era: u64,
     revision: u64,
     /// Revision of the latest change in each folder, which is the part of a key before the first slash.
     latest_revisions: BTreeMap<String, u64>,
+    /// Number of changes in each folder so far.
+    change_counts: BTreeMap<String, u64>,
+    /// Tells which of two values of a key is the older one; see [`Mirror::with_order`].
+    order: Option<OrderFn>,
+    /// End of the grace period after the change of the era.
+    carry_until: Time,
+    /// Keys that were deleted, for a restored store that lists them again.
+    deleted: BTreeMap<String, Deletion>,
+    /// Keys that the store lists in this era although they were deleted in an earlier one.
+    withheld: BTreeMap<String, Withheld>,
     /// When the store last answered.
     last_answer: Option<Time>,
     /// Since when calls have failed; `None` if the last one was answered.
@@ -62,6 +80,11 @@
         Self::default()
     }
 
+    /// Returns the version up to which changes are known; its revision is zero if the mirror is empty.
+    pub const fn version(&self) -> Version {
+        Version::new(self.era, self.revision)
+    }
+
     /// Returns the revision up to which changes are known; zero if the mirror is empty.
     pub const fn revision(&self) -> u64 {
         self.revision
@@ -88,6 +111,11 @@
         self.latest_revisions.get(folder).copied().unwrap_or(0)
     }
 
+    /// Returns the number of changes in `folder` so far.
+    pub fn change_count(&self, folder: &str) -> u64 {
+        self.change_counts.get(folder).copied().unwrap_or(0)
+    }
+
     /// Records that the store answered a call made at `sent`; returns whether that ended an outage, which starts the
     /// grace period.
     pub fn record_answer(&mut self, sent: Time, now: Time) -> bool {
@@ -104,8 +132,13 @@
         self.failing_since.get_or_insert(since);
     }
 
-    /// Applies the changes up to `revision`; returns whether anything changed.
-    pub fn apply(&mut self, events: Vec<Event>, revision: u64, now: Time) -> bool {
+    /// Applies the changes up to `version`; returns whether anything changed. Changes of another era are ignored: they
+    /// do not follow on what the mirror holds.
+    pub fn apply(&mut self, events: Vec<Event>, version: impl Into<Version>, now: Time) -> bool {
+        let Version { era, revision } = version.into();
+        if era != self.era {
+            return false;
+        }
         let mut changed = false;
         for event in events {
             changed |= match event {
@@ -117,13 +150,20 @@
         changed
     }
 
-    /// Replaces all keys with the list of `entries` as of `revision`; returns whether anything changed. Newer keys of
-    /// the mirror stay.
-    pub fn replace(&mut self, entries: Vec<Entry>, revision: u64, now: Time) -> bool {
+    /// Replaces all keys with the list of `entries` as of `version`; returns whether anything changed. Newer keys of
+    /// the mirror stay. A list of an earlier era is ignored; the first list of a later one begins that era.
+    pub fn replace(&mut self, entries: Vec<Entry>, version: impl Into<Version>, now: Time) -> bool {
+        let Version { era, revision } = version.into();
+        if era < self.era {
+            return false;
+        }
+        if era > self.era {
+            self.begin_era(era, now);
+        }
         let listed: BTreeSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
         let mut changed = self.remove_unlisted(&listed, revision, now);
         for entry in entries {
-            changed |= self.put(entry, now);
+            changed |= self.put_listed(entry, now, now);
         }
         self.finish_full_sync(revision);
         changed
@@ -166,44 +206,59 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// Removes missing keys that were not written again within the grace period; returns whether there were any.
+    /// Removes missing keys that were not written again within the grace period, and adopts withheld ones that their
+    /// store still lists; returns whether there were any.
     pub fn remove_expired(&mut self, now: Time) -> bool {
+        let adopted = self.adopt_withheld(now);
         let before = self.records.len();
         let expired =
             self.records.iter().filter(|(_, record)| record.expires_at.is_some_and(|expires_at| now >= expires_at));
         let expired: Vec<String> = expired.map(|(key, _)| key.clone()).collect();
         for key in expired {
-            self.records.remove(&key);
+            self.forget(&key, now);
             self.record_change(&key, self.revision);
         }
-        self.records.len() != before
+        adopted || self.records.len() != before
     }
 
     fn record_change(&mut self, key: &str, revision: u64) {
-        let folder = key.split('/').next().unwrap_or_default();
-        let latest = self.latest_revisions.entry(folder.to_owned()).or_default();
+        self.record_revision(key, revision);
+        *self.change_counts.entry(folder(key).to_owned()).or_default() += 1;
+    }
+
+    fn record_revision(&mut self, key: &str, revision: u64) {
+        let latest = self.latest_revisions.entry(folder(key).to_owned()).or_default();
         *latest = revision.max(*latest);
     }
 
     fn put(&mut self, entry: Entry, now: Time) -> bool {
+        let is_older = self.is_older_than_carried(&entry);
         let known = self.records.get_mut(&entry.key);
         if let Some(known) = known {
             if known.revision >= entry.revision {
                 return false;
             }
+            let was_carried = known.carried;
             known.expires_at = None;
             known.revision = entry.revision;
-            if known.value == entry.value {
+            known.carried = is_older;
+            if known.value == entry.value || is_older {
+                if was_carried {
+                    self.record_revision(&entry.key, entry.revision);
+                }
                 return false;
             }
         }
+        self.withheld.remove(&entry.key);
+        self.deleted.remove(&entry.key);
         self.record_change(&entry.key, entry.revision);
-        let record = Record { value: entry.value, revision: entry.revision, first_seen: now, expires_at: None };
-        self.records.insert(entry.key, record);
+        let Entry { key, value, revision } = entry;
+        self.records.insert(key, Record { value, revision, first_seen: now, carried: false, expires_at: None });
         true
     }
 
     fn delete(&mut self, key: &str, revision: u64, now: Time) -> bool {
+        self.withheld.remove(key);
         // Recorded even if this mirror does not hold the key, because another one may.
         self.record_tombstone(key, revision);
         if self.records.get(key).is_none_or(|record| record.revision >= revision) {
@@ -231,8 +286,13 @@
             record.expires_at.get_or_insert(grace_until);
             return false;
         }
-        self.records.remove(key);
+        self.forget(key, now);
         self.record_change(key, revision);
         true
     }
 }
+
+/// Returns the part of a key before the first slash.
+fn folder(key: &str) -> &str {
+    key.split('/').next().unwrap_or_default()
+}
--- a/crates/store/src/mirror/relay.rs
+++ b/crates/store/src/mirror/relay.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use base::time::Time;
+use base::version::Version;
 
 use super::{Mirror, Record};
 use crate::changes::{Changes, Item, MAX_PAGE_BYTES};
@@ -13,15 +14,17 @@
 const MAX_CURRENT_AGE: Duration = Duration::from_millis(1_250);
 
 impl Mirror {
-    /// Returns the changes after the revision `after`, for another mirror. Returns all keys after the key `from`, one
-    /// page of them, if the changes are too large for one message or the deletions since `after` are no longer known.
-    /// `None` while this mirror is empty.
-    pub fn changes(&self, after: u64, from: &str, now: Time) -> Option<Changes> {
+    /// Returns the changes after the version `after`, for another mirror. Returns all keys after the key `from`, one
+    /// page of them, if the changes are too large for one message or the deletions since `after` are no longer known,
+    /// as at the first request in a new era. Returns no keys to a mirror of a later era. `None` while this mirror is
+    /// empty.
+    pub fn changes(&self, after: impl Into<Version>, from: &str, now: Time) -> Option<Changes> {
         if self.revision == 0 {
             return None;
         }
         let age = |confirmed: Time| now.since(confirmed).as_millis() as u64;
         let empty = Changes {
+            era: self.era,
             revision: self.revision,
             after: 0,
             age_ms: self.confirmed_at.map(age),
@@ -32,7 +35,11 @@
             items: Vec::new(),
             tombstones: Vec::new(),
         };
-        if after < self.tombstones_since {
+        let Version { era, revision: after } = after.into();
+        if era > self.era {
+            return Some(Changes { after: self.revision, ..empty });
+        }
+        if era < self.era || after < self.tombstones_since {
             return Some(self.page(empty, from, now));
         }
         let changed = self.records.iter().filter(|(_, record)| record.revision > after);
@@ -63,7 +70,16 @@
 
     /// Merges the changes received from another mirror into this one; returns whether anything changed. `items` holds
     /// the items of all pages if the changes are a full list. `sent` is when the request for them was sent.
+    ///
+    /// Changes of an earlier era are ignored; the first list of a later one begins that era.
     pub fn merge(&mut self, received: &Changes, items: Vec<Item>, sent: Time, now: Time) -> bool {
+        let is_empty = self.records.is_empty();
+        if received.era > self.era && received.full {
+            self.begin_era(received.era, now);
+        }
+        if received.era != self.era {
+            return false;
+        }
         self.merge_grace_period(received, now.since(sent), now);
         let mut changed = false;
         // Changes that begin after our revision would leave an undetected gap, and a state that is older than ours
@@ -72,11 +88,11 @@
         if applicable && received.full {
             let listed: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
             changed |= self.remove_unlisted(&listed, received.revision, now);
-            changed |= self.put_items(items, now);
+            changed |= self.put_items(items, is_empty, now);
             self.finish_full_sync(received.revision);
         } else if applicable {
-            changed |= self.put_items(items, now);
-            changed |= self.apply(received.deletions().collect(), received.revision, now);
+            changed |= self.put_items(items, is_empty, now);
+            changed |= self.apply(received.deletions().collect(), received.version(), now);
         }
         if let Some(age) = received.age(now.since(sent)).filter(|_| received.after <= self.revision) {
             self.confirm(now - age);
@@ -88,7 +104,7 @@
     /// state shows whether there was an outage, while our own calls may have failed for another reason. A sender
     /// without such contact can only prolong the grace period.
     fn merge_grace_period(&mut self, received: &Changes, elapsed: Duration, now: Time) {
-        let grace_until = now + Duration::from_millis(received.grace_ms);
+        let grace_until = (now + Duration::from_millis(received.grace_ms)).max(self.carry_until);
         if received.age(elapsed).is_none_or(|age| age >= MAX_CURRENT_AGE) {
             self.grace_until = if received.grace_ms > 0 { self.grace_until.max(grace_until) } else { self.grace_until };
             return;
@@ -99,18 +115,21 @@
         }
     }
 
-    fn put_items(&mut self, items: Vec<Item>, now: Time) -> bool {
+    fn put_items(&mut self, items: Vec<Item>, was_empty: bool, now: Time) -> bool {
         let mut changed = false;
         for item in items {
-            let (key, revision) = (item.key.clone(), item.revision);
+            let (key, revision, carried) = (item.key.clone(), item.revision, item.carried);
             let first_seen = now - Duration::from_millis(item.age_ms);
             let expires_at = item.expires_in_ms.map(|left| now + Duration::from_millis(left));
             // A key that another mirror only keeps for its grace period is not restored: we may know of its deletion.
-            if expires_at.is_none() || self.revision == 0 {
-                changed |= self.put(item.entry(), first_seen);
+            if expires_at.is_none() || was_empty {
+                changed |= self.put_listed(item.entry(), first_seen, now);
             }
-            let record = self.records.get_mut(&key).filter(|record| record.revision <= revision);
-            if let (Some(expires_at), Some(record)) = (expires_at, record) {
+            let Some(record) = self.records.get_mut(&key).filter(|record| record.revision <= revision) else {
+                continue;
+            };
+            record.carried |= carried;
+            if let Some(expires_at) = expires_at {
                 record.expires_at.get_or_insert(expires_at);
             }
         }
@@ -124,6 +143,7 @@
         value: record.value.as_slice().into(),
         revision: record.revision,
         age_ms: now.since(record.first_seen).as_millis() as u64,
+        carried: record.carried,
         expires_in_ms: record.expires_at.map(|expires_at| expires_at.since(now).as_millis() as u64),
     }
 }
