--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -47,6 +47,8 @@
 struct Target {
     address: SocketAddr,
     name: String,
+    /// Its failure domain.
+    domain: String,
     /// Whether the server is in another region than this daemon.
     remote: bool,
 }
@@ -103,6 +105,7 @@
         return (Ending::Withheld(Kind::Expired), None);
     }
     let Ok(connection) = acquire_connection(context, outgoing, attempt, target.address).await else {
+        context.metrics.backend_connects_failed.with_label_values(&[&target.domain]).inc();
         return (Ending::Unreachable, None);
     };
     stall::check(context);
@@ -302,7 +305,7 @@
         return None;
     };
     let remote = instance.region != context.settings.region;
-    Some(Target { address, name: instance.name.clone(), remote })
+    Some(Target { address, name: instance.name.clone(), domain: instance.domain.clone(), remote })
 }
 
 /// Returns the id of an attempt on the wire, unique over all incarnations.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -48,6 +48,8 @@
     pub callers_disconnected: IntCounter,
     /// Connections made to backend servers.
     pub backend_connects: IntCounter,
+    /// Connections to backend servers that failed or were not established in time, by failure domain.
+    pub backend_connects_failed: IntCounterVec,
     /// Revision of the policy in force; zero for the policy of the settings.
     pub policy_revision: IntGauge,
     /// Policy documents that were refused.
@@ -122,6 +124,12 @@
                 "hemlock_backend_connects_total",
                 "Connections made to backend servers",
             ),
+            backend_connects_failed: counters(
+                &registry,
+                "hemlock_backend_connects_failed_total",
+                "Connections to backend servers that failed",
+                &["domain"],
+            ),
             policy_revision: gauge(&registry, "hemlock_policy_revision", "Revision of the policy in force"),
             policy_refused: counter(&registry, "hemlock_policy_refused_total", "Copies of the policy refused"),
             policy_passed_over: gauge(&registry, "hemlock_policy_passed_over", "Parts of the policy not used"),
