Pass requests on to another instance while no backend server can be reached from here

Look-ups went on to name it.

Cause: a fault of the instance's own links was taken for a fault of each server. Nothing put the failures together, there was no other way to a server than the instance's own links, and a server stayed ejected for what was no fault of its own.

Mend: connections to three servers that fail in a row are a suspicion; trial connections to up to four servers in different failure domains decide it (dispatch::reach). Requests on connections that are open already prove nothing, they may live on while new ones fail. While the path is lost, a request goes to another entry instance of the same failure domain, then region, then any that may run it (without open_links only in the region), with the time that is left and a mark: it is passed on once at most, and the answer goes back unchanged, so what it says about 'not run' is the word of the instance that knows. A connection lost between the two is an unknown outcome. Keyed requests are not passed on. Members tell that they are without servers; look-ups then name the others. Losses of requests are told to peers only once the path is known to be open. After the return ejections are forgotten.

--- a/crates/daemon/examples/prepare.rs
+++ b/crates/daemon/examples/prepare.rs
@@ -44,6 +44,7 @@
         peer_address: format!("10.9.{}.{}:7200", number / 250, number % 250),
         domain: format!("d{}", number % REGIONS),
         caller_address: format!("10.9.{}.{}:7000", number / 250, number % 250),
+        without_servers: false,
     }
 }
 
--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -16,7 +16,7 @@
 
 use crate::Context;
 use crate::at_most_once;
-use crate::backends::{announcement, load};
+use crate::backends::{announcement, load, reach};
 use crate::decision_log;
 use crate::driver::Outgoing;
 use crate::response::Response;
@@ -25,7 +25,7 @@
 /// Timeout of a cancellation request.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which data sent to a backend server may stay unacknowledged before the connection is dropped.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(700);
+pub const UNACKED_TIMEOUT: Duration = Duration::from_millis(700);
 /// Maximum idle time of a pooled connection that is used for a non-idempotent request. After a longer time the
 /// connection may be dead without a sign of it, so such a request gets a new one.
 const NON_IDEMPOTENT_MAX_IDLE: Duration = Duration::from_secs(1);
@@ -106,6 +106,7 @@
     }
     let Ok(connection) = acquire_connection(context, outgoing, attempt, target.address).await else {
         context.metrics.backend_connects_failed.with_label_values(&[&target.domain]).inc();
+        reach::record_failure(context, attempt.backend);
         return (Ending::Unreachable, None);
     };
     stall::check(context);
@@ -119,7 +120,11 @@
         Ok(Ok(answer)) => classify_answer(context, attempt, answer),
         Ok(Err(fault)) => {
             context.pool.clear(attempt.backend);
-            (ending_of(fault), None)
+            let ending = ending_of(fault);
+            if matches!(ending, Ending::Unreachable | Ending::Lost) {
+                reach::record_failure(context, attempt.backend);
+            }
+            (ending, None)
         }
         Err(_) => (Ending::Timeout, None),
     }
@@ -157,7 +162,9 @@
     context.metrics.backend_connects.inc();
     let connect_timeout = Duration::from_millis(context.settings.dispatch.connect_ms);
     let limit = connect_timeout.min(attempt.deadline.since(now));
-    tokio::time::timeout(limit, Connection::open(address, UNACKED_TIMEOUT)).await?
+    let connection = tokio::time::timeout(limit, Connection::open(address, UNACKED_TIMEOUT)).await??;
+    context.reach.record_connected();
+    Ok(connection)
 }
 
 /// Sends the request and reads its answer. A reusable connection is returned to the pool.
@@ -234,7 +241,7 @@
 
 /// Converts an answer into a response for the caller, without headers that frame the body, apply to one hop or are
 /// addressed to the daemon.
-fn to_response(context: &Context, answer: Answer) -> Response {
+pub fn to_response(context: &Context, answer: Answer) -> Response {
     let mut headers = HeaderMap::with_capacity(answer.headers.len());
     let internal = [&context.dialect.load, &context.dialect.cold_ms];
     let is_relayed = |name: &http::HeaderName| {
--- a/crates/daemon/src/backends/mod.rs
+++ b/crates/daemon/src/backends/mod.rs
@@ -5,3 +5,4 @@
 pub mod load;
 pub mod pool;
 pub mod probe;
+pub mod reach;
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use base::error::Kind;
+use base::error::{Kind, Outcome as Ran};
 use base::hash;
 use base::time::Time;
 use bytes::Bytes;
@@ -12,6 +12,7 @@
 use ledger::table::Admission;
 
 use super::connection::Incoming;
+use super::relay;
 use super::reply::Reply;
 use crate::Context;
 use crate::at_most_once::{self, KeyedRequest};
@@ -77,22 +78,29 @@
     if class.closed {
         return (Some(name), Err(Kind::NoBackend.into()));
     }
-    let outcome = dispatch(context, ClassMatch { position, idempotent }, incoming, id, now).await;
+    let limit = now + Duration::from_millis(class.deadline_ms);
+    let found = ClassMatch { position, idempotent, regions: class.regions.clone(), limit };
+    let outcome = dispatch(context, found, incoming, id, now).await;
     (Some(name), outcome)
 }
 
 /// The class that a request matched, by its position in the policy.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct ClassMatch {
     position: usize,
     idempotent: bool,
+    /// Regions that may run the request; all if there are none.
+    regions: Vec<String>,
+    /// When the request is given up, whatever its caller's deadline.
+    limit: Time,
 }
 
 /// Dispatches a request of a class. A keyed request first passes the ledger, which may replay an earlier answer or
 /// refuse the request.
 async fn dispatch(context: &Arc<Context>, class: ClassMatch, incoming: Incoming, id: &str, now: Time) -> Outcome {
-    let ClassMatch { position, idempotent } = class;
+    let ClassMatch { position, idempotent, regions, limit } = class;
     let Incoming { head, body, .. } = incoming;
+    let is_relayed = head.headers.contains_key(relay::MARK);
     let fingerprint = fingerprint(head.method.as_str(), &head.target, &body);
     let needs_key = !idempotent && context.dialect.at_most_once == AtMostOnce::PerKey;
     let keyed = if needs_key { Some(keyed_request(context, &head.headers, fingerprint)?) } else { None };
@@ -123,10 +131,37 @@
     if outgoing.keyed.is_some() {
         return run_keyed(context, outgoing, submission).await;
     }
+    let route =
+        Route { is_relayed, regions, deadline: outgoing.caller_deadline.map_or(limit, |caller| caller.min(limit)) };
+    if context.reach.is_lost() {
+        return send_through_peer(context, &outgoing, &route).await;
+    }
     let mut guard = AbandonGuard { context: Arc::clone(context), request: Some(outgoing.number) };
-    let outcome = context.driver.submit(context, outgoing, submission).await;
+    let outcome = context.driver.submit(context, Arc::clone(&outgoing), submission).await;
     guard.request = None;
-    outcome.unwrap_or_else(|_| Err(Kind::Internal.into()))
+    let outcome = outcome.unwrap_or_else(|_| Err(Kind::Internal.into()));
+    let not_run = matches!(&outcome, Err(refusal) if refusal.kind.answer().outcome == Ran::NotRun);
+    if not_run && context.reach.is_lost() {
+        return send_through_peer(context, &outgoing, &route).await;
+    }
+    outcome
+}
+
+/// Where else a request may run, and until when.
+struct Route {
+    /// Whether another entry instance has passed the request on already.
+    is_relayed: bool,
+    /// Regions that may run it; all if there are none.
+    regions: Vec<String>,
+    deadline: Time,
+}
+
+/// Passes a request that this daemon did not run and cannot run on to another entry instance.
+async fn send_through_peer(context: &Arc<Context>, outgoing: &Outgoing, route: &Route) -> Outcome {
+    if route.is_relayed {
+        return Err(Kind::Unreachable.into());
+    }
+    relay::send(context, outgoing, &route.regions, route.deadline).await
 }
 
 /// Runs a keyed request to completion even if its caller disconnects: the answer is kept in case the caller sends the
@@ -215,7 +250,10 @@
     let mut forwarded = HeaderMap::with_capacity(headers.len());
     let is_forwarded = |name: &HeaderName| {
         let framing = *name == CONTENT_LENGTH || *name == EXPECT;
-        !framing && !head::is_hop_by_hop(name.as_str()) && !context.dialect.is_set_by_daemon(name)
+        !framing
+            && *name != relay::MARK
+            && !head::is_hop_by_hop(name.as_str())
+            && !context.dialect.is_set_by_daemon(name)
     };
     for (name, value) in headers.iter().filter(|(name, _)| is_forwarded(name)) {
         forwarded.append(name, value.clone());
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -3,6 +3,7 @@
 pub mod connection;
 pub mod forward;
 pub mod lookup;
+pub mod relay;
 pub mod reply;
 pub mod server;
 
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -23,6 +23,7 @@
 use crate::adapter::{Adapter, Catalog};
 use crate::at_most_once::ClaimLease;
 use crate::backends::pool::Pool;
+use crate::backends::reach;
 use crate::clock::{self, Clock};
 use crate::dialect::Dialect;
 use crate::driver::Driver;
@@ -102,6 +103,10 @@
     pub answer_memory: Budget,
     /// Idle connections to backend servers.
     pub pool: Pool,
+    /// Idle connections to other entry instances, by a hash of their addresses.
+    pub peer_pool: Pool,
+    /// Whether backend servers can be reached at all.
+    pub reach: reach::State,
     /// The dispatch engine with the requests in flight.
     pub driver: Driver,
     /// Idempotency keys of non-idempotent requests, with the answers kept for re-sends.
@@ -133,6 +138,7 @@
             peer_address: settings.fleet.address.clone(),
             domain: settings.domain.clone(),
             caller_address: adapter.catalog.map_or_else(String::new, |_| settings.callers.address.clone()),
+            without_servers: false,
         };
         let timeouts = Timeouts { suspect: Duration::from_millis(settings.fleet.suspect_ms) };
         let timeout = Duration::from_millis(settings.platform.timeout_ms);
@@ -177,6 +183,8 @@
             instance_list: Mutex::new(List::default()),
             answer_memory: Budget::new(settings.dispatch.answers_bytes as usize),
             pool: Pool::new(),
+            peer_pool: Pool::new(),
+            reach: reach::State::default(),
             driver: Driver::new(Engine::new(Vec::new(), limits, incarnation)),
             ledger: Mutex::new(Ledger::new(ledger_limits)),
             claim_lease: Mutex::new(None),
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -183,7 +183,7 @@
         let result = work(&mut engine);
         let decisions = engine.take_decisions();
         let actions = engine.take_actions();
-        let losses = engine.take_losses();
+        let losses = context.reach.pass_losses(engine.take_losses());
         context.metrics.queued.set(engine.queued() as i64);
         context.metrics.in_flight.set(engine.in_flight() as i64);
         drop(engine);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -50,6 +50,10 @@
     pub backend_connects: IntCounter,
     /// Connections to backend servers that failed or were not established in time, by failure domain.
     pub backend_connects_failed: IntCounterVec,
+    /// Requests that were passed on to other entry instances, by result.
+    pub relayed: IntCounterVec,
+    /// Whether this daemon reaches no backend server: 0 or 1.
+    pub without_servers: IntGauge,
     /// Revision of the policy in force; zero for the policy of the settings.
     pub policy_revision: IntGauge,
     /// Policy documents that were refused.
@@ -130,6 +134,8 @@
                 "Connections to backend servers that failed",
                 &["domain"],
             ),
+            relayed: counters(&registry, "hemlock_relayed_total", "Requests passed on to other daemons", &["result"]),
+            without_servers: gauge(&registry, "hemlock_without_servers", "1 while no backend server can be reached"),
             policy_revision: gauge(&registry, "hemlock_policy_revision", "Revision of the policy in force"),
             policy_refused: counter(&registry, "hemlock_policy_refused_total", "Copies of the policy refused"),
             policy_passed_over: gauge(&registry, "hemlock_policy_passed_over", "Parts of the policy not used"),
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -105,9 +105,14 @@
     }
 }
 
+/// Pushes a change of this daemon's own record to twice the usual number of peers, so that most members receive it soon.
+pub fn push_state(context: &Arc<Context>) {
+    push(context, 2 * context.settings.fleet.fanout as usize);
+}
+
 /// Pushes the departure of this daemon to twice the usual number of peers, so that most members receive it soon.
 pub fn push_departure(context: &Arc<Context>) {
-    push(context, 2 * context.settings.fleet.fanout as usize);
+    push_state(context);
 }
 
 fn push(context: &Arc<Context>, limit: usize) {
--- a/crates/daemon/src/view/entries.rs
+++ b/crates/daemon/src/view/entries.rs
@@ -81,6 +81,7 @@
         Some(State::Left | State::Dead) => Standing::Out,
         _ if leaving && !suspicious_list => Standing::Out,
         Some(State::Suspect) => Standing::Doubtful,
+        _ if roster.is_without_servers(&instance.name) => Standing::Doubtful,
         _ if leaving => Standing::Doubtful,
         Some(State::Alive) | None => Standing::Good,
     }
--- a/crates/daemon/tests/view.rs
+++ b/crates/daemon/tests/view.rs
@@ -213,6 +213,7 @@
             peer_address: format!("127.0.0.{number}:7200"),
             domain: "d".to_owned(),
             caller_address: String::new(),
+            without_servers: false,
         };
         let records = (1..daemons).map(record).collect();
         let snapshot =
--- a/crates/dispatch/src/backend/health.rs
+++ b/crates/dispatch/src/backend/health.rs
@@ -77,6 +77,18 @@
         reinstated
     }
 
+    /// Ends an ejection and forgets the failures that led to it.
+    pub fn forget_failures(&mut self, now: Time) {
+        if self.on_probation && self.ejected(now) {
+            self.unavailable_until = now;
+        }
+        self.on_probation = false;
+        self.ejections = 0;
+        self.lost_in_row = 0;
+        self.late_in_row = 0;
+        self.ejected_as_slow = false;
+    }
+
     /// Records that an attempt ran into its deadline before it was recorded as late.
     pub fn record_late_end(&mut self, may_eject: bool, keyed: bool, now: Time) {
         self.record_late(may_eject, keyed, now);
--- a/crates/dispatch/src/engine/update.rs
+++ b/crates/dispatch/src/engine/update.rs
@@ -205,6 +205,14 @@
         self.dispatch_waiting(now);
     }
 
+    /// Forgets failures of servers, and losses of requests since `since`: they were faults of this daemon's own path, which
+    /// is open again. Sends what waits.
+    pub fn forget_failures(&mut self, since: Time, now: Time) {
+        self.backends.values_mut().for_each(|server| server.forget_failures(now));
+        self.quarantine.forget(since);
+        self.dispatch_waiting(now);
+    }
+
     /// Returns whether `attempt` may still be sent to `backend`: the state may have changed since the choice was made.
     pub fn may_send(&self, attempt: u64, backend: BackendId, now: Time) -> bool {
         let accepts = |server: &Backend| {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod class;
 pub mod engine;
 pub mod quarantine;
+pub mod reach;
 pub mod samples;
 pub mod split;
 pub mod subset;
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -53,6 +53,11 @@
         is_new
     }
 
+    /// Forgets the fingerprints whose last loss is not before `since`.
+    pub fn forget(&mut self, since: Time) {
+        self.records.retain(|_, record| record.last_loss < since);
+    }
+
     /// Records a complete answer to `fingerprint`, which clears its losses.
     pub fn clear(&mut self, fingerprint: u64, now: Time) {
         self.records.remove(&fingerprint);
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -60,6 +60,9 @@
     /// Address for callers, `IP:PORT`; empty if only the platform's list of instances has it.
     #[serde(rename = "c", default, skip_serializing_if = "String::is_empty")]
     pub caller_address: String,
+    /// Whether it reaches no backend server itself and passes its callers' requests to other members.
+    #[serde(rename = "u", default, skip_serializing_if = "std::ops::Not::not")]
+    pub without_servers: bool,
 }
 
 impl Record {
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -85,6 +85,21 @@
         &self.own
     }
 
+    /// Changes whether this daemon tells the others that it reaches no backend server. The new record supersedes its
+    /// earlier ones, as a refutation does.
+    pub fn set_without_servers(&mut self, without_servers: bool) {
+        if self.own.without_servers != without_servers {
+            self.own.without_servers = without_servers;
+            self.own.refutations += 1;
+        }
+    }
+
+    /// Whether the member `name` has told that it reaches no backend server.
+    pub fn is_without_servers(&self, name: &str) -> bool {
+        let record = if name == self.own.name { Some(&self.own) } else { self.members.get(name).map(|m| &m.record) };
+        record.is_some_and(|record| record.without_servers)
+    }
+
     /// Whether a later process has started under this daemon's name.
     pub const fn superseded(&self) -> bool {
         self.superseded
@@ -246,7 +261,8 @@
         records.fold(0, |hash, record| {
             let texts = [&record.name, &record.domain, &record.caller_address, &record.peer_address];
             let texts = texts.into_iter().fold(hash, |hash, text| hash::combine(hash, hash::bytes(text.as_bytes())));
-            hash::combine(hash::combine(texts, record.incarnation), record.state as u64)
+            let state = (record.state as u64) << 1 | u64::from(record.without_servers);
+            hash::combine(hash::combine(texts, record.incarnation), state)
         })
     }
 
@@ -342,5 +358,6 @@
         peer_address: listed.peers.clone(),
         domain: listed.domain.clone(),
         caller_address: listed.address.clone(),
+        without_servers: false,
     }
 }
--- a/crates/fleet/tests/rate_limits.rs
+++ b/crates/fleet/tests/rate_limits.rs
@@ -21,6 +21,7 @@
         peer_address: format!("n{number}"),
         domain: "d".to_owned(),
         caller_address: String::new(),
+        without_servers: false,
     }
 }
 
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -24,6 +24,7 @@
         peer_address,
         domain,
         caller_address: String::new(),
+        without_servers: false,
     }
 }
 
--- a/crates/size/src/membership.rs
+++ b/crates/size/src/membership.rs
@@ -39,6 +39,7 @@
         peer_address: format!("10.0.{}.{}:7200", number / 250, number % 250),
         domain: format!("domain-{:02}", number % DOMAINS),
         caller_address: String::new(),
+        without_servers: false,
     }
 }
 
