Take an answer without an id on a reused connection for nobody's

Report of other operators: a faulty server writes an earlier refusal once more on a kept connection. Only successes without an id were doubted on a reused connection. Now any answer without an id is, and a connection whose answer had none is not used again.

--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -178,11 +178,12 @@
     let dialect = &context.dialect;
     let headers = request_headers(context, outgoing, attempt, target);
     let id = headers.get(&dialect.request_id).cloned();
-    // On a reused connection, a success without an id may be a late duplicate of the answer to an earlier request.
+    // On a reused connection, an answer without an id may be a late duplicate of the answer to an earlier request. A
+    // refusal of that request says nothing about this one.
     let used = connection.used();
     let matches_id = |head: &head::Response| match head.headers.get(&dialect.request_id) {
         _ if !dialect.caller_sets_id => true,
-        None => !(used && head.status.is_success()),
+        None => !used || id.is_none(),
         echoed => echoed == id.as_ref(),
     };
     let call = Call {
@@ -197,7 +198,7 @@
     let answer = connection.exchange(call, matches_id).await?;
     record_remote_bytes(context, target, "received", answer.body.len());
     let identified = !dialect.caller_sets_id || answer.headers.contains_key(&dialect.request_id);
-    if answer.reusable && (identified || !answer.status.is_success()) {
+    if answer.reusable && identified {
         context.pool.put(attempt.backend, connection, answer.keep_alive_timeout(), context.now());
     }
     Ok(answer)
