--- a/crates/daemon/src/view/mod.rs
+++ b/crates/daemon/src/view/mod.rs
@@ -143,7 +143,8 @@
     let backends = used.into_iter().map(|item| (item.id, Arc::clone(&item.instance))).collect();
     state.slots.clear();
     for server in instances.iter().filter(|instance| instance.role == Role::Backend) {
-        *state.slots.entry(server.region.clone()).or_default() += server.slots;
+        let slots = state.slots.entry(server.region.clone()).or_default();
+        *slots = slots.saturating_add(server.slots);
     }
     let table = Arc::clone(&active.table);
     let steering = Steering { table, view, shares: before.shares.clone(), backends: Arc::new(backends) };
