--- a/crates/ctl/src/verbs/mod.rs
+++ b/crates/ctl/src/verbs/mod.rs
@@ -73,5 +73,7 @@
     if policy.changes.iter().any(|change| change == id) {
         return acknowledgement(command, id, &Outcome::Included(revision));
     }
-    Err(Error::Failed(format!("the change {id} is not among the latest of revision {revision}: it took no effect")))
+    Err(Error::Failed(format!(
+        "the change {id} is not among the latest of revision {revision}: it took no effect, or the store lost it when it was restored"
+    )))
 }
--- /dev/null
+++ b/crates/store/tests/client.rs
@@ -0,0 +1,91 @@
+//! The era of a restored store in the answers to the client's calls.
+
+use std::io::{BufRead as _, BufReader, Write as _};
+use std::net::TcpListener;
+use std::time::Duration;
+
+use rstest::rstest;
+use store::{Call, Client, Codec, Error, Message, Reply, Result};
+
+/// A wire format in which each call is named by its path, and the answer's body does not matter.
+const CODEC: Codec = Codec { encode, decode, era_header: Some("x-era") };
+
+fn encode(call: &Call) -> Result<Message> {
+    let Call::Read(key) = call else { return Err(Error::Refused("only reads are used".to_owned())) };
+    Ok(Message { method: http::Method::GET, target: format!("/{key}"), body: Vec::new() })
+}
+
+fn decode(_call: &Call, status: u16, _body: &[u8]) -> Result<Reply> {
+    if status == 200 { Ok(Reply::Entry(None)) } else { Err(Error::Refused(format!("status {status}"))) }
+}
+
+fn read(key: &str) -> Call {
+    Call::Read(key.to_owned())
+}
+
+/// Starts a store whose answers are named by the path: `/STATUS/ERA/DELAY_MS`; an empty era is left out.
+fn start() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound").to_string();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("a socket can be cloned"));
+                let (mut stream, mut line) = (stream, String::new());
+                while reader.read_line(&mut line).is_ok_and(|bytes| bytes > 0) {
+                    let target = line.split(' ').nth(1).unwrap_or_default().to_owned();
+                    while reader.read_line(&mut line).is_ok_and(|bytes| bytes > 2) {}
+                    line.clear();
+                    let mut parts = target.trim_start_matches('/').split('/');
+                    let (status, era, delay) = (parts.next(), parts.next(), parts.next());
+                    let delay = delay.and_then(|text| text.parse().ok()).unwrap_or(0);
+                    std::thread::sleep(Duration::from_millis(delay));
+                    let era =
+                        era.filter(|era| !era.is_empty()).map(|era| format!("X-Era: {era}\r\n")).unwrap_or_default();
+                    let status = status.unwrap_or("200");
+                    if write!(stream, "HTTP/1.1 {status} X\r\n{era}Content-Length: 0\r\n\r\n").is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().expect("threads can be started")
+}
+
+/// The era counts also if the store refuses the call.
+#[rstest]
+#[case("200")]
+#[case("410")]
+#[case("412")]
+#[case("429")]
+#[case("503")]
+fn every_answer_tells_the_era(#[case] status: &str) {
+    let runtime = runtime();
+    let client = Client::with_runtime(CODEC, &start(), Duration::from_secs(5), runtime.handle().clone());
+    let result = runtime.block_on(client.call(&read(&format!("{status}/7"))));
+    assert_eq!(result.is_ok(), status == "200");
+    assert_eq!(client.era(), 7);
+    let unreadable = runtime.block_on(client.call(&read("200/seven")));
+    assert_eq!(unreadable.map(|answer| answer.era), Ok(7), "an era that cannot be read changes nothing");
+}
+
+/// Fault: an answer from before a restore arrives after one from after it.
+#[rstest]
+#[case::named("200/1/300")]
+#[case::without_an_era("200//300")]
+fn a_late_answer_of_an_earlier_era_is_an_error(#[case] late: &str) {
+    let runtime = runtime();
+    let client = Client::with_runtime(CODEC, &start(), Duration::from_secs(5), runtime.handle().clone());
+    runtime.block_on(async {
+        assert_eq!(client.call(&read("200/1")).await.map(|answer| answer.era), Ok(1));
+        let (late, early) = (read(late), read("200/2"));
+        let (late, early) = tokio::join!(client.call(&late), client.call(&early));
+        assert_eq!(early.map(|answer| answer.era), Ok(2));
+        assert_eq!(late, Err(Error::Outdated { era: 1, newest: 2 }));
+    });
+}
