Take a peer's policy of another era only if the operators count it higher

Found by reading: an instance that starts after a restore may read from the store a policy that lacks an evacuation. Its version has the later era, so peers that still knew of the evacuation fetched it and dropped it, until their own copy of the store was of the new era. Now a policy that is newer by its era alone comes from the own copy only, which keeps what was lost for the grace period.

--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -118,9 +118,18 @@
         self.document.as_ref()
     }
 
-    /// Whether a document of `version` should be fetched: it is newer and was not refused.
+    /// Whether a document of `version` should be fetched from a peer: it is newer and was not refused.
+    ///
+    /// One that is newer by its era alone is not: the peer may have read it from a restored store that does not have all
+    /// of it again, while this daemon still knows what was lost.
     pub fn needs(&self, version: impl Into<Version>) -> bool {
         let version = version.into();
+        let in_force = self.version();
+        let by_era_alone = version.declared == in_force.declared && version.stored.era != in_force.stored.era;
+        self.is_newer(version) && !(by_era_alone && self.document.is_some())
+    }
+
+    fn is_newer(&self, version: Version) -> bool {
         version > self.version() && Some(version) != self.refused
     }
 
@@ -131,9 +140,13 @@
     /// A rejected document changes nothing in force. The version of an invalid policy is not fetched again; that of a
     /// damaged document is, since another peer may have it intact.
     pub fn apply(&mut self, document: Document, origin: Origin) -> Result<Option<Policy>> {
-        let is_update = origin == Origin::Store
-            && self.document.as_ref().is_some_and(|known| known.version == document.version && *known != document);
-        if !is_update && !self.needs(document.version) {
+        let is_other_text =
+            || self.document.as_ref().is_some_and(|known| known.version == document.version && *known != document);
+        let is_due = match origin {
+            Origin::Store => self.is_newer(document.version) || is_other_text(),
+            Origin::Peer => self.needs(document.version),
+        };
+        if !is_due {
             return Ok(None);
         }
         match document.parse() {
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -281,3 +281,28 @@
     let silence: BTreeMap<&str, Option<Duration>> = roster.silence(later).collect();
     assert_eq!(silence, BTreeMap::from([("b", Some(Duration::from_secs(4))), ("c", None)]));
 }
+
+/// Fault: a peer has started after the store was restored, and read a policy there that lacks an evacuation. A daemon that
+/// still knows of it takes the new era's policy only from its own copy of the store, unless the operators wrote a later one.
+#[rstest]
+#[case::same_policy_in_a_later_era(5, 2, 1, false)]
+#[case::later_policy(6, 2, 1, true)]
+#[case::earlier_policy(4, 2, 90, false)]
+#[case::later_change_in_the_same_era(5, 1, 8, true)]
+fn a_peers_policy_of_another_era_counts_only_if_the_operators_count_it_higher(
+    #[case] declared: u64,
+    #[case] era: u64,
+    #[case] revision: u64,
+    #[case] taken: bool,
+) {
+    let stored = |era, revision| base::version::Version::new(era, revision);
+    let mut replica = Replica::new();
+    let known = Document::new(Version::new(5, stored(1, 7)), POLICY.to_owned());
+    replica.apply(known, Origin::Peer).expect("the policy is valid");
+    let document = Document::new(Version::new(declared, stored(era, revision)), POLICY.to_owned());
+    assert_eq!(replica.needs(document.version), taken);
+    assert_eq!(replica.apply(document.clone(), Origin::Peer).expect("the policy is valid").is_some(), taken);
+    let from_store = Document::new(Version::new(5, stored(2, 1)), POLICY.to_owned());
+    let newer = replica.version() < from_store.version;
+    assert_eq!(replica.apply(from_store, Origin::Store).expect("the policy is valid").is_some(), newer);
+}
