--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -306,3 +306,23 @@
     let newer = replica.version() < from_store.version;
     assert_eq!(replica.apply(from_store, Origin::Store).expect("the policy is valid").is_some(), newer);
 }
+
+/// A daemon of an earlier build sends and reads only revisions; those of a store that names no era look the same as before.
+#[test]
+fn a_message_without_era_and_number_is_that_of_an_earlier_build() {
+    let mut roster = Roster::new(record("a", 1), TIMEOUTS, 1);
+    let message = roster.message(7, Time::ZERO);
+    let text = serde_json::to_string(&message).expect("it can be written");
+    assert!(text.contains("\"v\":7") && !text.contains("\"e\"") && !text.contains("\"d\":0"), "{text}");
+    assert_eq!(serde_json::from_str::<Message>(&text).expect("it can be read").version, Version::from(7));
+    let version = Version::new(12, base::version::Version::new(3, 9));
+    let text = serde_json::to_string(&roster.message(version, Time::ZERO)).expect("it can be written");
+    assert_eq!(serde_json::from_str::<Message>(&text).expect("it can be read").version, version);
+
+    let document = Document::new(7, POLICY.to_owned());
+    let text = serde_json::to_string(&document).expect("it can be written");
+    assert!(text.contains("\"revision\":7") && !text.contains("era") && !text.contains("declared"), "{text}");
+    let document = Document::new(version, POLICY.to_owned());
+    let text = serde_json::to_string(&document).expect("it can be written");
+    assert_eq!(serde_json::from_str::<Document>(&text).expect("it can be read"), document);
+}
