--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -84,7 +84,7 @@
     (Some(name), outcome)
 }
 
-/// The class that a request matched, by its position in the policy.
+/// The class that a request matched, by its position in the policy, with what passing the request on depends on.
 #[derive(Debug, Clone)]
 struct ClassMatch {
     position: usize,
--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -25,7 +25,6 @@
 const MAX_INSTANCES: usize = 2;
 /// Maximum idle time of a pooled connection to another instance: one that is about to be closed could lose the request.
 const MAX_IDLE: Duration = Duration::from_secs(1);
-
 /// How much earlier the other instance gives up, so that what it says still arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
@@ -71,7 +70,7 @@
 
 /// Why an instance gave no answer.
 enum Failure {
-    /// Nothing was sent.
+    /// No byte of the request was sent, so another instance may get it.
     Unsent,
     /// The request may have run, and the caller is answered with an error of this kind.
     Answer(Kind),
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -90,7 +90,7 @@
 pub enum Origin {
     /// The store, as this daemon knows it: the latest text of a version.
     Store,
-    /// A peer.
+    /// Another daemon, which may know less of the store than this one.
     Peer,
 }
 
--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -66,7 +66,7 @@
 pub struct Answer {
     /// The era; zero for a store that names none.
     pub era: u64,
-    /// The reply.
+    /// What the store replied to the call.
     pub reply: Reply,
 }
 
