--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 messages as the stand-ins read and write them.
 
-use std::io::{self, BufRead, Read, Write};
+use std::io::{self, BufRead, Write};
 
 /// A request or an answer.
 #[derive(Debug, Clone, Default)]
@@ -22,9 +22,6 @@
         self.line.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
     }
 
-    pub fn method(&self) -> &str {
-        self.line.split(' ').next().unwrap_or_default()
-    }
 
     pub fn target(&self) -> &str {
         self.line.split(' ').nth(1).unwrap_or_default()
--- a/review/rig/worker.rs
+++ b/review/rig/worker.rs
@@ -16,12 +16,10 @@
 #[derive(Debug, Clone, Default)]
 pub struct Run {
     pub worker: String,
-    pub arrived: f64,
     /// When the worker began to work on it; `None` if it rejected it.
     pub began: Option<f64>,
     /// When its work ended; `None` while it runs.
     pub ended: Option<f64>,
-    pub line: String,
 }
 
 /// All requests that reached workers, by request id.
@@ -92,7 +90,7 @@
         if request.header("target-instance").is_some_and(|target| target != self.id) {
             return (421, format!("{echo}Instance-Id: {}\r\n", self.id), String::new());
         }
-        let place = self.note_arrival(&id, request);
+        let place = self.note_arrival(&id);
         let arrived = Instant::now();
         let budget = request.header("deadline-ms").and_then(|text| text.parse().ok()).unwrap_or(60_000);
         let end = arrived + Duration::from_millis(budget);
@@ -144,10 +142,10 @@
         format!("Server-Load: {},{},{SLOTS},100\r\n", load.running, load.waiting)
     }
 
-    fn note_arrival(&self, id: &str, request: &Message) -> usize {
+    fn note_arrival(&self, id: &str) -> usize {
         let mut runs = self.runs.lock().unwrap();
         let all = runs.entry(id.to_owned()).or_default();
-        let run = Run { worker: self.id.clone(), arrived: record::now(), line: request.line.clone(), ..Run::default() };
+        let run = Run { worker: self.id.clone(), ..Run::default() };
         all.push(run);
         all.len() - 1
     }
