--- a/review/rig/deploy.rs
+++ b/review/rig/deploy.rs
@@ -9,9 +9,11 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::client;
+use crate::http;
+use crate::link::Link;
 use crate::record;
 use crate::store::Store;
-use crate::worker::{Runs, Work, Worker};
+use crate::worker::{Crashes, Runs, Work, Worker};
 
 /// Zones with their regions, as in the site `bayline-underlay`.
 pub const ZONES: [(&str, &str); 6] = [
@@ -22,6 +24,16 @@
     ("ohio-b", "ohio"),
     ("ontario-b", "ontario"),
 ];
+/// The zones of the site `onfot-gslb`.
+pub const ONFOT_ZONES: [(&str, &str); 6] = [
+    ("casa-ain-sebaa", "casa-settat"),
+    ("settat-nord", "casa-settat"),
+    ("fes-sidi-brahim", "fes-meknes"),
+    ("meknes-mejjat", "fes-meknes"),
+    ("agadir-tassila", "souss-massa"),
+    ("ait-melloul", "souss-massa"),
+];
+pub type Zones = [(&'static str, &'static str); 6];
 pub const PORTAL: &str = "store-portal";
 pub const GATEWAY: &str = "dist-gateway";
 pub const HOST: &str = "ficu95.example";
@@ -63,7 +75,14 @@
     pub store: Store,
     pub machines: Vec<Machine>,
     pub workers: Vec<Worker>,
+    /// Service and zone of each worker.
+    places: Vec<(String, String)>,
     pub runs: Runs,
+    /// The path of each machine to the store.
+    pub store_links: Vec<Link>,
+    zones: Zones,
+    /// Start of the workers, in Unix milliseconds.
+    born: u64,
     block: String,
     folder: String,
 }
@@ -71,21 +90,33 @@
 impl Deployment {
     /// Starts the store with `config`, the workers of both services, and 7 machines in 6 zones; waits until all are ready.
     pub fn start(config: &str, work: &Work) -> Option<Self> {
+        Self::start_with(config, work, &(Arc::new(|_: &http::Message| false) as Crashes))
+    }
+
+    /// The same with requests that crash the workers that run them.
+    pub fn start_with(config: &str, work: &Work, crashes: &Crashes) -> Option<Self> {
+        Self::start_in(ZONES, config, work, crashes)
+    }
+
+    /// The same with other zones; the first of them has two machines.
+    pub fn start_in(zones: Zones, config: &str, work: &Work, crashes: &Crashes) -> Option<Self> {
         let block = free_block()?;
         let folder = std::env::temp_dir().join(format!("hemlock-review-{}", std::process::id()));
         let folder = folder.to_string_lossy().into_owned();
         fs::create_dir_all(&folder).ok()?;
         let runs: Runs = Arc::new(Mutex::new(BTreeMap::new()));
         let store = Store::start(&format!("{block}.250:8142"));
-        let mut deployment = Self { store, machines: Vec::new(), workers: Vec::new(), runs, block, folder };
+        let mut deployment = Self { store, machines: Vec::new(), workers: Vec::new(), places: Vec::new(), runs, store_links: Vec::new(), zones, born: 0, block, folder };
         deployment.store.put("op/config", config);
-        deployment.start_workers(work);
-        for (index, (zone, region)) in [ZONES[0]].iter().chain(&ZONES).enumerate() {
+        deployment.start_workers(work, crashes);
+        for (index, (zone, region)) in [zones[0]].iter().chain(&zones).enumerate() {
             let number = if index == 1 { 2 } else { 1 };
             let ip = format!("{}.{}", deployment.block, 11 + index);
             let name = format!("front-{zone}-{number}");
             let machine = Machine { name, zone: (*zone).into(), region: (*region).into(), ip, child: None };
             deployment.machines.push(machine);
+            let (from, to) = (format!("{}.{}:8142", deployment.block, 201 + index), format!("{}.250:8142", deployment.block));
+            deployment.store_links.push(Link::start(&from, &to));
         }
         for index in 0..deployment.machines.len() {
             deployment.start_machine(index, true)?;
@@ -101,16 +132,18 @@
         Some(deployment)
     }
 
-    fn start_workers(&mut self, work: &Work) {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    fn start_workers(&mut self, work: &Work, crashes: &Crashes) {
+        self.born = unix_ms();
+        let born = self.born;
         let services = [(PORTAL, [1, 3, 4, 1, 3, 4]), (GATEWAY, [1, 2, 3, 1, 2, 3])];
         for (service, counts) in services {
-            for ((zone, _), count) in ZONES.iter().zip(counts) {
+            for ((zone, _), count) in self.zones.iter().zip(counts) {
                 for _ in 0..count {
                     let number = self.workers.len();
                     let address = format!("{}.{}:8080", self.block, 100 + number);
-                    let worker = Worker::start(&format!("i-{number:010x}"), &address, &self.runs, work);
-                    self.store.put(&format!("servers/{}", worker.id), &worker.entry(service, zone, born));
+                    let worker = Worker::start(&format!("i-{number:010x}"), &address, &self.runs, work, crashes);
+                    self.store.put(&format!("servers/{}", worker.id), &worker.entry(service, zone, born, 0.0, "ready"));
+                    self.places.push((service.to_owned(), (*zone).to_owned()));
                     self.workers.push(worker);
                 }
             }
@@ -123,7 +156,8 @@
         let machine = &mut self.machines[index];
         let path = format!("{}/{}.toml", self.folder, machine.name);
         let template = fs::read_to_string("platform/settings.toml").ok()?;
-        fs::write(&path, fill(&template, machine, &seeds, &format!("{}.250:8142", self.block), first)).ok()?;
+        let store = format!("{}.{}:8142", self.block, 201 + index);
+        fs::write(&path, fill(&template, machine, &seeds, &store, first, &self.zones)).ok()?;
         let log = File::options().create(true).append(true).open(format!("{}/{}.log", self.folder, machine.name)).ok()?;
         let mut command = Command::new("target/release/hemlockplatform");
         command.arg(&path).env("HEMLOCKCROSS_NODE_FILE", &path).stdin(Stdio::null());
@@ -133,6 +167,28 @@
         Some(())
     }
 
+    /// Starts a worker again after a crash: a new boot, cold, under the id that it had.
+    pub fn restart_worker(&self, index: usize) {
+        let (service, zone) = &self.places[index];
+        let worker = &self.workers[index];
+        if worker.is_down() {
+            worker.restart();
+        }
+        self.store.put(&format!("servers/{}", worker.id), &worker.entry(service, zone, unix_ms(), 3.0, "ready"));
+    }
+
+    /// A worker leaves: it reports that it drains, or its key is removed; it goes on serving.
+    pub fn leave_worker(&self, index: usize, is_reported: bool) {
+        let worker = &self.workers[index];
+        let (service, zone) = &self.places[index];
+        let key = format!("servers/{}", worker.id);
+        if is_reported {
+            self.store.put(&key, &worker.entry(service, zone, self.born, 0.0, "draining"));
+        } else {
+            self.store.remove(&key);
+        }
+    }
+
     /// Sends a signal to a machine's process.
     pub fn signal(&self, index: usize, signal: &str) {
         let Some(pid) = self.machines[index].pid() else { return };
@@ -155,6 +211,10 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
 /// Finds a block of loopback addresses whose ports are free.
 fn free_block() -> Option<String> {
     let mut seed = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.subsec_nanos() ^ std::process::id();
@@ -170,7 +230,7 @@
 }
 
 /// Fills in the template of the settings, as DEPLOY.md describes it.
-fn fill(template: &str, machine: &Machine, seeds: &[String], store: &str, first: bool) -> String {
+fn fill(template: &str, machine: &Machine, seeds: &[String], store: &str, first: bool, zones: &Zones) -> String {
     let quoted = |text: &str| format!("\"{text}\"");
     let seeds: Vec<String> = seeds.iter().map(|seed| quoted(seed)).collect();
     let values = [
@@ -188,7 +248,7 @@
         ("bounds.retry_budget_ratio", "0.2".to_owned()),
         ("bounds.retry_budget_burst", "58".to_owned()),
     ];
-    let zones: String = ZONES.iter().map(|(zone, region)| format!("{zone} = \"{region}\"\n")).collect();
+    let zones: String = zones.iter().map(|(zone, region)| format!("{zone} = \"{region}\"\n")).collect();
     let (before, rest) = template.split_once("{{#zones}}").unwrap_or((template, ""));
     let after = rest.split_once("{{/zones}}").map_or("", |(_, after)| after);
     let mut text = format!("{before}{zones}{after}");
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -61,6 +61,20 @@
         revision
     }
 
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.0 .0.lock().unwrap();
+        if state.items.remove(key).is_none() {
+            return;
+        }
+        state.revision += 1;
+        let revision = state.revision;
+        state.events.push((revision, key.to_owned(), None));
+        self.0 .1.notify_all();
+        drop(state);
+        record::line(&format!("store remove {key} revision={revision}"));
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
