--- a/review/rig/drain.rs
+++ b/review/rig/drain.rs
@@ -73,6 +73,8 @@
         }
         std::thread::sleep(Duration::from_secs_f64((start + CUT_S - now()).max(0.0)));
         cut.iter().for_each(|index| deployment.store_links[*index].set_cut(false));
+        // They have served on for longer than `drain_s`, and exit; another boot starts later.
+        leaving.iter().for_each(|index| deployment.end_worker(*index));
         std::thread::sleep(Duration::from_secs(3));
         for index in &leaving {
             let place = left.len() - leaving.len() + leaving.iter().position(|one| one == index)?;
