--- a/review/rig/drain.rs
+++ b/review/rig/drain.rs
@@ -19,8 +19,8 @@
 const LEAVE_AFTER_S: f64 = 0.02;
 const ROUNDS: usize = 6;
 const ROUND_S: f64 = 16.0;
-/// Workers that leave in each round.
-const LEAVING: usize = 8;
+/// First worker, number of workers, and number of those that leave in a round, by service: a quarter of each.
+const SERVICES: [(usize, usize, usize); 2] = [(0, 16, 4), (16, 12, 3)];
 /// Requests a second to each machine.
 const PER_S: f64 = 28.0;
 /// Machines that are cut from the store.
@@ -66,7 +66,9 @@
             record::line(&format!("the machines {CUT:?} are cut from the store"));
         }
         std::thread::sleep(Duration::from_secs_f64(LEAVE_AFTER_S));
-        let leaving: Vec<usize> = (0..LEAVING).map(|place| (round * LEAVING + place) % deployment.workers.len()).collect();
+        let of_service =
+            |(first, all, leaving): (usize, usize, usize)| (0..leaving).map(move |place| first + (round * leaving + place) % all);
+        let leaving: Vec<usize> = SERVICES.into_iter().flat_map(of_service).collect();
         for index in &leaving {
             deployment.leave_worker(*index, index % 3 != 0);
             left.push((deployment.workers[*index].id.clone(), now(), f64::MAX));
