DRAIN: state the ages of relayed changes as of the end of the wait

Callers' requests reached backend servers up to 2.8 s after the store had accepted that these leave (bound 2.5 s), sent by daemons that reached the store all the time.

Cause: a daemon that serves its mirror to followers read it, waited up to a second for a change, and sent what it had read with the wait stated beside it; the receiver took that wait off the time to the answer. So each hop made data look up to a second fresher than it is, and the limits after which a daemon asks another source, or the store, acted that much too late.

The mirror is read after the wait, and the message says so. Ages get the rest of the time to the answer, remaining times lose it. An idle connection to the store is kept for 2 s, not 5 s, so that one that fell silent does not cost a call its timeout.

--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -74,6 +74,10 @@
     pub store_era: IntGauge,
     /// Time since the store last answered, in seconds.
     pub store_age: Gauge,
+    /// Time since the mirror of the store was last known to be complete, in seconds.
+    pub mirror_age: Gauge,
+    /// Times that this daemon asked the store itself because its source left it with data that is too old.
+    pub mirror_catch_ups: IntCounter,
     /// Time since the list of backend servers was last read or changed, in seconds.
     pub list_age: Gauge,
     /// Time since a peer last answered, in seconds.
@@ -146,6 +150,12 @@
             store_lists: counter(&registry, "hemlock_store_lists_total", "Lists of all keys read from the store"),
             store_era: gauge(&registry, "hemlock_store_era", "Era of the store; 0 if it names none"),
             store_age: age(&registry, "hemlock_store_age_seconds", "Time since the store answered"),
+            mirror_age: age(&registry, "hemlock_mirror_age_seconds", "Time since the mirror was known to be complete"),
+            mirror_catch_ups: counter(
+                &registry,
+                "hemlock_mirror_catch_ups_total",
+                "Times that the store itself was asked because the mirror was too old",
+            ),
             list_age: age(&registry, "hemlock_list_age_seconds", "Time since the list of servers was read"),
             silent_peers: gauges(
                 &registry,
--- a/crates/daemon/src/mirror/check.rs
+++ b/crates/daemon/src/mirror/check.rs
@@ -122,8 +122,14 @@
 /// Fetches from the store itself the changes that the source may have missed.
 async fn catch_up(context: &Arc<Context>, catalog: Catalog) -> Result<(), Error> {
     let sent = context.now();
+    context.metrics.mirror_catch_ups.inc();
+    let (known, age) = {
+        let mirror = lock(&context.mirror);
+        (mirror.version(), mirror.age(sent).map(|age| age.as_millis()))
+    };
     let fetch = async {
         let version = direct::version(context).await?;
+        log::info!("mirror: source too old, store asked version={version} known={known} age_ms={age:?}");
         let mut changed = false;
         if lock(&context.mirror).version() < version {
             let outcome = match direct::changes_within(context, FETCH_WAIT).await? {
--- a/crates/daemon/src/mirror/follow.rs
+++ b/crates/daemon/src/mirror/follow.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::time::Time;
+use fleet::source::{self, MAX_WAIT, MIN_WAIT};
 use jsonrpsee_http_client::HttpClient;
 use store::changes::{Changes, Item};
 use store::{Error, Result, Version};
@@ -14,10 +15,6 @@
 use crate::peers::api::PeersClient as _;
 use crate::peers::client;
 
-/// Longest time for which a request for changes is held until there are some.
-pub const MAX_WAIT: Duration = Duration::from_secs(1);
-/// Shortest time that a follower asks for.
-const MIN_WAIT: Duration = Duration::from_millis(100);
 /// Time allowed on top of the wait for the network and for a busy member.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -83,8 +80,7 @@
             let mirror = lock(&context.mirror);
             (mirror.version(), mirror.age(sent).unwrap_or_default())
         };
-        // The answer must come before this daemon's own knowledge is stale, so that a stale source is noticed in time.
-        let wait = stale_after.saturating_sub(age).clamp(MIN_WAIT, MAX_WAIT);
+        let wait = source::wait(stale_after, age);
         let first = request(client, after, String::new(), wait).await?;
         let mut items = first.items.clone();
         let mut more = first.more;
@@ -136,20 +132,22 @@
 /// empty.
 ///
 /// Waits until there is a change or the mirror is confirmed again to be complete, for at most `wait`; a page is
-/// returned at once. `None` if the mirror is empty.
+/// returned at once. `None` if the mirror is empty. What is returned is read after the wait, so that the ages and the
+/// remaining times in it are those at which it is sent.
 pub async fn changes(context: &Arc<Context>, after: Version, from: &str, wait: Duration) -> Option<Changes> {
     let asked = context.now();
     let mut updates = context.mirror_sync.updates.subscribe();
     let confirmed = confirmed_at(context, asked);
     let deadline = tokio::time::Instant::now() + wait.min(MAX_WAIT);
+    let mut expired = false;
     loop {
         let now = context.now();
         let changes = lock(&context.mirror).changes(after, from, now)?;
         let is_new = changes.version() > after || !from.is_empty() || confirmed_at(context, now) > confirmed;
-        let update = tokio::time::timeout_at(deadline, updates.changed());
-        if is_new || update.await.is_err() {
-            return Some(Changes { waited_ms: context.now().since(asked).as_millis() as u64, ..changes });
+        if is_new || expired {
+            return Some(changes.with_wait(asked, now));
         }
+        expired = tokio::time::timeout_at(deadline, updates.changed()).await.is_err();
     }
 }
 
--- a/crates/daemon/src/mirror/mod.rs
+++ b/crates/daemon/src/mirror/mod.rs
@@ -17,7 +17,7 @@
 use fleet::source::{Backoff, MAX_STALENESS, Source};
 use tokio::sync::{Notify, watch};
 
-pub use self::follow::{MAX_WAIT, changes};
+pub use self::follow::changes;
 pub use self::store::confirm;
 use crate::Context;
 use crate::adapter::Catalog;
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -257,6 +257,8 @@
     let now = context.now();
     let list_read_at = lock(&context.instance_list).read_at.unwrap_or(Time::ZERO);
     context.metrics.store_age.set(age_s(&context.store_answered_at, now));
+    let mirror_age = lock(&context.mirror).age(now);
+    context.metrics.mirror_age.set(mirror_age.map_or(-1.0, |age| age.as_secs_f64()));
     context.metrics.peers_age.set(age_s(&context.peer_answered_at, now));
     update_silent_peers(context, now);
     context.metrics.list_age.set(now.since(list_read_at).as_secs_f64());
--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -18,6 +18,10 @@
 pub const RELAYED_STALE_AFTER: Duration = Duration::from_millis(1_500);
 /// Age of the data at which a daemon asks the store itself, whatever its source answers.
 pub const MAX_STALENESS: Duration = Duration::from_millis(1_700);
+/// Longest time for which a source holds a request for changes until there are some.
+pub const MAX_WAIT: Duration = Duration::from_secs(1);
+/// Shortest such time that a daemon asks for.
+pub const MIN_WAIT: Duration = Duration::from_millis(100);
 /// How long a silent or stale source is not asked after its first failure; doubled with each failure in a row.
 const INITIAL_BACKOFF: Duration = Duration::from_secs(3);
 /// Longest time for which a source is not asked.
@@ -46,6 +50,12 @@
     }
 }
 
+/// Returns how long a source is asked to wait for changes by a daemon whose data has this `age`: the answer must come
+/// before the data is stale, so that a stale source is noticed in time.
+pub fn wait(stale_after: Duration, age: Duration) -> Duration {
+    stale_after.saturating_sub(age).clamp(MIN_WAIT, MAX_WAIT)
+}
+
 /// Returns the source of the daemon `own`.
 ///
 /// `region` maps the live daemons of its region, `own` among them, to their failure domains. A daemon that is not in
--- a/crates/store/src/changes.rs
+++ b/crates/store/src/changes.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use base::time::Time;
 use base::version::{Version, is_zero};
 use serde::{Deserialize, Serialize};
 
@@ -85,6 +86,10 @@
     /// How long the sender delayed its answer to wait for changes, in milliseconds.
     #[serde(rename = "h")]
     pub waited_ms: u64,
+    /// Whether all ages and remaining times are as of the end of that wait. Earlier builds read them before the wait and
+    /// do not send this field.
+    #[serde(rename = "s", default, skip_serializing_if = "std::ops::Not::not")]
+    pub read_after_wait: bool,
     /// Remaining grace period after an outage of the store, in milliseconds: missing keys are kept until it ends, since
     /// their writers may write them again. Zero if there is none.
     #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
@@ -109,12 +114,25 @@
         Version::new(self.era, self.revision)
     }
 
-    /// Returns the age of the sender's knowledge when the answer arrived, `elapsed` after the request was sent; the
-    /// time that the sender waited for changes does not count. `None` if the sender's mirror was never known to be up
-    /// to date.
+    /// Returns this answer as sent at `now` to a request that came at `asked`; its ages must be as of `now`.
+    #[must_use]
+    pub fn with_wait(self, asked: Time, now: Time) -> Self {
+        Self { waited_ms: now.since(asked).as_millis() as u64, ..self }
+    }
+
+    /// Returns the longest time that may have passed since the ages and the remaining times were read, if the answer
+    /// arrived `elapsed` after the request was sent.
+    pub fn transit(&self, elapsed: Duration) -> Duration {
+        let waited = if self.read_after_wait { self.waited_ms } else { 0 };
+        elapsed.saturating_sub(Duration::from_millis(waited))
+    }
+
+    /// Returns the highest age that the sender's knowledge may have when the answer arrives, `elapsed` after the request
+    /// was sent. `None` if that is unknown: the sender's mirror was never known to be up to date, or the sender is of an
+    /// earlier build, whose own knowledge may have come through others that state too low an age.
     pub fn age(&self, elapsed: Duration) -> Option<Duration> {
-        let transit = elapsed.saturating_sub(Duration::from_millis(self.waited_ms));
-        self.age_ms.map(|age| Duration::from_millis(age) + transit)
+        let age = self.age_ms.filter(|_| self.read_after_wait)?;
+        Some(Duration::from_millis(age) + self.transit(elapsed))
     }
 
     /// Returns the deletions as events of a watch.
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -20,8 +20,8 @@
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Memory for all answers that are being read at the same time, in bytes.
 const ANSWER_BUDGET_BYTES: usize = 16 << 20;
-/// Longest time for which an idle connection is kept.
-const MAX_IDLE: Duration = Duration::from_secs(5);
+/// Longest time for which an idle connection is kept: one that went silent meanwhile would cost the next call its timeout.
+const MAX_IDLE: Duration = Duration::from_secs(2);
 /// Maximum number of idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
--- a/crates/store/src/mirror/relay.rs
+++ b/crates/store/src/mirror/relay.rs
@@ -29,6 +29,7 @@
             after: 0,
             age_ms: self.confirmed_at.map(age),
             waited_ms: 0,
+            read_after_wait: true,
             grace_ms: self.grace_until.since(now).as_millis() as u64,
             full: false,
             more: false,
@@ -80,7 +81,9 @@
         if received.era != self.era {
             return false;
         }
-        self.merge_grace_period(received, now.since(sent), now);
+        let transit = received.transit(now.since(sent));
+        let age = received.age(now.since(sent));
+        self.merge_grace_period(remaining(received.grace_ms, transit), age, now);
         let mut changed = false;
         // Changes that begin after our revision would leave an undetected gap, and a state that is older than ours
         // would restore keys that were deleted since.
@@ -88,25 +91,25 @@
         if applicable && received.full {
             let listed: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
             changed |= self.remove_unlisted(&listed, received.revision, now);
-            changed |= self.put_items(items, is_empty, now);
+            changed |= self.put_items(items, is_empty, transit, now);
             self.finish_full_sync(received.revision);
         } else if applicable {
-            changed |= self.put_items(items, is_empty, now);
+            changed |= self.put_items(items, is_empty, transit, now);
             changed |= self.apply(received.deletions().collect(), received.version(), now);
         }
-        if let Some(age) = received.age(now.since(sent)).filter(|_| received.after <= self.revision) {
+        if let Some(age) = age.filter(|_| received.after <= self.revision) {
             self.confirm(now - age);
         }
         changed
     }
 
-    /// Adopts the sender's grace period if the sender has had contact with the store without interruption: then its
-    /// state shows whether there was an outage, while our own calls may have failed for another reason. A sender
-    /// without such contact can only prolong the grace period.
-    fn merge_grace_period(&mut self, received: &Changes, elapsed: Duration, now: Time) {
-        let grace_until = (now + Duration::from_millis(received.grace_ms)).max(self.carry_until);
-        if received.age(elapsed).is_none_or(|age| age >= MAX_CURRENT_AGE) {
-            self.grace_until = if received.grace_ms > 0 { self.grace_until.max(grace_until) } else { self.grace_until };
+    /// Adopts the sender's grace period of the length `left` if the sender's knowledge is of an `age` that shows contact
+    /// with the store: then its state shows whether there was an outage, while our own calls may have failed for another
+    /// reason. A sender without contact can only prolong the grace period.
+    fn merge_grace_period(&mut self, left: Duration, age: Option<Duration>, now: Time) {
+        let grace_until = (now + left).max(self.carry_until);
+        if age.is_none_or(|age| age >= MAX_CURRENT_AGE) {
+            self.grace_until = if left.is_zero() { self.grace_until } else { self.grace_until.max(grace_until) };
             return;
         }
         self.grace_until = grace_until;
@@ -115,12 +118,14 @@
         }
     }
 
-    fn put_items(&mut self, items: Vec<Item>, was_empty: bool, now: Time) -> bool {
+    /// Adds the keys that another mirror sent up to `transit` ago.
+    fn put_items(&mut self, items: Vec<Item>, was_empty: bool, transit: Duration, now: Time) -> bool {
         let mut changed = false;
         for item in items {
             let (key, revision, carried) = (item.key.clone(), item.revision, item.carried);
+            // Without the transit: a server that started lately must not count as running for longer than it is.
             let first_seen = now - Duration::from_millis(item.age_ms);
-            let expires_at = item.expires_in_ms.map(|left| now + Duration::from_millis(left));
+            let expires_at = item.expires_in_ms.map(|left| now + remaining(left, transit));
             // A key that another mirror only keeps for its grace period is not restored: we may know of its deletion.
             if expires_at.is_none() || was_empty {
                 changed |= self.put_listed(item.entry(), first_seen, now);
@@ -137,6 +142,11 @@
     }
 }
 
+/// Returns what is left at least of a time of `left_ms` milliseconds that another mirror stated up to `transit` ago.
+fn remaining(left_ms: u64, transit: Duration) -> Duration {
+    Duration::from_millis(left_ms).saturating_sub(transit)
+}
+
 fn item(key: &str, record: &Record, now: Time) -> Item {
     Item {
         key: key.to_owned(),
--- a/crates/store/tests/changes.rs
+++ b/crates/store/tests/changes.rs
@@ -254,6 +254,37 @@
     assert_eq!(changes.age(Duration::from_millis(elapsed_ms)), Some(Duration::from_millis(expected_ms)));
 }
 
+/// A message in the form that 9f3ab69 sends, which reads its ages before it waits.
+const EARLIER_BUILD: &str = r#"{"v":5,"f":3,"t":40,"h":900,"w":1500,"i":[{"k":"a/1","v":"x","r":5,"a":700}]}"#;
+
+/// Two builds run side by side in an upgrade. The age that an earlier build states may be too low by its wait, and its
+/// own knowledge may be older than it believes: its changes are applied, and confirm nothing.
+#[test]
+fn changes_of_an_earlier_build_confirm_nothing() {
+    let changes: Changes = serde_json::from_str(EARLIER_BUILD).expect("it can be read");
+    let elapsed = Duration::from_millis(920);
+    assert_eq!(changes.age(elapsed), None);
+    assert_eq!(changes.transit(elapsed), elapsed, "what is left of a time may have been read before the wait");
+    let mut mirror = Mirror::new();
+    mirror.replace(vec![entry("b/1", "y", 3)], 3, START);
+    mirror.confirm(START);
+    let now = START + elapsed;
+    assert!(mirror.merge(&changes, changes.items.clone(), START, now));
+    assert_eq!((mirror.revision(), mirror.age(now)), (5, Some(elapsed)));
+}
+
+/// An earlier build ignores the field that it does not know, and takes the wait off the time to the answer.
+#[test]
+fn an_earlier_build_reads_the_age_of_a_later_one_as_it_is() {
+    let mut one = Mirror::new();
+    one.replace(vec![entry("a/1", "x", 3)], 5, START);
+    one.confirm(START);
+    let now = START + Duration::from_millis(940);
+    let changes = one.changes(5, "", now).expect("the mirror is not empty").with_wait(START, now);
+    let text = serde_json::to_value(&changes).expect("it can be written");
+    assert_eq!(text, serde_json::json!({"v": 5, "f": 5, "t": 940, "h": 940, "s": true}));
+}
+
 #[test]
 fn values_of_any_bytes_survive_serialization() {
     let mut one = Mirror::new();
