DRAIN: an outage of one's own path keeps no deleted key elsewhere

Cause: 0.3 s of failed calls, one lost call and its retry, counted as an outage of the store, after which missing keys are kept for two seconds; and daemons adopted the grace period of a source that had only been cut off itself.

An outage is now a time of 2 s or more without contact, longer than the age at which a daemon asks the store itself, so daemons whose source alone is cut off never see one. A grace period is adopted only by a daemon that had no contact for as long. Entries of servers lapse after 4.5 s of silence, so no shorter outage is missed but some of 1.5 s to 2 s, in which a server that came back at once is out for the time to its next heartbeat.

--- a/crates/daemon/tests/staleness.rs
+++ b/crates/daemon/tests/staleness.rs
@@ -56,6 +56,15 @@
         };
         self.changes.push((now, event));
     }
+
+    /// Returns the keys that were deleted by `time`.
+    fn deleted(&self, time: Time) -> impl Iterator<Item = &str> {
+        let until = self.revision(time) as usize;
+        self.changes[..until].iter().filter_map(|(_, event)| match event {
+            Event::Delete(key, _) => Some(key.as_str()),
+            Event::Put(_) => None,
+        })
+    }
 }
 
 /// A request for changes to another daemon.
@@ -332,12 +341,14 @@
             }
             let limit = now - MAX_DELAY;
             assert!(revision >= self.store.revision(limit), "{context}: {name} lacks a change of {MAX_DELAY:?} ago");
+            let kept = self.store.deleted(limit).find(|key| daemon.mirror.get(key).is_some());
+            assert_eq!(kept, None, "{context}: {name} keeps a key that was deleted {MAX_DELAY:?} ago");
         }
     }
 }
 
-/// Guards against a daemon that takes its data for fresher than it is, because each hop states its age from before a wait:
-/// servers that had left got requests too late.
+/// Guards against a daemon that takes its data for fresher than it is, because each hop states its age from before a wait,
+/// and against one that keeps deleted keys because its source was cut off: servers that left got requests too late.
 #[rstest]
 #[case::one_hop(7, 7, 0.0, 40)]
 #[case::two_hops(7, 3, 0.0, 40)]
--- a/crates/store/src/mirror/mod.rs
+++ b/crates/store/src/mirror/mod.rs
@@ -20,8 +20,9 @@
 /// Time after the end of an outage was noticed in which writers whose leases expired write their keys again; the
 /// platform documents about two seconds.
 const GRACE_PERIOD: Duration = Duration::from_secs(2);
-/// Calls must have failed for this long for leases to have expired; a lost connection alone is not an outage.
-const MIN_OUTAGE: Duration = Duration::from_millis(300);
+/// Time without contact with the store in which leases may have expired. Longer than the age of its knowledge at which
+/// a daemon asks the store itself, so a daemon whose source alone lost the store does not take that for an outage.
+pub const MIN_OUTAGE: Duration = Duration::from_secs(2);
 
 /// Maximum number of deletions that are kept for other mirrors.
 const MAX_TOMBSTONES: usize = 4_096;
@@ -66,6 +67,8 @@
     failing_since: Option<Time>,
     /// End of the grace period after an outage of the store, until which missing keys are kept.
     grace_until: Time,
+    /// When other mirrors last ended a time of [`MIN_OUTAGE`] or more in which this one was not known to be complete.
+    resumed_at: Option<Time>,
     /// Latest time at which the mirror is known to have been up to date.
     confirmed_at: Option<Time>,
     /// Keys deleted after the revision `tombstones_since`, in the order in which the deletions became known.
@@ -119,7 +122,8 @@
     /// Records that the store answered a call made at `sent`; returns whether that ended an outage, which starts the
     /// grace period.
     pub fn record_answer(&mut self, sent: Time, now: Time) -> bool {
-        let outage = self.failing_since.take().is_some_and(|since| sent.since(since) > MIN_OUTAGE);
+        let contact = self.last_answer.max(self.confirmed_at);
+        let outage = self.failing_since.take().is_some_and(|since| sent.since(contact.unwrap_or(since)) >= MIN_OUTAGE);
         if outage {
             self.grace_until = now + GRACE_PERIOD;
         }
--- a/crates/store/src/mirror/relay.rs
+++ b/crates/store/src/mirror/relay.rs
@@ -7,7 +7,7 @@
 use base::time::Time;
 use base::version::Version;
 
-use super::{Mirror, Record};
+use super::{GRACE_PERIOD, MIN_OUTAGE, Mirror, Record};
 use crate::changes::{Changes, Item, MAX_PAGE_BYTES};
 
 /// A sender whose knowledge is younger than this has had contact with the store without interruption.
@@ -106,10 +106,18 @@
     /// Adopts the sender's grace period of the length `left` if the sender's knowledge is of an `age` that shows contact
     /// with the store: then its state shows whether there was an outage, while our own calls may have failed for another
     /// reason. A sender without contact can only prolong the grace period.
+    ///
+    /// A sender whose own path to the store was interrupted takes that for an outage, so a grace period is adopted only
+    /// if this mirror had no contact with the store for as long.
     fn merge_grace_period(&mut self, left: Duration, age: Option<Duration>, now: Time) {
+        self.record_interruption(age.is_some_and(|age| age < MAX_CURRENT_AGE), now);
         let grace_until = (now + left).max(self.carry_until);
         if age.is_none_or(|age| age >= MAX_CURRENT_AGE) {
-            self.grace_until = if left.is_zero() { self.grace_until } else { self.grace_until.max(grace_until) };
+            let prolongs = !left.is_zero() && self.had_interruption(now);
+            self.grace_until = if prolongs { self.grace_until.max(grace_until) } else { self.grace_until };
+            return;
+        }
+        if !left.is_zero() && !self.had_interruption(now) {
             return;
         }
         self.grace_until = grace_until;
@@ -118,6 +126,23 @@
         }
     }
 
+    /// Records that contact with the store, if there `is` any at `now`, ends an interruption.
+    fn record_interruption(&mut self, is: bool, now: Time) {
+        if is && self.is_interrupted(now) {
+            self.resumed_at = Some(now);
+        }
+    }
+
+    /// Whether the mirror has not been known to be complete for so long that the store may have had an outage.
+    fn is_interrupted(&self, now: Time) -> bool {
+        self.age(now).is_none_or(|age| age >= MIN_OUTAGE)
+    }
+
+    /// Whether there is such an interruption, or one ended within a grace period.
+    fn had_interruption(&self, now: Time) -> bool {
+        self.is_interrupted(now) || self.resumed_at.is_some_and(|resumed| now.since(resumed) < GRACE_PERIOD)
+    }
+
     /// Adds the keys that another mirror sent up to `transit` ago.
     fn put_items(&mut self, items: Vec<Item>, was_empty: bool, transit: Duration, now: Time) -> bool {
         let mut changed = false;
