--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -5,19 +5,20 @@
 use std::time::Duration;
 
 use base::error::Kind;
+use base::time::Time;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesOrdered;
-use h1::body::{Decoder, Framing};
 use h1::head;
 use http::Method;
-use http::header::{EXPECT, TRANSFER_ENCODING};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::parser::{Parsed, Parser};
 use super::reply::Reply;
+use super::stop::{Start, Stop};
 use super::{forward, route};
 use crate::Context;
 
@@ -29,6 +30,8 @@
 const MAX_READ_AHEAD_BYTES: usize = 65_536;
 /// Unsent reply bytes beyond which no further request of this connection is started.
 const MAX_UNSENT_BYTES: usize = 65_536;
+/// Longest sleep of a connection on which nothing happens.
+const MAX_SLEEP: Duration = Duration::from_hours(1);
 /// How long a caller may take to read the last reply and close before the connection is dropped.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -41,6 +44,8 @@
     pub body: Bytes,
     /// The IP address of the connected caller.
     pub peer: IpAddr,
+    /// When the whole request had arrived.
+    pub arrived_at: Time,
 }
 
 /// A reply that is ready to be written.
@@ -52,108 +57,15 @@
     last: bool,
 }
 
-/// The progress of a planned shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// No shutdown is in progress.
-    Open,
-    /// Replies ask callers to reconnect elsewhere; requests that still arrive are served.
-    Leaving,
-    /// The ports stop accepting connections, and idle connections are closed.
-    Closing,
-}
-
 /// What to do for one request that was read.
 enum Job {
     Run(Box<Incoming>),
+    /// A request that is complete, and is refused because the daemon stops.
+    Decline(Box<Incoming>),
+    /// Input that is no acceptable request.
     Refuse(Kind),
 }
 
-/// A request whose head was parsed and whose body is incomplete.
-struct Partial {
-    head: head::Request,
-    decoder: Decoder,
-    body: BytesMut,
-}
-
-/// The result of parsing the buffered input.
-enum Parsed {
-    Request(head::Request, Bytes),
-    Refused(Kind),
-    /// More bytes are needed.
-    Incomplete,
-}
-
-/// Parses requests from a buffer, within the configured limits.
-struct Parser {
-    max_head: usize,
-    max_body: u64,
-    /// Whether request bodies with `Transfer-Encoding` are accepted.
-    allow_chunked: bool,
-    partial: Option<Partial>,
-    /// Set while the caller waits for `100 Continue` before it sends its body.
-    expects_continue: bool,
-}
-
-impl Parser {
-    /// Parses the next request; `buffer` may hold any part of it.
-    fn next(&mut self, buffer: &mut BytesMut) -> Parsed {
-        match self.try_next(buffer) {
-            Ok(Some((head, body))) => Parsed::Request(head, body),
-            Ok(None) => Parsed::Incomplete,
-            Err(kind) => Parsed::Refused(kind),
-        }
-    }
-
-    fn try_next(&mut self, buffer: &mut BytesMut) -> Result<Option<(head::Request, Bytes)>, Kind> {
-        if self.partial.is_none() {
-            let Some(head) = head::Request::parse(buffer, self.max_head).map_err(error_kind)? else {
-                return Ok(None);
-            };
-            self.partial = Some(self.start_body(head)?);
-        }
-        let Some(partial) = &mut self.partial else { return Ok(None) };
-        while let Some(chunk) = partial.decoder.decode(buffer).map_err(error_kind)? {
-            if partial.body.len() as u64 + chunk.len() as u64 > self.max_body {
-                return Err(Kind::BodyTooLarge);
-            }
-            partial.body.extend_from_slice(&chunk);
-        }
-        if !partial.decoder.is_complete() {
-            return Ok(None);
-        }
-        self.expects_continue = false;
-        Ok(self.partial.take().map(|partial| (partial.head, partial.body.freeze())))
-    }
-
-    /// Checks the framing of a request's body against the limits and prepares to decode it.
-    fn start_body(&mut self, head: head::Request) -> Result<Partial, Kind> {
-        let framing = Framing::of_request(&head.headers);
-        if head.headers.contains_key(TRANSFER_ENCODING) && !self.allow_chunked {
-            return Err(Kind::LengthRequired);
-        }
-        let framing = framing.map_err(error_kind)?;
-        if matches!(framing, Framing::Length(length) if length > self.max_body) {
-            return Err(Kind::BodyTooLarge);
-        }
-        self.expects_continue = head.headers.contains_key(EXPECT);
-        Ok(Partial { head, decoder: Decoder::new(framing), body: BytesMut::new() })
-    }
-
-    /// Whether part of a request has arrived.
-    fn has_partial(&self, buffer: &BytesMut) -> bool {
-        self.partial.is_some() || !buffer.is_empty()
-    }
-}
-
-fn error_kind(error: h1::Error) -> Kind {
-    match error {
-        h1::Error::Ambiguous => Kind::AmbiguousFraming,
-        h1::Error::BodyTooLarge => Kind::BodyTooLarge,
-        h1::Error::Malformed | h1::Error::HeadTooLarge | h1::Error::Cut => Kind::Malformed,
-    }
-}
-
 async fn handle(context: Arc<Context>, job: Job) -> ReadyReply {
     match job {
         Job::Run(incoming) => {
@@ -161,6 +73,10 @@
             let reply = route(&context, *incoming).await;
             ReadyReply { method, last: !keep_alive || reply.close, reply }
         }
+        Job::Decline(incoming) => {
+            let reply = forward::refuse(&context, &incoming, Kind::Leaving);
+            ReadyReply { method: incoming.head.method.clone(), last: true, reply }
+        }
         Job::Refuse(kind) => {
             ReadyReply { method: Method::GET, reply: Reply::error(kind, &context.dialect), last: true }
         }
@@ -175,12 +91,13 @@
     parser: Parser,
     input: BytesMut,
     output: BytesMut,
-    /// A non-idempotent request that waits until all earlier replies are ready.
+    /// A request that was read and is not started yet; it may wait until all earlier replies are ready.
     deferred: Option<Incoming>,
     /// Replies of the running requests, in order of arrival.
     replies: FuturesOrdered<F>,
     /// Set once no further request is read; the connection ends when the remaining replies are written.
     closing: bool,
+    accepted_at: Time,
     /// When a partial request must be complete; for an idle connection, when it is closed.
     read_deadline: Instant,
     /// When bytes were last sent, or when the first bytes were added to an empty output buffer.
@@ -188,39 +105,42 @@
 }
 
 /// Serves one connection until it ends.
-pub async fn serve(context: Arc<Context>, mut stream: TcpStream, peer: IpAddr, mut phase: watch::Receiver<Phase>) {
+pub async fn serve(context: Arc<Context>, mut stream: TcpStream, peer: IpAddr, mut stop: watch::Receiver<Stop>) {
     let mut connection = Connection::new(context, peer, handle);
     let (mut reader, mut writer) = stream.split();
     loop {
-        connection.start_requests(*phase.borrow() == Phase::Closing);
+        let current = *stop.borrow_and_update();
+        connection.start_requests(&current);
         if connection.is_finished() {
             break;
         }
         let may_read = connection.input.len() < MAX_READ_AHEAD_BYTES;
         connection.input.reserve(READ_BYTES);
-        let deadline = connection.next_deadline();
+        let deadline = connection.next_deadline(&current);
         tokio::select! {
+            // Bytes that have arrived are read before an idle connection is closed, however late this task runs.
+            biased;
             Some(ready) = connection.replies.next(), if !connection.replies.is_empty() => {
-                connection.write(&ready, *phase.borrow() >= Phase::Leaving);
+                connection.write(&ready, &current);
             }
-            read = reader.read_buf(&mut connection.input), if may_read => match read {
-                Ok(bytes) if bytes > 0 => {}
-                // The caller disconnected: dropping the connection abandons its running requests.
-                Ok(_) | Err(_) => return,
-            },
             written = writer.write_buf(&mut connection.output), if !connection.output.is_empty() => {
                 if !written.is_ok_and(|bytes| bytes > 0) {
                     return;
                 }
                 connection.last_write = Instant::now();
             }
+            read = reader.read_buf(&mut connection.input), if may_read => match read {
+                Ok(bytes) if bytes > 0 => {}
+                // The caller disconnected: dropping the connection abandons its running requests.
+                Ok(_) | Err(_) => return,
+            },
             () = tokio::time::sleep_until(deadline.unwrap_or(connection.read_deadline)), if deadline.is_some() => {
                 if !connection.output.is_empty() {
                     return log::info!("callers: connection dropped, the caller does not read its answer");
                 }
                 connection.expire();
             }
-            changed = phase.changed() => if changed.is_err() { return },
+            changed = stop.changed() => if changed.is_err() { return },
         }
     }
     linger(&mut stream).await;
@@ -246,13 +166,7 @@
 {
     fn new(context: Arc<Context>, peer: IpAddr, handler: R) -> Self {
         let settings = &context.settings.callers;
-        let parser = Parser {
-            max_head: settings.max_header_bytes as usize,
-            max_body: settings.max_body_bytes,
-            allow_chunked: settings.chunked_bodies,
-            partial: None,
-            expects_continue: false,
-        };
+        let (parser, accepted_at) = (Parser::new(settings), context.now());
         let read_deadline = Instant::now() + Duration::from_millis(settings.header_timeout_ms);
         Self {
             context,
@@ -264,6 +178,7 @@
             deferred: None,
             replies: FuturesOrdered::new(),
             closing: false,
+            accepted_at,
             read_deadline,
             last_write: read_deadline,
         }
@@ -275,65 +190,68 @@
     }
 
     /// When the connection times out if the caller neither reads nor sends anything; `None` while only requests run.
-    fn next_deadline(&self) -> Option<Instant> {
+    fn next_deadline(&self, stop: &Stop) -> Option<Instant> {
         if !self.output.is_empty() {
             return Some(self.last_write + Duration::from_millis(self.context.settings.callers.idle_timeout_ms));
         }
-        self.replies.is_empty().then_some(self.read_deadline)
-    }
-
-    /// Whether no part of a further request has been received.
-    fn no_further_input(&self) -> bool {
-        self.deferred.is_none() && !self.parser.has_partial(&self.input)
+        if !self.replies.is_empty() {
+            return None;
+        }
+        let closes_at = stop.closes_at(self.accepted_at, self.parser.has_partial(&self.input));
+        let until_close = closes_at.since(self.context.now());
+        Some(self.read_deadline.min(Instant::now() + until_close.min(MAX_SLEEP)))
     }
 
     /// Starts the requests that were received completely, within the limits of the connection.
-    fn start_requests(&mut self, stopping: bool) {
+    fn start_requests(&mut self, stop: &Stop) {
         while !self.closing && self.replies.len() < MAX_PIPELINED && self.output.len() < MAX_UNSENT_BYTES {
-            if let Some(deferred) = self.deferred.take() {
-                self.start(deferred);
-                if self.deferred.is_some() {
-                    return;
-                }
-                continue;
+            if stop.holds(self.replies.len()) {
+                return;
             }
-            let was_partial = self.parser.has_partial(&self.input);
-            match self.parser.next(&mut self.input) {
-                Parsed::Incomplete => {
-                    self.wait_for_input(was_partial);
-                    self.closing |= stopping && self.no_further_input() && self.replies.is_empty();
+            let Some(incoming) = self.deferred.take().or_else(|| self.parse()) else { return };
+            let demand = forward::demand(&self.context, &incoming);
+            match stop.start(demand, self.replies.len(), self.context.now()) {
+                Start::Now => self.start(incoming),
+                Start::Refused => self.push(Job::Decline(Box::new(incoming))),
+                Start::AfterEarlier | Start::Never => {
+                    self.deferred = Some(incoming);
                     return;
                 }
-                Parsed::Refused(kind) => {
-                    self.closing = true;
-                    self.push(Job::Refuse(kind));
-                }
-                Parsed::Request(head, body) => self.start(Incoming { head, body, peer: self.peer }),
             }
         }
     }
 
+    /// Returns the next request that has arrived completely. Input that is no acceptable request is answered as the last
+    /// of the connection.
+    fn parse(&mut self) -> Option<Incoming> {
+        let was_partial = self.parser.has_partial(&self.input);
+        match self.parser.next(&mut self.input) {
+            Parsed::Incomplete => self.wait_for_input(was_partial),
+            Parsed::Refused(kind) => {
+                self.closing = true;
+                self.push(Job::Refuse(kind));
+            }
+            Parsed::Request(head, body) => {
+                return Some(Incoming { head, body, peer: self.peer, arrived_at: self.context.now() });
+            }
+        }
+        None
+    }
+
     /// Sends `100 Continue` if the caller expects it, and sets the read deadline when a new request has begun.
     fn wait_for_input(&mut self, was_partial: bool) {
         let settings = &self.context.settings.callers;
-        if self.parser.expects_continue {
+        if self.parser.take_expects_continue() {
             self.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
-            self.parser.expects_continue = false;
         }
         if self.parser.has_partial(&self.input) && !was_partial {
-            let in_body = self.parser.partial.is_some();
-            let wait = if in_body { settings.body_timeout_ms } else { settings.header_timeout_ms };
+            let wait = if self.parser.in_body() { settings.body_timeout_ms } else { settings.header_timeout_ms };
             self.read_deadline = Instant::now() + Duration::from_millis(wait);
         }
     }
 
-    /// Starts a request. A non-idempotent one is deferred until the earlier replies are ready: if one of them ends the
-    /// connection, the caller may send the request again.
+    /// Starts a request.
     fn start(&mut self, incoming: Incoming) {
-        if !self.replies.is_empty() && !forward::is_idempotent(&self.context, &incoming.head) {
-            self.deferred = Some(incoming);
-            return;
-        }
         self.closing |= !incoming.head.keep_alive;
         self.push(Job::Run(Box::new(incoming)));
     }
@@ -342,12 +260,12 @@
         self.replies.push_back((self.handler)(Arc::clone(&self.context), job));
     }
 
-    /// Adds a reply to the output. While stopping, the last one announces that the connection closes.
-    fn write(&mut self, ready: &ReadyReply, stopping: bool) {
+    /// Adds a reply to the output. During a stop, the last one announces that the connection closes.
+    fn write(&mut self, ready: &ReadyReply, stop: &Stop) {
         if self.output.is_empty() {
             self.last_write = Instant::now();
         }
-        let last = ready.last || (stopping && self.replies.is_empty() && self.no_further_input());
+        let last = ready.last || stop.is_last_reply(self.replies.len());
         ready.reply.write(&mut self.output, &ready.method, last);
         if last {
             self.closing = true;
@@ -363,10 +281,10 @@
     /// idle or has sent only part of a head is closed without a reply.
     fn expire(&mut self) {
         self.closing = true;
-        if self.parser.partial.is_some() {
+        if self.parser.in_body() {
             Reply::error(Kind::SlowSender, &self.context.dialect).write(&mut self.output, &Method::GET, true);
         }
         self.input.clear();
-        self.parser.partial = None;
+        self.parser.clear();
     }
 }
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -14,11 +14,12 @@
 use super::connection::Incoming;
 use super::relay;
 use super::reply::Reply;
+use super::stop::Demand;
 use crate::Context;
 use crate::at_most_once::{self, KeyedRequest};
 use crate::context::lock;
 use crate::dialect::AtMostOnce;
-use crate::driver::{Outcome, Outgoing, Submission};
+use crate::driver::{Outcome, Outgoing, Refusal, Submission};
 
 /// Identifies a keyed request; the caller repeats it with each send of the request.
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
@@ -52,11 +53,29 @@
     }
 }
 
-/// Whether a request may safely run more than once. A request without a class runs nowhere and counts as idempotent.
-pub fn is_idempotent(context: &Context, head: &head::Request) -> bool {
+/// Returns what a stop decides by: a request without a class runs nowhere, and is answered at once.
+pub fn demand(context: &Context, incoming: &Incoming) -> Demand {
+    let head = &incoming.head;
     let active = context.policy();
-    let class = active.policy.class_of(host(&head.headers), head.path());
-    class.is_none_or(|(_, class)| class.idempotent)
+    let Some((_, class)) = active.policy.class_of(host(&head.headers), head.path()) else {
+        return Demand { idempotent: true, limit: Duration::ZERO };
+    };
+    let class_limit = Duration::from_millis(class.deadline_ms);
+    let limit = caller_limit(context, &head.headers).map_or(class_limit, |caller| caller.min(class_limit));
+    Demand { idempotent: class.idempotent, limit }
+}
+
+/// Refuses a request that is not started; its caller can send it elsewhere at once.
+pub fn refuse(context: &Context, incoming: &Incoming, kind: Kind) -> Reply {
+    let id = request_id(context, &incoming.head.headers);
+    log::info!(request = id.as_str(), result = kind.as_str(); "callers: refused");
+    Reply::refusal(Refusal { kind, retry_after: Some(Duration::ZERO) }, &context.dialect)
+}
+
+/// Returns how long the caller waits from the time when its request arrived; `None` if it does not say.
+fn caller_limit(context: &Context, headers: &HeaderMap) -> Option<Duration> {
+    let milliseconds = head::text(headers, &context.dialect.deadline_ms)?;
+    milliseconds.trim().parse().ok().map(Duration::from_millis)
 }
 
 /// Finds the class of a request and dispatches it. Returns the name of the class, if the request has one, and the
@@ -204,12 +223,11 @@
 /// Returns what the dispatch engine needs of a request, from its class and headers.
 fn submission(context: &Context, class: usize, fingerprint: u64, headers: &HeaderMap) -> Submission {
     let dialect = &context.dialect;
-    let milliseconds = head::text(headers, &dialect.deadline_ms).and_then(|text| text.trim().parse().ok());
     let object = dialect.object.as_ref().and_then(|name| headers.get(name));
     Submission {
         class,
         fingerprint,
-        timeout: milliseconds.map(Duration::from_millis),
+        timeout: caller_limit(context, headers),
         object: object.map(|value| hash::bytes(value.as_bytes())),
     }
 }
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -3,9 +3,11 @@
 pub mod connection;
 pub mod forward;
 pub mod lookup;
+mod parser;
 pub mod relay;
 pub mod reply;
 pub mod server;
+pub mod stop;
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/crates/daemon/src/callers/parser.rs
@@ -0,0 +1,124 @@
+//! Parsing of callers' requests from the bytes that have arrived.
+
+use base::error::Kind;
+use bytes::{Bytes, BytesMut};
+use config::configs::Callers;
+use h1::body::{Decoder, Framing};
+use h1::head;
+use http::header::{EXPECT, TRANSFER_ENCODING};
+
+/// A request whose head was parsed and whose body is incomplete.
+#[derive(Debug)]
+struct Partial {
+    head: head::Request,
+    decoder: Decoder,
+    body: BytesMut,
+}
+
+/// The result of parsing the buffered input.
+#[derive(Debug)]
+pub enum Parsed {
+    /// A complete request.
+    Request(head::Request, Bytes),
+    /// Input that is no acceptable request.
+    Refused(Kind),
+    /// More bytes are needed.
+    Incomplete,
+}
+
+/// Parses requests from a buffer, within the configured limits.
+#[derive(Debug)]
+pub struct Parser {
+    max_head: usize,
+    max_body: u64,
+    /// Whether request bodies with `Transfer-Encoding` are accepted.
+    allow_chunked: bool,
+    partial: Option<Partial>,
+    /// Set while the caller waits for `100 Continue` before it sends its body.
+    expects_continue: bool,
+}
+
+impl Parser {
+    /// Creates a parser with the limits of the settings.
+    pub fn new(settings: &Callers) -> Self {
+        Self {
+            max_head: settings.max_header_bytes as usize,
+            max_body: settings.max_body_bytes,
+            allow_chunked: settings.chunked_bodies,
+            partial: None,
+            expects_continue: false,
+        }
+    }
+
+    /// Parses the next request; `buffer` may hold any part of it.
+    pub fn next(&mut self, buffer: &mut BytesMut) -> Parsed {
+        match self.try_next(buffer) {
+            Ok(Some((head, body))) => Parsed::Request(head, body),
+            Ok(None) => Parsed::Incomplete,
+            Err(kind) => Parsed::Refused(kind),
+        }
+    }
+
+    fn try_next(&mut self, buffer: &mut BytesMut) -> Result<Option<(head::Request, Bytes)>, Kind> {
+        if self.partial.is_none() {
+            let Some(head) = head::Request::parse(buffer, self.max_head).map_err(error_kind)? else {
+                return Ok(None);
+            };
+            self.partial = Some(self.start_body(head)?);
+        }
+        let Some(partial) = &mut self.partial else { return Ok(None) };
+        while let Some(chunk) = partial.decoder.decode(buffer).map_err(error_kind)? {
+            if partial.body.len() as u64 + chunk.len() as u64 > self.max_body {
+                return Err(Kind::BodyTooLarge);
+            }
+            partial.body.extend_from_slice(&chunk);
+        }
+        if !partial.decoder.is_complete() {
+            return Ok(None);
+        }
+        self.expects_continue = false;
+        Ok(self.partial.take().map(|partial| (partial.head, partial.body.freeze())))
+    }
+
+    /// Checks the framing of a request's body against the limits and prepares to decode it.
+    fn start_body(&mut self, head: head::Request) -> Result<Partial, Kind> {
+        let framing = Framing::of_request(&head.headers);
+        if head.headers.contains_key(TRANSFER_ENCODING) && !self.allow_chunked {
+            return Err(Kind::LengthRequired);
+        }
+        let framing = framing.map_err(error_kind)?;
+        if matches!(framing, Framing::Length(length) if length > self.max_body) {
+            return Err(Kind::BodyTooLarge);
+        }
+        self.expects_continue = head.headers.contains_key(EXPECT);
+        Ok(Partial { head, decoder: Decoder::new(framing), body: BytesMut::new() })
+    }
+
+    /// Whether the head of a request has arrived, and not all of its body.
+    pub const fn in_body(&self) -> bool {
+        self.partial.is_some()
+    }
+
+    /// Returns whether the caller waits for `100 Continue`, once for each request.
+    pub const fn take_expects_continue(&mut self) -> bool {
+        std::mem::replace(&mut self.expects_continue, false)
+    }
+
+    /// Drops the part of a request that has arrived.
+    pub fn clear(&mut self) {
+        self.partial = None;
+    }
+
+    /// Whether part of a request has arrived.
+    pub fn has_partial(&self, buffer: &BytesMut) -> bool {
+        self.partial.is_some() || !buffer.is_empty()
+    }
+}
+
+fn error_kind(error: h1::Error) -> Kind {
+    match error {
+        h1::Error::Ambiguous => Kind::AmbiguousFraming,
+        h1::Error::BodyTooLarge => Kind::BodyTooLarge,
+        h1::Error::Malformed | h1::Error::HeadTooLarge | h1::Error::Cut => Kind::Malformed,
+    }
+}
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -8,7 +8,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
-use super::connection::{self, Phase};
+use super::connection;
+use super::stop::{Phase, Stop};
 use crate::Context;
 use crate::plugin::Plugin;
 
@@ -16,8 +17,6 @@
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(30);
 /// Idle time after which TCP keep-alive probes are sent.
 const KEEP_ALIVE_AFTER: Duration = Duration::from_secs(30);
-/// While the port closes, accepting ends once no connection has arrived for this time.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
 /// Pause after a failed accept, before the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -27,18 +26,27 @@
 
 /// The accept loops of the port and its number of open connections.
 struct Port {
-    phase: watch::Sender<Phase>,
+    context: Arc<Context>,
+    stop: watch::Sender<Stop>,
     tasks: Vec<tokio::task::JoinHandle<()>>,
     open: Arc<AtomicUsize>,
 }
 
 impl kernel::Component for Port {
     fn withdraw(&mut self) {
-        self.phase.send_replace(Phase::Leaving);
+        let length = Duration::from_millis(self.context.settings.callers.stop_ms);
+        self.stop.send_replace(Stop::begin(length, self.context.now()));
     }
 
     fn drain(&mut self) -> bool {
-        self.phase.send_replace(Phase::Closing);
+        let now = self.context.now();
+        let stop = *self.stop.borrow();
+        if stop.phase() != Phase::Closing {
+            self.stop.send_replace(stop.with_closing(now));
+        }
+        if stop.is_over(now) {
+            self.context.driver.give_up_all(&self.context);
+        }
         self.tasks.iter().all(tokio::task::JoinHandle::is_finished) && self.open.load(Ordering::Relaxed) == 0
     }
 
@@ -51,7 +59,7 @@
 
 fn start(context: &Arc<Context>) -> kernel::StartResult {
     let settings = &context.settings.callers;
-    let (phase, receiver) = watch::channel(Phase::Open);
+    let (stop, receiver) = watch::channel(Stop::none());
     let open = Arc::new(AtomicUsize::new(0));
     let mut tasks = Vec::new();
     let addresses = [("callers.address", &settings.address), ("callers.lookup_address", &settings.lookup_address)];
@@ -59,23 +67,23 @@
         let listener = context
             .listen(address)
             .map_err(|error| format!("key `{key}`: cannot listen at {address}: {error}; choose a free address"))?;
-        let acceptor = Acceptor { context: Arc::clone(context), phase: receiver.clone(), open: Arc::clone(&open) };
+        let acceptor = Acceptor { context: Arc::clone(context), stop: receiver.clone(), open: Arc::clone(&open) };
         tasks.push(context.runtime.spawn(acceptor.run(listener)));
     }
-    Ok(Box::new(Port { phase, tasks, open }))
+    Ok(Box::new(Port { context: Arc::clone(context), stop, tasks, open }))
 }
 
 /// Accepts connections on one address until the port closes.
 struct Acceptor {
     context: Arc<Context>,
-    phase: watch::Receiver<Phase>,
+    stop: watch::Receiver<Stop>,
     open: Arc<AtomicUsize>,
 }
 
 impl Acceptor {
     async fn run(mut self, listener: TcpListener) {
         let slots = Arc::new(Semaphore::new(self.context.settings.callers.max_connections as usize));
-        while *self.phase.borrow() != Phase::Closing {
+        while self.stop.borrow_and_update().phase() != Phase::Closing {
             let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
                 return;
             };
@@ -87,19 +95,24 @@
                         tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                     }
                 },
-                changed = self.phase.changed() => if changed.is_err() { return },
+                changed = self.stop.changed() => if changed.is_err() { return },
             }
         }
-        self.drain_backlog(&listener, &slots).await;
+        self.accept_backlog(&listener, &slots).await;
     }
 
-    /// Accepts the connections that still wait in the listen backlog: closing the listener would reset them.
-    async fn drain_backlog(&self, listener: &TcpListener, slots: &Arc<Semaphore>) {
-        while let Ok(Ok((stream, peer))) = tokio::time::timeout(DRAIN_TIMEOUT, listener.accept()).await {
+    /// Accepts the connections that wait in the backlog, for a limited time: callers may come back all the time.
+    async fn accept_backlog(&self, listener: &TcpListener, slots: &Arc<Semaphore>) {
+        loop {
+            let left = self.stop.borrow().port_closes_at().since(self.context.now());
+            let Ok(Ok((stream, peer))) = tokio::time::timeout(left, listener.accept()).await else { return };
             let Ok(slot) = Arc::clone(slots).acquire_owned().await else {
                 return;
             };
             self.serve(stream, peer, slot);
+            if left.is_zero() {
+                return;
+            }
         }
     }
 
@@ -108,7 +121,7 @@
             log::debug!("callers: socket options not set reason={:?}", error.to_string());
         }
         let (context, open) = (Arc::clone(&self.context), Arc::clone(&self.open));
-        let serving = connection::serve(Arc::clone(&context), stream, peer.ip(), self.phase.clone());
+        let serving = connection::serve(Arc::clone(&context), stream, peer.ip(), self.stop.clone());
         open.fetch_add(1, Ordering::Relaxed);
         context.metrics.connections.inc();
         self.context.runtime.spawn(async move {
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -164,6 +164,12 @@
         self.with_engine_mut(context, |engine| engine.abandon(request, now));
     }
 
+    /// Answers all requests that are still open with an error: the time for a stop is over.
+    pub fn give_up_all(&self, context: &Arc<Context>) {
+        let now = context.now();
+        self.with_engine_mut(context, |engine| engine.give_up_all(now));
+    }
+
     /// Reports the end of an attempt to the engine, with its answer if there is one.
     pub fn finish(&self, context: &Arc<Context>, attempt: u64, ending: Ending, response: Option<Arc<Response>>) {
         stall::check(context);
--- a/crates/dispatch/src/engine/answer.rs
+++ b/crates/dispatch/src/engine/answer.rs
@@ -62,4 +62,13 @@
         let kind = if state.live.is_empty() { Kind::Expired } else { Kind::BackendTimeout };
         self.refuse(request, kind, now);
     }
+
+    /// Answers all open requests with an error: those that were never sent did not run.
+    pub fn give_up_all(&mut self, now: Time) {
+        let open: Vec<u64> = self.requests.keys().copied().collect();
+        for request in open {
+            let waits = self.requests.get(&request).is_some_and(|state| state.live.is_empty());
+            self.refuse(request, if waits { Kind::Leaving } else { Kind::BackendTimeout }, now);
+        }
+    }
 }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -163,7 +163,7 @@
         self.traces[&request].answers.first().copied()
     }
 
-    fn apply_actions(&mut self) {
+    pub fn apply_actions(&mut self) {
         for action in self.engine.take_actions() {
             match action {
                 Action::Start { request, attempt, backend, .. } => self.started(request, attempt, backend),
--- a/crates/dispatch/tests/faults.rs
+++ b/crates/dispatch/tests/faults.rs
@@ -373,3 +373,18 @@
     let next = world.send_as(LOOKUP, 99);
     assert_ne!(refused(&world, next), Some(Kind::Poisoned));
 }
+
+/// At the end of a stop, each open request gets an error that is true: only what was never sent did not run.
+#[test]
+fn requests_that_are_given_up_are_told_whether_they_may_have_run() {
+    let mut world = world(1);
+    let sent: Vec<u64> = (0..20).map(|_| world.send(ORDER)).collect();
+    let (running, waiting): (Vec<u64>, Vec<u64>) =
+        sent.into_iter().partition(|request| !world.attempts_of(*request).is_empty());
+    assert!(!running.is_empty() && !waiting.is_empty());
+    world.engine.give_up_all(world.now);
+    world.apply_actions();
+    assert!(running.iter().all(|request| refused(&world, *request) == Some(Kind::BackendTimeout)));
+    assert!(waiting.iter().all(|request| refused(&world, *request) == Some(Kind::Leaving)));
+    assert_eq!(world.engine.queued(), 0);
+}
