Count the heads of answers that are being read against the memory budget

Heads did not count against the budget: servers that stop in the middle of one could hold 64 KB for each of max_in_flight requests, 128 MB on the users' platform. They count now; heads_without_an_end_use_bounded_memory_together did not end before.

--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -30,7 +30,7 @@
 
 /// Handles a request for a class of work: dispatches it, records metrics and logs the result.
 pub async fn handle(context: &Arc<Context>, incoming: Incoming) -> Reply {
-    let start = context.now();
+    let start = incoming.arrived_at;
     let id = request_id(context, &incoming.head.headers);
     let (class, outcome) = run(context, incoming, &id, start).await;
     let result = match &outcome {
--- a/crates/h1/src/budget.rs
+++ b/crates/h1/src/budget.rs
@@ -65,6 +65,14 @@
     }
 }
 
+impl Reservation<'_> {
+    /// Reserves as many more bytes as are needed to hold `bytes` in all; returns whether it did.
+    pub fn hold(&mut self, bytes: usize) -> bool {
+        let missing = bytes.saturating_sub(self.bytes);
+        missing == 0 || self.grow(missing)
+    }
+}
+
 impl Drop for Reservation<'_> {
     fn drop(&mut self) {
         let mut usage = self.budget.usage();
--- a/crates/h1/src/client.rs
+++ b/crates/h1/src/client.rs
@@ -62,7 +62,7 @@
     pub body: &'a Bytes,
     /// Maximum size of the answer's body, in bytes.
     pub max_answer_bytes: usize,
-    /// Memory budget for the answer's body while it is read.
+    /// Memory budget for the answer's head and body while they are read.
     pub budget: &'a Budget,
 }
 
@@ -204,7 +204,7 @@
     ) -> Result<Option<Answer>, Fault> {
         loop {
             if self.head.is_none() && !self.read_head(buffer, &is_ours)? {
-                return Ok(None);
+                return if self.reservation.hold(buffer.len()) { Ok(None) } else { Err(Fault::LimitExceeded) };
             }
             while let Some(part) = self.decoder.decode(buffer).map_err(fault)? {
                 self.append(&part)?;
--- a/crates/h1/tests/client.rs
+++ b/crates/h1/tests/client.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -168,3 +169,39 @@
         assert!(matches!(fault, Fault::Unsent | Fault::Lost), "{fault:?}");
     });
 }
+
+/// Load: a hundred faulty servers at once send heads that do not end, and stop in the middle. All connections together
+/// may hold the budget and no more; those over their share end.
+#[test]
+fn heads_without_an_end_use_bounded_memory_together() {
+    const SERVERS: usize = 100;
+    const HEAD_BYTES: usize = 20_000;
+    const BUDGET_BYTES: usize = 10 * HEAD_BYTES;
+    let budget = Arc::new(Budget::new(BUDGET_BYTES));
+    runtime().block_on(async {
+        let mut exchanges = tokio::task::JoinSet::new();
+        for _ in 0..SERVERS {
+            let address = server(|mut stream| {
+                let head = format!("HTTP/1.1 200 OK\r\nx: {}", "y".repeat(HEAD_BYTES));
+                drop(stream.write_all(head.as_bytes()));
+                drop(stream.read_to_end(&mut Vec::new()));
+            });
+            let budget = Arc::clone(&budget);
+            exchanges.spawn(async move {
+                let mut connection = Connection::open(address, Duration::from_secs(5)).await.expect("it listens");
+                let (headers, body) = (HeaderMap::new(), Bytes::new());
+                let method = Method::GET;
+                let (max_answer_bytes, budget) = (100, &*budget);
+                let call =
+                    Call { method: &method, target: "/", headers: &headers, body: &body, max_answer_bytes, budget };
+                connection.exchange(call, |_| true).await.map(|_| ())
+            });
+        }
+        for ended in 0..SERVERS - BUDGET_BYTES / HEAD_BYTES {
+            let next = tokio::time::timeout(Duration::from_secs(30), exchanges.join_next()).await;
+            let result = next.expect("one more ends").expect("some are left").expect("none panics");
+            assert_eq!(result, Err(Fault::LimitExceeded));
+            assert!(budget.reserved() <= BUDGET_BYTES + HEAD_BYTES, "{} after {ended}", budget.reserved());
+        }
+    });
+}
