Count a request's deadline from its arrival, not from its start

A request that may not be repeated waits until the requests before it on its connection are answered. Its caller's deadline and its class's limit counted from then on, so a server was told more time than was left: 3,999 ms of 4,000 after a wait of 400 ms.

Test that failed before: the_time_that_a_request_waits_is_taken_off_its_deadline.

--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -79,8 +79,8 @@
 }
 
 /// Finds the class of a request and dispatches it. Returns the name of the class, if the request has one, and the
-/// outcome.
-async fn run(context: &Arc<Context>, incoming: Incoming, id: &str, now: Time) -> (Option<String>, Outcome) {
+/// outcome. All its times count from `arrived`, also if it has waited behind others of its connection.
+async fn run(context: &Arc<Context>, incoming: Incoming, id: &str, arrived: Time) -> (Option<String>, Outcome) {
     let active = context.policy();
     if active.policy.regions.is_empty() {
         return (None, Err(Kind::NoPolicy.into()));
@@ -97,9 +97,9 @@
     if class.closed {
         return (Some(name), Err(Kind::NoBackend.into()));
     }
-    let limit = now + Duration::from_millis(class.deadline_ms);
+    let limit = arrived + Duration::from_millis(class.deadline_ms);
     let found = ClassMatch { position, idempotent, regions: class.regions.clone(), limit };
-    let outcome = dispatch(context, found, incoming, id, now).await;
+    let outcome = dispatch(context, found, incoming, id).await;
     (Some(name), outcome)
 }
 
@@ -116,9 +116,11 @@
 
 /// Dispatches a request of a class. A keyed request first passes the ledger, which may replay an earlier answer or
 /// refuse the request.
-async fn dispatch(context: &Arc<Context>, class: ClassMatch, incoming: Incoming, id: &str, now: Time) -> Outcome {
+async fn dispatch(context: &Arc<Context>, class: ClassMatch, incoming: Incoming, id: &str) -> Outcome {
     let ClassMatch { position, idempotent, regions, limit } = class;
-    let Incoming { head, body, .. } = incoming;
+    let Incoming { head, body, arrived_at, .. } = incoming;
+    let caller_deadline = caller_limit(context, &head.headers).map(|limit| arrived_at + limit);
+    let deadline = caller_deadline.map_or(limit, |caller| caller.min(limit));
     let is_relayed = head.headers.contains_key(relay::MARK);
     let fingerprint = fingerprint(head.method.as_str(), &head.target, &body);
     let needs_key = !idempotent && context.dialect.at_most_once == AtMostOnce::PerKey;
@@ -133,7 +135,7 @@
             Admission::Refuse(kind) => return Err(kind.into()),
         }
     }
-    let submission = submission(context, position, fingerprint, &head.headers);
+    let submission = submission(context, position, fingerprint, &head.headers, deadline);
     let object = context.dialect.object.as_ref().and_then(|name| head::text(&head.headers, name)).unwrap_or("-");
     let outgoing = Arc::new(Outgoing {
         number: context.driver.next_request_number(),
@@ -143,15 +145,13 @@
         target: head.target,
         headers: forwarded_headers(context, &head.headers),
         body,
-        caller_deadline: submission.timeout.map(|timeout| now + timeout),
         idempotent,
         keyed,
     });
     if outgoing.keyed.is_some() {
         return run_keyed(context, outgoing, submission).await;
     }
-    let route =
-        Route { is_relayed, regions, deadline: outgoing.caller_deadline.map_or(limit, |caller| caller.min(limit)) };
+    let route = Route { is_relayed, regions, deadline };
     if context.reach.is_lost() {
         return send_through_peer(context, &outgoing, &route).await;
     }
@@ -220,14 +220,14 @@
     }
 }
 
-/// Returns what the dispatch engine needs of a request, from its class and headers.
-fn submission(context: &Context, class: usize, fingerprint: u64, headers: &HeaderMap) -> Submission {
+/// Returns what the dispatch engine needs of a request that is given up at `deadline`, from its class and headers.
+fn submission(context: &Context, class: usize, fingerprint: u64, headers: &HeaderMap, deadline: Time) -> Submission {
     let dialect = &context.dialect;
     let object = dialect.object.as_ref().and_then(|name| headers.get(name));
     Submission {
         class,
         fingerprint,
-        timeout: caller_limit(context, headers),
+        timeout: deadline.since(context.now()),
         object: object.map(|value| hash::bytes(value.as_bytes())),
     }
 }
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -48,8 +48,6 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
-    /// When the caller stops waiting; `None` if it names no deadline.
-    pub caller_deadline: Option<Time>,
     /// Whether the request may safely run more than once.
     pub idempotent: bool,
     /// Idempotency key and claim of a request that must run at most once; `None` for any other.
@@ -63,8 +61,8 @@
     pub class: usize,
     /// Fingerprint of the request, equal when the caller sends it again.
     pub fingerprint: u64,
-    /// How long the caller waits; `None` if it names no deadline.
-    pub timeout: Option<Duration>,
+    /// Time until the request is given up.
+    pub timeout: Duration,
     /// Hash of the object that the request is about; `None` for none.
     pub object: Option<u64>,
 }
@@ -146,7 +144,7 @@
         let (reply, outcome) = oneshot::channel();
         let Submission { class, fingerprint, timeout, object } = submission;
         let bytes = outgoing.body.len() as u64;
-        let arrival = Arrival { request: outgoing.number, class, fingerprint, bytes, timeout, object };
+        let arrival = Arrival { request: outgoing.number, class, fingerprint, bytes, timeout: Some(timeout), object };
         stall::check(context);
         let now = context.now();
         lock(&self.pending).insert(outgoing.number, Pending { outgoing, reply, arrived_at: now });
