--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -186,16 +186,8 @@
         None => !used || id.is_none(),
         echoed => echoed == id.as_ref(),
     };
-    let call = Call {
-        method: &outgoing.method,
-        target: &outgoing.target,
-        headers: &headers,
-        body: &outgoing.body,
-        max_answer_bytes: context.settings.dispatch.max_answer_bytes as usize,
-        budget: &context.answer_memory,
-    };
     record_remote_bytes(context, target, "sent", outgoing.body.len());
-    let answer = connection.exchange(call, matches_id).await?;
+    let answer = connection.exchange(outgoing.call(context, &headers), matches_id).await?;
     record_remote_bytes(context, target, "received", answer.body.len());
     let identified = !dialect.caller_sets_id || answer.headers.contains_key(&dialect.request_id);
     if answer.reusable && identified {
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -1,6 +1,6 @@
 //! Requests for classes of work: dispatches them and answers the caller.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use base::error::{Kind, Outcome as Ran};
@@ -8,30 +8,23 @@
 use base::time::Time;
 use bytes::Bytes;
 use h1::head;
-use http::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName};
+use http::header::HeaderMap;
 use ledger::table::Admission;
 
 use super::connection::Incoming;
-use super::relay;
 use super::reply::Reply;
 use super::stop::Demand;
+use super::{headers, relay};
 use crate::Context;
-use crate::at_most_once::{self, KeyedRequest};
+use crate::at_most_once;
 use crate::context::lock;
 use crate::dialect::AtMostOnce;
 use crate::driver::{Outcome, Outgoing, Refusal, Submission};
 
-/// Identifies a keyed request; the caller repeats it with each send of the request.
-const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-/// Identifies the session that a key belongs to; repeated with the key.
-const IDEMPOTENCY_SESSION: HeaderName = HeaderName::from_static("idempotency-session");
-/// Longest idempotency key, in bytes.
-const MAX_KEY_BYTES: usize = 255;
-
 /// Handles a request for a class of work: dispatches it, records metrics and logs the result.
 pub async fn handle(context: &Arc<Context>, incoming: Incoming) -> Reply {
     let start = incoming.arrived_at;
-    let id = request_id(context, &incoming.head.headers);
+    let id = headers::request_id(context, &incoming.head.headers);
     let (class, outcome) = run(context, incoming, &id, start).await;
     let result = match &outcome {
         Ok(_) => "ok",
@@ -57,27 +50,21 @@
 pub fn demand(context: &Context, incoming: &Incoming) -> Demand {
     let head = &incoming.head;
     let active = context.policy();
-    let Some((_, class)) = active.policy.class_of(host(&head.headers), head.path()) else {
+    let Some((_, class)) = active.policy.class_of(headers::host(&head.headers), head.path()) else {
         return Demand { idempotent: true, limit: Duration::ZERO };
     };
     let class_limit = Duration::from_millis(class.deadline_ms);
-    let limit = caller_limit(context, &head.headers).map_or(class_limit, |caller| caller.min(class_limit));
+    let limit = headers::caller_limit(context, &head.headers).map_or(class_limit, |caller| caller.min(class_limit));
     Demand { idempotent: class.idempotent, limit }
 }
 
 /// Refuses a request that is not started; its caller can send it elsewhere at once.
 pub fn refuse(context: &Context, incoming: &Incoming, kind: Kind) -> Reply {
-    let id = request_id(context, &incoming.head.headers);
+    let id = headers::request_id(context, &incoming.head.headers);
     log::info!(request = id.as_str(), result = kind.as_str(); "callers: refused");
     Reply::refusal(Refusal { kind, retry_after: Some(Duration::ZERO) }, &context.dialect)
 }
 
-/// Returns how long the caller waits from the time when its request arrived; `None` if it does not say.
-fn caller_limit(context: &Context, headers: &HeaderMap) -> Option<Duration> {
-    let milliseconds = head::text(headers, &context.dialect.deadline_ms)?;
-    milliseconds.trim().parse().ok().map(Duration::from_millis)
-}
-
 /// Finds the class of a request and dispatches it. Returns the name of the class, if the request has one, and the
 /// outcome. All its times count from `arrived`, also if it has waited behind others of its connection.
 async fn run(context: &Arc<Context>, incoming: Incoming, id: &str, arrived: Time) -> (Option<String>, Outcome) {
@@ -86,7 +73,7 @@
         return (None, Err(Kind::NoPolicy.into()));
     }
     let head = &incoming.head;
-    let found = active.policy.class_of(host(&head.headers), head.path());
+    let found = active.policy.class_of(headers::host(&head.headers), head.path());
     let Some((name, class)) = found else {
         return (None, Err(Kind::UnknownRoute.into()));
     };
@@ -119,12 +106,12 @@
 async fn dispatch(context: &Arc<Context>, class: ClassMatch, incoming: Incoming, id: &str) -> Outcome {
     let ClassMatch { position, idempotent, regions, limit } = class;
     let Incoming { head, body, arrived_at, .. } = incoming;
-    let caller_deadline = caller_limit(context, &head.headers).map(|limit| arrived_at + limit);
+    let caller_deadline = headers::caller_limit(context, &head.headers).map(|limit| arrived_at + limit);
     let deadline = caller_deadline.map_or(limit, |caller| caller.min(limit));
     let is_relayed = head.headers.contains_key(relay::MARK);
     let fingerprint = fingerprint(head.method.as_str(), &head.target, &body);
     let needs_key = !idempotent && context.dialect.at_most_once == AtMostOnce::PerKey;
-    let keyed = if needs_key { Some(keyed_request(context, &head.headers, fingerprint)?) } else { None };
+    let keyed = if needs_key { Some(headers::keyed_request(context, &head.headers, fingerprint)?) } else { None };
     if let Some(keyed) = &keyed {
         match at_most_once::begin(context, keyed) {
             Admission::Claim | Admission::Run => {}
@@ -143,7 +130,7 @@
         object: object.to_owned(),
         method: head.method,
         target: head.target,
-        headers: forwarded_headers(context, &head.headers),
+        headers: headers::forwarded_headers(context, &head.headers),
         body,
         idempotent,
         keyed,
@@ -197,15 +184,6 @@
     task.await.unwrap_or_else(|_| Err(Kind::Internal.into()))
 }
 
-/// Returns the id of a request in logs: the one that the caller gave to this send, or a new one.
-fn request_id(context: &Context, headers: &HeaderMap) -> String {
-    let given = head::text(headers, &context.dialect.request_id).filter(|_| context.dialect.caller_sets_id);
-    given.map_or_else(
-        || format!("{:08x}-{}", context.incarnation as u32, context.driver.next_request_number()),
-        str::to_owned,
-    )
-}
-
 /// Abandons a request when it is dropped before the outcome is known, which happens when the caller disconnects.
 struct AbandonGuard {
     context: Arc<Context>,
@@ -232,53 +210,11 @@
     }
 }
 
-/// Reads the headers of a keyed request. Fails if the key is missing or too long, or belongs to a session of
-/// another incarnation.
-fn keyed_request(context: &Context, headers: &HeaderMap, fingerprint: u64) -> Result<KeyedRequest, Kind> {
-    let key = head::text(headers, &IDEMPOTENCY_KEY).filter(|key| !key.is_empty() && key.len() <= MAX_KEY_BYTES);
-    let key = key.ok_or(Kind::KeyMissing)?;
-    let session = head::text(headers, &IDEMPOTENCY_SESSION);
-    if session.is_some_and(|session| session != context.session()) {
-        // Only the incarnation that owns the session has a record of whether the key ran.
-        return Err(Kind::AlreadyClaimed);
-    }
-    Ok(KeyedRequest {
-        key: at_most_once::key_hash(session, key),
-        fingerprint,
-        in_session: session.is_some(),
-        claim_revision: Mutex::new(None),
-        earlier_response: Mutex::new(None),
-    })
-}
-
 /// Returns a hash of the method, the target and the body: equal for a request that is sent again.
 fn fingerprint(method: &str, target: &str, body: &Bytes) -> u64 {
     hash::combine(hash::bytes(format!("{method} {target}").as_bytes()), hash::bytes(body))
 }
 
-/// Returns the host that the request's `Host` header names, without the port; empty if the header is missing.
-fn host(headers: &HeaderMap) -> &str {
-    let host = head::text(headers, &HOST).unwrap_or_default();
-    host.split(':').next().unwrap_or_default()
-}
-
-/// Returns the caller's headers that are forwarded to the backend server: all but those that frame the body, apply to
-/// one hop or are set by the daemon.
-fn forwarded_headers(context: &Context, headers: &HeaderMap) -> HeaderMap {
-    let mut forwarded = HeaderMap::with_capacity(headers.len());
-    let is_forwarded = |name: &HeaderName| {
-        let framing = *name == CONTENT_LENGTH || *name == EXPECT;
-        !framing
-            && *name != relay::MARK
-            && !head::is_hop_by_hop(name.as_str())
-            && !context.dialect.is_set_by_daemon(name)
-    };
-    for (name, value) in headers.iter().filter(|(name, _)| is_forwarded(name)) {
-        forwarded.append(name, value.clone());
-    }
-    forwarded
-}
-
 /// Records whether an answer met its class's target; errors of the caller do not count.
 fn record_burn(context: &Context, class: &str, outcome: &Outcome, latency: Duration) {
     let active = context.policy();
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod connection;
 pub mod forward;
+mod headers;
 pub mod lookup;
 mod parser;
 pub mod relay;
--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -11,7 +11,7 @@
 use base::hash;
 use base::time::Time;
 use dispatch::backend::BackendId;
-use h1::client::{Answer, Call, Connection, Fault};
+use h1::client::{Answer, Connection, Fault};
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use steer::view::Standing;
 
@@ -120,15 +120,7 @@
         let echoed = head.headers.get(&context.dialect.request_id);
         !context.dialect.caller_sets_id || echoed.is_none() || echoed == request_id.as_ref()
     };
-    let call = Call {
-        method: &outgoing.method,
-        target: &outgoing.target,
-        headers: &headers,
-        body: &outgoing.body,
-        max_answer_bytes: context.settings.dispatch.max_answer_bytes as usize,
-        budget: &context.answer_memory,
-    };
-    let answer = connection.exchange(call, is_ours).await?;
+    let answer = connection.exchange(outgoing.call(context, &headers), is_ours).await?;
     if !answer.framed {
         return Err(Failure::Answer(Kind::AnswerCut));
     }
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -11,6 +11,7 @@
 use dispatch::backend::{BackendId, Report};
 use dispatch::engine::{Arrival, Basis, Decision};
 use dispatch::{Action, Ending, Engine, Verdict};
+use h1::client::Call;
 use http::{HeaderMap, Method};
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
@@ -54,6 +55,20 @@
     pub keyed: Option<KeyedRequest>,
 }
 
+impl Outgoing {
+    /// Returns the call to a server or to another daemon with `headers`, within the limits on answers.
+    pub fn call<'a>(&'a self, context: &'a Context, headers: &'a HeaderMap) -> Call<'a> {
+        Call {
+            method: &self.method,
+            target: &self.target,
+            headers,
+            body: &self.body,
+            max_answer_bytes: context.settings.dispatch.max_answer_bytes as usize,
+            budget: &context.answer_memory,
+        }
+    }
+}
+
 /// Properties of a request that the engine decides by.
 #[derive(Debug, Clone, Copy)]
 pub struct Submission {
