--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -97,6 +97,7 @@
     replies: FuturesOrdered<F>,
     /// Set once no further request is read; the connection ends when the remaining replies are written.
     closing: bool,
+    /// When the connection was accepted.
     accepted_at: Time,
     /// When a partial request must be complete; for an idle connection, when it is closed.
     read_deadline: Instant,
--- a/crates/daemon/src/callers/stop.rs
+++ b/crates/daemon/src/callers/stop.rs
@@ -72,7 +72,7 @@
         Self { phase: Phase::Leaving, since: now, answered_by: now + length.saturating_sub(DELIVERY_TIME) }
     }
 
-    /// Returns this stop once it closes connections, from `now` on.
+    /// Returns this stop in its phase `Closing`, which begins at `now` unless it has begun already.
     #[must_use]
     pub fn with_closing(self, now: Time) -> Self {
         if self.phase == Phase::Closing {
@@ -97,7 +97,7 @@
         }
     }
 
-    /// Whether no request is started on a connection on which `running` requests are running.
+    /// Whether no further request is started, and so none is read, while `running` requests of a connection are running.
     pub fn holds(&self, running: usize) -> bool {
         self.phase != Phase::Open && running > 0
     }
@@ -107,8 +107,8 @@
         self.phase != Phase::Open && running == 0
     }
 
-    /// Returns when a connection on which nothing is running is closed, if it was accepted at `accepted` and part of a
-    /// request `has_arrived` or not; `Time::MAX` for never.
+    /// Returns when a connection that was accepted at `accepted`, and on which nothing is running, is closed; `has_arrived`
+    /// tells whether part of a request has arrived on it. `Time::MAX` for never.
     pub fn closes_at(&self, accepted: Time, has_arrived: bool) -> Time {
         match self.phase {
             Phase::Closing if !has_arrived => (accepted.max(self.since) + LAST_REQUEST_TIME).min(self.answered_by),
--- a/crates/store/src/mirror/mod.rs
+++ b/crates/store/src/mirror/mod.rs
@@ -67,7 +67,7 @@
     failing_since: Option<Time>,
     /// End of the grace period after an outage of the store, until which missing keys are kept.
     grace_until: Time,
-    /// When other mirrors last ended a time of [`MIN_OUTAGE`] or more in which this one was not known to be complete.
+    /// When changes from another mirror last ended an interruption: [`MIN_OUTAGE`] or more without contact with the store.
     resumed_at: Option<Time>,
     /// Latest time at which the mirror is known to have been up to date.
     confirmed_at: Option<Time>,
--- a/crates/store/src/mirror/relay.rs
+++ b/crates/store/src/mirror/relay.rs
@@ -103,16 +103,17 @@
         changed
     }
 
-    /// Adopts the sender's grace period of the length `left` if the sender's knowledge is of an `age` that shows contact
-    /// with the store: then its state shows whether there was an outage, while our own calls may have failed for another
-    /// reason. A sender without contact can only prolong the grace period.
+    /// Adopts the sender's grace period, of which `left` remains, if the `age` of the sender's knowledge shows contact with
+    /// the store: then its state shows whether there was an outage, while our own calls may have failed for another reason.
+    /// A sender without contact can only prolong the grace period.
     ///
     /// A sender whose own path to the store was interrupted takes that for an outage, so a grace period is adopted only
     /// if this mirror had no contact with the store for as long.
     fn merge_grace_period(&mut self, left: Duration, age: Option<Duration>, now: Time) {
-        self.record_interruption(age.is_some_and(|age| age < MAX_CURRENT_AGE), now);
+        let has_contact = age.is_some_and(|age| age < MAX_CURRENT_AGE);
+        self.record_interruption_end(has_contact, now);
         let grace_until = (now + left).max(self.carry_until);
-        if age.is_none_or(|age| age >= MAX_CURRENT_AGE) {
+        if !has_contact {
             let prolongs = !left.is_zero() && self.had_interruption(now);
             self.grace_until = if prolongs { self.grace_until.max(grace_until) } else { self.grace_until };
             return;
@@ -126,9 +127,9 @@
         }
     }
 
-    /// Records that contact with the store, if there `is` any at `now`, ends an interruption.
-    fn record_interruption(&mut self, is: bool, now: Time) {
-        if is && self.is_interrupted(now) {
+    /// Records the end of an interruption if the sender of a message that arrived at `now` has contact with the store.
+    fn record_interruption_end(&mut self, has_contact: bool, now: Time) {
+        if has_contact && self.is_interrupted(now) {
             self.resumed_at = Some(now);
         }
     }
