Start idempotent requests of any limit while callers cannot know that the daemon leaves

A class that allows 600 s for work of 3.5 s was refused from the signal on, as its limit is longer than the stop of 150 s. An idempotent request is now started during answer_kept_ms whatever its limit; if the stop ends first, its caller may send it again. Requests that may not be repeated stay refused.

--- a/crates/daemon/src/callers/stop.rs
+++ b/crates/daemon/src/callers/stop.rs
@@ -2,10 +2,11 @@
 //!
 //! Load pattern: callers keep addresses for some time after the daemon has withdrawn, some of them three times as long,
 //! and keep sending on connections that never run empty. The ports close once most callers know better: a refused
-//! connection makes a caller try another address, while one that is refused its request may come back to this one. One clock decides: a request is started only if its answer comes
-//! before the end of the stop, and anything else is refused at once, so that its caller can go elsewhere. Each connection
-//! takes one more request at most; the reply to its last one announces the end, and what was sent behind it counts as
-//! not read.
+//! connection makes a caller try another address, while one that is refused its request may come back to this one.
+//!
+//! One clock decides: a request is started only if its answer comes before the end of the stop, and anything else is
+//! refused at once, so that its caller can go elsewhere. Each connection takes one more request at most; the reply to its
+//! last one announces the end, and what was sent behind it counts as not read.
 
 use std::time::Duration;
 
@@ -92,6 +93,8 @@
             Phase::Open if running > 0 && !demand.idempotent => Start::AfterEarlier,
             Phase::Open => Start::Now,
             Phase::Leaving | Phase::Closing if running > 0 => Start::Never,
+            // Its limit may be far longer than its work. If the stop ends first, its caller may send it again.
+            Phase::Leaving if demand.idempotent => Start::Now,
             Phase::Leaving | Phase::Closing if now + demand.limit <= self.answered_by => Start::Now,
             Phase::Leaving | Phase::Closing => Start::Refused,
         }
