Count deadlines from the arrival of the bytes, and decide the end of a connection by the state it has when a reply is written

- Cause 1: a request that was parsed late, since an order before it on its connection waited, counted as arrived when it was parsed: its server was told 3,999 ms where at most 3,600 were left.
Arrivals of bytes are kept now.
- Cause 2: a reply that was ready at the same moment as the signal to stop was written by the state before it, so its connection was not told.
The state is read when the reply is written.
- Cause 3: a process that runs late accepted one connection of its backlog and reset the others.
All that wait are accepted.
- A request that a stopping instance refuses counts in hemlock_requests_total.
The rule "nothing further is started" stands once, and the reason why an order waits for earlier replies, lost in the move, stands at Start::AfterEarlier.

Causes 2 and 3 were found by reading and are shown by no run.

--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::arrival::Arrivals;
 use super::parser::{Parsed, Parser};
 use super::reply::Reply;
 use super::stop::{Start, Stop};
@@ -90,6 +91,8 @@
     peer: IpAddr,
     parser: Parser,
     input: BytesMut,
+    /// When the bytes of `input` and of the request that is being parsed arrived.
+    arrivals: Arrivals,
     output: BytesMut,
     /// A request that was read and is not started yet; it may wait until all earlier replies are ready.
     deferred: Option<Incoming>,
@@ -122,7 +125,7 @@
             // Bytes that have arrived are read before an idle connection is closed, however late this task runs.
             biased;
             Some(ready) = connection.replies.next(), if !connection.replies.is_empty() => {
-                connection.write(&ready, &current);
+                connection.write(&ready, &stop.borrow());
             }
             written = writer.write_buf(&mut connection.output), if !connection.output.is_empty() => {
                 if !written.is_ok_and(|bytes| bytes > 0) {
@@ -131,7 +134,7 @@
                 connection.last_write = Instant::now();
             }
             read = reader.read_buf(&mut connection.input), if may_read => match read {
-                Ok(bytes) if bytes > 0 => {}
+                Ok(bytes) if bytes > 0 => connection.arrivals.record(bytes, connection.context.now()),
                 // The caller disconnected: dropping the connection abandons its running requests.
                 Ok(_) | Err(_) => return,
             },
@@ -175,6 +178,7 @@
             peer,
             parser,
             input: BytesMut::new(),
+            arrivals: Arrivals::new(),
             output: BytesMut::new(),
             deferred: None,
             replies: FuturesOrdered::new(),
@@ -233,7 +237,8 @@
                 self.push(Job::Refuse(kind));
             }
             Parsed::Request(head, body) => {
-                return Some(Incoming { head, body, peer: self.peer, arrived_at: self.context.now() });
+                let arrived_at = self.arrivals.take(self.input.len(), self.context.now());
+                return Some(Incoming { head, body, peer: self.peer, arrived_at });
             }
         }
         None
@@ -251,7 +256,7 @@
         }
     }
 
-    /// Starts a request.
+    /// Dispatches a request; one that asks for the end of its connection is the last.
     fn start(&mut self, incoming: Incoming) {
         self.closing |= !incoming.head.keep_alive;
         self.push(Job::Run(Box::new(incoming)));
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -61,6 +61,10 @@
 /// Refuses a request that is not started; its caller can send it elsewhere at once.
 pub fn refuse(context: &Context, incoming: &Incoming, kind: Kind) -> Reply {
     let id = headers::request_id(context, &incoming.head.headers);
+    let active = context.policy();
+    if let Some((class, _)) = active.policy.class_of(headers::host(&incoming.head.headers), incoming.head.path()) {
+        context.metrics.requests.with_label_values(&[class, kind.as_str()]).inc();
+    }
     log::info!(request = id.as_str(), result = kind.as_str(); "callers: refused");
     Reply::refusal(Refusal { kind, retry_after: Some(Duration::ZERO) }, &context.dialect)
 }
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -1,5 +1,6 @@
 //! The callers' port: look-ups and requests for classes of work.
 
+pub mod arrival;
 pub mod connection;
 pub mod forward;
 mod headers;
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -101,7 +101,8 @@
         self.accept_backlog(&listener, &slots).await;
     }
 
-    /// Accepts the connections that wait in the backlog, for a limited time: callers may come back all the time.
+    /// Accepts connections for a limited time, since callers may come back all the time, and then those that wait in the
+    /// backlog already.
     async fn accept_backlog(&self, listener: &TcpListener, slots: &Arc<Semaphore>) {
         loop {
             let left = self.stop.borrow().port_closes_at().since(self.context.now());
@@ -110,9 +111,6 @@
                 return;
             };
             self.serve(stream, peer, slot);
-            if left.is_zero() {
-                return;
-            }
         }
     }
 
--- a/crates/daemon/src/callers/stop.rs
+++ b/crates/daemon/src/callers/stop.rs
@@ -52,13 +52,15 @@
 /// What to do with a request that was read as a whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Start {
-    /// It is started.
+    /// It is dispatched to a backend server now.
     Now,
-    /// It waits until all earlier requests of its connection are answered.
+    /// It is dispatched once all earlier requests of its connection are answered: if one of these replies ends the
+    /// connection, its caller may send it again, and it must not have run.
     AfterEarlier,
-    /// It is refused: it does not run, and its caller is asked to go elsewhere.
+    /// It is answered with an error: it does not run, and its caller is asked to go elsewhere.
     Refused,
-    /// It is not read: an earlier reply announces the end of the connection.
+    /// It gets no answer: the reply to an earlier request announces the end of the connection, and what was sent behind
+    /// that counts as not read.
     Never,
 }
 
@@ -92,7 +94,7 @@
         match self.phase {
             Phase::Open if running > 0 && !demand.idempotent => Start::AfterEarlier,
             Phase::Open => Start::Now,
-            Phase::Leaving | Phase::Closing if running > 0 => Start::Never,
+            Phase::Leaving | Phase::Closing if self.holds(running) => Start::Never,
             // Its limit may be far longer than its work. If the stop ends first, its caller may send it again.
             Phase::Leaving if demand.idempotent => Start::Now,
             Phase::Leaving | Phase::Closing if now + demand.limit <= self.answered_by => Start::Now,
--- a/crates/store/src/mirror/mod.rs
+++ b/crates/store/src/mirror/mod.rs
@@ -22,7 +22,7 @@
 const GRACE_PERIOD: Duration = Duration::from_secs(2);
 /// Time without contact with the store in which leases may have expired. Longer than the age of its knowledge at which
 /// a daemon asks the store itself, so a daemon whose source alone lost the store does not take that for an outage.
-pub const MIN_OUTAGE: Duration = Duration::from_secs(2);
+const MIN_OUTAGE: Duration = Duration::from_secs(2);
 
 /// Maximum number of deletions that are kept for other mirrors.
 const MAX_TOMBSTONES: usize = 4_096;
