RECOVER: an instance without a path asks the next one if the nearest refuses

Callers of a failure domain that is cut off as a whole were refused for up to five seconds, though instances elsewhere reach all servers.

Cause, by the logs of front-ontario-c-2: requests went to the two nearest instances, of the same failure domain, which reached no server either, and their refusal ended the search. Ruled out: that the loss is noticed late (0.15 to 0.7 s).

An instance that refuses what was passed on to it, and has not run it, says so in a header; one of another failure domain and then one of another region is asked.

--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -8,7 +8,7 @@
 use base::time::Time;
 use bytes::Bytes;
 use h1::head;
-use http::header::HeaderMap;
+use http::header::{HeaderMap, HeaderValue};
 use ledger::table::Admission;
 
 use super::connection::Incoming;
@@ -25,6 +25,7 @@
 pub async fn handle(context: &Arc<Context>, incoming: Incoming) -> Reply {
     let start = incoming.arrived_at;
     let id = headers::request_id(context, &incoming.head.headers);
+    let is_relayed = incoming.head.headers.contains_key(relay::MARK);
     let (class, outcome) = run(context, incoming, &id, start).await;
     let result = match &outcome {
         Ok(_) => "ok",
@@ -42,10 +43,19 @@
     }
     match outcome {
         Ok(response) => Reply::from_response(&response, &context.dialect),
-        Err(refusal) => Reply::refusal(refusal, &context.dialect),
+        Err(refusal) => refusal_reply(context, refusal, is_relayed),
     }
 }
 
+/// Returns the reply for a refusal. The instance that passed the request on, if one did, is told that it did not run.
+fn refusal_reply(context: &Context, refusal: Refusal, is_relayed: bool) -> Reply {
+    let mut reply = Reply::refusal(refusal, &context.dialect);
+    if is_relayed && refusal.kind.answer().outcome == Ran::NotRun {
+        reply.headers.insert(relay::NOT_RUN, HeaderValue::from_static("1"));
+    }
+    reply
+}
+
 /// Returns what a stop decides by: a request without a class runs nowhere, and is answered at once.
 pub fn demand(context: &Context, incoming: &Incoming) -> Demand {
     let head = &incoming.head;
@@ -66,7 +76,8 @@
         context.metrics.requests.with_label_values(&[class, kind.as_str()]).inc();
     }
     log::info!(request = id.as_str(), result = kind.as_str(); "callers: refused");
-    Reply::refusal(Refusal { kind, retry_after: Some(Duration::ZERO) }, &context.dialect)
+    let is_relayed = incoming.head.headers.contains_key(relay::MARK);
+    refusal_reply(context, Refusal { kind, retry_after: Some(Duration::ZERO) }, is_relayed)
 }
 
 /// Finds the class of a request and dispatches it. Returns the name of the class, if the request has one, and the
--- a/crates/daemon/src/callers/relay.rs
+++ b/crates/daemon/src/callers/relay.rs
@@ -1,8 +1,13 @@
 //! Passes requests on to another entry instance while this one reaches no backend server itself.
 //!
 //! The other instance dispatches the request as one of its own callers' and its answer goes back unchanged, so what it
-//! says about whether the request ran holds. A request is passed on once at most.
+//! says about whether the request ran holds. It passes the request on no further.
+//!
+//! Load pattern: a whole failure domain loses its links at the same moment, and it takes seconds until all instances know
+//! of each other that they reach no server. An instance that refuses a request, which then did not run, is therefore not
+//! the last that is tried, and the next one is in another failure domain.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,8 +26,9 @@
 
 /// Marks a request that another entry instance has passed on.
 pub const MARK: HeaderName = HeaderName::from_static("hemlock-relayed");
-/// Number of instances that are tried, as long as nothing of the request was sent.
-const MAX_INSTANCES: usize = 2;
+/// Marks the refusal of a request that was passed on: it did not run and never will, so another instance may get it. Earlier
+/// builds do not send it, and pass it on to their caller.
+pub const NOT_RUN: HeaderName = HeaderName::from_static("hemlock-not-run");
 /// Maximum idle time of a pooled connection to another instance: one that is about to be closed could lose the request.
 const MAX_IDLE: Duration = Duration::from_secs(1);
 /// How much earlier the other instance gives up, so that what it says still arrives in time.
@@ -35,12 +41,24 @@
     address: SocketAddr,
 }
 
+/// How far away another instance is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Distance {
+    /// In this failure domain.
+    Domain,
+    /// In another failure domain of this region.
+    Region,
+    /// In another region.
+    Elsewhere,
+}
+
 /// Passes a request on; `regions` may run it, or all if there are none, and it is given up at `deadline`.
 pub async fn send(context: &Arc<Context>, outgoing: &Outgoing, regions: &[String], deadline: Time) -> Outcome {
+    let mut refusal = None;
     for peer in choose_peers(context, regions) {
         let left = deadline.since(context.now());
         if left.is_zero() {
-            return Err(Kind::Expired.into());
+            break;
         }
         let started = context.now();
         let result = match tokio::time::timeout(left, exchange(context, outgoing, &peer, deadline)).await {
@@ -48,6 +66,7 @@
             Err(_) => Err(Failure::Answer(Kind::BackendTimeout)),
         };
         let (label, status) = match &result {
+            Ok(answer) if is_refusal(context, answer) => ("refused", answer.status.as_u16()),
             Ok(answer) => ("answered", answer.status.as_u16()),
             Err(Failure::Unsent) => ("unsent", 0),
             Err(Failure::Answer(kind)) => (kind.as_str(), 0),
@@ -60,12 +79,22 @@
             peer.name
         );
         match result {
+            Ok(answer) if is_refusal(context, &answer) => {
+                refusal = Some(Arc::new(attempt::to_response(context, answer)));
+            }
             Ok(answer) => return Ok(Arc::new(attempt::to_response(context, answer))),
             Err(Failure::Answer(kind)) => return Err(kind.into()),
             Err(Failure::Unsent) => {}
         }
     }
-    Err(Kind::Unreachable.into())
+    // What the last one said, as it names the time after which the caller may come back.
+    refusal.ok_or_else(|| Kind::Unreachable.into())
+}
+
+/// Whether an answer is the word of the other instance that it did not run the request, rather than a backend server's.
+fn is_refusal(context: &Context, answer: &Answer) -> bool {
+    let is_signed = context.dialect.signature.as_ref().is_some_and(|name| answer.headers.contains_key(name));
+    !is_signed && answer.headers.contains_key(&NOT_RUN)
 }
 
 /// Why an instance gave no answer.
@@ -87,8 +116,8 @@
     }
 }
 
-/// Returns the instances to try: random ones of this failure domain, then of this region, then any. Instances that reach
-/// no server themselves, that are leaving or that may be dead are not among them.
+/// Returns the instances to try, random ones: one of this failure domain, one of another of this region, and one of another
+/// region. Instances that reach no server themselves, that are leaving or that may be dead are not among them.
 fn choose_peers(context: &Context, regions: &[String]) -> Vec<Peer> {
     let (steering, active) = (context.steering(), context.policy());
     let settings = &context.settings;
@@ -98,16 +127,21 @@
     let allowed: Vec<Option<u16>> = regions.iter().map(|name| active.region_position(name)).collect();
     let usable = steering.view.entries().iter().filter(|entry| {
         let in_allowed = allowed.is_empty() || allowed.contains(&Some(entry.region));
-        entry.standing == Standing::Good && entry.name != settings.instance && in_allowed
+        // Bytes over links to other regions are limited; without that limit, they are the last resort.
+        let in_reach = settings.dispatch.open_links || Some(entry.region) == own_region;
+        entry.standing == Standing::Good && entry.name != settings.instance && in_allowed && in_reach
     });
-    let mut ranked: Vec<_> = usable.collect();
-    // Bytes over links to other regions are limited; without that limit, they are the last resort.
-    ranked.retain(|entry| settings.dispatch.open_links || Some(entry.region) == own_region);
-    fastrand::shuffle(&mut ranked);
-    ranked.sort_by_key(|entry| (Some(entry.region) != own_region, Some(entry.domain) != own_domain));
-    let peer =
-        |entry: &steer::view::Entry| Some(Peer { name: entry.name.clone(), address: entry.address.parse().ok()? });
-    ranked.into_iter().filter_map(peer).take(MAX_INSTANCES).collect()
+    let mut nearest: BTreeMap<Distance, Vec<Peer>> = BTreeMap::new();
+    for entry in usable {
+        let distance = match (Some(entry.domain) == own_domain, Some(entry.region) == own_region) {
+            (true, _) => Distance::Domain,
+            (false, true) => Distance::Region,
+            (false, false) => Distance::Elsewhere,
+        };
+        let Ok(address) = entry.address.parse() else { continue };
+        nearest.entry(distance).or_default().push(Peer { name: entry.name.clone(), address });
+    }
+    nearest.into_values().filter_map(fastrand::choice).collect()
 }
 
 /// Sends the request to `peer` and reads its answer. A reusable connection is returned to the pool.
