Count replies by address, maker and status, and log look-ups and the paths of refused requests

Now hemlock_replies_total{address,source,status} counts each reply by what the address is for, by who made it (server, look-up, error) and by status; look-ups are logged (debug; refused ones: info), and a request that no class covers is logged with its path.

--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -10,7 +10,7 @@
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesOrdered;
 use h1::head;
-use http::Method;
+use http::{Method, StatusCode};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -18,6 +18,7 @@
 
 use super::arrival::Arrivals;
 use super::parser::{Parsed, Parser};
+use super::purpose::Purpose;
 use super::reply::Reply;
 use super::stop::{Start, Stop};
 use super::{forward, route};
@@ -67,15 +68,33 @@
     Refuse(Kind),
 }
 
-async fn handle(context: Arc<Context>, job: Job) -> ReadyReply {
+async fn handle(context: Arc<Context>, purpose: Purpose, job: Job) -> ReadyReply {
+    let ready = run(&context, job).await;
+    let labels = [purpose.as_str(), ready.reply.source.as_str(), status_class(ready.reply.status)];
+    context.metrics.replies.with_label_values(&labels).inc();
+    ready
+}
+
+/// Returns the class of a status, as a metric's label.
+fn status_class(status: StatusCode) -> &'static str {
+    match status.as_u16() / 100 {
+        2 => "2xx",
+        3 => "3xx",
+        4 => "4xx",
+        5 => "5xx",
+        _ => "other",
+    }
+}
+
+async fn run(context: &Arc<Context>, job: Job) -> ReadyReply {
     match job {
         Job::Run(incoming) => {
             let (method, keep_alive) = (incoming.head.method.clone(), incoming.head.keep_alive);
-            let reply = route(&context, *incoming).await;
+            let reply = route(context, *incoming).await;
             ReadyReply { method, last: !keep_alive || reply.close, reply }
         }
         Job::Decline(incoming) => {
-            let reply = forward::refuse(&context, &incoming, Kind::Leaving);
+            let reply = forward::refuse(context, &incoming, Kind::Leaving);
             ReadyReply { method: incoming.head.method.clone(), last: true, reply }
         }
         Job::Refuse(kind) => {
@@ -88,6 +107,8 @@
 struct Connection<R, F: Future> {
     context: Arc<Context>,
     handler: R,
+    /// What the address is for at which the connection was accepted.
+    purpose: Purpose,
     peer: IpAddr,
     parser: Parser,
     input: BytesMut,
@@ -108,9 +129,15 @@
     last_write: Instant,
 }
 
-/// Serves one connection until it ends.
-pub async fn serve(context: Arc<Context>, mut stream: TcpStream, peer: IpAddr, mut stop: watch::Receiver<Stop>) {
-    let mut connection = Connection::new(context, peer, handle);
+/// Serves one connection until it ends; `purpose` is that of the address at which it was accepted.
+pub async fn serve(
+    context: Arc<Context>,
+    purpose: Purpose,
+    mut stream: TcpStream,
+    peer: IpAddr,
+    mut stop: watch::Receiver<Stop>,
+) {
+    let mut connection = Connection::new(context, purpose, peer, handle);
     let (mut reader, mut writer) = stream.split();
     loop {
         let current = *stop.borrow_and_update();
@@ -165,16 +192,17 @@
 
 impl<R, F> Connection<R, F>
 where
-    R: Fn(Arc<Context>, Job) -> F,
+    R: Fn(Arc<Context>, Purpose, Job) -> F,
     F: Future<Output = ReadyReply>,
 {
-    fn new(context: Arc<Context>, peer: IpAddr, handler: R) -> Self {
+    fn new(context: Arc<Context>, purpose: Purpose, peer: IpAddr, handler: R) -> Self {
         let settings = &context.settings.callers;
         let (parser, accepted_at) = (Parser::new(settings), context.now());
         let read_deadline = Instant::now() + Duration::from_millis(settings.header_timeout_ms);
         Self {
             context,
             handler,
+            purpose,
             peer,
             parser,
             input: BytesMut::new(),
@@ -263,7 +291,7 @@
     }
 
     fn push(&mut self, job: Job) {
-        self.replies.push_back((self.handler)(Arc::clone(&self.context), job));
+        self.replies.push_back((self.handler)(Arc::clone(&self.context), self.purpose, job));
     }
 
     /// Adds a reply to the output. During a stop, the last one announces that the connection closes.
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -26,6 +26,7 @@
     let start = incoming.arrived_at;
     let id = headers::request_id(context, &incoming.head.headers);
     let is_relayed = incoming.head.headers.contains_key(relay::MARK);
+    let path = headers::logged_path(&incoming.head).to_owned();
     let (class, outcome) = run(context, incoming, &id, start).await;
     let result = match &outcome {
         Ok(_) => "ok",
@@ -39,7 +40,7 @@
         let status = outcome.as_ref().map_or(0, |response| response.status.as_u16());
         log::info!(request = id.as_str(), class, result, status, ms:% = latency.as_millis(); "callers: answered");
     } else {
-        log::info!(request = id.as_str(), result; "callers: refused");
+        log::info!(request = id.as_str(), result, path = path.as_str(); "callers: refused");
     }
     match outcome {
         Ok(response) => Reply::from_response(&response, &context.dialect),
--- a/crates/daemon/src/callers/lookup.rs
+++ b/crates/daemon/src/callers/lookup.rs
@@ -6,6 +6,8 @@
 use base::error::Kind;
 use serde::Serialize;
 
+use super::connection::Incoming;
+use super::headers::logged_path;
 use super::reply::Reply;
 use crate::Context;
 
@@ -27,16 +29,31 @@
     session: String,
 }
 
-/// Handles a look-up. `query` may give the caller's address as `client=` (by default that of the connected peer) or the
+/// Answers a look-up. Its query may give the caller's address as `client=` (by default that of the connected peer) or the
 /// caller's region as `region=`; a look-up by region returns only addresses.
-pub fn handle(context: &Arc<Context>, query: Option<&str>, peer: IpAddr) -> Reply {
-    if let Some(region) = query_parameter(query, "region") {
-        return handle_region(context, region);
-    }
-    let Some(address) = caller_address(query, peer) else {
-        return Reply::error(Kind::Malformed, &context.dialect);
+pub fn handle(context: &Arc<Context>, incoming: &Incoming) -> Reply {
+    let query = incoming.head.query();
+    let answer = match query_parameter(query, "region") {
+        Some(region) => answer_by_region(context, region),
+        None => answer_by_address(context, caller_address(query, incoming.peer)),
     };
-    context.metrics.lookups.inc();
+    match answer {
+        Ok(reply) => {
+            context.metrics.lookups.inc();
+            log::debug!(method = incoming.head.method.as_str(), caller:% = incoming.peer; "callers: look-up answered");
+            reply
+        }
+        Err(kind) => {
+            let (method, result) = (incoming.head.method.as_str(), kind.as_str());
+            log::info!(method, path = logged_path(&incoming.head), result; "callers: look-up refused");
+            Reply::error(kind, &context.dialect)
+        }
+    }
+}
+
+/// Answers a look-up by the caller's address; `None` if the caller gave one that is malformed.
+fn answer_by_address(context: &Context, address: Option<u32>) -> Result<Reply, Kind> {
+    let address = address.ok_or(Kind::Malformed)?;
     let steering = context.steering();
     let active = context.policy();
     let limit = context.settings.callers.answer_entries as usize;
@@ -45,16 +62,16 @@
     let entries: Vec<Entry<'_>> =
         entries.map(|entry| Entry { instance: &entry.name, address: &entry.address }).collect();
     if entries.is_empty() {
-        return Reply::error(Kind::NoBackend, &context.dialect);
+        return Err(Kind::NoBackend);
     }
     let region = found.region.and_then(|region| active.regions.get(usize::from(region)));
-    Reply::json(&Answer {
+    Ok(Reply::look_up(&Answer {
         entries,
         ttl_s: context.settings.callers.answer_ttl_s,
         region: region.map_or("", String::as_str),
         revision: active.version.stored.revision,
         session: context.session(),
-    })
+    }))
 }
 
 #[derive(Debug, Serialize)]
@@ -63,9 +80,8 @@
     ttl_s: u64,
 }
 
-/// Handles a look-up by region: returns the addresses of entry instances for callers in `region`.
-fn handle_region(context: &Arc<Context>, region: &str) -> Reply {
-    context.metrics.lookups.inc();
+/// Answers a look-up by region: returns the addresses of entry instances for callers in `region`.
+fn answer_by_region(context: &Context, region: &str) -> Result<Reply, Kind> {
     let steering = context.steering();
     let region = context.policy().region_position(region);
     let limit = context.settings.callers.answer_entries as usize;
@@ -73,9 +89,9 @@
     let addresses: Vec<&str> =
         found.iter().filter_map(|position| Some(steering.view.entry(*position)?.address.as_str())).collect();
     if addresses.is_empty() {
-        return Reply::error(Kind::NoBackend, &context.dialect);
+        return Err(Kind::NoBackend);
     }
-    Reply::json(&Addresses { addresses, ttl_s: context.settings.callers.answer_ttl_s })
+    Ok(Reply::look_up(&Addresses { addresses, ttl_s: context.settings.callers.answer_ttl_s }))
 }
 
 /// Returns the value of the query parameter `name`.
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -6,6 +6,7 @@
 mod headers;
 pub mod lookup;
 mod parser;
+pub mod purpose;
 pub mod relay;
 pub mod reply;
 pub mod server;
@@ -20,7 +21,7 @@
 /// Answers a request on the callers' port.
 pub async fn route(context: &Arc<Context>, incoming: Incoming) -> Reply {
     if incoming.head.path() == lookup::PATH {
-        return lookup::handle(context, incoming.head.query(), incoming.peer);
+        return lookup::handle(context, &incoming);
     }
     forward::handle(context, incoming).await
 }
--- a/crates/daemon/src/callers/reply.rs
+++ b/crates/daemon/src/callers/reply.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::error::Kind;
+use base::error::{Kind, Outcome as Ran};
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use http::{Method, StatusCode};
@@ -12,9 +12,33 @@
 use crate::driver::Refusal;
 use crate::response::Response;
 
+/// Who made a reply's content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// A backend server: the reply is its whole answer.
+    Server,
+    /// This daemon, which answered a look-up.
+    LookUp,
+    /// This daemon, in place of a backend server's answer; states whether the request ran.
+    Error(Ran),
+}
+
+impl Source {
+    /// Returns the name in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Server => "server",
+            Self::LookUp => "look-up",
+            Self::Error(_) => "error",
+        }
+    }
+}
+
 /// A reply with a complete body.
 #[derive(Debug, Clone)]
 pub struct Reply {
+    /// Who made the content.
+    pub source: Source,
     /// The HTTP status.
     pub status: StatusCode,
     /// The headers, without those that frame the body.
@@ -44,8 +68,13 @@
 }
 
 impl Reply {
+    /// Returns the reply to a look-up: `answer` as JSON.
+    pub fn look_up<T: Serialize>(answer: &T) -> Self {
+        Self::json(answer, Source::LookUp)
+    }
+
     /// Returns a reply with `value` as JSON and status 200, or status 500 if `value` cannot be serialized.
-    pub fn json<T: Serialize>(value: &T) -> Self {
+    fn json<T: Serialize>(value: &T, source: Source) -> Self {
         let (status, body) = match serde_json::to_vec(value) {
             Ok(body) => (StatusCode::OK, body),
             Err(error) => {
@@ -55,7 +84,7 @@
         };
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        Self { status, headers, body: body.into(), close: false }
+        Self { source, status, headers, body: body.into(), close: false }
     }
 
     /// Returns the reply for an error of `kind`.
@@ -67,8 +96,8 @@
     pub fn refusal(refusal: Refusal, dialect: &Dialect) -> Self {
         let Refusal { kind, retry_after } = refusal;
         let answer = kind.answer();
-        let mut reply =
-            Self::json(&ErrorBody { error: kind.as_str(), outcome: answer.outcome.as_str(), advice: kind.advice() });
+        let body = ErrorBody { error: kind.as_str(), outcome: answer.outcome.as_str(), advice: kind.advice() };
+        let mut reply = Self::json(&body, Source::Error(answer.outcome));
         reply.status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         reply.close = answer.close;
         if let Some(outcome) = &dialect.outcome {
@@ -87,7 +116,7 @@
         if let Some(outcome) = &dialect.outcome {
             headers.insert(outcome, HeaderValue::from_static("complete"));
         }
-        Self { status: response.status, headers, body: response.body.clone(), close: false }
+        Self { source: Source::Server, status: response.status, headers, body: response.body.clone(), close: false }
     }
 
     /// Appends this reply to `out` as the response to a request with `method`; `close` announces that the connection
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 use super::connection;
+use super::purpose::Purpose;
 use super::stop::{Phase, Stop};
 use crate::Context;
 use crate::plugin::Plugin;
@@ -62,12 +63,16 @@
     let (stop, receiver) = watch::channel(Stop::none());
     let open = Arc::new(AtomicUsize::new(0));
     let mut tasks = Vec::new();
-    let addresses = [("callers.address", &settings.address), ("callers.lookup_address", &settings.lookup_address)];
-    for (key, address) in addresses.into_iter().filter(|(_, address)| !address.is_empty()) {
+    let addresses = [
+        ("callers.address", &settings.address, Purpose::Requests),
+        ("callers.lookup_address", &settings.lookup_address, Purpose::LookUps),
+    ];
+    for (key, address, purpose) in addresses.into_iter().filter(|(_, address, _)| !address.is_empty()) {
         let listener = context
             .listen(address)
             .map_err(|error| format!("key `{key}`: cannot listen at {address}: {error}; choose a free address"))?;
-        let acceptor = Acceptor { context: Arc::clone(context), stop: receiver.clone(), open: Arc::clone(&open) };
+        let acceptor =
+            Acceptor { context: Arc::clone(context), purpose, stop: receiver.clone(), open: Arc::clone(&open) };
         tasks.push(context.runtime.spawn(acceptor.run(listener)));
     }
     Ok(Box::new(Port { context: Arc::clone(context), stop, tasks, open }))
@@ -76,6 +81,7 @@
 /// Accepts connections on one address until the port closes.
 struct Acceptor {
     context: Arc<Context>,
+    purpose: Purpose,
     stop: watch::Receiver<Stop>,
     open: Arc<AtomicUsize>,
 }
@@ -119,7 +125,7 @@
             log::debug!("callers: socket options not set reason={:?}", error.to_string());
         }
         let (context, open) = (Arc::clone(&self.context), Arc::clone(&self.open));
-        let serving = connection::serve(Arc::clone(&context), stream, peer.ip(), self.stop.clone());
+        let serving = connection::serve(Arc::clone(&context), self.purpose, stream, peer.ip(), self.stop.clone());
         open.fetch_add(1, Ordering::Relaxed);
         context.metrics.connections.inc();
         self.context.runtime.spawn(async move {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -14,6 +14,8 @@
     registry: Registry,
     /// Look-ups answered.
     pub lookups: IntCounter,
+    /// Replies on connections of callers, by what the address is for, who made the reply, and the class of its status.
+    pub replies: IntCounterVec,
     /// Requests answered, by class and result (`ok` or an error kind).
     pub requests: IntCounterVec,
     /// Time from a request's arrival to its answer, by class, in seconds.
@@ -98,6 +100,12 @@
         let registry = Registry::new();
         Self {
             lookups: counter(&registry, "hemlock_lookups_total", "Look-ups answered"),
+            replies: counters(
+                &registry,
+                "hemlock_replies_total",
+                "Replies to callers",
+                &["address", "source", "status"],
+            ),
             requests: counters(&registry, "hemlock_requests_total", "Requests answered", &["class", "result"]),
             latency: histograms(&registry, "hemlock_request_seconds", "Time to the answer", &["class"]),
             wait_time: histogram(&registry, "hemlock_wait_seconds", "Time to the first attempt"),
