--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -38,6 +38,10 @@
     NoPolicy,
     /// No class of work covers the path.
     UnknownRoute,
+    /// The address answers look-ups, and the path is not that of look-ups.
+    UnknownPath,
+    /// The method is not one of those that the path answers.
+    UnknownMethod,
     /// A non-idempotent request came without an idempotency key.
     KeyMissing,
     /// The idempotency key was used before with another request.
@@ -97,7 +101,7 @@
 
 impl Kind {
     /// All kinds, in the order of declaration.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 30] = [
         Self::Malformed,
         Self::AmbiguousFraming,
         Self::LengthRequired,
@@ -105,6 +109,8 @@
         Self::SlowSender,
         Self::NoPolicy,
         Self::UnknownRoute,
+        Self::UnknownPath,
+        Self::UnknownMethod,
         Self::KeyMissing,
         Self::KeyReused,
         Self::Leaving,
@@ -139,6 +145,8 @@
             Self::SlowSender => (408, NotRun, Some(1), true),
             Self::NoPolicy => (503, NotRun, Some(1), false),
             Self::UnknownRoute => (404, NotRun, None, false),
+            Self::UnknownPath => (404, NotRun, None, false),
+            Self::UnknownMethod => (405, NotRun, None, false),
             Self::KeyMissing => (428, NotRun, None, false),
             Self::KeyReused => (422, NotRun, None, false),
             Self::Leaving => (503, NotRun, Some(1), true),
@@ -174,6 +182,8 @@
             Self::SlowSender => "slow-sender",
             Self::NoPolicy => "no-policy",
             Self::UnknownRoute => "unknown-route",
+            Self::UnknownPath => "unknown-path",
+            Self::UnknownMethod => "unknown-method",
             Self::KeyMissing => "key-missing",
             Self::KeyReused => "key-reused",
             Self::Leaving => "leaving",
@@ -207,6 +217,8 @@
             Self::BodyTooLarge => "send a smaller body",
             Self::SlowSender => "send the whole request faster",
             Self::UnknownRoute => "use a path that one of the classes of work covers",
+            Self::UnknownPath => "send look-ups to /lookup, and requests for work to an address that a look-up names",
+            Self::UnknownMethod => "use one of the methods in the Allow header",
             Self::KeyMissing => {
                 "send an Idempotency-Key header that is new for each order and repeated on each re-send"
             }
--- a/crates/config/src/configs/callers.rs
+++ b/crates/config/src/configs/callers.rs
@@ -1,19 +1,19 @@
-//! Settings of the callers' port.
+//! Settings of the addresses for callers.
 
 use serde::{Deserialize, Serialize};
 
-use super::{check_address, check_range};
+use super::{address_or_next_port, check_address, check_range};
 use crate::error::Result;
 
-/// The callers' port.
+/// The addresses for callers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Callers {
-    /// Address to listen on, `IP:PORT`.
+    /// Address for requests, `IP:PORT`.
     pub address: String,
-    /// Additional address that answers look-ups, `IP:PORT`; empty for none.
-    pub lookup_address: String,
-    /// Maximum number of open connections.
+    /// Address for look-ups, `IP:PORT`; `None` for the port after that of `address`.
+    pub lookup_address: Option<String>,
+    /// Maximum number of open connections at each of the addresses.
     pub max_connections: u32,
     /// Maximum time for a caller to send a request's header, in milliseconds.
     pub header_timeout_ms: u64,
@@ -41,7 +41,7 @@
     fn default() -> Self {
         Self {
             address: "127.0.0.1:7000".to_owned(),
-            lookup_address: String::new(),
+            lookup_address: None,
             max_connections: 1_024,
             header_timeout_ms: 5_000,
             body_timeout_ms: 10_000,
@@ -58,11 +58,14 @@
 }
 
 impl Callers {
+    /// Returns the address for look-ups, `IP:PORT`.
+    pub fn lookup_address(&self) -> String {
+        address_or_next_port(self.lookup_address.as_deref(), &self.address)
+    }
+
     pub(super) fn check(&self, name: &str) -> Result<()> {
         check_address(name, "callers.address", &self.address)?;
-        if !self.lookup_address.is_empty() {
-            check_address(name, "callers.lookup_address", &self.lookup_address)?;
-        }
+        check_address(name, "callers.lookup_address", &self.lookup_address())?;
         check_range(name, "callers.max_connections", self.max_connections.into(), 1, 100_000)?;
         check_range(name, "callers.header_timeout_ms", self.header_timeout_ms, 10, 600_000)?;
         check_range(name, "callers.body_timeout_ms", self.body_timeout_ms, 10, 600_000)?;
--- a/crates/config/src/configs/mod.rs
+++ b/crates/config/src/configs/mod.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 use std::fs;
+use std::net::SocketAddr;
 use std::path::Path;
 
 use serde::{Deserialize, Serialize};
@@ -61,7 +62,7 @@
     pub log_lines: u32,
     /// Path of the policy file that is used until the store or a peer supplies a newer policy; empty for none.
     pub policy: String,
-    /// The callers' port.
+    /// The addresses for callers.
     pub callers: Callers,
     /// The operators' port.
     pub operators: Operators,
@@ -146,8 +147,40 @@
         self.fleet.check(name)?;
         self.platform.check(name)?;
         self.list.check(name)?;
-        self.dispatch.check(name)
+        self.dispatch.check(name)?;
+        self.check_distinct(name)
     }
+
+    /// Returns an error if two addresses to listen on are the same: what a request is for follows from its address.
+    fn check_distinct(&self, name: &str) -> Result<()> {
+        let mut keys = BTreeMap::new();
+        let addresses = [
+            ("callers.address", self.callers.address.clone()),
+            ("callers.lookup_address", self.callers.lookup_address()),
+            ("operators.address", self.operators.address.clone()),
+            ("operators.metrics_address", self.operators.metrics_address.clone()),
+            ("fleet.address", self.fleet.address.clone()),
+        ];
+        for (key, address) in addresses.into_iter().filter(|(_, address)| !address.is_empty()) {
+            if let Some(other) = keys.insert(address.clone(), key) {
+                let advice = format!("is {address}, as `{other}`; set one of them to another address");
+                return Err(Error::value(name, key, advice));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Returns `address`, or by default the port after that of `other`; empty if there is no such port.
+fn address_or_next_port(address: Option<&str>, other: &str) -> String {
+    if let Some(address) = address {
+        return address.to_owned();
+    }
+    let next = other.parse::<SocketAddr>().ok().and_then(|mut address| {
+        address.set_port(address.port().checked_add(1)?);
+        Some(address)
+    });
+    next.map_or_else(String::new, |address| address.to_string())
 }
 
 /// Returns an error unless `level` is a log level.
@@ -160,7 +193,7 @@
 
 /// Returns an error unless `value` is an address of the form `IP:PORT`.
 fn check_address(name: &str, key: &str, value: &str) -> Result<()> {
-    match value.parse::<std::net::SocketAddr>() {
+    match value.parse::<SocketAddr>() {
         Ok(_) => Ok(()),
         Err(_) => {
             Err(Error::value(name, key, format!("`{value}` is not of the form IP:PORT; write it like 127.0.0.1:7001")))
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -19,6 +19,8 @@
 #[case::bad_level("log = \"loud\"", "log")]
 #[case::unknown_component("log_parts = { kitchen = \"info\" }", "log_parts.kitchen")]
 #[case::bad_level_of_a_component("log_parts = { list = \"loud\" }", "log_parts.list")]
+#[case::empty_lookup_address("[callers]\nlookup_address = \"\"", "callers.lookup_address")]
+#[case::no_port_after_the_last("[callers]\naddress = \"127.0.0.1:65535\"", "callers.lookup_address")]
 #[case::claim_retention_too_short("[platform]\nclaim_kept_s = 5", "platform.claim_kept_s")]
 fn errors_of_settings_name_the_key(#[case] added: &str, #[case] key: &str) {
     // A top-level key must precede the first section.
@@ -28,6 +30,24 @@
     assert!(error.contains("x.toml") && error.contains(key), "{error}");
 }
 
+/// Guards against two purposes at one address, where a request of one would be taken for a request of the other.
+#[rstest]
+#[case("[callers]\nlookup_address = \"127.0.0.1:7000\"", ["callers.address", "callers.lookup_address"])]
+#[case("[callers]\naddress = \"127.0.0.1:7099\"", ["callers.lookup_address", "operators.address"])]
+#[case("[fleet]\naddress = \"127.0.0.1:7001\"", ["callers.lookup_address", "fleet.address"])]
+#[case("[operators]\nmetrics_address = \"127.0.0.1:7000\"", ["callers.address", "operators.metrics_address"])]
+fn equal_addresses_are_an_error_that_names_both_keys(#[case] added: &str, #[case] keys: [&str; 2]) {
+    let error =
+        Settings::parse("x.toml", &format!("{VALID}{added}\n")).expect_err("the addresses are equal").to_string();
+    assert!(keys.iter().all(|key| error.contains(key)), "{error}");
+}
+
+#[test]
+fn look_ups_have_an_address_of_their_own_by_default() {
+    let settings = Settings::parse("x.toml", &format!("{VALID}[callers]\naddress = \"10.0.0.1:80\"\n"));
+    assert_eq!(settings.expect("the settings are valid").callers.lookup_address(), "10.0.0.1:81");
+}
+
 #[test]
 fn a_missing_instance_name_is_reported() {
     let error = Settings::parse("x.toml", "domain = \"d\"\nregion = \"r\"\n").expect_err("no instance").to_string();
--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -11,7 +11,7 @@
 use dispatch::backend::BackendId;
 use h1::client::{Answer, Call, Connection, Fault};
 use h1::head;
-use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
 use http::{Method, StatusCode};
 
 use crate::Context;
@@ -20,7 +20,7 @@
 use crate::callers::relay;
 use crate::decision_log;
 use crate::driver::Outgoing;
-use crate::response::Response;
+use crate::response::{self, Response};
 use crate::stall;
 
 /// Timeout of a cancellation request.
@@ -209,7 +209,7 @@
 ///
 /// A misdirected request (status 421) reached another server than it was meant for, so its server counts as
 /// unreachable. An answer counts as cut if the dialect requires framing that it lacks, or if it is a success that is not
-/// signed as the dialect requires or has a content encoding.
+/// proven to be the server's whole answer.
 fn classify_answer(context: &Arc<Context>, attempt: Attempt, answer: Answer) -> (Ending, Option<Arc<Response>>) {
     let dialect = &context.dialect;
     load::record(context, attempt.backend, &answer.headers);
@@ -224,9 +224,8 @@
     if dialect.cancel_path.is_some() && answer.status.as_u16() == 499 {
         return (Ending::Cancelled, None);
     }
-    let signed = dialect.signature.as_ref().is_none_or(|name| answer.headers.contains_key(name));
     let framed = dialect.body_until_close || answer.framed;
-    if !framed || (answer.status.is_success() && (!signed || answer.headers.contains_key(CONTENT_ENCODING))) {
+    if !framed || !response::is_proven(dialect, answer.status, &answer.headers) {
         return (Ending::Cut, None);
     }
     let response = to_response(context, answer);
--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -21,7 +21,6 @@
 use super::purpose::Purpose;
 use super::reply::Reply;
 use super::stop::{Start, Stop};
-use super::{forward, route};
 use crate::Context;
 
 /// Maximum number of requests of one connection that run concurrently.
@@ -69,7 +68,7 @@
 }
 
 async fn handle(context: Arc<Context>, purpose: Purpose, job: Job) -> ReadyReply {
-    let ready = run(&context, job).await;
+    let ready = run(&context, purpose, job).await;
     let labels = [purpose.as_str(), ready.reply.source.as_str(), status_class(ready.reply.status)];
     context.metrics.replies.with_label_values(&labels).inc();
     ready
@@ -86,15 +85,15 @@
     }
 }
 
-async fn run(context: &Arc<Context>, job: Job) -> ReadyReply {
+async fn run(context: &Arc<Context>, purpose: Purpose, job: Job) -> ReadyReply {
     match job {
         Job::Run(incoming) => {
             let (method, keep_alive) = (incoming.head.method.clone(), incoming.head.keep_alive);
-            let reply = route(context, *incoming).await;
+            let reply = purpose.answer(context, *incoming).await;
             ReadyReply { method, last: !keep_alive || reply.close, reply }
         }
         Job::Decline(incoming) => {
-            let reply = forward::refuse(context, &incoming, Kind::Leaving);
+            let reply = purpose.refuse(context, &incoming, Kind::Leaving);
             ReadyReply { method: incoming.head.method.clone(), last: true, reply }
         }
         Job::Refuse(kind) => {
@@ -197,7 +196,8 @@
 {
     fn new(context: Arc<Context>, purpose: Purpose, peer: IpAddr, handler: R) -> Self {
         let settings = &context.settings.callers;
-        let (parser, accepted_at) = (Parser::new(settings), context.now());
+        let parser = Parser::new(settings, purpose.max_body_bytes(settings));
+        let accepted_at = context.now();
         let read_deadline = Instant::now() + Duration::from_millis(settings.header_timeout_ms);
         Self {
             context,
@@ -242,7 +242,7 @@
                 return;
             }
             let Some(incoming) = self.deferred.take().or_else(|| self.parse()) else { return };
-            let demand = forward::demand(&self.context, &incoming);
+            let demand = self.purpose.demand(&self.context, &incoming);
             match stop.start(demand, self.replies.len(), self.context.now()) {
                 Start::Now => self.start(incoming),
                 Start::Refused => self.push(Job::Decline(Box::new(incoming))),
--- a/crates/daemon/src/callers/lookup.rs
+++ b/crates/daemon/src/callers/lookup.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 
 use base::error::Kind;
+use http::Method;
+use http::header::{ALLOW, HeaderValue};
 use serde::Serialize;
 
 use super::connection::Incoming;
@@ -12,7 +14,7 @@
 use crate::Context;
 
 /// The request path of look-ups.
-pub const PATH: &str = "/lookup";
+const PATH: &str = "/lookup";
 
 #[derive(Debug, Serialize)]
 struct Entry<'a> {
@@ -29,25 +31,45 @@
     session: String,
 }
 
-/// Answers a look-up. Its query may give the caller's address as `client=` (by default that of the connected peer) or the
+/// Methods that look-ups accept, as the header `Allow` names them.
+const METHODS: HeaderValue = HeaderValue::from_static("GET, HEAD");
+
+/// Answers a request at an address for look-ups. A look-up's query may give the caller's address as `client=` (by default that of the connected peer) or the
 /// caller's region as `region=`; a look-up by region returns only addresses.
 pub fn handle(context: &Arc<Context>, incoming: &Incoming) -> Reply {
-    let query = incoming.head.query();
-    let answer = match query_parameter(query, "region") {
-        Some(region) => answer_by_region(context, region),
-        None => answer_by_address(context, caller_address(query, incoming.peer)),
-    };
-    match answer {
+    match answer(context, incoming) {
         Ok(reply) => {
             context.metrics.lookups.inc();
             log::debug!(method = incoming.head.method.as_str(), caller:% = incoming.peer; "callers: look-up answered");
             reply
         }
-        Err(kind) => {
-            let (method, result) = (incoming.head.method.as_str(), kind.as_str());
-            log::info!(method, path = logged_path(&incoming.head), result; "callers: look-up refused");
-            Reply::error(kind, &context.dialect)
-        }
+        Err(kind) => refuse(context, incoming, kind),
+    }
+}
+
+/// Refuses a request at an address for look-ups.
+pub fn refuse(context: &Context, incoming: &Incoming, kind: Kind) -> Reply {
+    let (method, result) = (incoming.head.method.as_str(), kind.as_str());
+    log::info!(method, path = logged_path(&incoming.head), result; "callers: look-up refused");
+    let mut reply = Reply::error(kind, &context.dialect);
+    if kind == Kind::UnknownMethod {
+        reply.headers.insert(ALLOW, METHODS);
+    }
+    reply
+}
+
+fn answer(context: &Context, incoming: &Incoming) -> Result<Reply, Kind> {
+    let head = &incoming.head;
+    if head.path() != PATH {
+        return Err(Kind::UnknownPath);
+    }
+    if !matches!(head.method, Method::GET | Method::HEAD) {
+        return Err(Kind::UnknownMethod);
+    }
+    let query = head.query();
+    match query_parameter(query, "region") {
+        Some(region) => answer_by_region(context, region),
+        None => answer_by_address(context, caller_address(query, incoming.peer)),
     }
 }
 
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -1,4 +1,4 @@
-//! The callers' port: look-ups and requests for classes of work.
+//! The addresses for callers: one for requests for classes of work, one for look-ups.
 
 pub mod arrival;
 pub mod connection;
@@ -11,17 +11,3 @@
 pub mod reply;
 pub mod server;
 pub mod stop;
-
-use std::sync::Arc;
-
-use self::connection::Incoming;
-use self::reply::Reply;
-use crate::Context;
-
-/// Answers a request on the callers' port.
-pub async fn route(context: &Arc<Context>, incoming: Incoming) -> Reply {
-    if incoming.head.path() == lookup::PATH {
-        return lookup::handle(context, &incoming);
-    }
-    forward::handle(context, incoming).await
-}
--- a/crates/daemon/src/callers/parser.rs
+++ b/crates/daemon/src/callers/parser.rs
@@ -39,11 +39,11 @@
 }
 
 impl Parser {
-    /// Creates a parser with the limits of the settings.
-    pub fn new(settings: &Callers) -> Self {
+    /// Creates a parser with the limits of the settings, but bodies of at most `max_body` bytes.
+    pub fn new(settings: &Callers, max_body: u64) -> Self {
         Self {
             max_head: settings.max_header_bytes as usize,
-            max_body: settings.max_body_bytes,
+            max_body,
             allow_chunked: settings.chunked_bodies,
             partial: None,
             expects_continue: false,
--- a/crates/daemon/src/callers/purpose.rs
+++ b/crates/daemon/src/callers/purpose.rs
@@ -1,4 +1,23 @@
-//! What each address for callers is for.
+//! What each address for callers is for, and so how its requests are handled.
+//!
+//! Only the address decides: paths, methods and headers of callers' requests belong to the operators and their callers, so
+//! nothing in a request makes it a look-up.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::error::Kind;
+use config::configs::Callers;
+
+use super::connection::Incoming;
+use super::reply::{Reply, Source};
+use super::stop::Demand;
+use super::{forward, lookup};
+use crate::Context;
+use crate::response;
+
+/// Maximum size of a look-up's body, in bytes: a look-up needs none, so callers are not to use memory with it.
+const MAX_LOOK_UP_BODY_BYTES: u64 = 1_024;
 
 /// What an address is for. It is given where the address is opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,4 +36,47 @@
             Self::LookUps => "look-ups",
         }
     }
+
+    /// Returns the maximum size of a request's body, in bytes.
+    pub fn max_body_bytes(self, settings: &Callers) -> u64 {
+        match self {
+            Self::Requests => settings.max_body_bytes,
+            Self::LookUps => settings.max_body_bytes.min(MAX_LOOK_UP_BODY_BYTES),
+        }
+    }
+
+    /// Returns what a stop decides by. A look-up is answered at once.
+    pub fn demand(self, context: &Context, incoming: &Incoming) -> Demand {
+        match self {
+            Self::Requests => forward::demand(context, incoming),
+            Self::LookUps => Demand { idempotent: true, limit: Duration::ZERO },
+        }
+    }
+
+    /// Handles a request that arrived at such an address.
+    pub async fn answer(self, context: &Arc<Context>, incoming: Incoming) -> Reply {
+        match self {
+            Self::Requests => only_servers_succeed(context, forward::handle(context, incoming).await),
+            Self::LookUps => lookup::handle(context, &incoming),
+        }
+    }
+
+    /// Refuses a request that is not started; its caller can send it elsewhere at once.
+    pub fn refuse(self, context: &Context, incoming: &Incoming, kind: Kind) -> Reply {
+        match self {
+            Self::Requests => forward::refuse(context, incoming, kind),
+            Self::LookUps => lookup::refuse(context, incoming, kind),
+        }
+    }
+}
+
+/// Returns `reply`, or an error in its place if it is a success that no backend server proves: a caller would take its
+/// request for done.
+fn only_servers_succeed(context: &Context, reply: Reply) -> Reply {
+    let proven = reply.source == Source::Server && response::is_proven(&context.dialect, reply.status, &reply.headers);
+    if proven || !reply.status.is_success() {
+        return reply;
+    }
+    log::error!("callers: success withheld, no server proves it source={}", reply.source.as_str());
+    Reply::error(Kind::AnswerCut, &context.dialect)
 }
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -1,4 +1,4 @@
-//! The listening sockets of the callers' port.
+//! The listening sockets for callers.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,7 +25,7 @@
     Plugin(kernel::Plugin { name: "callers", stage: 60, start })
 }
 
-/// The accept loops of the port and its number of open connections.
+/// The accept loops of the addresses and the number of their open connections.
 struct Port {
     context: Arc<Context>,
     stop: watch::Sender<Stop>,
@@ -64,12 +64,12 @@
     let open = Arc::new(AtomicUsize::new(0));
     let mut tasks = Vec::new();
     let addresses = [
-        ("callers.address", &settings.address, Purpose::Requests),
-        ("callers.lookup_address", &settings.lookup_address, Purpose::LookUps),
+        ("callers.address", settings.address.clone(), Purpose::Requests),
+        ("callers.lookup_address", settings.lookup_address(), Purpose::LookUps),
     ];
-    for (key, address, purpose) in addresses.into_iter().filter(|(_, address, _)| !address.is_empty()) {
+    for (key, address, purpose) in addresses {
         let listener = context
-            .listen(address)
+            .listen(&address)
             .map_err(|error| format!("key `{key}`: cannot listen at {address}: {error}; choose a free address"))?;
         let acceptor =
             Acceptor { context: Arc::clone(context), purpose, stop: receiver.clone(), open: Arc::clone(&open) };
--- a/crates/daemon/src/response.rs
+++ b/crates/daemon/src/response.rs
@@ -2,9 +2,18 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::header::{CONTENT_ENCODING, HeaderMap, HeaderName, HeaderValue};
 use serde::{Deserialize, Serialize};
 
+use crate::dialect::Dialect;
+
+/// Whether an answer with this status and these headers can be the whole answer of a backend server: a success must be
+/// signed, where the dialect has signatures, and must not be encoded by a proxy, since nobody asks for an encoding.
+pub fn is_proven(dialect: &Dialect, status: StatusCode, headers: &HeaderMap) -> bool {
+    let signed = dialect.signature.as_ref().is_none_or(|name| headers.contains_key(name));
+    !status.is_success() || (signed && !headers.contains_key(CONTENT_ENCODING))
+}
+
 /// A complete answer: status, headers and body.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Response {
--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -46,8 +46,7 @@
         std::fs::create_dir_all(logs).map_err(|error| Error::Start(error.to_string()))?;
         let entry = instances.iter().find(|instance| instance.role == Role::Entry);
         let entry = entry.ok_or_else(|| invalid("lists no entry instance".to_owned()))?;
-        let settings = Settings::read(&folder.join(format!("{}.toml", entry.name)));
-        let settings = settings.map_err(|error| Error::Start(error.to_string()))?;
+        let settings = read_settings(folder, &entry.name)?;
         Ok(Self {
             children: Children::from_current_exe()?,
             instances,
@@ -139,6 +138,11 @@
         }
     }
 
+    /// Returns the addresses at which the entry instances answer look-ups.
+    pub fn lookup_addresses(&self) -> Result<Vec<String>> {
+        self.entries().map(|entry| Ok(read_settings(&self.folder, &entry.name)?.callers.lookup_address())).collect()
+    }
+
     /// Returns one flow for each class, to its first path. A class that may wait sends 2 % of `per_second`, any other
     /// idempotent class 90 %, and the rest 4 % each. With the classes of the checked-in deployments, this is
     /// `per_second` in all.
@@ -166,6 +170,11 @@
     }
 }
 
+/// Reads the settings of the daemon `name`.
+fn read_settings(folder: &Path, name: &str) -> Result<Settings> {
+    Settings::read(&folder.join(format!("{name}.toml"))).map_err(|error| Error::Start(error.to_string()))
+}
+
 /// Waits until something listens at `address`.
 fn wait_listening(address: &str) -> Result<()> {
     let start = Instant::now();
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -62,7 +62,7 @@
         deployment.store_address, deployment.list_address
     );
     let mut plan = Plan {
-        entries: deployment.entries().map(|entry| entry.address.clone()).collect(),
+        lookup_addresses: deployment.lookup_addresses()?,
         flows: deployment.flows(options.per_second),
         duration: INTERVAL,
         callers: 64,
--- a/crates/demo/tests/common/mod.rs
+++ b/crates/demo/tests/common/mod.rs
@@ -53,7 +53,7 @@
 
     pub fn plan(&self, flows: Vec<Flow>, seconds: u64, callers: usize) -> Plan {
         Plan {
-            entries: self.deployment.entries().map(|entry| entry.address.clone()).collect(),
+            lookup_addresses: self.deployment.lookup_addresses().expect("the settings are valid"),
             flows,
             duration: Duration::from_secs(seconds),
             callers,
--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -157,7 +157,11 @@
         .clone();
     let lookup =
         |address: &str| testbed.send(address, "GET", "/lookup?client=10.3.4.5", None).expect("an answer comes").2;
-    wait_until("no answer names the drained entry", || !lookup(&testbed.entry(0).address).contains(&drained.address));
+    let lookup_address = &testbed.deployment.lookup_addresses().expect("the settings are valid")[0];
+    wait_until("no answer names the drained entry", || {
+        let answer = lookup(lookup_address);
+        answer.contains("entries") && !answer.contains(&drained.address)
+    });
 }
 
 #[test]
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -10,7 +10,7 @@
 use load::{run, tally};
 
 const USAGE: &str = "\
-hemlockload --entry IP:PORT [--entry IP:PORT ...] --flow NAME,METHOD,PATH,PER_SECOND[,keyed] [--flow ...]
+hemlockload --lookup-address IP:PORT [--lookup-address ...] --flow NAME,METHOD,PATH,PER_SECOND[,keyed] [--flow ...]
             [--seconds N] [--callers N] [--timeout-ms N] [--resends N] [--seed N]
 
 Sends open-loop load through look-ups and checks that each answer belongs to its request.
@@ -30,7 +30,7 @@
 
 fn parse() -> Result<Option<Plan>, lexopt::Error> {
     let mut plan = Plan {
-        entries: Vec::new(),
+        lookup_addresses: Vec::new(),
         flows: Vec::new(),
         duration: Duration::from_secs(10),
         callers: 64,
@@ -42,7 +42,7 @@
     while let Some(argument) = parser.next()? {
         match argument {
             Long("help") | Short('h') => return Ok(None),
-            Long("entry") => plan.entries.push(parser.value()?.string()?),
+            Long("lookup-address") => plan.lookup_addresses.push(parser.value()?.string()?),
             Long("flow") => plan.flows.push(parse_flow(&parser.value()?.string()?)?),
             Long("seconds") => plan.duration = Duration::from_secs(parser.value()?.parse()?),
             Long("callers") => plan.callers = parser.value()?.parse()?,
@@ -52,8 +52,8 @@
             other => return Err(other.unexpected()),
         }
     }
-    if plan.entries.is_empty() || plan.flows.is_empty() {
-        return Err("at least one --entry and one --flow are required".into());
+    if plan.lookup_addresses.is_empty() || plan.flows.is_empty() {
+        return Err("at least one --lookup-address and one --flow are required".into());
     }
     Ok(Some(plan))
 }
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -22,8 +22,8 @@
 /// The load to send.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Plan {
-    /// Addresses of the entry instances that answer the look-ups, as `IP:PORT`.
-    pub entries: Vec<String>,
+    /// Addresses at which entry instances answer look-ups, as `IP:PORT`.
+    pub lookup_addresses: Vec<String>,
     /// Classes of requests.
     pub flows: Vec<Flow>,
     /// How long to send.
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -126,10 +126,10 @@
         if Instant::now() < self.lookup_expires_at {
             return;
         }
-        let count = self.plan.entries.len();
+        let count = self.plan.lookup_addresses.len();
         for step in 0..count {
-            let entry = &self.plan.entries[(offset + step) % count];
-            let url = format!("http://{entry}/lookup?client={}", self.client);
+            let address = &self.plan.lookup_addresses[(offset + step) % count];
+            let url = format!("http://{address}/lookup?client={}", self.client);
             let body = self.agent.get(&url).call().and_then(|mut response| response.body_mut().read_to_vec());
             let Some(answer) = body.ok().and_then(|bytes| serde_json::from_slice::<Value>(&bytes).ok()) else {
                 continue;
