--- a/crates/config/src/configs/callers.rs
+++ b/crates/config/src/configs/callers.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{address_or_next_port, check_address, check_range};
+use super::{check_address, check_range, with_port};
 use crate::error::Result;
 
 /// The addresses for callers.
@@ -60,7 +60,7 @@
 impl Callers {
     /// Returns the address for look-ups, `IP:PORT`.
     pub fn lookup_address(&self) -> String {
-        address_or_next_port(self.lookup_address.as_deref(), &self.address)
+        self.lookup_address.clone().unwrap_or_else(|| with_port(&self.address, None))
     }
 
     pub(super) fn check(&self, name: &str) -> Result<()> {
--- a/crates/config/src/configs/fleet.rs
+++ b/crates/config/src/configs/fleet.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{check_address, check_range};
+use super::{check_address, check_range, with_port};
 use crate::error::Result;
 
 /// Gossip between daemons.
@@ -11,6 +11,9 @@
 pub struct Fleet {
     /// Address to listen on for peers, `IP:PORT`.
     pub address: String,
+    /// Port for requests that peers pass on, at the IP address of `address`; `None` for the port after that of `address`.
+    /// Only entry instances may reach it.
+    pub relay_port: Option<u16>,
     /// Peers to contact first, `IP:PORT` each.
     pub seeds: Vec<String>,
     /// Whether all daemons are starting for the first time. They may then wait a moment for each other, since none is
@@ -30,6 +33,7 @@
     fn default() -> Self {
         Self {
             address: "127.0.0.1:7200".to_owned(),
+            relay_port: None,
             seeds: Vec::new(),
             first_start: false,
             exchange_ms: 1_000,
@@ -41,8 +45,17 @@
 }
 
 impl Fleet {
+    /// Returns the address for requests that peers pass on, `IP:PORT`.
+    pub fn relay_address(&self) -> String {
+        with_port(&self.address, self.relay_port)
+    }
+
     pub(super) fn check(&self, name: &str) -> Result<()> {
         check_address(name, "fleet.address", &self.address)?;
+        check_address(name, "fleet.relay_port", &self.relay_address())?;
+        if let Some(port) = self.relay_port {
+            check_range(name, "fleet.relay_port", port.into(), 1, u16::MAX.into())?;
+        }
         for seed in &self.seeds {
             check_address(name, "fleet.seeds", seed)?;
         }
--- a/crates/config/src/configs/mod.rs
+++ b/crates/config/src/configs/mod.rs
@@ -6,9 +6,9 @@
 mod list;
 mod operators;
 mod platform;
+mod source;
 
 use std::collections::BTreeMap;
-use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -20,6 +20,7 @@
 pub use self::list::List;
 pub use self::operators::Operators;
 pub use self::platform::Platform;
+pub use self::source::Source;
 use crate::error::{Error, Result};
 
 /// Log levels, from the least to the most verbose.
@@ -100,8 +101,7 @@
 impl Settings {
     /// Reads and checks the settings in `path`.
     pub fn read(path: &Path) -> Result<Self> {
-        let text = fs::read_to_string(path).map_err(|source| Error::Read { path: path.to_owned(), source })?;
-        Self::parse(&path.display().to_string(), &text)
+        Source::new(path).read()
     }
 
     /// Parses and checks `text`; errors call it `name`.
@@ -160,6 +160,7 @@
             ("operators.address", self.operators.address.clone()),
             ("operators.metrics_address", self.operators.metrics_address.clone()),
             ("fleet.address", self.fleet.address.clone()),
+            ("fleet.relay_port", self.fleet.relay_address()),
         ];
         for (key, address) in addresses.into_iter().filter(|(_, address)| !address.is_empty()) {
             if let Some(other) = keys.insert(address.clone(), key) {
@@ -171,16 +172,13 @@
     }
 }
 
-/// Returns `address`, or by default the port after that of `other`; empty if there is no such port.
-fn address_or_next_port(address: Option<&str>, other: &str) -> String {
-    if let Some(address) = address {
-        return address.to_owned();
-    }
-    let next = other.parse::<SocketAddr>().ok().and_then(|mut address| {
-        address.set_port(address.port().checked_add(1)?);
+/// Returns `address` with `port`, or by default with the port after its own; empty if there is no such port.
+fn with_port(address: &str, port: Option<u16>) -> String {
+    let changed = address.parse::<SocketAddr>().ok().and_then(|mut address| {
+        address.set_port(port.or_else(|| address.port().checked_add(1))?);
         Some(address)
     });
-    next.map_or_else(String::new, |address| address.to_string())
+    changed.map_or_else(String::new, |address| address.to_string())
 }
 
 /// Returns an error unless `level` is a log level.
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use config::configs::Settings;
+use config::configs::{Settings, Source};
 use config::policy::{Drain, Policy, Scope};
 use rstest::rstest;
 
@@ -21,6 +21,7 @@
 #[case::bad_level_of_a_component("log_parts = { list = \"loud\" }", "log_parts.list")]
 #[case::empty_lookup_address("[callers]\nlookup_address = \"\"", "callers.lookup_address")]
 #[case::no_port_after_the_last("[callers]\naddress = \"127.0.0.1:65535\"", "callers.lookup_address")]
+#[case::no_relay_port("[fleet]\nrelay_port = 0", "fleet.relay_port")]
 #[case::claim_retention_too_short("[platform]\nclaim_kept_s = 5", "platform.claim_kept_s")]
 fn errors_of_settings_name_the_key(#[case] added: &str, #[case] key: &str) {
     // A top-level key must precede the first section.
@@ -35,6 +36,8 @@
 #[case("[callers]\nlookup_address = \"127.0.0.1:7000\"", ["callers.address", "callers.lookup_address"])]
 #[case("[callers]\naddress = \"127.0.0.1:7099\"", ["callers.lookup_address", "operators.address"])]
 #[case("[fleet]\naddress = \"127.0.0.1:7001\"", ["callers.lookup_address", "fleet.address"])]
+#[case("[fleet]\naddress = \"127.0.0.1:7000\"\nrelay_port = 7001", ["callers.address", "fleet.address"])]
+#[case("[fleet]\naddress = \"127.0.0.1:8000\"\nrelay_port = 7001", ["callers.lookup_address", "fleet.relay_port"])]
 #[case("[operators]\nmetrics_address = \"127.0.0.1:7000\"", ["callers.address", "operators.metrics_address"])]
 fn equal_addresses_are_an_error_that_names_both_keys(#[case] added: &str, #[case] keys: [&str; 2]) {
     let error =
@@ -48,6 +51,21 @@
     assert_eq!(settings.expect("the settings are valid").callers.lookup_address(), "10.0.0.1:81");
 }
 
+/// Guards against a value of the command line that does not take effect, or whose error does not name it.
+#[test]
+fn the_command_line_replaces_values_of_the_file() {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("overrides.toml");
+    std::fs::write(&path, format!("{VALID}[fleet]\nfanout = 2\nexchange_ms = 50\n")).expect("the file can be written");
+    let read = |text: &str| Source::new(&path).with_overrides(vec![text.to_owned()]).read();
+    let settings = read("fleet.relay_port=7300").expect("the settings are valid");
+    assert_eq!((settings.fleet.relay_address().as_str(), settings.fleet.fanout), ("127.0.0.1:7300", 2));
+    assert_eq!(read("fleet.fanout=3").expect("the settings are valid").fleet.fanout, 3);
+    for (text, key) in [("fleet.relay_port=", "fleet.relay_port"), ("fleet.colour=1", "colour"), ("x", "`x`")] {
+        let error = read(text).expect_err("the value is invalid").to_string();
+        assert!(error.contains("--set") && error.contains(key), "{error}");
+    }
+}
+
 #[test]
 fn a_missing_instance_name_is_reported() {
     let error = Settings::parse("x.toml", "domain = \"d\"\nregion = \"r\"\n").expect_err("no instance").to_string();
--- a/crates/daemon/examples/prepare.rs
+++ b/crates/daemon/examples/prepare.rs
@@ -45,6 +45,7 @@
         domain: format!("d{}", number % REGIONS),
         caller_address: format!("10.9.{}.{}:7000", number / 250, number % 250),
         without_servers: false,
+        relay_port: None,
     }
 }
 
--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -17,7 +17,6 @@
 use crate::Context;
 use crate::at_most_once;
 use crate::backends::{announcement, load, reach};
-use crate::callers::relay;
 use crate::decision_log;
 use crate::driver::Outgoing;
 use crate::response::{self, Response};
@@ -238,9 +237,7 @@
     let mut headers = HeaderMap::with_capacity(answer.headers.len());
     let internal = [&context.dialect.load, &context.dialect.cold_ms];
     let is_relayed = |name: &http::HeaderName| {
-        // What a server says under the name of the daemons' own mark must not pass for the word of a daemon.
-        let framing_or_mark = *name == CONTENT_LENGTH || *name == relay::NOT_RUN;
-        !framing_or_mark && !head::is_hop_by_hop(name.as_str()) && !internal.contains(&&Some(name.clone()))
+        *name != CONTENT_LENGTH && !head::is_hop_by_hop(name.as_str()) && !internal.contains(&&Some(name.clone()))
     };
     for (name, value) in answer.headers.iter().filter(|(name, _)| is_relayed(name)) {
         headers.append(name, value.clone());
--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -68,7 +68,8 @@
 }
 
 async fn handle(context: Arc<Context>, purpose: Purpose, job: Job) -> ReadyReply {
-    let ready = run(&context, purpose, job).await;
+    let mut ready = run(&context, purpose, job).await;
+    ready.reply = purpose.complete(&context, ready.reply);
     let labels = [purpose.as_str(), ready.reply.source.as_str(), status_class(ready.reply.status)];
     context.metrics.replies.with_label_values(&labels).inc();
     ready
@@ -316,7 +317,8 @@
     fn expire(&mut self) {
         self.closing = true;
         if self.parser.in_body() {
-            Reply::error(Kind::SlowSender, &self.context.dialect).write(&mut self.output, &Method::GET, true);
+            let reply = Reply::error(Kind::SlowSender, &self.context.dialect);
+            self.purpose.complete(&self.context, reply).write(&mut self.output, &Method::GET, true);
         }
         self.input.clear();
         self.parser.clear();
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -8,7 +8,7 @@
 use base::time::Time;
 use bytes::Bytes;
 use h1::head;
-use http::header::{HeaderMap, HeaderValue};
+use http::header::HeaderMap;
 use ledger::table::Admission;
 
 use super::connection::Incoming;
@@ -21,13 +21,21 @@
 use crate::dialect::AtMostOnce;
 use crate::driver::{Outcome, Outgoing, Refusal, Submission};
 
+/// Who sent a request to this daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sender {
+    /// A caller.
+    Caller,
+    /// Another entry instance, which reaches no backend server itself.
+    Peer,
+}
+
 /// Handles a request for a class of work: dispatches it, records metrics and logs the result.
-pub async fn handle(context: &Arc<Context>, incoming: Incoming) -> Reply {
+pub async fn handle(context: &Arc<Context>, incoming: Incoming, sender: Sender) -> Reply {
     let start = incoming.arrived_at;
     let id = headers::request_id(context, &incoming.head.headers);
-    let is_relayed = incoming.head.headers.contains_key(relay::MARK);
     let path = headers::logged_path(&incoming.head).to_owned();
-    let (class, outcome) = run(context, incoming, &id, start).await;
+    let (class, outcome) = run(context, incoming, &id, sender).await;
     let result = match &outcome {
         Ok(_) => "ok",
         Err(refusal) => refusal.kind.as_str(),
@@ -44,17 +52,8 @@
     }
     match outcome {
         Ok(response) => Reply::from_response(&response, &context.dialect),
-        Err(refusal) => refusal_reply(context, refusal, is_relayed),
-    }
-}
-
-/// Returns the reply for a refusal. The instance that passed the request on, if one did, is told that it did not run.
-fn refusal_reply(context: &Context, refusal: Refusal, is_relayed: bool) -> Reply {
-    let mut reply = Reply::refusal(refusal, &context.dialect);
-    if is_relayed && refusal.kind.answer().outcome == Ran::NotRun {
-        reply.headers.insert(relay::NOT_RUN, HeaderValue::from_static("1"));
+        Err(refusal) => Reply::refusal(refusal, &context.dialect),
     }
-    reply
 }
 
 /// Returns what a stop decides by: a request without a class runs nowhere, and is answered at once.
@@ -77,13 +76,12 @@
         context.metrics.requests.with_label_values(&[class, kind.as_str()]).inc();
     }
     log::info!(request = id.as_str(), result = kind.as_str(); "callers: refused");
-    let is_relayed = incoming.head.headers.contains_key(relay::MARK);
-    refusal_reply(context, Refusal { kind, retry_after: Some(Duration::ZERO) }, is_relayed)
+    Reply::refusal(Refusal { kind, retry_after: Some(Duration::ZERO) }, &context.dialect)
 }
 
 /// Finds the class of a request and dispatches it. Returns the name of the class, if the request has one, and the
-/// outcome. All its times count from `arrived`, also if it has waited behind others of its connection.
-async fn run(context: &Arc<Context>, incoming: Incoming, id: &str, arrived: Time) -> (Option<String>, Outcome) {
+/// outcome. All its times count from its arrival, also if it has waited behind others of its connection.
+async fn run(context: &Arc<Context>, incoming: Incoming, id: &str, sender: Sender) -> (Option<String>, Outcome) {
     let active = context.policy();
     if active.policy.regions.is_empty() {
         return (None, Err(Kind::NoPolicy.into()));
@@ -100,9 +98,9 @@
     if class.closed {
         return (Some(name), Err(Kind::NoBackend.into()));
     }
-    let limit = arrived + Duration::from_millis(class.deadline_ms);
+    let limit = incoming.arrived_at + Duration::from_millis(class.deadline_ms);
     let found = ClassMatch { position, idempotent, regions: class.regions.clone(), limit };
-    let outcome = dispatch(context, found, incoming, id).await;
+    let outcome = dispatch(context, found, incoming, id, sender).await;
     (Some(name), outcome)
 }
 
@@ -119,12 +117,11 @@
 
 /// Dispatches a request of a class. A keyed request first passes the ledger, which may replay an earlier answer or
 /// refuse the request.
-async fn dispatch(context: &Arc<Context>, class: ClassMatch, incoming: Incoming, id: &str) -> Outcome {
+async fn dispatch(context: &Arc<Context>, class: ClassMatch, incoming: Incoming, id: &str, sender: Sender) -> Outcome {
     let ClassMatch { position, idempotent, regions, limit } = class;
     let Incoming { head, body, arrived_at, .. } = incoming;
     let caller_deadline = headers::caller_limit(context, &head.headers).map(|limit| arrived_at + limit);
     let deadline = caller_deadline.map_or(limit, |caller| caller.min(limit));
-    let is_relayed = head.headers.contains_key(relay::MARK);
     let fingerprint = fingerprint(head.method.as_str(), &head.target, &body);
     let needs_key = !idempotent && context.dialect.at_most_once == AtMostOnce::PerKey;
     let keyed = if needs_key { Some(headers::keyed_request(context, &head.headers, fingerprint)?) } else { None };
@@ -154,7 +151,7 @@
     if outgoing.keyed.is_some() {
         return run_keyed(context, outgoing, submission).await;
     }
-    let route = Route { is_relayed, regions, deadline };
+    let route = Route { sender, regions, deadline };
     if context.reach.is_lost() {
         return send_through_peer(context, &outgoing, &route).await;
     }
@@ -171,8 +168,8 @@
 
 /// Where else a request may run, and until when.
 struct Route {
-    /// Whether another entry instance has passed the request on already.
-    is_relayed: bool,
+    /// Who sent it here: another entry instance has passed it on already.
+    sender: Sender,
     /// Regions that may run it; all if there are none.
     regions: Vec<String>,
     deadline: Time,
@@ -180,7 +177,7 @@
 
 /// Passes a request that this daemon did not run and cannot run on to another entry instance.
 async fn send_through_peer(context: &Arc<Context>, outgoing: &Outgoing, route: &Route) -> Outcome {
-    if route.is_relayed {
+    if route.sender == Sender::Peer {
         return Err(Kind::Unreachable.into());
     }
     relay::send(context, outgoing, &route.regions, route.deadline).await
--- a/crates/daemon/src/callers/headers.rs
+++ b/crates/daemon/src/callers/headers.rs
@@ -7,7 +7,6 @@
 use h1::head;
 use http::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName};
 
-use super::relay;
 use crate::Context;
 use crate::at_most_once::{self, KeyedRequest};
 
@@ -72,10 +71,7 @@
     let mut forwarded = HeaderMap::with_capacity(headers.len());
     let is_forwarded = |name: &HeaderName| {
         let framing = *name == CONTENT_LENGTH || *name == EXPECT;
-        !framing
-            && *name != relay::MARK
-            && !head::is_hop_by_hop(name.as_str())
-            && !context.dialect.is_set_by_daemon(name)
+        !framing && !head::is_hop_by_hop(name.as_str()) && !context.dialect.is_set_by_daemon(name)
     };
     for (name, value) in headers.iter().filter(|(name, _)| is_forwarded(name)) {
         forwarded.append(name, value.clone());
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -1,4 +1,4 @@
-//! The addresses for callers: one for requests for classes of work, one for look-ups.
+//! The addresses for requests for classes of work, of callers and of other entry instances, and for look-ups.
 
 pub mod arrival;
 pub mod connection;
--- a/crates/daemon/src/callers/purpose.rs
+++ b/crates/daemon/src/callers/purpose.rs
@@ -1,15 +1,17 @@
-//! What each address for callers is for, and so how its requests are handled.
+//! What each address for requests is for, and so how they are handled.
 //!
 //! Only the address decides: paths, methods and headers of callers' requests belong to the operators and their callers, so
-//! nothing in a request makes it a look-up.
+//! nothing in a request makes it a look-up, or one that another instance has passed on.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::error::Kind;
+use base::error::{Kind, Outcome as Ran};
 use config::configs::Callers;
 
 use super::connection::Incoming;
+use super::forward::Sender;
+use super::relay::verdict::Verdict;
 use super::reply::{Reply, Source};
 use super::stop::Demand;
 use super::{forward, lookup};
@@ -26,6 +28,8 @@
     Requests,
     /// Callers' look-ups.
     LookUps,
+    /// Requests that other entry instances pass on. Callers must not reach such an address.
+    Relayed,
 }
 
 impl Purpose {
@@ -34,13 +38,14 @@
         match self {
             Self::Requests => "requests",
             Self::LookUps => "look-ups",
+            Self::Relayed => "relayed",
         }
     }
 
     /// Returns the maximum size of a request's body, in bytes.
     pub fn max_body_bytes(self, settings: &Callers) -> u64 {
         match self {
-            Self::Requests => settings.max_body_bytes,
+            Self::Requests | Self::Relayed => settings.max_body_bytes,
             Self::LookUps => settings.max_body_bytes.min(MAX_LOOK_UP_BODY_BYTES),
         }
     }
@@ -48,7 +53,7 @@
     /// Returns what a stop decides by. A look-up is answered at once.
     pub fn demand(self, context: &Context, incoming: &Incoming) -> Demand {
         match self {
-            Self::Requests => forward::demand(context, incoming),
+            Self::Requests | Self::Relayed => forward::demand(context, incoming),
             Self::LookUps => Demand { idempotent: true, limit: Duration::ZERO },
         }
     }
@@ -56,18 +61,39 @@
     /// Handles a request that arrived at such an address.
     pub async fn answer(self, context: &Arc<Context>, incoming: Incoming) -> Reply {
         match self {
-            Self::Requests => only_servers_succeed(context, forward::handle(context, incoming).await),
+            Self::Requests => forward::handle(context, incoming, Sender::Caller).await,
             Self::LookUps => lookup::handle(context, &incoming),
+            Self::Relayed => forward::handle(context, incoming, Sender::Peer).await,
         }
     }
 
     /// Refuses a request that is not started; its caller can send it elsewhere at once.
     pub fn refuse(self, context: &Context, incoming: &Incoming, kind: Kind) -> Reply {
         match self {
-            Self::Requests => forward::refuse(context, incoming, kind),
+            Self::Requests | Self::Relayed => forward::refuse(context, incoming, kind),
             Self::LookUps => lookup::refuse(context, incoming, kind),
         }
     }
+
+    /// Completes a reply that is sent at such an address.
+    pub fn complete(self, context: &Context, reply: Reply) -> Reply {
+        match self {
+            Self::Requests => only_servers_succeed(context, reply),
+            Self::LookUps => reply,
+            Self::Relayed => with_verdict(only_servers_succeed(context, reply)),
+        }
+    }
+}
+
+/// Returns `reply` with what it says of a request that another instance has passed on.
+fn with_verdict(mut reply: Reply) -> Reply {
+    let verdict = match reply.source {
+        Source::Server => Verdict::Complete,
+        Source::Error(Ran::NotRun) => Verdict::NotRun,
+        Source::Error(Ran::Unknown) | Source::LookUp => Verdict::Unknown,
+    };
+    verdict.append(&mut reply.headers);
+    reply
 }
 
 /// Returns `reply`, or an error in its place if it is a success that no backend server proves: a caller would take its
--- /dev/null
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -0,0 +1,172 @@
+//! Passes requests on to another entry instance while this one reaches no backend server itself.
+//!
+//! The other instance dispatches the request as one of its own callers', at an address that only instances use, so nothing
+//! in a caller's request makes it one that was passed on. Its reply says what became of the request ([`Verdict`]). It passes
+//! the request on no further.
+//!
+//! Load pattern: a whole failure domain loses its links at the same moment, and it takes seconds until all instances know
+//! of each other that they reach no server. An instance that refuses a request, which then did not run, is therefore not
+//! the last that is tried, and the next one is in another failure domain.
+
+mod peer;
+pub mod verdict;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::error::Kind;
+use base::hash;
+use base::time::Time;
+use dispatch::backend::BackendId;
+use h1::client::{Answer, Connection, Fault};
+use http::StatusCode;
+use http::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+
+use self::peer::{Interface, Peer};
+use self::verdict::Verdict;
+use crate::Context;
+use crate::backends::attempt::{self, UNACKED_TIMEOUT};
+use crate::driver::{Outcome, Outgoing, Refusal};
+
+/// Marks a request that is passed on to an instance of a build up to 4e2e901.
+const EARLIER_MARK: HeaderName = HeaderName::from_static("hemlock-relayed");
+/// Marks such an instance's refusal: the request did not run. Builds before 4e2e901 do not send it.
+const EARLIER_NOT_RUN: HeaderName = HeaderName::from_static("hemlock-not-run");
+/// Maximum idle time of a pooled connection to another instance: one that is about to be closed could lose the request.
+const MAX_IDLE: Duration = Duration::from_secs(1);
+/// How much earlier the other instance gives up, so that what it says still arrives in time.
+const ANSWER_MARGIN: Duration = Duration::from_millis(10);
+
+/// Passes a request on; `regions` may run it, or all if there are none, and it is given up at `deadline`.
+pub async fn send(context: &Arc<Context>, outgoing: &Outgoing, regions: &[String], deadline: Time) -> Outcome {
+    let mut retry_after = None;
+    for peer in peer::choose(context, regions) {
+        let left = deadline.since(context.now());
+        if left.is_zero() {
+            break;
+        }
+        let started = context.now();
+        let result = match tokio::time::timeout(left, exchange(context, outgoing, &peer, deadline)).await {
+            Ok(result) => result,
+            Err(_) => Err(Failure::Answer(Kind::BackendTimeout)),
+        };
+        log_result(context, outgoing, &peer, &result, started);
+        match result {
+            Ok(answer) => return Ok(Arc::new(attempt::to_response(context, answer))),
+            Err(Failure::Answer(kind)) => return Err(kind.into()),
+            // What the last one says of the time after which the caller may come back.
+            Err(Failure::Refused(after)) => retry_after = after,
+            Err(Failure::Unsent) => {}
+        }
+    }
+    Err(Refusal { kind: Kind::Unreachable, retry_after })
+}
+
+fn log_result(context: &Context, outgoing: &Outgoing, peer: &Peer, result: &Result<Answer, Failure>, started: Time) {
+    let (label, status) = match result {
+        Ok(answer) => ("answered", answer.status.as_u16()),
+        Err(Failure::Unsent) => ("unsent", 0),
+        Err(Failure::Refused(_)) => ("refused", 0),
+        Err(Failure::Answer(kind)) => (kind.as_str(), 0),
+    };
+    let ms = context.now().since(started).as_millis();
+    context.metrics.relayed.with_label_values(&[label]).inc();
+    let (id, name) = (&outgoing.id, &peer.name);
+    log::info!("relay: passed on request={id} peer={name} result={label} status={status} ms={ms}");
+}
+
+/// Why there is no answer of a backend server.
+enum Failure {
+    /// No byte of the request was sent, so another instance may get it.
+    Unsent,
+    /// The instance did not run the request, so another one may get it; with the time after which its caller may come back.
+    Refused(Option<Duration>),
+    /// The request may have run, and the caller is answered with an error of this kind.
+    Answer(Kind),
+}
+
+impl From<Fault> for Failure {
+    fn from(fault: Fault) -> Self {
+        match fault {
+            Fault::Unsent => Self::Unsent,
+            Fault::Lost => Self::Answer(Kind::BackendLost),
+            Fault::Cut | Fault::Malformed | Fault::LimitExceeded => Self::Answer(Kind::AnswerCut),
+            Fault::TooLarge => Self::Answer(Kind::AnswerTooLarge),
+        }
+    }
+}
+
+/// Sends the request to `peer` and reads its answer. A reusable connection is returned to the pool.
+async fn exchange(context: &Context, outgoing: &Outgoing, peer: &Peer, deadline: Time) -> Result<Answer, Failure> {
+    let address = peer.interface.address();
+    let id = hash::bytes(address.to_string().as_bytes()) as BackendId;
+    let mut connection = connect(context, id, address).await?;
+    let headers = headers(context, outgoing, peer.interface, deadline);
+    let request_id = headers.get(&context.dialect.request_id).cloned();
+    let is_ours = |head: &h1::head::Response| {
+        let echoed = head.headers.get(&context.dialect.request_id);
+        !context.dialect.caller_sets_id || echoed.is_none() || echoed == request_id.as_ref()
+    };
+    let answer = connection.exchange(outgoing.call(context, &headers), is_ours).await?;
+    if !answer.framed {
+        return Err(Failure::Answer(Kind::AnswerCut));
+    }
+    if answer.reusable {
+        context.peer_pool.put(id, connection, answer.keep_alive_timeout(), context.now());
+    }
+    judge(context, peer.interface, answer)
+}
+
+/// Returns the answer if it is a backend server's, or else what the instance says about the request.
+fn judge(context: &Context, interface: Interface, mut answer: Answer) -> Result<Answer, Failure> {
+    let verdict = match interface {
+        Interface::Peers(_) => Verdict::take(&mut answer.headers),
+        Interface::Callers(_) => Some(earlier_verdict(context, &answer)),
+    };
+    match verdict {
+        Some(Verdict::Complete) => Ok(answer),
+        Some(Verdict::NotRun) => Err(Failure::Refused(retry_after(&answer))),
+        Some(Verdict::Unknown) if answer.status == StatusCode::GATEWAY_TIMEOUT => {
+            Err(Failure::Answer(Kind::BackendTimeout))
+        }
+        Some(Verdict::Unknown) => Err(Failure::Answer(Kind::BackendLost)),
+        None => Err(Failure::Answer(Kind::AnswerCut)),
+    }
+}
+
+/// Returns the verdict of an instance of an earlier build, which states refusals at most. Anything else is passed on as it
+/// is, since its status holds for the caller as well.
+fn earlier_verdict(context: &Context, answer: &Answer) -> Verdict {
+    let is_signed = context.dialect.signature.as_ref().is_some_and(|name| answer.headers.contains_key(name));
+    if !is_signed && answer.headers.contains_key(&EARLIER_NOT_RUN) { Verdict::NotRun } else { Verdict::Complete }
+}
+
+/// Returns the time after which the caller may come back, as the answer gives it.
+fn retry_after(answer: &Answer) -> Option<Duration> {
+    let seconds = h1::head::text(&answer.headers, &RETRY_AFTER)?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+async fn connect(context: &Context, id: BackendId, address: SocketAddr) -> Result<Connection, Failure> {
+    if let Some(pooled) = context.peer_pool.take(id, MAX_IDLE, context.now()) {
+        return Ok(pooled);
+    }
+    let limit = Duration::from_millis(context.settings.dispatch.connect_ms);
+    match tokio::time::timeout(limit, Connection::open(address, UNACKED_TIMEOUT)).await {
+        Ok(Ok(connection)) => Ok(connection),
+        _ => Err(Failure::Unsent),
+    }
+}
+
+/// Returns the caller's headers with the time that is left.
+fn headers(context: &Context, outgoing: &Outgoing, interface: Interface, deadline: Time) -> HeaderMap {
+    let mut headers = outgoing.headers.clone();
+    let left = deadline.since(context.now()).saturating_sub(ANSWER_MARGIN);
+    let left_ms = left.as_millis().max(1) as u64;
+    headers.insert(&context.dialect.deadline_ms, HeaderValue::from(left_ms));
+    if matches!(interface, Interface::Callers(_)) {
+        headers.insert(EARLIER_MARK, HeaderValue::from_static("1"));
+    }
+    headers
+}
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -66,6 +66,7 @@
     let addresses = [
         ("callers.address", settings.address.clone(), Purpose::Requests),
         ("callers.lookup_address", settings.lookup_address(), Purpose::LookUps),
+        ("fleet.relay_port", context.settings.fleet.relay_address(), Purpose::Relayed),
     ];
     for (key, address, purpose) in addresses {
         let listener = context
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,6 +1,7 @@
 //! The state that all plug-ins share.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
@@ -139,6 +140,7 @@
             domain: settings.domain.clone(),
             caller_address: adapter.catalog.map_or_else(String::new, |_| settings.callers.address.clone()),
             without_servers: false,
+            relay_port: settings.fleet.relay_address().parse().ok().map(|address: SocketAddr| address.port()),
         };
         let timeouts = Timeouts { suspect: Duration::from_millis(settings.fleet.suspect_ms) };
         let timeout = Duration::from_millis(settings.platform.timeout_ms);
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -1,10 +1,9 @@
 //! The daemon's life cycle: start, reload of the settings, graceful stop.
 
-use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
-use config::configs::Settings;
+use config::configs::{Settings, Source};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -37,8 +36,8 @@
 /// The result of running a daemon.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Runs a daemon on this thread until a signal stops it; `path` is the file of `settings`, for reloads.
-pub fn run(path: &Path, settings: Settings, adapter: Adapter) -> Result<()> {
+/// Runs a daemon on this thread until a signal stops it; `source` is where `settings` were read from, for reloads.
+pub fn run(source: &Source, settings: Settings, adapter: Adapter) -> Result<()> {
     let runtime = Builder::new_current_thread().max_blocking_threads(MAX_BLOCKING_THREADS).enable_all().build()?;
     let mut signals = {
         let _guard = runtime.enter();
@@ -46,10 +45,10 @@
     };
     let Daemon { context, kernel, runtime } = Daemon::start_on(runtime, settings, adapter)?;
     runtime.block_on(async {
-        signals.wait_for_stop(&context, path).await;
-        let (shared, path) = (Arc::clone(&context), path.to_owned());
+        signals.wait_for_stop(&context, source).await;
+        let (shared, source) = (Arc::clone(&context), source.clone());
         tokio::spawn(async move {
-            signals.wait_for_interrupt(&shared, &path).await;
+            signals.wait_for_interrupt(&shared, &source).await;
             std::process::exit(EXIT_INTERRUPTED);
         });
         stop(&context, kernel).await;
@@ -58,9 +57,9 @@
     Ok(())
 }
 
-/// Reads the settings file again. New log levels apply at once; anything else needs a restart, and the log names it.
-pub fn reload(context: &Context, path: &Path) {
-    let settings = match Settings::read(path) {
+/// Reads the settings again. New log levels apply at once; anything else needs a restart, and the log names it.
+pub fn reload(context: &Context, source: &Source) {
+    let settings = match source.read() {
         Ok(settings) => settings,
         Err(error) => return log::warn!("life: reload refused, nothing changed reason={:?}", error.to_string()),
     };
@@ -93,24 +92,24 @@
     }
 
     /// Waits for the first signal to stop; reloads the settings meanwhile.
-    async fn wait_for_stop(&mut self, context: &Context, path: &Path) {
+    async fn wait_for_stop(&mut self, context: &Context, source: &Source) {
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => return,
                 _ = self.interrupt.recv() => return,
-                _ = self.reload.recv() => reload(context, path),
+                _ = self.reload.recv() => reload(context, source),
             }
         }
     }
 
     /// Waits for an interrupt during the stop, by which someone at a terminal ends it at once. A second terminate signal
     /// changes nothing: a supervisor may send it twice, and the stop is still a planned one, which cuts no request.
-    async fn wait_for_interrupt(&mut self, context: &Context, path: &Path) {
+    async fn wait_for_interrupt(&mut self, context: &Context, source: &Source) {
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => log::info!("life: stop signal received again, already stopping"),
                 _ = self.interrupt.recv() => return,
-                _ = self.reload.recv() => reload(context, path),
+                _ = self.reload.recv() => reload(context, source),
             }
         }
     }
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -3,8 +3,8 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use config::configs::Settings;
-use lexopt::prelude::{Long, Short, Value};
+use config::configs::Source;
+use lexopt::prelude::{Long, Short, Value, ValueExt as _};
 
 use crate::adapter::Adapter;
 use crate::{lifecycle, logs};
@@ -17,12 +17,13 @@
 fn usage(name: &str) -> String {
     format!(
         "\
-{name} [--check] SETTINGS
+{name} [--check] [--set KEY=VALUE ...] SETTINGS
 {name} --help | --version
 
 Runs the entry daemon with the settings in the TOML file SETTINGS.
 
-  --check    read and check the settings, then exit
+  --check            read and check the settings, then exit
+  --set KEY=VALUE    use this value, in TOML, in place of the file's: fleet.relay_port=7201
 "
     )
 }
@@ -30,28 +31,28 @@
 enum Command {
     Help,
     Version,
-    Check(PathBuf),
-    Run(PathBuf),
+    Check(Source),
+    Run(Source),
 }
 
 fn parse() -> Result<Command, lexopt::Error> {
     let mut parser = lexopt::Parser::from_env();
     let mut check = false;
     let mut path = None;
+    let mut overrides = Vec::new();
     while let Some(argument) = parser.next()? {
         match argument {
             Long("help") | Short('h') => return Ok(Command::Help),
             Long("version") | Short('V') => return Ok(Command::Version),
             Long("check") => check = true,
+            Long("set") => overrides.push(parser.value()?.string()?),
             Value(value) if path.is_none() => path = Some(PathBuf::from(value)),
             other => return Err(other.unexpected()),
         }
     }
-    match path {
-        Some(path) if check => Ok(Command::Check(path)),
-        Some(path) => Ok(Command::Run(path)),
-        None => Err("name the settings file".into()),
-    }
+    let path: PathBuf = path.ok_or("name the settings file")?;
+    let source = Source::new(&path).with_overrides(overrides);
+    Ok(if check { Command::Check(source) } else { Command::Run(source) })
 }
 
 fn fail(name: &str, code: u8, reason: &dyn std::fmt::Display) -> ExitCode {
@@ -68,18 +69,18 @@
     match command {
         Command::Help => print!("{}", usage(name)),
         Command::Version => println!("{name} {}", env!("CARGO_PKG_VERSION")),
-        Command::Check(path) => match Settings::read(&path) {
-            Ok(_) => println!("{}: good", path.display()),
+        Command::Check(source) => match source.read() {
+            Ok(_) => println!("{}: good", source.path().display()),
             Err(error) => return fail(name, EXIT_USAGE, &error),
         },
-        Command::Run(path) => {
-            let settings = match Settings::read(&path) {
+        Command::Run(source) => {
+            let settings = match source.read() {
                 Ok(settings) => settings,
                 Err(error) => return fail(name, EXIT_USAGE, &error),
             };
             logs::start(&settings);
             logs::log_panics();
-            if let Err(error) = lifecycle::run(&path, settings, adapter) {
+            if let Err(error) = lifecycle::run(&source, settings, adapter) {
                 return fail(name, EXIT_FAILED, &error);
             }
         }
--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use base::time::Time;
-use config::configs::Settings;
+use config::configs::{Settings, Source};
 use daemon::adapter::Adapter;
 use daemon::logs::{Budget, Buffer, Levels, left_out};
 use daemon::{Context, lifecycle};
@@ -99,7 +99,7 @@
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("reload.toml");
     let reload = |text: &str| {
         std::fs::write(&path, text).expect("the file can be written");
-        lifecycle::reload(&context, &path);
+        lifecycle::reload(&context, &Source::new(&path));
         log::max_level()
     };
     assert_eq!(reload(&format!("log_parts = {{ dispatch = \"debug\" }}\n{SETTINGS}")), LevelFilter::Debug);
--- a/crates/daemon/tests/view.rs
+++ b/crates/daemon/tests/view.rs
@@ -214,6 +214,7 @@
             domain: "d".to_owned(),
             caller_address: String::new(),
             without_servers: false,
+            relay_port: None,
         };
         let records = (1..daemons).map(record).collect();
         let snapshot =
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between daemons. Serialized field names are short because every exchange carries them.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use base::rate::Limit;
@@ -63,9 +64,27 @@
     /// Whether it reaches no backend server itself and passes its callers' requests to other members.
     #[serde(rename = "u", default, skip_serializing_if = "std::ops::Not::not")]
     pub without_servers: bool,
+    /// Port at which it takes requests that other members pass on, at the IP address of `peer_address`; `None` for builds up
+    /// to 4e2e901, which take them at their addresses for callers, and which drop the port from records that they pass on.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub relay_port: Option<u16>,
 }
 
 impl Record {
+    /// Returns the address at which the member takes requests that other members pass on; `None` if it is not known.
+    pub fn relay_address(&self) -> Option<SocketAddr> {
+        let mut address: SocketAddr = self.peer_address.parse().ok()?;
+        address.set_port(self.relay_port?);
+        Some(address)
+    }
+
+    /// Takes over from `other` what members of an earlier build drop from the records of the same process.
+    pub(crate) fn complete_from(&mut self, other: &Self) {
+        if self.incarnation == other.incarnation {
+            self.relay_port = self.relay_port.or(other.relay_port);
+        }
+    }
+
     /// Whether this record is newer than `other`, a record of the same member.
     pub fn supersedes(&self, other: &Self) -> bool {
         (self.incarnation, self.refutations, self.state) > (other.incarnation, other.refutations, other.state)
@@ -142,7 +161,7 @@
 }
 
 /// The state that a starting daemon fetches from a peer.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// All members that the peer knows, itself among them.
     pub records: Vec<Record>,
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -154,6 +154,12 @@
         chosen.into_iter().filter_map(|name| Some((name.clone(), self.address(&name)?.to_owned()))).collect()
     }
 
+    /// Returns the record of another member `name`; `None` if it has told nothing of itself, directly or through others.
+    pub fn member(&self, name: &str) -> Option<&Record> {
+        let record = self.members.get(name).map(|member| &member.record);
+        record.filter(|record| record.incarnation > 0)
+    }
+
     /// Returns the address for peers of the member `name`; `None` if it is neither known nor listed.
     pub fn address(&self, name: &str) -> Option<&str> {
         let member = self.members.get(name).map(|member| member.record.peer_address.as_str());
@@ -292,10 +298,11 @@
         match self.members.get_mut(&record.name) {
             Some(member) if record.supersedes(&member.record) => {
                 member.changed_at = now;
-                member.record = record.clone();
                 member.sends_left = sends;
+                let earlier = std::mem::replace(&mut member.record, record.clone());
+                member.record.complete_from(&earlier);
             }
-            Some(_) => {}
+            Some(member) => member.record.complete_from(record),
             None => {
                 let member = Member { record: record.clone(), changed_at: now, last_contact: None, sends_left: sends };
                 self.members.insert(record.name.clone(), member);
@@ -359,5 +366,6 @@
         domain: listed.domain.clone(),
         caller_address: listed.address.clone(),
         without_servers: false,
+        relay_port: None,
     }
 }
--- a/crates/fleet/tests/rate_limits.rs
+++ b/crates/fleet/tests/rate_limits.rs
@@ -22,6 +22,7 @@
         domain: "d".to_owned(),
         caller_address: String::new(),
         without_servers: false,
+        relay_port: None,
     }
 }
 
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use base::time::Time;
-use fleet::message::{Message, Record, State};
+use fleet::message::{Message, Record, Snapshot, State};
 use fleet::replica::{Document, Origin, Replica, Version};
 use fleet::roster::{Roster, Timeouts};
 use rstest::rstest;
@@ -25,6 +25,7 @@
         domain,
         caller_address: String::new(),
         without_servers: false,
+        relay_port: None,
     }
 }
 
@@ -326,3 +327,57 @@
     let text = serde_json::to_string(&document).expect("it can be written");
     assert_eq!(serde_json::from_str::<Document>(&text).expect("it can be read"), document);
 }
+
+/// A message as members of builds up to 4e2e901 write and read it, without relay ports.
+fn through_an_earlier_build(message: &Message) -> Message {
+    let mut message = message.clone();
+    message.records.iter_mut().for_each(|record| record.relay_port = None);
+    message
+}
+
+/// Guards against requests that are passed on as to an earlier build for good: members of such builds drop the relay ports
+/// from records that they pass on, and a member may get a record from them first.
+#[rstest]
+#[case(7)]
+#[case(119)]
+fn relay_ports_arrive_although_earlier_builds_drop_them(#[case] count: usize) {
+    let is_earlier = |number: usize| number % 2 == 1;
+    let port = |number: usize| (!is_earlier(number)).then_some(7_201);
+    let own = |number: usize| Record { relay_port: port(number), ..record(&format!("n{number}"), 1) };
+    let mut rosters: Vec<Roster> = (0..count).map(|number| Roster::new(own(number), TIMEOUTS, number as u64)).collect();
+    let now = Time::from_millis(1);
+    // All know all from a member of an earlier build.
+    let known: Vec<Record> = (0..count).map(|number| Record { relay_port: None, ..own(number) }).collect();
+    let snapshot = Snapshot { records: known, ..Snapshot::default() };
+    rosters.iter_mut().for_each(|roster| roster.merge_snapshot(&snapshot, now));
+    for _ in 0..2 * count {
+        for number in 0..count {
+            let (name, _) = rosters[number].next_target(now).expect("there are others");
+            let target: usize = name[1..].parse().expect("names end with the number");
+            for (from, to) in [(number, target), (target, number)] {
+                let message = rosters[from].message(0, now);
+                let message = if is_earlier(from) { through_an_earlier_build(&message) } else { message };
+                rosters[to].merge(&message, now);
+            }
+        }
+    }
+    for (number, roster) in rosters.iter().enumerate().filter(|(number, _)| !is_earlier(*number)) {
+        for other in (0..count).filter(|other| *other != number) {
+            let known = roster.member(&format!("n{other}")).expect("all know all").relay_port;
+            assert_eq!(known, port(other), "n{number} of n{other}");
+        }
+    }
+}
+
+/// Guards against two builds that cannot read each other's records: messages as both write them.
+#[test]
+fn records_of_both_builds_can_be_read() {
+    let earlier = "{\"n\":\"a\",\"i\":5,\"b\":2,\"s\":\"a\",\"p\":\"127.0.0.1:7200\",\"d\":\"d\",\"c\":\"127.0.0.1:7000\",\"u\":true}";
+    let record: Record = serde_json::from_str(earlier).expect("the earlier build's record can be read");
+    assert_eq!((record.relay_port, record.relay_address()), (None, None));
+    assert_eq!(serde_json::to_string(&record).expect("it can be written"), earlier);
+    let record = Record { relay_port: Some(7_201), ..record };
+    let text = serde_json::to_string(&record).expect("it can be written");
+    assert_eq!(text, earlier.replace('}', ",\"r\":7201}"), "the new field is one that the earlier build ignores");
+    assert_eq!(record.relay_address(), "127.0.0.1:7201".parse().ok());
+}
--- a/crates/size/src/membership.rs
+++ b/crates/size/src/membership.rs
@@ -40,6 +40,7 @@
         domain: format!("domain-{:02}", number % DOMAINS),
         caller_address: String::new(),
         without_servers: false,
+        relay_port: None,
     }
 }
 
