--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::io::Read as _;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::time::Time;
 use burn::report::{Line, Report};
@@ -26,12 +27,25 @@
     Plugin(kernel::Plugin { name: "operators", stage: 5, start })
 }
 
-/// The listening sockets, one for each address.
-struct Port(Vec<Arc<Server>>);
+/// Longest time that a stop waits for the threads of a port to end and release it.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between two checks whether a port is released.
+const RELEASE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// The servers, one for each address.
+struct Port(Vec<(String, Arc<Server>)>);
 
 impl kernel::Component for Port {
+    /// Closes the ports and waits until they are free, since another daemon in this process may need them.
     fn close(&mut self) {
-        self.0.iter().for_each(|server| server.unblock());
+        let deadline = Instant::now() + RELEASE_TIMEOUT;
+        for (address, server) in std::mem::take(&mut self.0) {
+            server.unblock();
+            drop(server);
+            while TcpListener::bind(&address).is_err() && Instant::now() < deadline {
+                std::thread::sleep(RELEASE_POLL_INTERVAL);
+            }
+        }
     }
 }
 
@@ -44,8 +58,9 @@
     Ok(Box::new(Port(servers)))
 }
 
-/// Serves operators at `address` on a thread of its own; `key` is the setting that names the address.
-fn serve(context: &Arc<Context>, key: &str, address: &str) -> Result<Arc<Server>, String> {
+/// Serves operators at `address` on a thread of its own; `key` is the setting that names the address. Returns the address and
+/// the server.
+fn serve(context: &Arc<Context>, key: &str, address: &str) -> Result<(String, Arc<Server>), String> {
     let server = Server::http(address)
         .map_err(|error| format!("key `{key}`: cannot listen at {address}: {error}; choose a free address"))?;
     let server = Arc::new(server);
@@ -56,7 +71,7 @@
         }
     };
     std::thread::Builder::new().name("operators".to_owned()).spawn(body).map_err(|error| error.to_string())?;
-    Ok(server)
+    Ok((address.to_owned(), server))
 }
 
 /// Why a daemon is ready, or not.
