Bound the connections at each address by a limit of its own

Seen by reading: each address for callers allowed max_connections connections, 4,000 on the users' platform, where a process has 3,900 descriptors for connections. Callers that fill the address for requests use them up, and look-ups, which would send others elsewhere, are not accepted any more; callers of the address for look-ups can do the same to requests.

At its limit an address accepts the next connection once one ends, as before. Connections to servers are still bounded by the requests in flight alone, so the sum can exceed the descriptors when 2,000 requests are in flight as well; that is as it was.

--- a/crates/config/src/configs/callers.rs
+++ b/crates/config/src/configs/callers.rs
@@ -13,8 +13,10 @@
     pub address: String,
     /// Address for look-ups, `IP:PORT`; `None` for the port after that of `address`.
     pub lookup_address: Option<String>,
-    /// Maximum number of open connections at each of the addresses.
+    /// Maximum number of open connections at the address for requests.
     pub max_connections: u32,
+    /// Maximum number of open connections at the address for look-ups.
+    pub max_lookup_connections: u32,
     /// Maximum time for a caller to send a request's header, in milliseconds.
     pub header_timeout_ms: u64,
     /// Maximum time for a caller to send a request's body, in milliseconds.
@@ -43,6 +45,7 @@
             address: "127.0.0.1:7000".to_owned(),
             lookup_address: None,
             max_connections: 1_024,
+            max_lookup_connections: 256,
             header_timeout_ms: 5_000,
             body_timeout_ms: 10_000,
             idle_timeout_ms: 60_000,
@@ -67,6 +70,7 @@
         check_address(name, "callers.address", &self.address)?;
         check_address(name, "callers.lookup_address", &self.lookup_address())?;
         check_range(name, "callers.max_connections", self.max_connections.into(), 1, 100_000)?;
+        check_range(name, "callers.max_lookup_connections", self.max_lookup_connections.into(), 1, 100_000)?;
         check_range(name, "callers.header_timeout_ms", self.header_timeout_ms, 10, 600_000)?;
         check_range(name, "callers.body_timeout_ms", self.body_timeout_ms, 10, 600_000)?;
         check_range(name, "callers.idle_timeout_ms", self.idle_timeout_ms, 10, 3_600_000)?;
--- a/crates/daemon/src/callers/purpose.rs
+++ b/crates/daemon/src/callers/purpose.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use base::error::{Kind, Outcome as Ran};
-use config::configs::Callers;
+use config::configs::{Callers, Settings};
 
 use super::connection::Incoming;
 use super::forward::Sender;
@@ -42,6 +42,17 @@
         }
     }
 
+    /// Returns the maximum number of open connections at such an address. Each has a limit of its own: look-ups are answered
+    /// while callers use up the connections for requests, and the other way round.
+    pub fn max_connections(self, settings: &Settings) -> usize {
+        match self {
+            Self::Requests => settings.callers.max_connections as usize,
+            Self::LookUps => settings.callers.max_lookup_connections as usize,
+            // Another instance uses a connection for one request at a time.
+            Self::Relayed => settings.dispatch.max_in_flight as usize,
+        }
+    }
+
     /// Returns the maximum size of a request's body, in bytes.
     pub fn max_body_bytes(self, settings: &Callers) -> u64 {
         match self {
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -89,7 +89,7 @@
 
 impl Acceptor {
     async fn run(mut self, listener: TcpListener) {
-        let slots = Arc::new(Semaphore::new(self.context.settings.callers.max_connections as usize));
+        let slots = Arc::new(Semaphore::new(self.purpose.max_connections(&self.context.settings)));
         while self.stop.borrow_and_update().phase() != Phase::Closing {
             let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
                 return;
