Soak: orders also go to paths that the daemons use themselves

In the soak's copy of a deployment the first class of orders covers every path now, and each caller sends its orders in turn to the usual path and to /lookup, /lookup/, /ready and /metrics. The check is the one there was: an answer without the order's echo is another's.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -22,13 +22,22 @@
 /// How each send of a request ended, in the order sent, by `order KEY` or `lookup KEY`.
 pub type Trace = BTreeMap<String, Vec<Ending>>;
 
+/// What a caller sends.
+#[derive(Debug, Clone, Copy)]
+pub enum Work<'a> {
+    /// An order, to this path.
+    Order(&'a str),
+    /// A lookup.
+    Lookup,
+}
+
 /// A caller that sends orders, which have an idempotency key and run at most once, and lookups.
 #[derive(Debug)]
 pub struct Caller<'a> {
     /// Entry instances, `IP:PORT`.
     pub entries: &'a [String],
-    /// Path of orders, with its query.
-    pub order_path: &'a str,
+    /// Paths of orders, with their queries; each caller uses one after the other.
+    pub order_paths: &'a [String],
     /// Path of lookups, with its query.
     pub lookup_path: &'a str,
     /// Prefix of each of its keys.
@@ -44,11 +53,12 @@
         while !stop.load(Ordering::Relaxed) {
             number += 1;
             let key = format!("{}-{number}", self.name);
-            let is_order = rng.bool();
+            let order_path = &self.order_paths[number % self.order_paths.len()];
+            let work = if rng.bool() { Work::Order(order_path) } else { Work::Lookup };
             let mut entry = rng.usize(..self.entries.len());
             let mut endings = Vec::new();
             for _ in 0..MAX_SENDS {
-                let ending = self.send(&agent, &self.entries[entry], is_order, &key);
+                let ending = self.send(&agent, &self.entries[entry], work, &key);
                 endings.push(ending);
                 if ending == Ending::Complete || stop.load(Ordering::Relaxed) {
                     break;
@@ -56,16 +66,18 @@
                 entry = (entry + 1) % self.entries.len();
                 thread::sleep(RESEND_DELAY);
             }
-            let prefix = if is_order { "order" } else { "lookup" };
+            let prefix = if matches!(work, Work::Order(_)) { "order" } else { "lookup" };
             let mut trace = trace.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
             trace.insert(format!("{prefix} {key}"), endings);
         }
     }
 
-    /// Sends an order or a lookup to `entry` once; returns how it ended.
-    pub fn send(&self, agent: &ureq::Agent, entry: &str, is_order: bool, key: &str) -> Ending {
-        let (method, path, body) =
-            if is_order { ("POST", self.order_path, ORDER_BODY) } else { ("GET", self.lookup_path, &b""[..]) };
+    /// Sends `work` to `entry` once; returns how it ended.
+    pub fn send(&self, agent: &ureq::Agent, entry: &str, work: Work<'_>, key: &str) -> Ending {
+        let (method, path, body) = match work {
+            Work::Order(path) => ("POST", path, ORDER_BODY),
+            Work::Lookup => ("GET", self.lookup_path, &b""[..]),
+        };
         let builder = ureq::http::Request::builder()
             .method(method)
             .uri(format!("http://{entry}{path}"))
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -15,12 +15,14 @@
 use load::plan::Flow;
 
 use crate::Result;
-use crate::caller::{Caller, Trace, agent};
+use crate::caller::{Caller, Trace, Work, agent};
 use crate::check::{self, Revisions};
 use crate::plan::{self, Fault, Step};
 use crate::proxy::Proxy;
 use crate::testbed::Testbed;
 
+/// Paths that daemons use themselves at other addresses; orders to them are orders like any other.
+const DAEMON_PATHS: [&str; 4] = ["/lookup", "/lookup/", "/ready", "/metrics"];
 /// Timeout for all daemons to serve again after the last fault.
 const RECOVERY_TIMEOUT: Duration = Duration::from_mins(1);
 /// Time between two checks of revisions and readiness.
@@ -58,8 +60,11 @@
 pub fn run(deploy: &Path, folder: &Path, setup: Setup) -> Result<Report> {
     let mut testbed = Testbed::start(deploy, folder, setup.net)?;
     let entries: Vec<String> = testbed.caller_links.iter().map(|(_, address)| address.clone()).collect();
-    let (order_path, lookup_path) = (work_path(&testbed.deployment, true), work_path(&testbed.deployment, false));
-    let caller = |name: String| Caller { entries: &entries, order_path: &order_path, lookup_path: &lookup_path, name };
+    let lookup_path = work_path(&testbed.deployment, false);
+    let own_paths = DAEMON_PATHS.map(|path| format!("{path}?work_ms=20"));
+    let order_paths: Vec<String> = std::iter::once(work_path(&testbed.deployment, true)).chain(own_paths).collect();
+    let caller =
+        |name: String| Caller { entries: &entries, order_paths: &order_paths, lookup_path: &lookup_path, name };
     let steps = plan::steps(setup.seed, setup.faults, setup.time);
     let (stop, trace) = (AtomicBool::new(false), Mutex::new(Trace::new()));
     let mut violations = thread::scope(|scope| {
@@ -170,10 +175,11 @@
     while !missing.is_empty() && start.elapsed() < RECOVERY_TIMEOUT {
         round += 1;
         let agent = agent();
-        let serves = |entry: &String, is_order: bool| {
-            caller.send(&agent, entry, is_order, &format!("{}-{entry}-{round}", caller.name)) == Ending::Complete
+        let serves = |entry: &String, work: Work<'_>| {
+            caller.send(&agent, entry, work, &format!("{}-{entry}-{round}", caller.name)) == Ending::Complete
         };
-        missing.retain(|entry| !(serves(entry, true) && serves(entry, false)));
+        let order = Work::Order(&caller.order_paths[0]);
+        missing.retain(|entry| !(serves(entry, order) && serves(entry, Work::Lookup)));
         thread::sleep(POLL_INTERVAL);
     }
     let mut violations: Vec<String> =
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -54,6 +54,9 @@
     pub fn start(deploy: &Path, folder: &Path, net: u8) -> Result<Self> {
         copy_deployment(deploy, folder, net)?;
         let mut deployment = Deployment::read(folder, &folder.join("logs"))?;
+        // Orders may go to any path, also to one that the daemons use themselves.
+        let orders = deployment.policy.classes.values_mut().find(|class| !class.idempotent && !class.may_wait);
+        orders.into_iter().for_each(|class| class.paths.push("/".to_owned()));
         let mut links = Vec::new();
         for instance in deployment.instances.iter_mut().filter(|instance| instance.role == Role::Backend) {
             let backend_address = offset_port(&instance.address, BACKEND_PORT_OFFSET);
