--- a/crates/daemon/examples/prepare.rs
+++ b/crates/daemon/examples/prepare.rs
@@ -12,7 +12,7 @@
 use daemon::instance_list::Item;
 use daemon::{policies, view};
 use fleet::Document;
-use fleet::message::{Record, Snapshot, State as Standing};
+use fleet::message::{Record, Snapshot};
 use fleet::replica::Origin;
 
 const ROUNDS: u32 = 50;
@@ -36,17 +36,9 @@
 }
 
 fn record(number: usize) -> Record {
-    Record {
-        name: format!("front-{number}"),
-        incarnation: 1,
-        refutations: 1,
-        state: Standing::Alive,
-        peer_address: format!("10.9.{}.{}:7200", number / 250, number % 250),
-        domain: format!("d{}", number % REGIONS),
-        caller_address: format!("10.9.{}.{}:7000", number / 250, number % 250),
-        without_servers: false,
-        relay_port: None,
-    }
+    let ip = format!("10.9.{}.{}", number / 250, number % 250);
+    let record = Record::new(&format!("front-{number}"), 1, &format!("{ip}:7200"), &format!("d{}", number % REGIONS));
+    Record { refutations: 1, caller_address: format!("{ip}:7000"), ..record }
 }
 
 fn policy() -> String {
--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -69,7 +69,7 @@
 
 async fn handle(context: Arc<Context>, purpose: Purpose, job: Job) -> ReadyReply {
     let mut ready = run(&context, purpose, job).await;
-    ready.reply = purpose.complete(&context, ready.reply);
+    ready.reply = purpose.complete(ready.reply);
     let labels = [purpose.as_str(), ready.reply.source.as_str(), status_class(ready.reply.status)];
     context.metrics.replies.with_label_values(&labels).inc();
     ready
@@ -318,7 +318,7 @@
         self.closing = true;
         if self.parser.in_body() {
             let reply = Reply::error(Kind::SlowSender, &self.context.dialect);
-            self.purpose.complete(&self.context, reply).write(&mut self.output, &Method::GET, true);
+            self.purpose.complete(reply).write(&mut self.output, &Method::GET, true);
         }
         self.input.clear();
         self.parser.clear();
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -30,12 +30,11 @@
     Peer,
 }
 
-/// Handles a request for a class of work: dispatches it, records metrics and logs the result.
-pub async fn handle(context: &Arc<Context>, incoming: Incoming, sender: Sender) -> Reply {
+/// Handles the request `id` for a class of work: dispatches it, records metrics and logs the result.
+pub async fn handle(context: &Arc<Context>, incoming: Incoming, sender: Sender, id: &str) -> Reply {
     let start = incoming.arrived_at;
-    let id = headers::request_id(context, &incoming.head.headers);
     let path = headers::logged_path(&incoming.head).to_owned();
-    let (class, outcome) = run(context, incoming, &id, sender).await;
+    let (class, outcome) = run(context, incoming, id, sender).await;
     let result = match &outcome {
         Ok(_) => "ok",
         Err(refusal) => refusal.kind.as_str(),
@@ -46,9 +45,9 @@
         context.metrics.latency.with_label_values(&[&class]).observe(latency.as_secs_f64());
         record_burn(context, &class, &outcome, latency);
         let status = outcome.as_ref().map_or(0, |response| response.status.as_u16());
-        log::info!(request = id.as_str(), class, result, status, ms:% = latency.as_millis(); "callers: answered");
+        log::info!(request = id, class, result, status, ms:% = latency.as_millis(); "callers: answered");
     } else {
-        log::info!(request = id.as_str(), result, path = path.as_str(); "callers: refused");
+        log::info!(request = id, result, path = path.as_str(); "callers: refused");
     }
     match outcome {
         Ok(response) => Reply::from_response(&response, &context.dialect),
--- a/crates/daemon/src/callers/purpose.rs
+++ b/crates/daemon/src/callers/purpose.rs
@@ -14,7 +14,7 @@
 use super::relay::verdict::Verdict;
 use super::reply::{Reply, Source};
 use super::stop::Demand;
-use super::{forward, lookup};
+use super::{forward, headers, lookup};
 use crate::Context;
 use crate::response;
 
@@ -71,11 +71,14 @@
 
     /// Handles a request that arrived at such an address.
     pub async fn answer(self, context: &Arc<Context>, incoming: Incoming) -> Reply {
-        match self {
-            Self::Requests => forward::handle(context, incoming, Sender::Caller).await,
-            Self::LookUps => lookup::handle(context, &incoming),
-            Self::Relayed => forward::handle(context, incoming, Sender::Peer).await,
-        }
+        let sender = match self {
+            Self::Requests => Sender::Caller,
+            Self::Relayed => Sender::Peer,
+            Self::LookUps => return lookup::handle(context, &incoming),
+        };
+        let id = headers::request_id(context, &incoming.head.headers);
+        let reply = forward::handle(context, incoming, sender, &id).await;
+        only_servers_succeed(context, reply, &id)
     }
 
     /// Refuses a request that is not started; its caller can send it elsewhere at once.
@@ -86,12 +89,11 @@
         }
     }
 
-    /// Completes a reply that is sent at such an address.
-    pub fn complete(self, context: &Context, reply: Reply) -> Reply {
+    /// Completes a reply that is sent at such an address: another instance is told what became of its request.
+    pub fn complete(self, reply: Reply) -> Reply {
         match self {
-            Self::Requests => only_servers_succeed(context, reply),
-            Self::LookUps => reply,
-            Self::Relayed => with_verdict(only_servers_succeed(context, reply)),
+            Self::Requests | Self::LookUps => reply,
+            Self::Relayed => with_verdict(reply),
         }
     }
 }
@@ -107,13 +109,13 @@
     reply
 }
 
-/// Returns `reply`, or an error in its place if it is a success that no backend server proves: a caller would take its
-/// request for done.
-fn only_servers_succeed(context: &Context, reply: Reply) -> Reply {
+/// Returns the reply to the request `id`, or an error in its place if it is a success that no backend server proves: a caller
+/// would take its request for done.
+fn only_servers_succeed(context: &Context, reply: Reply, id: &str) -> Reply {
     let proven = reply.source == Source::Server && response::is_proven(&context.dialect, reply.status, &reply.headers);
     if proven || !reply.status.is_success() {
         return reply;
     }
-    log::error!("callers: success withheld, no server proves it source={}", reply.source.as_str());
+    log::error!(request = id, source = reply.source.as_str(); "callers: success withheld, no server proves it");
     Reply::error(Kind::AnswerCut, &context.dialect)
 }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -13,7 +13,7 @@
 use config::policy::Policy;
 use dispatch::Engine;
 use dispatch::engine::{Budgets, Limits};
-use fleet::message::{Record, State};
+use fleet::message::Record;
 use fleet::replica::{Replica, Version};
 use fleet::roster::{Roster, Timeouts};
 use h1::Budget;
@@ -132,15 +132,9 @@
         let now = clock.now();
         let incarnation = fastrand::u64(1..);
         let record = Record {
-            name: settings.instance.clone(),
-            incarnation: clock::unix_time_ms(),
-            refutations: 0,
-            state: State::Alive,
-            peer_address: settings.fleet.address.clone(),
-            domain: settings.domain.clone(),
             caller_address: adapter.catalog.map_or_else(String::new, |_| settings.callers.address.clone()),
-            without_servers: false,
             relay_port: settings.fleet.relay_address().parse().ok().map(|address: SocketAddr| address.port()),
+            ..Record::new(&settings.instance, clock::unix_time_ms(), &settings.fleet.address, &settings.domain)
         };
         let timeouts = Timeouts { suspect: Duration::from_millis(settings.fleet.suspect_ms) };
         let timeout = Duration::from_millis(settings.platform.timeout_ms);
--- a/crates/daemon/tests/port.rs
+++ b/crates/daemon/tests/port.rs
@@ -1,122 +1,20 @@
 //! Tests of the callers' port with silent, slow, endless and ambiguous requests, against a daemon in this process.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::io::{Read as _, Write as _};
 use std::net::TcpStream;
 use std::sync::Mutex;
 use std::time::Duration;
 
-use base::instance::{Instance, Role, State};
+use common::Harness;
 use config::configs::Settings;
 use daemon::adapter::Adapter;
 use daemon::lifecycle::Daemon;
-use fakes::backend::{Running, Setup};
 use log::kv::{Key, Value, VisitSource};
 use rstest::rstest;
 
-const POLICY: &str = "[regions.r]\ndomains = [\"d\"]\n\
-[classes.lookup]\nservice = \"s\"\npaths = [\"/stock\"]\nidempotent = true\nrank = 1\ntarget_ms = 100\ntarget_share = 0.99\ndeadline_ms = 2000\n\
-[classes.order]\nservice = \"s\"\npaths = [\"/orders\"]\nidempotent = false\nrank = 0\ntarget_ms = 100\ntarget_share = 0.99\ndeadline_ms = 2000\n";
-
-/// A daemon with stand-ins for a backend server, the instance list and the store.
-struct Harness {
-    backend: Running,
-    _list: fakes::list::Running,
-    store: fakes::store::Running,
-    daemon: Option<Daemon>,
-    address: String,
-    lookup_address: String,
-}
-
-impl Harness {
-    /// Starts everything on the addresses `127.0.{net}.*` and waits until a request succeeds.
-    fn new(net: u8) -> Self {
-        Self::with_policy(net, POLICY)
-    }
-
-    /// Does the same with another policy.
-    fn with_policy(net: u8, policy_text: &str) -> Self {
-        let backend =
-            Running::start("127.0.0.1:0", Setup::new("b").with_work_ms(5)).expect("the stand-in backend starts");
-        let store = fakes::store::Running::start("127.0.0.1:0").expect("the stand-in store starts");
-        let instance = Instance {
-            name: "b".to_owned(),
-            role: Role::Backend,
-            service: "s".to_owned(),
-            region: "r".to_owned(),
-            domain: "d".to_owned(),
-            address: backend.address(),
-            peers: String::new(),
-            operators: String::new(),
-            slots: 3,
-            connections: 10,
-            started_at: 0,
-            state: State::Live,
-        };
-        let list = fakes::list::Running::start("127.0.0.1:0", vec![instance], Duration::ZERO)
-            .expect("the stand-in list starts");
-        let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
-        let policy = folder.join(format!("port-{net}.toml"));
-        std::fs::write(&policy, policy_text).expect("the file can be written");
-        let text = format!(
-            "instance = \"e\"\ndomain = \"d\"\nregion = \"r\"\npolicy = \"{}\"\n\
-[callers]\naddress = \"127.0.{net}.1:7000\"\nheader_timeout_ms = 300\nbody_timeout_ms = 300\nmax_body_bytes = 1000\nmax_connections = 8\nanswer_kept_ms = 0\n\
-[operators]\naddress = \"127.0.{net}.1:7100\"\n[fleet]\naddress = \"127.0.{net}.1:7200\"\n\
-[platform]\naddress = \"{}\"\n[list]\naddress = \"{}\"\npoll_ms = 50\n",
-            policy.display(),
-            store.address(),
-            list.address()
-        );
-        let settings = Settings::parse("test", &text).expect("the settings are valid");
-        let address = settings.callers.address.clone();
-        let lookup_address = settings.callers.lookup_address();
-        let daemon = Daemon::start(settings, Adapter::native()).expect("the daemon starts");
-        let harness = Self { backend, _list: list, store, daemon: Some(daemon), address, lookup_address };
-        while !harness
-            .exchange("GET /stock HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
-            .starts_with("HTTP/1.1 200")
-        {
-            std::thread::sleep(Duration::from_millis(20));
-        }
-        harness
-    }
-
-    fn connect(&self) -> TcpStream {
-        Self::connect_to(&self.address)
-    }
-
-    fn connect_to(address: &str) -> TcpStream {
-        let stream = TcpStream::connect(address).expect("the port is open");
-        stream.set_read_timeout(Some(Duration::from_secs(30))).expect("the timeout can be set");
-        stream
-    }
-
-    /// Sends `text` to the address for requests and reads until the daemon closes the connection.
-    fn exchange(&self, text: &str) -> String {
-        Self::exchange_on(self.connect(), text)
-    }
-
-    /// Does the same at the address for look-ups.
-    fn look_up(&self, text: &str) -> String {
-        Self::exchange_on(Self::connect_to(&self.lookup_address), text)
-    }
-
-    fn exchange_on(mut stream: TcpStream, text: &str) -> String {
-        stream.write_all(text.as_bytes()).expect("the daemon accepts the request");
-        let mut answer = Vec::new();
-        drop(stream.read_to_end(&mut answer));
-        String::from_utf8_lossy(&answer).into_owned()
-    }
-}
-
-impl Drop for Harness {
-    fn drop(&mut self) {
-        if let Some(daemon) = self.daemon.take() {
-            daemon.stop();
-        }
-    }
-}
-
 /// Guards against invalid requests that reach a backend server, or whose error does not name the reason.
 #[test]
 fn bad_requests_get_a_clear_error_and_run_nothing() {
@@ -322,76 +220,3 @@
     assert!(slow.is_some() && slow < quick, "{answers:?}");
     assert_eq!(answers.matches("HTTP/1.1 200").count(), 2);
 }
-
-/// A class that covers every path, beside those of [`POLICY`].
-const ALL_PATHS: &str = "[classes.rest]\nservice = \"s\"\npaths = [\"/\"]\nidempotent = false\nrank = 0\ntarget_ms = 100\ntarget_share = 0.99\ndeadline_ms = 2000\n";
-
-/// Guards against a path of the daemons that hides a path of the operators' classes: an order to `/lookup` was answered
-/// with a list of entry instances, and ran nowhere.
-#[rstest]
-#[case("/lookup", 62)]
-#[case("/lookup/", 63)]
-#[case("/lookup?client=10.0.0.1", 64)]
-#[case("//lookup", 65)]
-#[case("/ready", 66)]
-#[case("/metrics", 67)]
-#[case("/hemlockcross/resolve", 68)]
-fn an_order_to_a_path_of_the_daemons_runs_at_one_server(#[case] path: &str, #[case] net: u8) {
-    let harness = Harness::with_policy(net, &format!("{POLICY}{ALL_PATHS}"));
-    let order = format!(
-        "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\nx-echo: {net}\r\nidempotency-key: k\r\ncontent-length: 0\r\n\r\n"
-    );
-    let answer = harness.exchange(&order);
-    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains(&format!("echo={net}")), "{answer:?}");
-    assert_eq!(harness.backend.runs().get("k"), Some(&1));
-}
-
-/// Guards against requests for work that reach a backend server through the address for look-ups, and against look-ups
-/// by other methods.
-#[test]
-fn the_address_for_look_ups_answers_look_ups_alone() {
-    let harness = Harness::with_policy(69, &format!("{POLICY}{ALL_PATHS}"));
-    let served = harness.backend.served();
-    let cases = [
-        ("GET /lookup", "200", "entries"),
-        ("GET /lookup?client=here", "400", "malformed"),
-        ("GET /stock", "404", "unknown-path"),
-        ("GET /lookup/", "404", "unknown-path"),
-        ("GET //lookup", "404", "unknown-path"),
-        ("POST /lookup", "405", "unknown-method"),
-        ("OPTIONS /lookup", "405", "unknown-method"),
-    ];
-    for (line, status, text) in cases {
-        let answer = harness.look_up(&format!(
-            "{line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\nidempotency-key: k\r\ncontent-length: 0\r\n\r\n"
-        ));
-        assert!(answer.starts_with(&format!("HTTP/1.1 {status}")) && answer.contains(text), "{line}: {answer:?}");
-        assert_eq!(answer.contains("allow: GET, HEAD"), status == "405", "{line}: {answer:?}");
-    }
-    let large = harness.look_up("GET /lookup HTTP/1.1\r\nhost: x\r\ncontent-length: 1000000\r\n\r\n");
-    assert!(large.starts_with("HTTP/1.1 413"), "{large:?}");
-    assert_eq!(harness.backend.served(), served, "no server is asked");
-    assert_eq!(harness.backend.runs().get("k"), None);
-}
-
-/// Guards against a `HEAD` whose answer differs from that of `GET` in more than the body.
-#[test]
-fn a_look_up_by_head_is_one_by_get_without_the_body() {
-    let harness = Harness::new(70);
-    let get = harness.look_up("GET /lookup HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
-    let head = harness.look_up("HEAD /lookup HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
-    let (get_head, body) = get.split_once("\r\n\r\n").expect("the answer has a head");
-    assert_eq!(head, format!("{get_head}\r\n\r\n"));
-    assert!(get_head.contains(&format!("content-length: {}", body.len())), "{get:?}");
-}
-
-/// Load: callers hold all connections of the address for requests. Others must still learn where else they can go.
-#[test]
-fn look_ups_are_answered_while_callers_hold_all_other_connections() {
-    let harness = Harness::new(71);
-    // Twice as many as `max_connections`: the second half waits in the backlog.
-    let held: Vec<TcpStream> = (0..16).map(|_| harness.connect()).collect();
-    let answer = harness.look_up("GET /lookup HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
-    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
-    drop(held);
-}
--- a/crates/daemon/tests/view.rs
+++ b/crates/daemon/tests/view.rs
@@ -205,16 +205,10 @@
     let daemons: usize = parts.iter().sum();
     let burst_of = |live: usize| {
         let context = context(&runtime, Vec::new());
-        let record = |number: usize| Record {
-            name: format!("e{number}"),
-            incarnation: 1,
-            refutations: 0,
-            state: if number < live { Standing::Alive } else { Standing::Dead },
-            peer_address: format!("127.0.0.{number}:7200"),
-            domain: "d".to_owned(),
-            caller_address: String::new(),
-            without_servers: false,
-            relay_port: None,
+        let record = |number: usize| {
+            let state = if number < live { Standing::Alive } else { Standing::Dead };
+            let record = Record::new(&format!("e{number}"), 1, &format!("127.0.0.{number}:7200"), "d");
+            Record { state, ..record }
         };
         let records = (1..daemons).map(record).collect();
         let snapshot =
--- a/crates/dispatch/tests/announcements.rs
+++ b/crates/dispatch/tests/announcements.rs
@@ -7,7 +7,7 @@
 use base::error::Kind;
 use base::time::Time;
 use common::cluster::Cluster;
-use common::{LOOKUP, ORDER, World, backend, refused};
+use common::{LOOKUP, ORDER, World, backend, refused, started};
 use dispatch::announcements::Announcements;
 use dispatch::backend::{BackendId, Place};
 use dispatch::engine::Arrival;
@@ -88,14 +88,6 @@
     assert!(!moved.is_empty() && moved.iter().all(|(_, server)| *server != home), "{moved:?}");
 }
 
-fn started(engine: &mut Engine) -> Vec<(u64, BackendId)> {
-    let start = |action| match action {
-        Action::Start { attempt, backend, .. } => Some((attempt, backend)),
-        _ => None,
-    };
-    engine.take_actions().into_iter().filter_map(start).collect()
-}
-
 #[rstest]
 #[case(LOOKUP)]
 #[case(ORDER)]
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -41,6 +41,15 @@
     }
 }
 
+/// Returns the attempts started since the last call, with their servers.
+pub fn started(engine: &mut Engine) -> Vec<(u64, BackendId)> {
+    let start = |action| match action {
+        Action::Start { attempt, backend, .. } => Some((attempt, backend)),
+        _ => None,
+    };
+    engine.take_actions().into_iter().filter_map(start).collect()
+}
+
 /// An attempt in flight.
 #[derive(Debug, Clone, Copy)]
 pub struct Live {
--- a/crates/dispatch/tests/ejection.rs
+++ b/crates/dispatch/tests/ejection.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use base::time::Time;
-use common::{LIMITS, LOOKUP, World, backend, classes, refused};
+use common::{LIMITS, LOOKUP, World, backend, classes, refused, started};
 use dispatch::backend::{BackendId, Place};
 use dispatch::engine::Arrival;
-use dispatch::{Action, Ending, Engine, class};
+use dispatch::{Ending, Engine, class};
 use rstest::rstest;
 
 const MS: Duration = Duration::from_millis(1);
@@ -81,14 +81,6 @@
     assert_eq!(engine.backends().filter(|server| server.suspect()).count(), 0);
 }
 
-fn started(engine: &mut Engine) -> Vec<(u64, BackendId)> {
-    let start = |action| match action {
-        Action::Start { attempt, backend, .. } => Some((attempt, backend)),
-        _ => None,
-    };
-    engine.take_actions().into_iter().filter_map(start).collect()
-}
-
 /// Load: many requests are in flight while the process is stopped for five seconds. All of them are late then, but not
 /// because of their servers.
 #[rstest]
--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use base::time::Time;
-use common::{LIMITS, LOOKUP, ORDER, backend, classes};
+use common::{LIMITS, LOOKUP, ORDER, backend, classes, started};
 use dispatch::backend::{Backend, BackendId, Place, SlowStart, Spec};
 use dispatch::engine::{Arrival, Budgets, Limits, Remote};
 use dispatch::split::Share;
@@ -26,15 +26,6 @@
     engine.submit(Arrival { object, ..Arrival::new(request, class, request, 10) }, now);
 }
 
-/// Attempts started since the last call, with their servers.
-fn started(engine: &mut Engine) -> Vec<(u64, BackendId)> {
-    let start = |action| match action {
-        Action::Start { attempt, backend, .. } => Some((attempt, backend)),
-        _ => None,
-    };
-    engine.take_actions().into_iter().filter_map(start).collect()
-}
-
 /// Load: all servers of a service are full. Every attempt is shed, and would be retried elsewhere, which multiplies
 /// the load.
 #[rstest]
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -71,6 +71,21 @@
 }
 
 impl Record {
+    /// Creates the record of a live member that serves no callers yet.
+    pub fn new(name: &str, incarnation: u64, peer_address: &str, domain: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            incarnation,
+            refutations: 0,
+            state: State::Alive,
+            peer_address: peer_address.to_owned(),
+            domain: domain.to_owned(),
+            caller_address: String::new(),
+            without_servers: false,
+            relay_port: None,
+        }
+    }
+
     /// Returns the address at which the member takes requests that other members pass on; `None` if it is not known.
     pub fn relay_address(&self) -> Option<SocketAddr> {
         let mut address: SocketAddr = self.peer_address.parse().ok()?;
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -357,15 +357,6 @@
 
 /// Creates the record of a listed instance that sent no message yet; any record of its own supersedes it.
 fn initial_record(listed: &Instance) -> Record {
-    Record {
-        name: listed.name.clone(),
-        incarnation: 0,
-        refutations: 0,
-        state: State::Alive,
-        peer_address: listed.peers.clone(),
-        domain: listed.domain.clone(),
-        caller_address: listed.address.clone(),
-        without_servers: false,
-        relay_port: None,
-    }
+    let record = Record::new(&listed.name, 0, &listed.peers, &listed.domain);
+    Record { caller_address: listed.address.clone(), ..record }
 }
--- a/crates/fleet/tests/rate_limits.rs
+++ b/crates/fleet/tests/rate_limits.rs
@@ -5,7 +5,7 @@
 
 use base::rate::Limit;
 use base::time::Time;
-use fleet::message::{Message, Record, State};
+use fleet::message::{Message, Record};
 use fleet::roster::{Roster, Timeouts};
 use rstest::rstest;
 
@@ -13,17 +13,8 @@
 const SERVER: u32 = 9;
 
 fn record(number: usize) -> Record {
-    Record {
-        name: format!("n{number}"),
-        incarnation: 1,
-        refutations: 0,
-        state: State::Alive,
-        peer_address: format!("n{number}"),
-        domain: "d".to_owned(),
-        caller_address: String::new(),
-        without_servers: false,
-        relay_port: None,
-    }
+    let name = format!("n{number}");
+    Record::new(&name, 1, &name, "d")
 }
 
 /// Daemons that exchange messages once a second.
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -15,18 +15,7 @@
 const PERSISTENT: u64 = 7;
 
 fn record(name: &str, incarnation: u64) -> Record {
-    let (peer_address, domain) = (name.to_owned(), "d".to_owned());
-    Record {
-        name: name.to_owned(),
-        incarnation,
-        refutations: 0,
-        state: State::Alive,
-        peer_address,
-        domain,
-        caller_address: String::new(),
-        without_servers: false,
-        relay_port: None,
-    }
+    Record::new(name, incarnation, name, "d")
 }
 
 /// Daemons that exchange messages once a second, each with the partner that its roster selects.
--- a/crates/size/src/membership.rs
+++ b/crates/size/src/membership.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use base::time::Time;
-use fleet::message::{Message, Record, State};
+use fleet::message::{Message, Record};
 use fleet::replica::Version;
 use fleet::roster::{Roster, Timeouts};
 
@@ -31,17 +31,10 @@
 const READ_INTERVAL: Duration = Duration::from_secs(2);
 
 fn record(number: usize) -> Record {
-    Record {
-        name: format!("entry-{number:05}"),
-        incarnation: 1_790_000_000_000 + number as u64,
-        refutations: 0,
-        state: State::Alive,
-        peer_address: format!("10.0.{}.{}:7200", number / 250, number % 250),
-        domain: format!("domain-{:02}", number % DOMAINS),
-        caller_address: String::new(),
-        without_servers: false,
-        relay_port: None,
-    }
+    let name = format!("entry-{number:05}");
+    let peer_address = format!("10.0.{}.{}:7200", number / 250, number % 250);
+    let domain = format!("domain-{:02}", number % DOMAINS);
+    Record::new(&name, 1_790_000_000_000 + number as u64, &peer_address, &domain)
 }
 
 fn roster(number: usize, count: usize) -> Roster {
