--- a/crates/daemon/src/callers/lookup.rs
+++ b/crates/daemon/src/callers/lookup.rs
@@ -34,8 +34,10 @@
 /// Methods that look-ups accept, as the header `Allow` names them.
 const METHODS: HeaderValue = HeaderValue::from_static("GET, HEAD");
 
-/// Answers a request at an address for look-ups. A look-up's query may give the caller's address as `client=` (by default that of the connected peer) or the
-/// caller's region as `region=`; a look-up by region returns only addresses.
+/// Answers a request at an address for look-ups.
+///
+/// A look-up's query may give the caller's address as `client=` (by default that of the connected peer) or the caller's
+/// region as `region=`; a look-up by region returns only addresses.
 pub fn handle(context: &Arc<Context>, incoming: &Incoming) -> Reply {
     match answer(context, incoming) {
         Ok(reply) => {
--- a/crates/daemon/src/callers/purpose.rs
+++ b/crates/daemon/src/callers/purpose.rs
@@ -11,7 +11,7 @@
 
 use super::connection::Incoming;
 use super::forward::Sender;
-use super::relay::verdict::Verdict;
+use super::relay::disposition::Disposition;
 use super::reply::{Reply, Source};
 use super::stop::Demand;
 use super::{forward, headers, lookup};
@@ -93,19 +93,19 @@
     pub fn complete(self, reply: Reply) -> Reply {
         match self {
             Self::Requests | Self::LookUps => reply,
-            Self::Relayed => with_verdict(reply),
+            Self::Relayed => with_disposition(reply),
         }
     }
 }
 
 /// Returns `reply` with what it says of a request that another instance has passed on.
-fn with_verdict(mut reply: Reply) -> Reply {
-    let verdict = match reply.source {
-        Source::Server => Verdict::Complete,
-        Source::Error(Ran::NotRun) => Verdict::NotRun,
-        Source::Error(Ran::Unknown) | Source::LookUp => Verdict::Unknown,
+fn with_disposition(mut reply: Reply) -> Reply {
+    let disposition = match reply.source {
+        Source::Server => Disposition::Complete,
+        Source::Error(Ran::NotRun) => Disposition::NotRun,
+        Source::Error(Ran::Unknown) | Source::LookUp => Disposition::Unknown,
     };
-    verdict.append(&mut reply.headers);
+    disposition.append(&mut reply.headers);
     reply
 }
 
--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -1,15 +1,15 @@
 //! Passes requests on to another entry instance while this one reaches no backend server itself.
 //!
 //! The other instance dispatches the request as one of its own callers', at an address that only instances use, so nothing
-//! in a caller's request makes it one that was passed on. Its reply says what became of the request ([`Verdict`]). It passes
+//! in a caller's request makes it one that was passed on. Its reply says what became of the request ([`Disposition`]). It passes
 //! the request on no further.
 //!
 //! Load pattern: a whole failure domain loses its links at the same moment, and it takes seconds until all instances know
 //! of each other that they reach no server. An instance that refuses a request, which then did not run, is therefore not
 //! the last that is tried, and the next one is in another failure domain.
 
+pub mod disposition;
 mod peer;
-pub mod verdict;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,8 +23,8 @@
 use http::StatusCode;
 use http::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 
+use self::disposition::Disposition;
 use self::peer::{Interface, Peer};
-use self::verdict::Verdict;
 use crate::Context;
 use crate::backends::attempt::{self, UNACKED_TIMEOUT};
 use crate::driver::{Outcome, Outgoing, Refusal};
@@ -120,26 +120,30 @@
 
 /// Returns the answer if it is a backend server's, or else what the instance says about the request.
 fn judge(context: &Context, interface: Interface, mut answer: Answer) -> Result<Answer, Failure> {
-    let verdict = match interface {
-        Interface::Peers(_) => Verdict::take(&mut answer.headers),
-        Interface::Callers(_) => Some(earlier_verdict(context, &answer)),
+    let disposition = match interface {
+        Interface::Peers(_) => Disposition::take(&mut answer.headers),
+        Interface::Callers(_) => Some(earlier_disposition(context, &answer)),
     };
-    match verdict {
-        Some(Verdict::Complete) => Ok(answer),
-        Some(Verdict::NotRun) => Err(Failure::Refused(retry_after(&answer))),
-        Some(Verdict::Unknown) if answer.status == StatusCode::GATEWAY_TIMEOUT => {
+    match disposition {
+        Some(Disposition::Complete) => Ok(answer),
+        Some(Disposition::NotRun) => Err(Failure::Refused(retry_after(&answer))),
+        Some(Disposition::Unknown) if answer.status == StatusCode::GATEWAY_TIMEOUT => {
             Err(Failure::Answer(Kind::BackendTimeout))
         }
-        Some(Verdict::Unknown) => Err(Failure::Answer(Kind::BackendLost)),
+        Some(Disposition::Unknown) => Err(Failure::Answer(Kind::BackendLost)),
         None => Err(Failure::Answer(Kind::AnswerCut)),
     }
 }
 
-/// Returns the verdict of an instance of an earlier build, which states refusals at most. Anything else is passed on as it
+/// Returns the disposition of an instance of an earlier build, which states refusals at most. Anything else is passed on as it
 /// is, since its status holds for the caller as well.
-fn earlier_verdict(context: &Context, answer: &Answer) -> Verdict {
+fn earlier_disposition(context: &Context, answer: &Answer) -> Disposition {
     let is_signed = context.dialect.signature.as_ref().is_some_and(|name| answer.headers.contains_key(name));
-    if !is_signed && answer.headers.contains_key(&EARLIER_NOT_RUN) { Verdict::NotRun } else { Verdict::Complete }
+    if !is_signed && answer.headers.contains_key(&EARLIER_NOT_RUN) {
+        Disposition::NotRun
+    } else {
+        Disposition::Complete
+    }
 }
 
 /// Returns the time after which the caller may come back, as the answer gives it.
--- a/crates/daemon/src/callers/relay/peer.rs
+++ b/crates/daemon/src/callers/relay/peer.rs
@@ -18,7 +18,7 @@
 /// Where and how an entry instance takes requests that are passed on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Interface {
-    /// At its address for such requests; each reply has a verdict.
+    /// At its address for such requests; each reply has a disposition.
     Peers(SocketAddr),
     /// At its address for callers, since it is of a build up to 4e2e901. Headers mark such a request and its refusal.
     Callers(SocketAddr),
