Authenticate callers by keys of client accounts

The policy has accounts (keys as digests, rate, burst, rank, regions). The account's name is set for servers and for instances that a request is passed on to. Regions of class and account both bind.

--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -34,8 +34,20 @@
     BodyTooLarge,
     /// The caller sent its request too slowly.
     SlowSender,
+    /// The request line and headers are larger than the settings allow.
+    HeadTooLarge,
+    /// The bodies of other requests leave no memory for this one.
+    MemoryShort,
     /// This instance has no policy yet.
     NoPolicy,
+    /// This instance has not heard of the operators for too long to know which keys are valid.
+    PolicyStale,
+    /// The request bears no key, or one that no client account holds.
+    UnknownKey,
+    /// The client account has used up its quota.
+    OverQuota,
+    /// This instance holds no part of the client account's quota, and those that do cannot be reached.
+    QuotaUnknown,
     /// No class of work covers the path.
     UnknownRoute,
     /// The address answers look-ups, and the path is not that of look-ups.
@@ -101,13 +113,19 @@
 
 impl Kind {
     /// All kinds, in the order of declaration.
-    pub const ALL: [Self; 30] = [
+    pub const ALL: [Self; 36] = [
         Self::Malformed,
         Self::AmbiguousFraming,
         Self::LengthRequired,
         Self::BodyTooLarge,
         Self::SlowSender,
+        Self::HeadTooLarge,
+        Self::MemoryShort,
         Self::NoPolicy,
+        Self::PolicyStale,
+        Self::UnknownKey,
+        Self::OverQuota,
+        Self::QuotaUnknown,
         Self::UnknownRoute,
         Self::UnknownPath,
         Self::UnknownMethod,
@@ -143,7 +161,13 @@
             Self::LengthRequired => (411, NotRun, None, true),
             Self::BodyTooLarge => (413, NotRun, None, true),
             Self::SlowSender => (408, NotRun, Some(1), true),
+            Self::HeadTooLarge => (431, NotRun, None, true),
+            Self::MemoryShort => (503, NotRun, Some(1), true),
             Self::NoPolicy => (503, NotRun, Some(1), false),
+            Self::PolicyStale => (503, NotRun, Some(1), false),
+            Self::UnknownKey => (401, NotRun, None, false),
+            Self::OverQuota => (429, NotRun, Some(1), false),
+            Self::QuotaUnknown => (503, NotRun, Some(1), false),
             Self::UnknownRoute => (404, NotRun, None, false),
             Self::UnknownPath => (404, NotRun, None, false),
             Self::UnknownMethod => (405, NotRun, None, false),
@@ -180,7 +204,13 @@
             Self::LengthRequired => "length-required",
             Self::BodyTooLarge => "body-too-large",
             Self::SlowSender => "slow-sender",
+            Self::HeadTooLarge => "head-too-large",
+            Self::MemoryShort => "memory-short",
             Self::NoPolicy => "no-policy",
+            Self::PolicyStale => "policy-stale",
+            Self::UnknownKey => "unknown-key",
+            Self::OverQuota => "over-quota",
+            Self::QuotaUnknown => "quota-unknown",
             Self::UnknownRoute => "unknown-route",
             Self::UnknownPath => "unknown-path",
             Self::UnknownMethod => "unknown-method",
@@ -216,6 +246,12 @@
             Self::LengthRequired => "send the body with a Content-Length",
             Self::BodyTooLarge => "send a smaller body",
             Self::SlowSender => "send the whole request faster",
+            Self::HeadTooLarge => "send fewer or shorter headers",
+            Self::MemoryShort => "send again after the given time",
+            Self::PolicyStale => "ask the look-up for another entry instance and send again",
+            Self::UnknownKey => "send a key of a client account in the Authorization header",
+            Self::OverQuota => "send again after the given time",
+            Self::QuotaUnknown => "send again after the given time",
             Self::UnknownRoute => "use a path that one of the classes of work covers",
             Self::UnknownPath => "send look-ups to /lookup, and requests for work to an address that a look-up names",
             Self::UnknownMethod => "use one of the methods in the Allow header",
--- a/crates/config/src/configs/callers.rs
+++ b/crates/config/src/configs/callers.rs
@@ -2,11 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{check_address, check_range, with_port};
+use super::{check_address, check_float, check_range, with_port};
 use crate::error::Result;
 
 /// The addresses for callers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Callers {
     /// Address for requests, `IP:PORT`.
@@ -37,6 +37,10 @@
     pub stop_ms: u64,
     /// Number of entry instances named in a look-up's answer.
     pub answer_entries: u64,
+    /// Whether requests with keys are refused while this daemon cannot know which keys were taken away.
+    pub revoke_strict: bool,
+    /// With `revoke_strict`, how long the daemon may be without contact to the store, in seconds.
+    pub revoke_s: f64,
 }
 
 impl Default for Callers {
@@ -56,6 +60,8 @@
             answer_kept_ms: 30_000,
             stop_ms: 150_000,
             answer_entries: 3,
+            revoke_strict: false,
+            revoke_s: 5.0,
         }
     }
 }
@@ -79,6 +85,7 @@
         check_range(name, "callers.answer_ttl_s", self.answer_ttl_s, 1, 86_400)?;
         check_range(name, "callers.answer_kept_ms", self.answer_kept_ms, 0, 86_400_000)?;
         check_range(name, "callers.stop_ms", self.stop_ms, self.answer_kept_ms, 86_400_000)?;
+        check_float(name, "callers.revoke_s", self.revoke_s, 3_600.0)?;
         check_range(name, "callers.answer_entries", self.answer_entries, 1, 64)
     }
 }
--- a/crates/config/src/policy/class.rs
+++ b/crates/config/src/policy/class.rs
@@ -44,6 +44,9 @@
     /// Regions that may run the work; empty for all.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub regions: Vec<String>,
+    /// Whether requests need no key of an account.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
     /// Whether all requests are refused, because it is unknown where they may run.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub closed: bool,
--- a/crates/config/src/policy/mod.rs
+++ b/crates/config/src/policy/mod.rs
@@ -1,7 +1,8 @@
-//! The operators' policy: regions, links, classes of work, drains and home regions of callers.
+//! The operators' policy: regions, links, classes of work, client accounts, drains and home regions of callers.
 //!
 //! A policy is stored as TOML. Its revision is assigned by the store and is sent beside the text, never in it.
 
+mod account;
 mod block;
 mod class;
 mod drain;
@@ -15,6 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use self::account::Account;
 pub use self::block::Block;
 pub use self::class::Class;
 pub use self::drain::{Drain, Scope};
@@ -42,6 +44,9 @@
     /// Properties of services by name; a service that is absent has the defaults.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub services: BTreeMap<String, Service>,
+    /// Client accounts by name. With `None` requests need no key; with an empty map no key is known.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub accounts: Option<BTreeMap<String, Account>>,
     /// Drains in force.
     pub drains: Vec<Drain>,
     /// Home regions of callers; the longest prefix wins.
@@ -77,6 +82,7 @@
             link.check(name, &format!("links[{index}]"), &self.regions)?;
         }
         self.check_classes(name)?;
+        self.check_accounts(name)?;
         for (index, drain) in self.drains.iter().enumerate() {
             self.check_drain(name, &format!("drains[{index}]"), drain)?;
         }
@@ -109,6 +115,11 @@
         self.has_drain(Scope::Instance, instance)
     }
 
+    /// Returns the account `name`; `None` if the policy does not have it.
+    pub fn account(&self, name: &str) -> Option<&Account> {
+        self.accounts.as_ref()?.get(name)
+    }
+
     /// Returns the region of a failure domain; `None` if no region has it.
     pub fn region_of(&self, domain: &str) -> Option<&str> {
         let mut regions = self.regions.iter();
@@ -184,6 +195,22 @@
         Ok(())
     }
 
+    fn check_accounts(&self, name: &str) -> Result<()> {
+        let mut holders = BTreeMap::new();
+        for (account, value) in self.accounts.iter().flatten() {
+            let key = format!("accounts.{account}");
+            value.check(name, &key)?;
+            value.check_regions(name, &key, &self.regions)?;
+            for (index, digest) in value.keys.iter().enumerate() {
+                if let Some(holder) = holders.insert(digest, account).filter(|holder| *holder != account) {
+                    let advice = format!("belongs to account `{holder}` too; keep it in one");
+                    return Err(Error::value(name, format!("{key}.keys[{index}]"), advice));
+                }
+            }
+        }
+        Ok(())
+    }
+
     fn check_drain(&self, name: &str, key: &str, drain: &Drain) -> Result<()> {
         let known = match drain.scope {
             Scope::Region => self.regions.contains_key(&drain.name),
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -7,11 +7,13 @@
 use base::hash;
 use base::time::Time;
 use bytes::Bytes;
+use dispatch::engine;
 use h1::head;
 use http::header::HeaderMap;
 use ledger::table::Admission;
 
 use super::connection::Incoming;
+use super::identity::{self, Identity};
 use super::reply::Reply;
 use super::stop::Demand;
 use super::{headers, relay};
@@ -20,6 +22,7 @@
 use crate::context::lock;
 use crate::dialect::AtMostOnce;
 use crate::driver::{Outcome, Outgoing, Refusal, Submission};
+use crate::policies::ActivePolicy;
 
 /// Who sent a request to this daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,7 +37,8 @@
 pub async fn handle(context: &Arc<Context>, incoming: Incoming, sender: Sender, id: &str) -> Reply {
     let start = incoming.arrived_at;
     let path = headers::logged_path(&incoming.head).to_owned();
-    let (class, outcome) = run(context, incoming, id, sender).await;
+    let Handled { class, account, outcome } = run(context, incoming, id, sender).await;
+    let account = account.as_deref().unwrap_or("-");
     let result = match &outcome {
         Ok(_) => "ok",
         Err(refusal) => refusal.kind.as_str(),
@@ -45,7 +49,7 @@
         context.metrics.latency.with_label_values(&[&class]).observe(latency.as_secs_f64());
         record_burn(context, &class, &outcome, latency);
         let status = outcome.as_ref().map_or(0, |response| response.status.as_u16());
-        log::info!(request = id, class, result, status, ms:% = latency.as_millis(); "callers: answered");
+        log::info!(request = id, class, account, result, status, ms:% = latency.as_millis(); "callers: answered");
     } else {
         log::info!(request = id, result, path = path.as_str(); "callers: refused");
     }
@@ -78,29 +82,51 @@
     Reply::refusal(Refusal { kind, retry_after: Some(Duration::ZERO) }, &context.dialect)
 }
 
-/// Finds the class of a request and dispatches it. Returns the name of the class, if the request has one, and the
-/// outcome. All its times count from its arrival, also if it has waited behind others of its connection.
-async fn run(context: &Arc<Context>, incoming: Incoming, id: &str, sender: Sender) -> (Option<String>, Outcome) {
+/// What became of a request.
+struct Handled {
+    /// Name of its class; `None` if it has none.
+    class: Option<String>,
+    /// Name of its client account; `None` if it has none.
+    account: Option<String>,
+    outcome: Outcome,
+}
+
+impl Handled {
+    const fn refused(class: Option<String>, refusal: Refusal) -> Self {
+        Self { class, account: None, outcome: Err(refusal) }
+    }
+}
+
+/// Finds the class and the client account of a request and dispatches it. All its times count from its arrival, also if it
+/// has waited behind others of its connection.
+async fn run(context: &Arc<Context>, incoming: Incoming, id: &str, sender: Sender) -> Handled {
     let active = context.policy();
     if active.policy.regions.is_empty() {
-        return (None, Err(Kind::NoPolicy.into()));
+        return Handled::refused(None, Kind::NoPolicy.into());
     }
     let head = &incoming.head;
     let found = active.policy.class_of(headers::host(&head.headers), head.path());
-    let Some((name, class)) = found else {
-        return (None, Err(Kind::UnknownRoute.into()));
+    let found = found.and_then(|(name, class)| Some((name, class, active.class_position(name)?)));
+    let Some((name, class, position)) = found else {
+        return Handled::refused(None, Kind::UnknownRoute.into());
     };
-    let Some(position) = active.class_position(name) else {
-        return (None, Err(Kind::UnknownRoute.into()));
+    let name = name.to_owned();
+    let identity = match Identity::of(context, &active, class, &head.headers, sender) {
+        Ok(identity) => identity,
+        Err(kind) => return Handled::refused(Some(name), kind.into()),
+    };
+    let account = identity.account(&active);
+    let closed = class.closed || account.is_some_and(|account| account.closed);
+    let regions = identity::common_regions(class, account).filter(|_| !closed);
+    let Some(regions) = regions else {
+        let account = identity.name().map(str::to_owned);
+        return Handled { class: Some(name), account, outcome: Err(Kind::NoBackend.into()) };
     };
-    let (name, idempotent) = (name.to_owned(), class.idempotent);
-    if class.closed {
-        return (Some(name), Err(Kind::NoBackend.into()));
-    }
     let limit = incoming.arrived_at + Duration::from_millis(class.deadline_ms);
-    let found = ClassMatch { position, idempotent, regions: class.regions.clone(), limit };
-    let outcome = dispatch(context, found, incoming, id, sender).await;
-    (Some(name), outcome)
+    let found = ClassMatch { position, idempotent: class.idempotent, regions, limit };
+    let account = identity.name().map(str::to_owned);
+    let outcome = dispatch(context, &active, found, &identity, incoming, id, sender).await;
+    Handled { class: Some(name), account, outcome }
 }
 
 /// The class that a request matched, by its position in the policy, with what passing the request on depends on.
@@ -116,7 +142,15 @@
 
 /// Dispatches a request of a class. A keyed request first passes the ledger, which may replay an earlier answer or
 /// refuse the request.
-async fn dispatch(context: &Arc<Context>, class: ClassMatch, incoming: Incoming, id: &str, sender: Sender) -> Outcome {
+async fn dispatch(
+    context: &Arc<Context>,
+    active: &ActivePolicy,
+    class: ClassMatch,
+    identity: &Identity,
+    incoming: Incoming,
+    id: &str,
+    sender: Sender,
+) -> Outcome {
     let ClassMatch { position, idempotent, regions, limit } = class;
     let Incoming { head, body, arrived_at, .. } = incoming;
     let caller_deadline = headers::caller_limit(context, &head.headers).map(|limit| arrived_at + limit);
@@ -134,15 +168,20 @@
             Admission::Refuse(kind) => return Err(kind.into()),
         }
     }
-    let submission = submission(context, position, fingerprint, &head.headers, deadline);
+    let submission = Submission {
+        account: identity.for_engine(active),
+        ..submission(context, position, fingerprint, &head.headers, deadline)
+    };
     let object = context.dialect.object.as_ref().and_then(|name| head::text(&head.headers, name)).unwrap_or("-");
+    let mut forwarded = headers::forwarded_headers(context, &head.headers);
+    identity.replace_key(context, active, &mut forwarded);
     let outgoing = Arc::new(Outgoing {
         number: context.driver.next_request_number(),
         id: id.to_owned(),
         object: object.to_owned(),
         method: head.method,
         target: head.target,
-        headers: headers::forwarded_headers(context, &head.headers),
+        headers: forwarded,
         body,
         idempotent,
         keyed,
@@ -219,6 +258,7 @@
         fingerprint,
         timeout: deadline.since(context.now()),
         object: object.map(|value| hash::bytes(value.as_bytes())),
+        account: engine::Account::NONE,
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/callers/identity.rs
@@ -0,0 +1,125 @@
+//! Which client account a request belongs to.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+
+use base::error::Kind;
+use base::time::Time;
+use config::policy::{Account, Class};
+use dispatch::{engine, regions};
+use h1::head;
+use http::header::{AUTHORIZATION, HeaderMap, HeaderValue};
+
+use super::forward::Sender;
+use crate::Context;
+use crate::context::lock;
+use crate::policies::ActivePolicy;
+
+/// Scheme of the `Authorization` header by which callers send a key, in lower case.
+const SCHEME: &str = "bearer";
+
+/// The client account of a request, by its name; `None` for a public request without a known key, and where the policy has
+/// no accounts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Identity(Option<String>);
+
+impl Identity {
+    /// Returns the account that holds the request's key, or that another entry instance names; an error if the request needs a
+    /// key and bears no known one.
+    pub fn of(
+        context: &Context,
+        active: &ActivePolicy,
+        class: &Class,
+        headers: &HeaderMap,
+        sender: Sender,
+    ) -> Result<Self, Kind> {
+        if active.policy.accounts.is_none() {
+            return Ok(Self(None));
+        }
+        if keys_unconfirmed(context) {
+            return Err(Kind::PolicyStale);
+        }
+        let key = headers.get(AUTHORIZATION).and_then(key);
+        let holder = key.and_then(|key| active.directory.account_of(key));
+        // An instance that passes a request on has checked the key and does not pass it on; earlier builds do.
+        let relayed =
+            (sender == Sender::Peer && key.is_none()).then(|| head::text(headers, &context.dialect.account)).flatten();
+        match holder.or(relayed) {
+            Some(name) => Ok(Self(Some(name.to_owned()))),
+            None if class.public => Ok(Self(None)),
+            None => Err(Kind::UnknownKey),
+        }
+    }
+
+    /// Returns the account's name; `None` if the request has none.
+    pub fn name(&self) -> Option<&str> {
+        self.0.as_deref()
+    }
+
+    /// Returns what the policy declares of the account; `None` if it has none, or knows no such account any more.
+    pub fn account<'a>(&self, active: &'a ActivePolicy) -> Option<&'a Account> {
+        active.policy.account(self.name()?)
+    }
+
+    /// Puts the account's name into the headers for backend servers in place of what the caller sent, and removes the key.
+    pub fn replace_key(&self, context: &Context, active: &ActivePolicy, headers: &mut HeaderMap) {
+        if active.policy.accounts.is_none() {
+            return;
+        }
+        headers.remove(AUTHORIZATION);
+        headers.remove(&context.dialect.account);
+        if let Some(Ok(name)) = self.name().map(HeaderValue::from_str) {
+            headers.insert(&context.dialect.account, name);
+        }
+    }
+
+    /// Returns what the dispatch engine needs of the account.
+    pub fn for_engine(&self, active: &ActivePolicy) -> engine::Account {
+        let Some(name) = self.name() else { return engine::Account::NONE };
+        let account = self.account(active);
+        let positions: Vec<u16> = account
+            .iter()
+            .flat_map(|account| &account.regions)
+            .filter_map(|name| active.region_position(name))
+            .collect();
+        engine::Account {
+            id: base::hash::bytes(name.as_bytes()),
+            rank: account.and_then(|account| account.rank),
+            regions: regions::Set::of(&positions),
+        }
+    }
+}
+
+/// Returns the regions that both a class and an account allow, all if the list is empty; `None` if they have none in
+/// common.
+pub fn common_regions(class: &Class, account: Option<&Account>) -> Option<Vec<String>> {
+    let of_account = account.map(|account| account.regions.as_slice()).unwrap_or_default();
+    if class.regions.is_empty() || of_account.is_empty() {
+        return Some([class.regions.as_slice(), of_account].concat());
+    }
+    let of_account: BTreeSet<&String> = of_account.iter().collect();
+    let common: Vec<String> = class.regions.iter().filter(|region| of_account.contains(region)).cloned().collect();
+    (!common.is_empty()).then_some(common)
+}
+
+/// Whether keys may have been taken away without this daemon's knowledge for longer than the settings allow.
+fn keys_unconfirmed(context: &Context) -> bool {
+    let settings = &context.settings.callers;
+    if !settings.revoke_strict {
+        return false;
+    }
+    let now = context.now();
+    let age = if context.catalog.is_some() {
+        lock(&context.mirror).age(now)
+    } else {
+        Some(now.since(Time::from_micros(context.store_answered_at.load(Ordering::Relaxed))))
+    };
+    age.is_none_or(|age| age.as_secs_f64() > settings.revoke_s)
+}
+
+/// Returns the key in the value of an `Authorization` header; `None` if it is of another scheme.
+fn key(value: &HeaderValue) -> Option<&[u8]> {
+    let (scheme, key) = value.as_bytes().split_at_checked(SCHEME.len())?;
+    let key = key.strip_prefix(b" ")?.trim_ascii();
+    (scheme.eq_ignore_ascii_case(SCHEME.as_bytes()) && !key.is_empty()).then_some(key)
+}
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -4,6 +4,7 @@
 pub mod connection;
 pub mod forward;
 mod headers;
+pub mod identity;
 pub mod lookup;
 mod parser;
 pub mod purpose;
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -26,6 +26,8 @@
     pub deadline_ms: HeaderName,
     /// Header with the object that a request is about; a server that handled it lately is faster.
     pub object: Option<HeaderName>,
+    /// Header with the name of the caller's client account, which the daemon sets for backend servers.
+    pub account: HeaderName,
     /// Header with the name of the intended server; any other refuses the request.
     pub server: Option<HeaderName>,
     /// Header that proves that a backend server made the answer; a success without it does not count as one.
@@ -64,6 +66,7 @@
             caller_sets_id: false,
             deadline_ms: HeaderName::from_static("x-deadline-ms"),
             object: None,
+            account: HeaderName::from_static("x-account"),
             server: None,
             signature: None,
             load: None,
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -9,7 +9,7 @@
 use base::time::Time;
 use bytes::Bytes;
 use dispatch::backend::{BackendId, Report};
-use dispatch::engine::{Arrival, Basis, Decision};
+use dispatch::engine::{Account, Arrival, Basis, Decision};
 use dispatch::{Action, Ending, Engine, Verdict};
 use h1::client::Call;
 use http::{HeaderMap, Method};
@@ -80,6 +80,8 @@
     pub timeout: Duration,
     /// Hash of the object that the request is about; `None` for none.
     pub object: Option<u64>,
+    /// The client account of the request.
+    pub account: Account,
 }
 
 /// Why a caller's request gets no answer of a backend server.
@@ -157,9 +159,10 @@
         submission: Submission,
     ) -> oneshot::Receiver<Outcome> {
         let (reply, outcome) = oneshot::channel();
-        let Submission { class, fingerprint, timeout, object } = submission;
+        let Submission { class, fingerprint, timeout, object, account } = submission;
         let bytes = outgoing.body.len() as u64;
-        let arrival = Arrival { request: outgoing.number, class, fingerprint, bytes, timeout: Some(timeout), object };
+        let request = outgoing.number;
+        let arrival = Arrival { request, class, fingerprint, bytes, timeout: Some(timeout), object, account };
         stall::check(context);
         let now = context.now();
         lock(&self.pending).insert(outgoing.number, Pending { outgoing, reply, arrived_at: now });
--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use accounts::Directory;
 use base::hash;
 use config::policy::{Class, Policy};
-use dispatch::class;
 use dispatch::split::Share;
+use dispatch::{class, regions};
 use fleet::Document;
 use fleet::replica::{Origin, Version};
 
@@ -29,6 +30,8 @@
     pub regions: Vec<String>,
     /// Home regions by callers' address ranges.
     pub table: Arc<steer::Table>,
+    /// Keys of client accounts.
+    pub directory: Directory,
 }
 
 impl ActivePolicy {
@@ -43,7 +46,11 @@
         let services = append_new(&previous.services, policy.classes.values().flat_map(Class::services));
         let regions = policy.regions.keys().cloned().collect();
         let table = Arc::new(steer::Table::from_policy(&policy));
-        Self { version, policy, classes, services, regions, table }
+        let accounts = policy.accounts.iter().flatten();
+        let directory = accounts.fold(Directory::new(fastrand::u64(..)), |directory, (name, account)| {
+            directory.with_account(name, &account.keys)
+        });
+        Self { version, policy, classes, services, regions, table, directory }
     }
 
     /// Returns the position of a service; `None` if no class of this policy or of an earlier one refers to it.
@@ -75,6 +82,7 @@
         };
         let service = self.service_position(&class.service).unwrap_or_default();
         let defaults = class::Spec::new(service, Duration::from_millis(class.deadline_ms));
+        let regions: Vec<u16> = class.regions.iter().filter_map(|name| self.region_position(name)).collect();
         let split = class.split.iter().filter_map(|(name, weight)| Some((self.service_position(name)?, *weight)));
         class::Spec {
             key: hash::bytes(name.as_bytes()),
@@ -84,7 +92,7 @@
             may_wait: class.may_wait,
             max_attempts: if class.max_attempts == 0 { defaults.max_attempts } else { class.max_attempts as usize },
             affinity: class.affinity,
-            regions: class.regions.iter().filter_map(|name| self.region_position(name)).collect(),
+            regions: regions::Set::of(&regions),
             split: split.map(|(service, weight)| Share { service, weight }).collect(),
             ..defaults
         }
--- a/crates/dispatch/src/class.rs
+++ b/crates/dispatch/src/class.rs
@@ -5,6 +5,7 @@
 
 use base::time::Time;
 
+use crate::regions;
 use crate::samples::Samples;
 use crate::split::{Share, Split};
 use crate::work_time::Estimate;
@@ -45,8 +46,8 @@
     pub max_attempts: usize,
     /// Whether servers work faster on an object that they handled recently.
     pub affinity: bool,
-    /// Regions that may run the work, by position; empty for all.
-    pub regions: Vec<u16>,
+    /// Regions that may run the work.
+    pub regions: regions::Set,
     /// Services that share the work in place of `service`; empty for none.
     pub split: Vec<Share>,
 }
@@ -64,15 +65,10 @@
             may_wait: false,
             max_attempts: DEFAULT_MAX_ATTEMPTS,
             affinity: false,
-            regions: Vec::new(),
+            regions: regions::Set::ALL,
             split: Vec::new(),
         }
     }
-
-    /// Returns whether servers of `region` may run the work.
-    pub fn allows(&self, region: u16) -> bool {
-        self.regions.is_empty() || self.regions.contains(&region)
-    }
 }
 
 /// A class with its queue and its statistics.
--- a/crates/dispatch/src/engine/event.rs
+++ b/crates/dispatch/src/engine/event.rs
@@ -6,6 +6,7 @@
 use base::time::Time;
 
 use crate::backend::BackendId;
+use crate::regions;
 
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -126,12 +127,30 @@
     pub timeout: Option<Duration>,
     /// Hash of the object that the request is about; `None` if it is about none.
     pub object: Option<u64>,
+    /// The client account that the request belongs to.
+    pub account: Account,
+}
+
+/// A client account, as far as dispatch needs it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Account {
+    /// Hash of its name; zero for requests without an account.
+    pub id: u64,
+    /// Its priority, before that of the class; `None` for that of the class.
+    pub rank: Option<u8>,
+    /// Regions that may run its requests; those of the class bind too.
+    pub regions: regions::Set,
+}
+
+impl Account {
+    /// Stands for all callers without an account.
+    pub const NONE: Self = Self { id: 0, rank: None, regions: regions::Set::ALL };
 }
 
 impl Arrival {
-    /// Creates a request without a caller's timeout and without an object.
+    /// Creates a request without a caller's timeout, an object or an account.
     pub const fn new(request: u64, class: usize, fingerprint: u64, bytes: u64) -> Self {
-        Self { request, class, fingerprint, bytes, timeout: None, object: None }
+        Self { request, class, fingerprint, bytes, timeout: None, object: None, account: Account::NONE }
     }
 }
 
--- a/crates/dispatch/src/engine/held.rs
+++ b/crates/dispatch/src/engine/held.rs
@@ -10,6 +10,7 @@
 use base::error::Kind;
 use base::time::Time;
 
+use super::state::Precedence;
 use super::{Engine, Request};
 use crate::backend::BackendId;
 
@@ -99,9 +100,9 @@
         true
     }
 
-    fn held_order(&self, request: u64) -> (u8, Time) {
+    fn held_order(&self, request: u64) -> (Precedence, Time) {
         let state = self.requests.get(&request);
-        state.map_or((u8::MAX, Time::MAX), |state| (self.classes[state.class].spec.rank, state.arrived))
+        state.map_or(((u8::MAX, u8::MAX), Time::MAX), |state| (state.precedence, state.arrived))
     }
 
     /// Returns whether a request has waited for its whole target, or can no longer be answered before its deadline.
@@ -115,10 +116,9 @@
 
     /// Returns the earliest time at which one of the servers that may run the work of `state` accepts work again.
     pub(super) fn pause_end(&self, state: &Request, now: Time) -> Option<Time> {
-        let spec = &self.classes[state.class].spec;
         let servers = self.tiers.get(usize::from(state.service)).into_iter().flatten().flatten();
         let serving = servers.filter_map(|id| self.backends.get(id)).filter(|server| !server.leaving());
-        serving.filter(|server| spec.allows(server.spec.region)).map(|server| server.available_at(now)).min()
+        serving.filter(|server| state.regions.contains(server.spec.region)).map(|server| server.available_at(now)).min()
     }
 
     /// Returns when a caller refused for `kind` should retry; `None` for the usual time of the kind. `free_slot` is
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -92,7 +92,7 @@
     /// Returns whether `server` may get the request at all now, however long it would take there.
     fn available(&self, server: &Backend, state: &Request, now: Time) -> bool {
         let in_use = !server.leaving() && !server.unavailable(now) && !state.excluded.contains(&server.spec.id);
-        in_use && self.classes[state.class].spec.allows(server.spec.region)
+        in_use && state.regions.contains(server.spec.region)
     }
 
     /// Returns the load and the expected latency of both home servers, for logs.
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -21,7 +21,7 @@
 use base::time::Time;
 
 pub use self::decision::{Candidate, Decision};
-pub use self::event::{Action, Arrival, Basis, Budgets, Ending, Limits, Remote, Verdict};
+pub use self::event::{Account, Action, Arrival, Basis, Budgets, Ending, Limits, Remote, Verdict};
 use self::state::{Attempt, Link, Request, Timer};
 use crate::announcements::Announcements;
 use crate::backend::{Backend, BackendId};
@@ -170,7 +170,7 @@
 
     /// Submits a new request; its answer follows as an [`Action::Answer`].
     pub fn submit(&mut self, arrival: Arrival, now: Time) {
-        let Arrival { request, class, fingerprint, bytes, timeout, object } = arrival;
+        let Arrival { request, class, fingerprint, bytes, timeout, object, account } = arrival;
         let service = self.classes[class].next_service();
         self.hedges.earn();
         self.retries.earn();
@@ -201,6 +201,9 @@
             service,
             object,
             homes: [None, None],
+            regions: spec.regions.and(account.regions),
+            account: account.id,
+            precedence: (account.rank.unwrap_or(spec.rank), spec.rank),
             fingerprint,
             bytes,
             arrived: now,
--- a/crates/dispatch/src/engine/obstacle.rs
+++ b/crates/dispatch/src/engine/obstacle.rs
@@ -51,9 +51,8 @@
 
     /// Returns what keeps `server` from taking the request before its deadline; `None` if nothing does.
     fn obstacle(&self, server: &Backend, state: &Request, now: Time) -> Option<Obstacle> {
-        let spec = &self.classes[state.class].spec;
         let wait_deadline = self.wait_deadline(state);
-        if server.leaving() || state.excluded.contains(&server.spec.id) || !spec.allows(server.spec.region) {
+        if server.leaving() || state.excluded.contains(&server.spec.id) || !state.regions.contains(server.spec.region) {
             Some(Obstacle::NoBackend)
         } else if server.ejected(state.deadline) {
             Some(Obstacle::Unreachable)
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -166,15 +166,15 @@
     /// are better than none. Returns whether it reinstated any.
     pub(super) fn reinstate_slow(&mut self, request: u64, now: Time) -> bool {
         let Some(state) = self.requests.get(&request) else { return false };
-        let (class, service) = (state.class, usize::from(state.service));
+        let service = usize::from(state.service);
         let wait_deadline = self.wait_deadline(state);
         let Some(tiers) = self.tiers.get(service) else { return false };
         let serving: Vec<BackendId> = tiers.iter().flatten().copied().collect();
-        let spec = &self.classes[class].spec;
+        let regions = state.regions;
         let available = |id: &BackendId| {
             let server = self.backends.get(id);
             server.is_some_and(|server| {
-                let in_use = !server.leaving() && !server.ejected(now) && spec.allows(server.spec.region);
+                let in_use = !server.leaving() && !server.ejected(now) && regions.contains(server.spec.region);
                 in_use && server.rate_room_at(now) <= wait_deadline
             })
         };
@@ -182,7 +182,7 @@
             return false;
         }
         let reinstated = serving.iter().filter(|id| {
-            let allowed = self.backends.get(id).is_some_and(|server| spec.allows(server.spec.region));
+            let allowed = self.backends.get(id).is_some_and(|server| regions.contains(server.spec.region));
             allowed && self.backends.get_mut(id).is_some_and(|server| server.reinstate(now))
         });
         reinstated.count() > 0
@@ -249,7 +249,7 @@
             return false;
         }
         let spec = &self.classes[state.class].spec;
-        if !spec.allows(server.spec.region) {
+        if !state.regions.contains(server.spec.region) {
             return false;
         }
         // A server on probation gets no work that must not run twice while a healthy server remains.
--- a/crates/dispatch/src/engine/queue.rs
+++ b/crates/dispatch/src/engine/queue.rs
@@ -38,7 +38,7 @@
         let Some(tiers) = self.tiers.get(usize::from(spec.service)) else { return false };
         let mut room = 0.0;
         for server in tiers.iter().flatten().filter_map(|id| self.backends.get(id)) {
-            if server.leaving() || !spec.allows(server.spec.region) {
+            if server.leaving() || !spec.regions.contains(server.spec.region) {
                 continue;
             }
             if !server.rate_limited(now) {
--- a/crates/dispatch/src/engine/state.rs
+++ b/crates/dispatch/src/engine/state.rs
@@ -6,6 +6,10 @@
 
 use super::keyed::Homes;
 use crate::backend::BackendId;
+use crate::regions;
+
+/// Priority of a request: that of its account, and that of its class; the lowest is served first.
+pub(super) type Precedence = (u8, u8);
 
 #[derive(Debug, Clone)]
 pub(super) struct Request {
@@ -14,6 +18,12 @@
     pub(super) object: Option<u64>,
     /// The object's home servers when a server was last picked.
     pub(super) homes: Homes,
+    /// Regions that may run it: those of its class and of its account.
+    pub(super) regions: regions::Set,
+    /// Hash of the name of its account; zero without one.
+    pub(super) account: u64,
+    /// Priority: the account's, then the class's.
+    pub(super) precedence: Precedence,
     pub(super) fingerprint: u64,
     pub(super) bytes: u64,
     pub(super) arrived: Time,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod quarantine;
 pub mod reach;
+pub mod regions;
 pub mod samples;
 pub mod split;
 pub mod subset;
--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -10,7 +10,7 @@
 use dispatch::backend::{Backend, BackendId, Place, SlowStart, Spec};
 use dispatch::engine::{Arrival, Budgets, Limits, Remote};
 use dispatch::split::Share;
-use dispatch::{Action, Ending, Engine, class, subset};
+use dispatch::{Action, Ending, Engine, class, regions, subset};
 use rstest::rstest;
 
 const START: Time = Time::from_millis(1_000);
@@ -76,7 +76,7 @@
 #[case::object(Some(5))]
 #[case::no_object(None)]
 fn work_that_must_stay_in_a_region_is_sent_nowhere_else(#[case] object: Option<u64>) {
-    let class = class::Spec { affinity: true, regions: vec![0], ..classes()[LOOKUP].clone() };
+    let class = class::Spec { affinity: true, regions: regions::Set::of(&[0]), ..classes()[LOOKUP].clone() };
     let elsewhere = |id| Spec { region: 1, ..backend(id, Place::Remote(1)) };
     let mut servers = vec![backend(1, Place::Region)];
     servers.extend((2..=9).map(elsewhere));
