An object of a request that may run on one side only is at home there

Cause: at instances of that region most of its objects counted as cold secondary homes, and were refused.

--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -15,6 +15,7 @@
 
 use super::{Candidate, Engine, Request};
 use crate::backend::{Backend, BackendId, Place};
+use crate::regions;
 
 /// Probability that other daemons have made an object warm at its primary home, before this daemon has sent it there.
 const PRIMARY_WARM_PROBABILITY: f64 = 0.9;
@@ -120,7 +121,15 @@
         let Some([near, far]) = self.tiers.get(service) else {
             return [None, None];
         };
-        let primary_near = self.near_shares.get(service).is_none_or(|share| hash::unit_interval(object) < *share);
+        let allowed = |servers: &[BackendId]| {
+            state.regions == regions::Set::ALL || servers.iter().any(|id| self.allows(state, *id))
+        };
+        // A request that may run in one of the two only has its primary home there, whatever the share of other objects.
+        let primary_near = match (allowed(near), allowed(far)) {
+            (true, false) => true,
+            (false, true) => false,
+            _ => self.near_shares.get(service).is_none_or(|share| hash::unit_interval(object) < *share),
+        };
         let home = |servers: &[BackendId], is_primary: bool| {
             let id = self.home_in(servers, state, object, now)?;
             let warm_probability = if is_primary { PRIMARY_WARM_PROBABILITY } else { SECONDARY_WARM_PROBABILITY };
@@ -129,6 +138,11 @@
         [home(near, primary_near), home(far, !primary_near)]
     }
 
+    /// Whether a server is in a region that may run the request.
+    fn allows(&self, state: &Request, id: BackendId) -> bool {
+        self.backends.get(&id).is_some_and(|server| state.regions.contains(server.spec.region))
+    }
+
     /// Returns the highest ranked available server of `servers` for the object. Only servers that rank above the best
     /// one so far are looked up.
     fn home_in(&self, servers: &[BackendId], state: &Request, object: u64, now: Time) -> Option<BackendId> {
--- a/crates/dispatch/tests/keyed.rs
+++ b/crates/dispatch/tests/keyed.rs
@@ -7,8 +7,8 @@
 use base::time::Time;
 use common::cluster::Cluster;
 use dispatch::backend::{BackendId, Place, Spec};
-use dispatch::engine::{Arrival, Remote};
-use dispatch::{Action, Ending, Engine, class};
+use dispatch::engine::{Account, Arrival, Remote};
+use dispatch::{Action, Ending, Engine, class, regions};
 use rstest::rstest;
 
 /// Returns the fraction of the requests that were answered within the target.
@@ -161,3 +161,24 @@
     assert!(more >= 1, "the server with a free slot gets a request that waits for it");
     assert!(picks <= WAITING / 10, "{picks} of {} were tried", engine.queued());
 }
+
+/// Load: an account whose requests may run in one region only, sent through an instance of another region. If its objects
+/// did not count as at home there, each would be taken for cold and refused while the servers have room.
+#[test]
+fn objects_of_requests_bound_to_another_region_are_at_home_there() {
+    let specs = common::classes().into_iter().map(|spec| class::Spec { affinity: true, ..spec }).collect();
+    let mut engine = Engine::new(specs, common::LIMITS, 7);
+    let now = Time::from_millis(1_000);
+    engine.set_remote(1, Remote::UNLIMITED, now);
+    let near = (1..=6).map(|id| common::backend(id, Place::Region));
+    let far = (7..=8).map(|id| Spec { region: 1, ..common::backend(id, Place::Remote(1)) });
+    engine.set_backends(near.chain(far).collect(), now);
+    let account = Account { id: 1, rank: None, regions: regions::Set::of(&[1]) };
+    for request in 1..=2 {
+        let arrival = Arrival { object: Some(5), account, ..Arrival::new(request, common::LOOKUP, request, 10) };
+        engine.submit(arrival, now);
+    }
+    let servers: Vec<BackendId> = common::started(&mut engine).into_iter().map(|(_, server)| server).collect();
+    assert_eq!(servers.len(), 2, "both are sent at once, as at the primary home of an object");
+    assert!(servers[0] == servers[1] && servers[0] >= 7, "to one server of the region: {servers:?}");
+}
