Quotas of client accounts, kept in the sum over all instances

Each instance lends its equal share of every quota to the account's allocator, and requests spend tokens that allocators hand out (crates/quota).

--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -23,6 +23,7 @@
 use crate::dialect::AtMostOnce;
 use crate::driver::{Outcome, Outgoing, Refusal, Submission};
 use crate::policies::ActivePolicy;
+use crate::quotas;
 
 /// Who sent a request to this daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -125,10 +126,30 @@
     let limit = incoming.arrived_at + Duration::from_millis(class.deadline_ms);
     let found = ClassMatch { position, idempotent: class.idempotent, regions, limit };
     let account = identity.name().map(str::to_owned);
-    let outcome = dispatch(context, &active, found, &identity, incoming, id, sender).await;
+    let outcome = match admit(context, &identity, limit).await {
+        Ok(token) => {
+            let outcome = dispatch(context, &active, found, &identity, incoming, id, sender).await;
+            token.filter(|_| is_not_run(&outcome)).into_iter().for_each(|token| token.give_back(context));
+            outcome
+        }
+        Err(refusal) => Err(refusal),
+    };
     Handled { class: Some(name), account, outcome }
 }
 
+/// Admits a request to the quota of its account.
+async fn admit(context: &Context, identity: &Identity, deadline: Time) -> Result<Option<quotas::Token>, Refusal> {
+    match identity.counted_name() {
+        Some(name) => quotas::admit(context, name, deadline).await,
+        None => Ok(None),
+    }
+}
+
+/// Whether the outcome says that the request did not run.
+fn is_not_run(outcome: &Outcome) -> bool {
+    matches!(outcome, Err(refusal) if refusal.kind.answer().outcome == Ran::NotRun)
+}
+
 /// The class that a request matched, by its position in the policy, with what passing the request on depends on.
 #[derive(Debug, Clone)]
 struct ClassMatch {
@@ -197,8 +218,7 @@
     let outcome = context.driver.submit(context, Arc::clone(&outgoing), submission).await;
     guard.request = None;
     let outcome = outcome.unwrap_or_else(|_| Err(Kind::Internal.into()));
-    let not_run = matches!(&outcome, Err(refusal) if refusal.kind.answer().outcome == Ran::NotRun);
-    if not_run && context.reach.is_lost() {
+    if is_not_run(&outcome) && context.reach.is_lost() {
         return send_through_peer(context, &outgoing, &route).await;
     }
     outcome
--- a/crates/daemon/src/callers/identity.rs
+++ b/crates/daemon/src/callers/identity.rs
@@ -18,10 +18,14 @@
 /// Scheme of the `Authorization` header by which callers send a key, in lower case.
 const SCHEME: &str = "bearer";
 
-/// The client account of a request, by its name; `None` for a public request without a known key, and where the policy has
-/// no accounts.
+/// The client account of a request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Identity(Option<String>);
+pub struct Identity {
+    /// The account's name; `None` for a public request without a known key, and where the policy has no accounts.
+    name: Option<String>,
+    /// Whether another instance has passed the request on, and has counted it towards the account's quota.
+    is_counted: bool,
+}
 
 impl Identity {
     /// Returns the account that holds the request's key, or that another entry instance names; an error if the request needs a
@@ -34,7 +38,7 @@
         sender: Sender,
     ) -> Result<Self, Kind> {
         if active.policy.accounts.is_none() {
-            return Ok(Self(None));
+            return Ok(Self::default());
         }
         if keys_unconfirmed(context) {
             return Err(Kind::PolicyStale);
@@ -45,15 +49,20 @@
         let relayed =
             (sender == Sender::Peer && key.is_none()).then(|| head::text(headers, &context.dialect.account)).flatten();
         match holder.or(relayed) {
-            Some(name) => Ok(Self(Some(name.to_owned()))),
-            None if class.public => Ok(Self(None)),
+            Some(name) => Ok(Self { name: Some(name.to_owned()), is_counted: holder.is_none() }),
+            None if class.public => Ok(Self::default()),
             None => Err(Kind::UnknownKey),
         }
     }
 
     /// Returns the account's name; `None` if the request has none.
     pub fn name(&self) -> Option<&str> {
-        self.0.as_deref()
+        self.name.as_deref()
+    }
+
+    /// Returns the name of the account whose quota the request counts towards; `None` if another instance has counted it.
+    pub fn counted_name(&self) -> Option<&str> {
+        self.name().filter(|_| !self.is_counted)
     }
 
     /// Returns what the policy declares of the account; `None` if it has none, or knows no such account any more.
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -33,6 +33,7 @@
 use crate::mirror::SyncState;
 use crate::peers;
 use crate::policies::ActivePolicy;
+use crate::quotas;
 use crate::response::Response;
 use crate::view::{Inputs, RefreshState, Steering};
 
@@ -116,6 +117,8 @@
     pub claim_lease: Mutex<Option<ClaimLease>>,
     /// Good and bad answers over time, by class, for the service-level report.
     pub burn: Mutex<BTreeMap<String, burn::Series>>,
+    /// Quotas of client accounts.
+    pub quotas: quotas::State,
     /// Metrics for operators.
     pub metrics: Metrics,
     /// When the store last answered, in microseconds of the clock; zero if it never did.
@@ -185,6 +188,7 @@
             ledger: Mutex::new(Ledger::new(ledger_limits)),
             claim_lease: Mutex::new(None),
             burn: Mutex::new(BTreeMap::new()),
+            quotas: quotas::State::new(&settings.instance, incarnation, now),
             metrics: Metrics::new(),
             store_answered_at: AtomicU64::new(0),
             peer_answered_at: AtomicU64::new(0),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod policies;
 pub mod policy_poller;
 pub mod program;
+pub mod quotas;
 pub mod response;
 pub mod stall;
 pub mod view;
--- a/crates/daemon/src/peers/api.rs
+++ b/crates/daemon/src/peers/api.rs
@@ -4,6 +4,7 @@
 use fleet::message::{Message, Snapshot};
 use fleet::replica::Version;
 use jsonrpsee::proc_macros::rpc;
+use quota::message::{Ask, Grant};
 use serde::{Deserialize, Serialize};
 use store::Changes;
 
@@ -53,6 +54,10 @@
         era: Option<u64>,
     ) -> Result<Option<Changes>, jsonrpsee::types::ErrorObjectOwned>;
 
+    /// Lends the sender's share of the quotas of client accounts, and returns tokens for requests of these accounts.
+    #[method(name = "tokens")]
+    async fn tokens(&self, ask: Ask) -> Result<Grant, jsonrpsee::types::ErrorObjectOwned>;
+
     /// Returns the status of the key with the hash `key`, in hexadecimal; `Unknown` if `incarnation` is not that of
     /// this process.
     #[method(name = "word")]
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -9,6 +9,7 @@
 use jsonrpsee::core::async_trait;
 use jsonrpsee::server::{ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
+use quota::message::{Ask, Grant};
 use store::Changes;
 
 use super::api::{ClaimStatus, PeersServer};
@@ -68,6 +69,10 @@
         Ok(mirror::changes(&self.context, after, &from, Duration::from_millis(wait_ms)).await)
     }
 
+    async fn tokens(&self, ask: Ask) -> Result<Grant, ErrorObjectOwned> {
+        Ok(self.context.quotas.answer(&ask, self.context.now()))
+    }
+
     async fn claim_status(&self, incarnation: u64, key: String) -> Result<ClaimStatus, ErrorObjectOwned> {
         let key = u128::from_str_radix(&key, 16);
         let (Ok(key), true) = (key, incarnation == self.context.incarnation) else {
--- a/crates/daemon/src/view/mod.rs
+++ b/crates/daemon/src/view/mod.rs
@@ -18,6 +18,7 @@
 use steer::{Table, View};
 
 use self::servers::Assignments;
+pub use self::servers::{known_daemons, settled};
 use crate::Context;
 use crate::context::lock;
 use crate::decision_log;
--- a/crates/store/src/key.rs
+++ b/crates/store/src/key.rs
@@ -6,6 +6,9 @@
 /// Prefix of the claims of non-idempotent requests.
 pub const CLAIMS: &str = "hemlockcross/claims/";
 
+/// Prefix of the names of daemons that share the quotas of client accounts.
+pub const INSTANCES: &str = "hemlockcross/instances/";
+
 /// Prefix of the grants: shares of a region's outgoing links and of the capacity that it may use in other regions.
 pub const GRANTS: &str = "hemlockcross/grants/";
 
