--- a/crates/config/src/configs/mod.rs
+++ b/crates/config/src/configs/mod.rs
@@ -4,6 +4,7 @@
 mod dispatch;
 mod fleet;
 mod list;
+mod machine;
 mod operators;
 mod platform;
 mod source;
@@ -18,6 +19,7 @@
 pub use self::dispatch::Dispatch;
 pub use self::fleet::Fleet;
 pub use self::list::List;
+pub use self::machine::Machine;
 pub use self::operators::Operators;
 pub use self::platform::Platform;
 pub use self::source::Source;
@@ -75,6 +77,8 @@
     pub list: List,
     /// Dispatch of requests to backend servers.
     pub dispatch: Dispatch,
+    /// What the daemon's machine has.
+    pub machine: Machine,
 }
 
 impl Default for Settings {
@@ -94,6 +98,7 @@
             platform: Platform::default(),
             list: List::default(),
             dispatch: Dispatch::default(),
+            machine: Machine::default(),
         }
     }
 }
@@ -148,6 +153,7 @@
         self.platform.check(name)?;
         self.list.check(name)?;
         self.dispatch.check(name)?;
+        self.machine.check(name)?;
         self.check_distinct(name)
     }
 
--- a/crates/daemon/src/callers/lookup.rs
+++ b/crates/daemon/src/callers/lookup.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use base::error::Kind;
+use base::hash;
 use http::Method;
 use http::header::{ALLOW, HeaderValue};
 use serde::Serialize;
@@ -70,7 +71,7 @@
     }
     let query = head.query();
     match query_parameter(query, "region") {
-        Some(region) => answer_by_region(context, region),
+        Some(region) => answer_by_region(context, region, incoming.peer),
         None => answer_by_address(context, caller_address(query, incoming.peer)),
     }
 }
@@ -105,11 +106,12 @@
 }
 
 /// Answers a look-up by region: returns the addresses of entry instances for callers in `region`.
-fn answer_by_region(context: &Context, region: &str) -> Result<Reply, Kind> {
+fn answer_by_region(context: &Context, region: &str, caller: IpAddr) -> Result<Reply, Kind> {
     let steering = context.steering();
     let region = context.policy().region_position(region);
     let limit = context.settings.callers.answer_entries as usize;
-    let found = steer::by_region::look_up(&steering.view, region, limit);
+    let caller = hash::bytes(caller.to_string().as_bytes());
+    let found = steer::by_region::look_up(&steering.view, region, caller, limit);
     let addresses: Vec<&str> =
         found.iter().filter_map(|position| Some(steering.view.entry(*position)?.address.as_str())).collect();
     if addresses.is_empty() {
--- a/crates/daemon/src/quotas/allocators.rs
+++ b/crates/daemon/src/quotas/allocators.rs
@@ -1,5 +1,6 @@
 //! The members that run allocators, as this daemon chooses them.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -38,20 +39,23 @@
 pub(super) struct Allocators(BTreeMap<Member, Contact>);
 
 impl Allocators {
-    /// Returns the members to choose: those whose processes have run for longest, so that restarts change little, without those
-    /// that do not answer.
+    /// Returns the members to choose: of those with the largest machines, the ones whose processes have run for longest, so that
+    /// restarts change little. Members that do not answer are left out.
     pub(super) fn choose(&mut self, roster: &Roster, now: Time) -> Vec<Member> {
         let excluded = |member: Member| self.0.get(&member).is_some_and(|contact| now < contact.excluded_until);
         let live =
             roster.records().into_iter().filter(|record| record.state <= State::Suspect && record.incarnation > 0);
-        let mut ranked: Vec<(u64, Member, String)> = live
-            .map(|record| (record.incarnation, member(&record.name), record.peer_address))
-            .filter(|(_, id, _)| !excluded(*id))
+        let mut ranked: Vec<(Reverse<u32>, u64, Member, String)> = live
+            .map(|record| {
+                let capacity = Reverse(record.capacity.unwrap_or(0));
+                (capacity, record.incarnation, member(&record.name), record.peer_address)
+            })
+            .filter(|(_, _, id, _)| !excluded(*id))
             .collect();
         ranked.sort_unstable();
         ranked.truncate(ALLOCATORS);
-        let choice = ranked.iter().map(|(_, id, _)| *id).collect();
-        for (_, id, address) in ranked {
+        let choice = ranked.iter().map(|(_, _, id, _)| *id).collect();
+        for (_, _, id, address) in ranked {
             let contact = self.0.entry(id).or_default();
             if contact.address != address {
                 *contact = Contact { address, ..Contact::default() };
--- a/crates/daemon/src/view/entries.rs
+++ b/crates/daemon/src/view/entries.rs
@@ -4,6 +4,7 @@
 
 use base::instance::{Instance, Role, State as Listed};
 use base::time::Time;
+use config::configs::Machine;
 use config::policy::Policy;
 use fleet::message::{Record, State};
 use fleet::roster::Roster;
@@ -58,7 +59,8 @@
         let domain = domains.iter().position(|domain| **domain == instance.domain)? as u16;
         let standing = standing(instance, roster, &active.policy, suspicious_list);
         let (name, address) = (instance.name.clone(), instance.address.clone());
-        Some(Entry { name, address, region, domain, standing })
+        let capacity = capacity(roster, &name);
+        Some(Entry { name, address, region, domain, standing, capacity })
     };
     let mut entries: Vec<Entry> = listed.iter().filter_map(entry).collect();
     let settings = &context.settings;
@@ -67,11 +69,20 @@
         && let Some(region) = active.region_position(&settings.region)
     {
         let (name, address) = (settings.instance.clone(), settings.callers.address.clone());
-        entries.push(Entry { name, address, region, domain: 0, standing: Standing::Good });
+        let capacity = settings.machine.capacity();
+        entries.push(Entry { name, address, region, domain: 0, standing: Standing::Good, capacity });
     }
     entries
 }
 
+/// Returns the requests per second that the machine of an entry instance can carry; as for one of which nothing is known if it
+/// has not told.
+fn capacity(roster: &Roster, name: &str) -> u32 {
+    let own = roster.own();
+    let record = if own.name == name { Some(own) } else { roster.member(name) };
+    record.and_then(|record| record.capacity).unwrap_or_else(|| Machine::default().capacity())
+}
+
 fn standing(instance: &Instance, roster: &Roster, policy: &Policy, suspicious_list: bool) -> Standing {
     if policy.instance_drained(&instance.name) || policy.domain_drained(&instance.domain) {
         return Standing::Out;
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -68,6 +68,10 @@
     /// to 4e2e901, which take them at their addresses for callers, and which drop the port from records that they pass on.
     #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
     pub relay_port: Option<u16>,
+    /// Requests per second that its machine can carry; `None` for builds up to f9c6ea0, which drop it from records that they
+    /// pass on.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<u32>,
 }
 
 impl Record {
@@ -83,6 +87,7 @@
             caller_address: String::new(),
             without_servers: false,
             relay_port: None,
+            capacity: None,
         }
     }
 
@@ -97,6 +102,7 @@
     pub(crate) fn complete_from(&mut self, other: &Self) {
         if self.incarnation == other.incarnation {
             self.relay_port = self.relay_port.or(other.relay_port);
+            self.capacity = self.capacity.or(other.capacity);
         }
     }
 
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -268,6 +268,7 @@
             let texts = [&record.name, &record.domain, &record.caller_address, &record.peer_address];
             let texts = texts.into_iter().fold(hash, |hash, text| hash::combine(hash, hash::bytes(text.as_bytes())));
             let state = (record.state as u64) << 1 | u64::from(record.without_servers);
+            let state = state | u64::from(record.capacity.unwrap_or(0)) << 8;
             hash::combine(hash::combine(texts, record.incarnation), state)
         })
     }
--- a/crates/replay/src/simulation/updates.rs
+++ b/crates/replay/src/simulation/updates.rs
@@ -58,6 +58,7 @@
             region: site.region_position(&entry.region).unwrap_or(0) as u16,
             domain: hash::bytes(entry.domain.as_bytes()) as u16,
             standing: if is_removed([&entry.region, &entry.name]) { Standing::Out } else { Standing::Good },
+            capacity: 1,
         });
         self.view = View::new(entries.collect(), site.regions.len());
         for (index, entry) in site.entries.iter().enumerate() {
--- a/crates/size/src/lookups.rs
+++ b/crates/size/src/lookups.rs
@@ -27,6 +27,7 @@
         region: (number % usize::from(REGIONS)) as u16,
         domain: (number % 24) as u16,
         standing: Standing::Good,
+        capacity: 1,
     };
     (0..count).map(entry).collect()
 }
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -37,6 +37,8 @@
     pub domain: u16,
     /// Whether it may be named to callers.
     pub standing: Standing,
+    /// Requests per second that its machine can carry, relative to the others.
+    pub capacity: u32,
 }
 
 /// Entry instances with ranked lists for each region.
--- a/crates/steer/tests/answers.rs
+++ b/crates/steer/tests/answers.rs
@@ -15,7 +15,14 @@
 
 fn entry(region: u16, domain: u16, number: usize, standing: Standing) -> Entry {
     let name = format!("r{region}d{domain}e{number}");
-    Entry { address: format!("127.0.0.{number}:7000"), name, region, domain: region * 2 + domain, standing }
+    Entry {
+        address: format!("127.0.0.{number}:7000"),
+        name,
+        region,
+        domain: region * 2 + domain,
+        standing,
+        capacity: 1,
+    }
 }
 
 /// Three regions with two failure domains each and two entry instances in each of these.
