Bound the memory of all that callers make the daemon hold

Cause: nothing bounded bodies together, and a body was copied behind the head before it was sent. One budget (h1::memory) covers heads, bodies, running requests and unread answers; its size follows from the machine's memory. Beyond it the connection that has waited longest for its caller gives way with a true refusal (503, not run). Bodies are sent from where they are. A body must progress within callers.body_timeout_ms, which had no effect. Connections at the address for requests take at most half of the descriptors. Too large a head is 431.

--- a/crates/config/src/configs/callers.rs
+++ b/crates/config/src/configs/callers.rs
@@ -29,6 +29,9 @@
     pub max_body_bytes: u64,
     /// Maximum size of a request header, in bytes.
     pub max_header_bytes: u64,
+    /// Memory for what callers make the daemon hold at once: requests that arrive or run, and answers that they do not read; in
+    /// bytes. Zero for a part of the machine's memory.
+    pub memory_bytes: u64,
     /// How long callers may cache a look-up's answer, in seconds.
     pub answer_ttl_s: u64,
     /// How long callers really cache answers, in milliseconds; a planned stop waits this long.
@@ -56,6 +59,7 @@
             chunked_bodies: false,
             max_body_bytes: 1_048_576,
             max_header_bytes: 16_384,
+            memory_bytes: 0,
             answer_ttl_s: 30,
             answer_kept_ms: 30_000,
             stop_ms: 150_000,
@@ -82,6 +86,7 @@
         check_range(name, "callers.idle_timeout_ms", self.idle_timeout_ms, 10, 3_600_000)?;
         check_range(name, "callers.max_body_bytes", self.max_body_bytes, 1, 1 << 30)?;
         check_range(name, "callers.max_header_bytes", self.max_header_bytes, 8_192, 1 << 20)?;
+        check_range(name, "callers.memory_bytes", self.memory_bytes, 0, 1 << 40)?;
         check_range(name, "callers.answer_ttl_s", self.answer_ttl_s, 1, 86_400)?;
         check_range(name, "callers.answer_kept_ms", self.answer_kept_ms, 0, 86_400_000)?;
         check_range(name, "callers.stop_ms", self.stop_ms, self.answer_kept_ms, 86_400_000)?;
--- a/crates/config/src/configs/machine.rs
+++ b/crates/config/src/configs/machine.rs
@@ -41,6 +41,11 @@
         known.min_by(f64::total_cmp).map_or(UNKNOWN_CAPACITY, |limit| (limit as u32).max(1))
     }
 
+    /// Returns the memory in bytes; zero if it is not known.
+    pub const fn memory_bytes(&self) -> u64 {
+        self.memory_mb << 20
+    }
+
     pub(super) fn check(&self, name: &str) -> Result<()> {
         check_float(name, "machine.processor_share", self.processor_share, 1_024.0)?;
         check_float(name, "machine.processor_speed", self.processor_speed, 1_024.0)?;
--- a/crates/config/src/configs/mod.rs
+++ b/crates/config/src/configs/mod.rs
@@ -25,6 +25,12 @@
 pub use self::source::Source;
 use crate::error::{Error, Result};
 
+/// Memory for callers where neither the setting nor the machine's memory is known.
+const DEFAULT_CALLER_MEMORY_BYTES: u64 = 96 << 20;
+/// Part of the machine's memory for what callers make the daemon hold.
+const CALLER_MEMORY_PERCENT: u64 = 62;
+/// Part of the machine's memory for answers that are being read.
+const ANSWER_MEMORY_PERCENT: u64 = 12;
 /// Log levels, from the least to the most verbose.
 const LOG_LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 /// Components of a daemon that log, by the prefix of their lines; `log_parts` accepts these names.
@@ -116,6 +122,34 @@
         Ok(settings)
     }
 
+    /// Returns the memory for what callers make the daemon hold, in bytes: the setting, or else a part of the machine's memory
+    /// that has room for one body of the largest size on the smallest machines.
+    pub fn caller_memory_bytes(&self) -> u64 {
+        match (self.callers.memory_bytes, self.machine.memory_bytes()) {
+            (0, 0) => DEFAULT_CALLER_MEMORY_BYTES.max(self.callers.max_body_bytes),
+            (0, machine) => machine / 100 * CALLER_MEMORY_PERCENT,
+            (given, _) => given,
+        }
+    }
+
+    /// Returns the maximum number of open connections at the address for requests: the setting, or fewer on a machine with few
+    /// descriptors, since connections to backend servers, other daemons and the store need some too.
+    pub fn caller_connections(&self) -> u32 {
+        match self.machine.descriptors {
+            0 => self.callers.max_connections,
+            descriptors => self.callers.max_connections.min((descriptors / 2).max(1) as u32),
+        }
+    }
+
+    /// Returns the memory for answers of backend servers that are being read, in bytes: the setting, or less on a machine with
+    /// little memory.
+    pub fn answer_memory_bytes(&self) -> u64 {
+        match self.machine.memory_bytes() {
+            0 => self.dispatch.answers_bytes,
+            machine => self.dispatch.answers_bytes.min(machine / 100 * ANSWER_MEMORY_PERCENT),
+        }
+    }
+
     /// Returns the top-level keys whose values differ from those of `other`.
     pub fn differing_keys(&self, other: &Self) -> std::result::Result<Vec<String>, toml::ser::Error> {
         let (own, other) = (toml::Table::try_from(self)?, toml::Table::try_from(other)?);
--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -1,5 +1,6 @@
 //! One caller connection: pipelined requests are read ahead, run concurrently and answered in order of arrival.
 
+use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesOrdered;
 use h1::head;
+use h1::memory::{Hold, Usage};
 use http::{Method, StatusCode};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
@@ -31,6 +33,8 @@
 const MAX_READ_AHEAD_BYTES: usize = 65_536;
 /// Unsent reply bytes beyond which no further request of this connection is started.
 const MAX_UNSENT_BYTES: usize = 65_536;
+/// Bytes of a body that must arrive within `callers.body_timeout_ms`.
+const MIN_BODY_PROGRESS_BYTES: usize = 1_024;
 /// Longest sleep of a connection on which nothing happens.
 const MAX_SLEEP: Duration = Duration::from_hours(1);
 /// How long a caller may take to read the last reply and close before the connection is dropped.
@@ -119,6 +123,14 @@
     deferred: Option<Incoming>,
     /// Replies of the running requests, in order of arrival.
     replies: FuturesOrdered<F>,
+    /// Sizes of the bodies of the running requests, in the same order.
+    running_bytes: VecDeque<usize>,
+    /// What the connection holds of the memory budget.
+    hold: Hold,
+    /// Bytes received and sent.
+    moved: u64,
+    /// Progress of the request body that is arriving: the bytes so far, and when it was last enough.
+    body_progress: (usize, Instant),
     /// Set once no further request is read; the connection ends when the remaining replies are written.
     closing: bool,
     /// When the connection was accepted.
@@ -142,6 +154,9 @@
     loop {
         let current = *stop.borrow_and_update();
         connection.start_requests(&current);
+        if !connection.fits() {
+            return log::info!("callers: connection dropped, no memory for the answers that its caller does not read");
+        }
         if connection.is_finished() {
             break;
         }
@@ -155,13 +170,17 @@
                 connection.write(&ready, &stop.borrow());
             }
             written = writer.write_buf(&mut connection.output), if !connection.output.is_empty() => {
-                if !written.is_ok_and(|bytes| bytes > 0) {
-                    return;
+                match written {
+                    Ok(bytes) if bytes > 0 => connection.moved += bytes as u64,
+                    Ok(_) | Err(_) => return,
                 }
                 connection.last_write = Instant::now();
             }
             read = reader.read_buf(&mut connection.input), if may_read => match read {
-                Ok(bytes) if bytes > 0 => connection.arrivals.record(bytes, connection.context.now()),
+                Ok(bytes) if bytes > 0 => {
+                    connection.moved += bytes as u64;
+                    connection.arrivals.record(bytes, connection.context.now());
+                }
                 // The caller disconnected: dropping the connection abandons its running requests.
                 Ok(_) | Err(_) => return,
             },
@@ -171,6 +190,12 @@
                 }
                 connection.expire();
             }
+            () = connection.hold.gives_way() => {
+                if !connection.output.is_empty() {
+                    return log::info!("callers: connection dropped, its caller does not read and others need the memory");
+                }
+                connection.give_way();
+            }
             changed = stop.changed() => if changed.is_err() { return },
         }
     }
@@ -200,6 +225,7 @@
         let parser = Parser::new(settings, purpose.max_body_bytes(settings));
         let accepted_at = context.now();
         let read_deadline = Instant::now() + Duration::from_millis(settings.header_timeout_ms);
+        let hold = context.caller_memory.open(accepted_at);
         Self {
             context,
             handler,
@@ -211,6 +237,10 @@
             output: BytesMut::new(),
             deferred: None,
             replies: FuturesOrdered::new(),
+            running_bytes: VecDeque::new(),
+            hold,
+            moved: 0,
+            body_progress: (0, read_deadline),
             closing: false,
             accepted_at,
             read_deadline,
@@ -223,6 +253,44 @@
         self.closing && self.replies.is_empty() && self.output.is_empty()
     }
 
+    /// Accounts for what the connection holds. If there is no room for the request that is arriving, refuses it; returns false
+    /// if the connection must end.
+    fn fits(&mut self) -> bool {
+        let usage = |connection: &Self| Usage {
+            bytes: connection.input.len()
+                + connection.parser.body_bytes()
+                + connection.deferred.as_ref().map_or(0, |incoming| incoming.body.len())
+                + connection.running_bytes.iter().sum::<usize>()
+                + connection.output.len(),
+            moved: connection.moved,
+            unfinished: connection.replies.is_empty()
+                && (connection.parser.has_partial(&connection.input) || !connection.output.is_empty()),
+        };
+        let now = self.context.now();
+        if self.hold.set(usage(self), now) {
+            return true;
+        }
+        if !self.closing && self.parser.has_partial(&self.input) {
+            self.give_way();
+            return self.hold.set(usage(self), now) || self.output.len() <= MAX_UNSENT_BYTES;
+        }
+        self.closing && self.output.len() <= MAX_UNSENT_BYTES
+    }
+
+    /// Refuses the request that is arriving, as others need the memory, and ends the connection.
+    fn give_way(&mut self) {
+        self.context.metrics.memory_refusals.inc();
+        self.closing = true;
+        self.clear_input();
+        self.push(Job::Refuse(Kind::MemoryShort));
+    }
+
+    /// Drops what has arrived of further requests.
+    fn clear_input(&mut self) {
+        self.input = BytesMut::new();
+        self.parser.clear();
+    }
+
     /// When the connection times out if the caller neither reads nor sends anything; `None` while only requests run.
     fn next_deadline(&self, stop: &Stop) -> Option<Instant> {
         if !self.output.is_empty() {
@@ -259,8 +327,9 @@
     /// of the connection.
     fn parse(&mut self) -> Option<Incoming> {
         let was_partial = self.parser.has_partial(&self.input);
+        let was_in_body = self.parser.in_body();
         match self.parser.next(&mut self.input) {
-            Parsed::Incomplete => self.wait_for_input(was_partial),
+            Parsed::Incomplete => self.wait_for_input(was_partial, was_in_body),
             Parsed::Refused(kind) => {
                 self.closing = true;
                 self.push(Job::Refuse(kind));
@@ -274,14 +343,22 @@
     }
 
     /// Sends `100 Continue` if the caller expects it, and sets the read deadline when a new request has begun.
-    fn wait_for_input(&mut self, was_partial: bool) {
+    fn wait_for_input(&mut self, was_partial: bool, was_in_body: bool) {
         let settings = &self.context.settings.callers;
         if self.parser.take_expects_continue() {
             self.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
-        if self.parser.has_partial(&self.input) && !was_partial {
-            let wait = if self.parser.in_body() { settings.body_timeout_ms } else { settings.header_timeout_ms };
-            self.read_deadline = Instant::now() + Duration::from_millis(wait);
+        let now = Instant::now();
+        if self.parser.in_body() {
+            let (before, _) = self.body_progress;
+            let bytes = self.parser.body_bytes();
+            // A body must progress; how long it may take in all follows from its size.
+            if !was_in_body || bytes >= before + MIN_BODY_PROGRESS_BYTES {
+                self.body_progress = (bytes, now);
+                self.read_deadline = now + Duration::from_millis(settings.body_timeout_ms);
+            }
+        } else if self.parser.has_partial(&self.input) && !was_partial {
+            self.read_deadline = now + Duration::from_millis(settings.header_timeout_ms);
         }
     }
 
@@ -292,11 +369,16 @@
     }
 
     fn push(&mut self, job: Job) {
+        self.running_bytes.push_back(match &job {
+            Job::Run(incoming) | Job::Decline(incoming) => incoming.body.len(),
+            Job::Refuse(_) => 0,
+        });
         self.replies.push_back((self.handler)(Arc::clone(&self.context), self.purpose, job));
     }
 
     /// Adds a reply to the output. During a stop, the last one announces that the connection closes.
     fn write(&mut self, ready: &ReadyReply, stop: &Stop) {
+        self.running_bytes.pop_front();
         if self.output.is_empty() {
             self.last_write = Instant::now();
         }
@@ -306,6 +388,7 @@
             self.closing = true;
             // Requests after the last reply count as not read; those already running are abandoned.
             self.replies.clear();
+            self.running_bytes.clear();
             self.deferred = None;
         }
         let idle = Duration::from_millis(self.context.settings.callers.idle_timeout_ms);
@@ -320,7 +403,6 @@
             let reply = Reply::error(Kind::SlowSender, &self.context.dialect);
             self.purpose.complete(reply).write(&mut self.output, &Method::GET, true);
         }
-        self.input.clear();
-        self.parser.clear();
+        self.clear_input();
     }
 }
--- a/crates/daemon/src/callers/parser.rs
+++ b/crates/daemon/src/callers/parser.rs
@@ -104,6 +104,11 @@
         std::mem::replace(&mut self.expects_continue, false)
     }
 
+    /// Returns the bytes of the body that have arrived of a request that is incomplete.
+    pub fn body_bytes(&self) -> usize {
+        self.partial.as_ref().map_or(0, |partial| partial.body.len())
+    }
+
     /// Drops the part of a request that has arrived.
     pub fn clear(&mut self) {
         self.partial = None;
@@ -119,6 +124,7 @@
     match error {
         h1::Error::Ambiguous => Kind::AmbiguousFraming,
         h1::Error::BodyTooLarge => Kind::BodyTooLarge,
-        h1::Error::Malformed | h1::Error::HeadTooLarge | h1::Error::Cut => Kind::Malformed,
+        h1::Error::HeadTooLarge => Kind::HeadTooLarge,
+        h1::Error::Malformed | h1::Error::Cut => Kind::Malformed,
     }
 }
--- a/crates/daemon/src/callers/purpose.rs
+++ b/crates/daemon/src/callers/purpose.rs
@@ -46,7 +46,7 @@
     /// while callers use up the connections for requests, and the other way round.
     pub fn max_connections(self, settings: &Settings) -> usize {
         match self {
-            Self::Requests => settings.callers.max_connections as usize,
+            Self::Requests => settings.caller_connections() as usize,
             Self::LookUps => settings.callers.max_lookup_connections as usize,
             // Another instance uses a connection for one request at a time.
             Self::Relayed => settings.dispatch.max_in_flight as usize,
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -16,7 +16,7 @@
 use fleet::message::Record;
 use fleet::replica::{Replica, Version};
 use fleet::roster::{Roster, Timeouts};
-use h1::Budget;
+use h1::{Budget, Memory};
 use ledger::Ledger;
 use steer::grant::Manager;
 use steer::shift::Controller;
@@ -101,6 +101,8 @@
     pub refresh_state: Mutex<RefreshState>,
     /// Instances that the platform lists.
     pub instance_list: Mutex<List>,
+    /// Memory budget for what callers make the daemon hold: requests that arrive or run, and answers that they do not read.
+    pub caller_memory: Arc<Memory>,
     /// Memory budget for backend servers' answers that are being read.
     pub answer_memory: Budget,
     /// Idle connections to backend servers.
@@ -181,7 +183,8 @@
             steering: RwLock::new(Arc::new(Steering::default())),
             refresh_state: Mutex::new(RefreshState::default()),
             instance_list: Mutex::new(List::default()),
-            answer_memory: Budget::new(settings.dispatch.answers_bytes as usize),
+            caller_memory: Arc::new(Memory::new(settings.caller_memory_bytes() as usize)),
+            answer_memory: Budget::new(settings.answer_memory_bytes() as usize),
             pool: Pool::new(),
             peer_pool: Pool::new(),
             reach: reach::State::default(),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -46,6 +46,10 @@
     pub in_flight: IntGauge,
     /// Open connections of callers.
     pub connections: IntGauge,
+    /// Requests refused, and connections dropped, because the memory for callers was used up.
+    pub memory_refusals: IntCounter,
+    /// Bytes that callers make the daemon hold.
+    pub caller_memory: IntGauge,
     /// Callers that disconnected before they were answered.
     pub callers_disconnected: IntCounter,
     /// Connections made to backend servers.
@@ -134,6 +138,12 @@
             queued: gauge(&registry, "hemlock_queued", "Requests that wait"),
             in_flight: gauge(&registry, "hemlock_in_flight", "Attempts in flight"),
             connections: gauge(&registry, "hemlock_connections", "Connections of callers"),
+            memory_refusals: counter(
+                &registry,
+                "hemlock_memory_refusals_total",
+                "Requests refused because the memory for callers was used up",
+            ),
+            caller_memory: gauge(&registry, "hemlock_caller_memory_bytes", "Bytes held for callers"),
             callers_disconnected: counter(&registry, "hemlock_callers_gone_total", "Callers gone before their answer"),
             backend_connects: counter(
                 &registry,
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -276,6 +276,7 @@
     context.metrics.mirror_age.set(mirror_age.map_or(-1.0, |age| age.as_secs_f64()));
     context.metrics.peers_age.set(age_s(&context.peer_answered_at, now));
     update_silent_peers(context, now);
+    context.metrics.caller_memory.set(context.caller_memory.used() as i64);
     context.metrics.list_age.set(now.since(list_read_at).as_secs_f64());
     context.metrics.log_lines_left_out.set(logs::left_out() as i64);
 }
--- a/crates/h1/src/client.rs
+++ b/crates/h1/src/client.rs
@@ -21,6 +21,8 @@
 const MAX_SKIPPED: usize = 16;
 /// Spare buffer capacity for each read, in bytes.
 const READ_BYTES: usize = 4_096;
+/// Size of a body up to which it is copied behind the head.
+const SMALL_BODY_BYTES: usize = 16_384;
 /// Idle time before, and interval between, TCP keep-alive probes; the system counts in whole seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered keep-alive probes after which the connection is closed.
@@ -138,35 +140,48 @@
         self.used = true;
         let mut out = BytesMut::new();
         encode::request(&mut out, call.method, call.target, call.headers, call.body.len());
-        out.extend_from_slice(call.body);
-        let length = out.len();
+        // The body is sent from where it is: a copy of a large one could exceed the machine's memory.
+        let mut body: Bytes = call.body.clone();
+        let length = out.len() + body.len();
         let mut reading = Reading::new(call);
         let (mut reader, mut writer) = self.stream.split();
         let mut writable = true;
         loop {
             if let Some(answer) = reading.advance(&mut self.buffer, &is_ours)? {
-                let reusable = answer.reusable && out.is_empty() && self.buffer.is_empty();
+                let reusable = answer.reusable && out.is_empty() && body.is_empty() && self.buffer.is_empty();
                 return Ok(Answer { reusable, ..answer });
             }
             self.buffer.reserve(READ_BYTES);
             tokio::select! {
-                written = writer.write_buf(&mut out), if writable && !out.is_empty() => {
+                written = write_next(&mut writer, &mut out, &mut body), if writable && !(out.is_empty() && body.is_empty()) => {
                     // An answer may still arrive: a server may answer before it has read the whole body.
                     writable = written.is_ok_and(|bytes| bytes > 0);
-                    if !writable && out.len() == length {
+                    if !writable && out.len() + body.len() == length {
                         return Err(Fault::Unsent);
                     }
                 }
                 read = reader.read_buf(&mut self.buffer) => match read {
                     Ok(bytes) if bytes > 0 => {}
-                    Ok(_) => return reading.end().ok_or(reading.fault(out.len() == length)),
-                    Err(_) => return Err(reading.fault(out.len() == length)),
+                    Ok(_) => return reading.end().ok_or(reading.fault(out.len() + body.len() == length)),
+                    Err(_) => return Err(reading.fault(out.len() + body.len() == length)),
                 }
             }
         }
     }
 }
 
+/// Writes a part of a request: of its head, or of its body once the head is written. A small body goes with the head, since each
+/// write costs a call.
+async fn write_next<W>(writer: &mut W, head: &mut BytesMut, body: &mut Bytes) -> io::Result<usize>
+where
+    W: tokio::io::AsyncWrite + Unpin,
+{
+    if !head.is_empty() && body.len() <= SMALL_BODY_BYTES {
+        head.extend_from_slice(&body.split_to(body.len()));
+    }
+    if head.is_empty() { writer.write_buf(body).await } else { writer.write_buf(head).await }
+}
+
 /// The answer as far as it has been received.
 struct Reading<'a> {
     call: Call<'a>,
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -11,7 +11,9 @@
 pub mod encode;
 pub mod error;
 pub mod head;
+pub mod memory;
 
 pub use body::{Decoder, Framing};
 pub use budget::Budget;
 pub use error::{Error, Result};
+pub use memory::Memory;
--- /dev/null
+++ b/crates/h1/src/memory.rs
@@ -0,0 +1,182 @@
+//! Memory budget for what peers make a process hold on their connections: heads, bodies and answers that are not read yet.
+//!
+//! Load pattern: many callers send large bodies at the same time, stop just short of the end and stay. Each body is legal, but
+//! all together do not fit into memory. Once the budget is used up, the connections whose unfinished requests have made no
+//! progress for longest give way to those that still send. A connection whose requests are complete never gives way.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use base::time::Time;
+use tokio::sync::Notify;
+
+/// Bytes that count as progress: fewer do not keep a connection from giving way.
+const PROGRESS_BYTES: usize = 1_024;
+/// Time without progress after which a connection may have to give way.
+const IDLE_TIME: Duration = Duration::from_millis(200);
+
+/// A memory budget, shared by connections.
+#[derive(Debug)]
+pub struct Memory {
+    /// Bytes for all connections together.
+    bytes: usize,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    used: usize,
+    holders: BTreeMap<u64, Holder>,
+    next: u64,
+    given_way: u64,
+}
+
+#[derive(Debug)]
+struct Holder {
+    bytes: usize,
+    /// Bytes received and sent up to the last progress.
+    moved: u64,
+    progress_at: Time,
+    unfinished: bool,
+    gives_way: bool,
+    notify: Arc<Notify>,
+}
+
+/// What one connection holds of the budget; released when it is dropped.
+#[derive(Debug)]
+pub struct Hold {
+    memory: Arc<Memory>,
+    id: u64,
+    notify: Arc<Notify>,
+}
+
+/// What a connection holds now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Usage {
+    /// Bytes in memory.
+    pub bytes: usize,
+    /// Bytes received and sent on the connection so far.
+    pub moved: u64,
+    /// Whether the connection waits for its peer, to send the rest of a request or to read an answer, and nothing else.
+    pub unfinished: bool,
+}
+
+impl Memory {
+    /// Creates a budget of `bytes`.
+    pub fn new(bytes: usize) -> Self {
+        Self { bytes, state: Mutex::default() }
+    }
+
+    /// Returns the bytes of the budget.
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns the bytes in use.
+    pub fn used(&self) -> usize {
+        self.state().used
+    }
+
+    /// Returns the number of connections that had to give way so far.
+    pub fn given_way(&self) -> u64 {
+        self.state().given_way
+    }
+
+    /// Adds a connection, which holds nothing yet.
+    pub fn open(self: &Arc<Self>, now: Time) -> Hold {
+        let notify = Arc::new(Notify::new());
+        let mut state = self.state();
+        state.next += 1;
+        let id = state.next;
+        let holder = Holder {
+            bytes: 0,
+            moved: 0,
+            progress_at: now,
+            unfinished: false,
+            gives_way: false,
+            notify: Arc::clone(&notify),
+        };
+        state.holders.insert(id, holder);
+        drop(state);
+        Hold { memory: Arc::clone(self), id, notify }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Hold {
+    /// Sets what the connection holds; returns whether the budget has room for it. If it has not, the connection must get rid of
+    /// what it holds, and what was set before still counts.
+    pub fn set(&self, usage: Usage, now: Time) -> bool {
+        let mut state = self.memory.state();
+        let Some(holder) = state.holders.get_mut(&self.id) else { return false };
+        if holder.gives_way {
+            // What it still holds until its end no longer counts.
+            return true;
+        }
+        if usage.moved >= holder.moved + PROGRESS_BYTES as u64 || usage.unfinished != holder.unfinished {
+            holder.moved = usage.moved;
+            holder.progress_at = now;
+        }
+        holder.unfinished = usage.unfinished;
+        let before = holder.bytes;
+        let needed = (state.used - before + usage.bytes).saturating_sub(self.memory.bytes);
+        if usage.bytes > before && needed > 0 && !state.free(needed, self.id, now) {
+            return false;
+        }
+        state.used = state.used - before + usage.bytes;
+        if let Some(holder) = state.holders.get_mut(&self.id) {
+            holder.bytes = usage.bytes;
+        }
+        true
+    }
+
+    /// Waits until the connection has to give way.
+    pub async fn gives_way(&self) {
+        self.notify.notified().await;
+    }
+}
+
+impl State {
+    /// Makes connections give way until `needed` bytes are free; returns whether they are. Without enough of them, none does.
+    fn free(&mut self, needed: usize, except: u64, now: Time) -> bool {
+        let is_idle =
+            |holder: &Holder| holder.unfinished && !holder.gives_way && now.since(holder.progress_at) >= IDLE_TIME;
+        let mut idle: Vec<(Time, u64, usize)> = self
+            .holders
+            .iter()
+            .filter(|(id, holder)| **id != except && holder.bytes > 0 && is_idle(holder))
+            .map(|(id, holder)| (holder.progress_at, *id, holder.bytes))
+            .collect();
+        if idle.iter().map(|(_, _, bytes)| bytes).sum::<usize>() < needed {
+            return false;
+        }
+        idle.sort_unstable();
+        let mut freed = 0;
+        for (_, id, bytes) in idle {
+            if freed >= needed {
+                break;
+            }
+            let Some(holder) = self.holders.get_mut(&id) else { continue };
+            holder.gives_way = true;
+            holder.bytes = 0;
+            holder.notify.notify_one();
+            freed += bytes;
+            self.given_way += 1;
+        }
+        self.used -= freed;
+        true
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        let mut state = self.memory.state();
+        if let Some(holder) = state.holders.remove(&self.id) {
+            state.used -= holder.bytes;
+        }
+    }
+}
--- /dev/null
+++ b/crates/h1/tests/memory.rs
@@ -0,0 +1,92 @@
+//! The memory budget of callers' connections.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::time::Time;
+use h1::Memory;
+use h1::memory::{Hold, Usage};
+
+const BYTES: usize = 1_000_000;
+const NOW: Time = Time::from_millis(5_000);
+
+fn partial(bytes: usize) -> Usage {
+    Usage { bytes, moved: bytes as u64, unfinished: true }
+}
+
+fn complete(bytes: usize) -> Usage {
+    Usage { unfinished: false, ..partial(bytes) }
+}
+
+fn later(ms: u64) -> Time {
+    NOW + Duration::from_millis(ms)
+}
+
+/// Whether a connection was told to give way; waits for nothing.
+fn gives_way(hold: &Hold) -> bool {
+    let mut context = std::task::Context::from_waker(std::task::Waker::noop());
+    std::pin::pin!(hold.gives_way()).poll(&mut context).is_ready()
+}
+
+/// Load: callers send nearly all of their bodies and stop. The one that stopped first gives way to a new request.
+#[test]
+fn the_longest_idle_unfinished_request_gives_way() {
+    let memory = Arc::new(Memory::new(BYTES));
+    let holds: Vec<Hold> = (0..10).map(|index| memory.open(later(index))).collect();
+    for (index, hold) in holds.iter().enumerate() {
+        assert!(hold.set(partial(BYTES / 10), later(10 * index as u64)));
+    }
+    let new = memory.open(later(1_000));
+    assert!(new.set(partial(BYTES / 20), later(1_000)));
+    let given_way: Vec<usize> =
+        holds.iter().enumerate().filter(|(_, hold)| gives_way(hold)).map(|(index, _)| index).collect();
+    assert_eq!(given_way, [0], "no more than are needed");
+    assert!(memory.used() <= BYTES);
+}
+
+/// Guards against a request that is cut although it may have reached a server, and against one that is cut while it arrives.
+#[test]
+fn requests_that_run_or_progress_do_not_give_way() {
+    let memory = Arc::new(Memory::new(BYTES));
+    let (running, arriving) = (memory.open(NOW), memory.open(NOW));
+    assert!(running.set(complete(BYTES / 2), NOW));
+    for step in 1..=10 {
+        assert!(arriving.set(partial(step * BYTES / 20), later(100 * step as u64)));
+    }
+    let new = memory.open(later(1_000));
+    assert!(!new.set(partial(1), later(1_050)), "there is no room");
+    assert!(!gives_way(&running) && !gives_way(&arriving));
+    assert!(new.set(partial(1), later(1_500)), "the other no longer progresses");
+    assert!(!gives_way(&running) && gives_way(&arriving));
+}
+
+/// Load: callers send a byte now and then, so that they are never silent. They give way like silent ones.
+#[test]
+fn single_bytes_are_no_progress() {
+    let memory = Arc::new(Memory::new(BYTES));
+    let slow = memory.open(NOW);
+    for step in 0..100 {
+        assert!(slow.set(partial(BYTES - 100 + step), later(10 * step as u64)));
+    }
+    assert!(memory.open(later(1_000)).set(partial(1_000), later(1_000)));
+    assert!(gives_way(&slow));
+}
+
+/// Guards against memory that is never given back.
+#[test]
+fn nothing_is_used_once_all_connections_are_closed() {
+    let memory = Arc::new(Memory::new(BYTES));
+    let mut rng = fastrand::Rng::with_seed(4);
+    let mut holds: Vec<Hold> = (0..50).map(|_| memory.open(NOW)).collect();
+    for step in 0..20_000 {
+        let index = rng.usize(..holds.len());
+        let usage = Usage { bytes: rng.usize(..BYTES / 10), moved: rng.u64(..1 << 30), unfinished: rng.bool() };
+        holds[index].set(usage, later(step));
+        assert!(memory.used() <= BYTES, "{} bytes in use", memory.used());
+        if rng.u32(..20) == 0 {
+            holds[index] = memory.open(later(step));
+        }
+    }
+    drop(holds);
+    assert_eq!(memory.used(), 0);
+}
