--- a/crates/h1/src/client.rs
+++ b/crates/h1/src/client.rs
@@ -253,6 +253,10 @@
             let Some(head) = head::Response::parse(buffer, MAX_HEAD_BYTES).map_err(fault)? else {
                 return Ok(false);
             };
+            if head.status == StatusCode::SWITCHING_PROTOCOLS {
+                // Nobody asked for another protocol, and what follows is none of HTTP.
+                return Err(Fault::Malformed);
+            }
             let interim = head.status.is_informational();
             self.stray = !interim && !is_ours(&head);
             self.skipped += usize::from(interim || self.stray);
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -1,11 +1,15 @@
 //! Parsing of the heads of requests and answers.
 
+use std::ops::RangeInclusive;
+
 use bytes::{Buf as _, BytesMut};
 use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, StatusCode};
 
 use crate::error::{Error, Result};
 
+/// Status codes that HTTP has (RFC 9110, 15). The parser accepts any three digits.
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 /// Maximum number of header lines in one head.
 const MAX_HEADERS: usize = 100;
 
@@ -90,7 +94,8 @@
             Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Error::HeadTooLarge),
             Err(_) => return Err(Error::Malformed),
         };
-        let status = StatusCode::from_u16(parsed.code.unwrap_or_default()).map_err(|_e| Error::Malformed)?;
+        let code = parsed.code.filter(|code| STATUS_CODES.contains(code)).ok_or(Error::Malformed)?;
+        let status = StatusCode::from_u16(code).map_err(|_e| Error::Malformed)?;
         let headers = headers(parsed.headers)?;
         let keep_alive = keeps_alive(parsed.version, &headers);
         buffer.advance(length);
