--- a/crates/config/src/configs/dispatch.rs
+++ b/crates/config/src/configs/dispatch.rs
@@ -35,6 +35,9 @@
     pub repeat_burst: f64,
     /// Number of daemons that send requests to a backend server in slow start.
     pub starters: u64,
+    /// Whether a backend server that has started or recovered gets its work at a pace that follows from its answers; only for
+    /// services that declare a slow start.
+    pub learned_pace: bool,
     /// Whether requests may be sent to other regions without limit; the caps of the policy's links are then unused.
     pub open_links: bool,
     /// How long a request that crashed two backend servers is refused, in seconds.
@@ -56,6 +59,7 @@
             repeat_ratio: 1.0,
             repeat_burst: 1_000.0,
             starters: 3,
+            learned_pace: false,
             open_links: false,
             quarantine_s: 600,
         }
--- a/crates/config/src/configs/source.rs
+++ b/crates/config/src/configs/source.rs
@@ -43,7 +43,7 @@
             return Settings::parse(&name, &text);
         }
         let mut table: toml::Table = toml::from_str(&text).map_err(|source| Error::parse(&name, &source))?;
-        for assignment in self.overrides.iter().filter(|assignment| !is_empty(assignment)) {
+        for assignment in &self.overrides {
             merge(&mut table, parse(assignment)?);
         }
         let merged =
@@ -52,11 +52,6 @@
     }
 }
 
-/// Whether an assignment has no value, as from a template whose value is not given: it leaves the file's value.
-fn is_empty(assignment: &str) -> bool {
-    assignment.ends_with('=')
-}
-
 fn parse(assignment: &str) -> Result<toml::Table> {
     let advice = "is not an assignment in TOML; write it like fleet.relay_port=7201";
     toml::from_str(assignment).map_err(|_source| Error::value(OPTION, assignment, advice))
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -17,13 +17,15 @@
 fn usage(name: &str) -> String {
     format!(
         "\
-{name} [--check] [--set KEY=VALUE ...] SETTINGS
+{name} [--check] [--set KEY=VALUE ...] [--set-given KEY=VALUE ...] SETTINGS
 {name} --help | --version
 
 Runs the entry daemon with the settings in the TOML file SETTINGS.
 
   --check            read and check the settings, then exit
   --set KEY=VALUE    use this value, in TOML, in place of the file's: fleet.relay_port=7201
+  --set-given KEY=VALUE
+                     the same unless VALUE is empty, as where a template has no value for it
 "
     )
 }
@@ -46,6 +48,9 @@
             Long("version") | Short('V') => return Ok(Command::Version),
             Long("check") => check = true,
             Long("set") => overrides.push(parser.value()?.string()?),
+            Long("set-given") => {
+                overrides.extend(Some(parser.value()?.string()?).filter(|given| !given.ends_with('=')))
+            }
             Value(value) if path.is_none() => path = Some(PathBuf::from(value)),
             other => return Err(other.unexpected()),
         }
--- a/crates/daemon/src/view/servers.rs
+++ b/crates/daemon/src/view/servers.rs
@@ -148,7 +148,7 @@
                 leaving: drained || instance.state == Listed::Leaving,
                 hosts: hosts.get(&u64::from(item.id)).copied().unwrap_or(false),
                 region,
-                slow_start: self.slow_start(item, active),
+                slow_start: self.slow_start(item, active, context.settings.dispatch.learned_pace),
                 position: self.assignment(item).position,
             })
         };
@@ -156,12 +156,18 @@
     }
 
     /// Returns this daemon's share of the server's slow start; `None` if its service has none.
-    fn slow_start(&mut self, item: &Item, active: &ActivePolicy) -> Option<SlowStart> {
+    fn slow_start(&mut self, item: &Item, active: &ActivePolicy, learns_pace: bool) -> Option<SlowStart> {
         let service = active.policy.services.get(&item.instance.service)?;
         let Assignment { start_share, starter, .. } = self.assignment(item);
         let per_second = service.start_per_second * start_share;
         let phase = hash::unit_interval(hash::combine(self.own, item.id.into()));
-        (service.start_per_second > 0.0).then_some(SlowStart { until: item.cold_until, per_second, starter, phase })
+        (service.start_per_second > 0.0).then_some(SlowStart {
+            until: item.cold_until,
+            per_second,
+            starter,
+            phase,
+            learns_pace,
+        })
     }
 }
 
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -3,6 +3,7 @@
 
 mod health;
 mod limiter;
+pub mod pace;
 mod spec;
 
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use base::time::Time;
 
 use self::limiter::Limiter;
+use self::pace::Pace;
 use crate::announcements::Announcement;
 
 pub use self::limiter::share;
@@ -35,6 +37,8 @@
 /// Time without a report after which the average work of other daemons fades. Without that, a server that gets nothing
 /// because it was busy could never report that it is free.
 const REPORT_SILENCE: Duration = Duration::from_millis(500);
+/// Load, as a multiple of the slots, by which a server that has just started shows that it falls behind.
+const CROWDED: f64 = 2.0;
 /// Weight of a new report in the average work of other daemons.
 const OTHERS_EWMA_WEIGHT: f64 = 0.2;
 
@@ -84,6 +88,8 @@
     answers: u32,
     /// Limits the rate of requests to a server in slow start.
     slow_start_bucket: Bucket,
+    /// Part of its objects that the server gets while it has just started or recovered.
+    pace_of_start: Pace,
     /// Limits the rate of requests while the server states a limit.
     limiter: Limiter,
     /// Last reported pace: how long work takes, as a multiple of the usual time.
@@ -103,6 +109,7 @@
         let (per_second, burst) = slow_start_rate(&spec);
         Self {
             limiter: Limiter::new(spec.position, now),
+            pace_of_start: Self::first_pace(&spec, now),
             spec,
             slow_start_bucket: Bucket::new(per_second, burst, now),
             pace: 1.0,
@@ -131,6 +138,17 @@
         }
     }
 
+    /// Returns the pace of a server that is seen for the first time: one that is still starting gets its work gradually.
+    fn first_pace(spec: &Spec, now: Time) -> Pace {
+        let start = spec.slow_start.filter(|start| start.learns_pace && now < start.until);
+        start.map_or(Pace::FULL, |start| Pace::from_start(start.until))
+    }
+
+    /// Returns the part of its objects that the server gets at `now`, from 0 to 1.
+    pub fn part(&self, now: Time) -> f64 {
+        self.pace_of_start.part(now)
+    }
+
     /// Replaces what is declared of the server; observations stay.
     pub fn update_spec(&mut self, spec: Spec, now: Time) {
         let (per_second, burst) = slow_start_rate(&spec);
@@ -164,6 +182,9 @@
     fn apply_answer_report(&mut self, report: Report, pace: f64) {
         let others = (f64::from(report.load) - f64::from(self.in_flight)).max(0.0);
         self.average_others += OTHERS_EWMA_WEIGHT * (others - self.average_others);
+        if f64::from(report.load) >= f64::from(self.spec.slots) * CROWDED {
+            self.pace_of_start.record_failure(report.at);
+        }
         self.reported_others = Some((others, report.at));
         self.pace = pace;
         self.pace_reported_at = report.at;
--- a/crates/dispatch/src/backend/health.rs
+++ b/crates/dispatch/src/backend/health.rs
@@ -5,6 +5,7 @@
 use base::time::Time;
 
 use super::Backend;
+use super::pace::Pace;
 
 /// Number of late attempts in a row after which a server is ejected.
 const LATE_EJECTION_THRESHOLD: u32 = 2;
@@ -42,6 +43,7 @@
         if keyed {
             self.late_in_row = 0;
         }
+        self.pace_of_start.record_answer(ratio, now);
         self.latency_ratio += LATENCY_EWMA_WEIGHT * (ratio.min(MAX_LATENCY_RATIO) - self.latency_ratio);
         if late {
             return;
@@ -49,6 +51,7 @@
         self.late_in_row = 0;
         if self.on_probation && now >= self.unavailable_until {
             self.on_probation = false;
+            self.restart_pace(now);
             self.ejections = 0;
             self.latency_ratio = self.latency_ratio.min(ratio.max(1.0));
         }
@@ -66,6 +69,14 @@
         }
     }
 
+    /// Begins the pace of a server that has recovered; it may have started anew, without the objects that it knew. One that was
+    /// only slow knows them still.
+    fn restart_pace(&mut self, now: Time) {
+        if !self.ejected_as_slow && self.spec.slow_start.is_some_and(|start| start.learns_pace) {
+            self.pace_of_start = Pace::from_start(now);
+        }
+    }
+
     /// Ends an ejection for late answers; returns whether there was one.
     pub fn reinstate(&mut self, now: Time) -> bool {
         let reinstated = self.ejected_as_slow && self.ejected(now);
@@ -97,6 +108,7 @@
 
     /// Records that the answer to an attempt was lost or truncated.
     pub fn record_loss(&mut self, now: Time) {
+        self.pace_of_start.record_failure(now);
         self.lost_in_row += 1;
         if self.on_probation || self.lost_in_row >= LOST_EJECTION_THRESHOLD {
             self.record_failure(now);
@@ -116,6 +128,7 @@
         if keyed && self.reports_free_slot(now) {
             return;
         }
+        self.pace_of_start.record_failure(now);
         self.unavailable_until = self.unavailable_until.max(now + SHED_PAUSE);
     }
 
--- a/crates/dispatch/src/backend/spec.rs
+++ b/crates/dispatch/src/backend/spec.rs
@@ -69,6 +69,8 @@
     /// Position of this daemon, from 0 to 1, in the order in which daemons that are not starters try an ejected
     /// server.
     pub phase: f64,
+    /// Whether the server then gets its work at a pace that follows from its answers.
+    pub learns_pace: bool,
 }
 
 /// A load report.
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -148,18 +148,14 @@
         self.backends.get(&id).is_some_and(|server| state.regions.contains(server.spec.region))
     }
 
-    /// Returns the two highest ranked servers of `servers` for the object that can be homes, the highest first. Only servers
-    /// that rank above the second best one so far are looked up.
+    /// Returns the two highest ranked servers of `servers` for the object that can be homes, the highest first. Servers that have
+    /// just started are homes of a part of their objects only, unless there are no others.
     fn homes_in(&self, servers: &[BackendId], state: &Request, object: u64, now: Time) -> [Option<BackendId>; 2] {
-        let usable = |id: &BackendId| self.backends.get(id).is_some_and(|server| self.is_home(server, state, now));
-        let mut best: [Option<(u64, BackendId)>; 2] = [None, None];
-        for id in servers {
-            let ranked = Some((hash::combine(object, u64::from(*id)), *id));
-            if ranked > best[1] && usable(id) {
-                best = if ranked > best[0] { [ranked, best[0]] } else { [best[0], ranked] };
-            }
-        }
-        best.map(|ranked| ranked.map(|(_, id)| id))
+        let can_be_home = |id: &BackendId| self.backends.get(id).is_some_and(|server| self.is_home(server, state, now));
+        let is_within =
+            |id: &BackendId| self.backends.get(id).is_some_and(|server| is_within_part(server, object, now));
+        let homes = highest_two(servers, object, |id| can_be_home(id) && is_within(id));
+        if homes[0].is_some() { homes } else { highest_two(servers, object, can_be_home) }
     }
 
     /// Returns whether `server` can be a home of the request's object. One that has just turned a request away stays a home: in
@@ -262,3 +258,23 @@
         (distance + COLD_COST * (1.0 - warm_probability)) * target
     }
 }
+
+/// Whether `object` is among the part of its objects that a server gets which has just started. The parts of all daemons hold the
+/// same objects as far as they are equal.
+fn is_within_part(server: &Backend, object: u64, now: Time) -> bool {
+    let part = server.part(now);
+    part >= 1.0 || hash::unit_interval(hash::combine(u64::from(server.spec.id), object)) < part
+}
+
+/// Returns the two highest ranked of `servers` for an object that `usable` accepts, the highest first. Only servers that rank
+/// above the second best one so far are looked up.
+fn highest_two(servers: &[BackendId], object: u64, usable: impl Fn(&BackendId) -> bool) -> [Option<BackendId>; 2] {
+    let mut best: [Option<(u64, BackendId)>; 2] = [None, None];
+    for id in servers {
+        let ranked = Some((hash::combine(object, u64::from(*id)), *id));
+        if ranked > best[1] && usable(id) {
+            best = if ranked > best[0] { [ranked, best[0]] } else { [best[0], ranked] };
+        }
+    }
+    best.map(|ranked| ranked.map(|(_, id)| id))
+}
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -77,7 +77,7 @@
             let hashes: Vec<u64> = belief.live.iter().map(|other| hash_of(*other)).collect();
             let (part, starter) =
                 subset::start_share(hash_of(daemon), &hashes, u64::from(SERVER), STARTERS, position.coverage);
-            Some(SlowStart { until: Time::MAX, per_second: per_second * part, starter, phase: 0.5 })
+            Some(SlowStart { until: Time::MAX, per_second: per_second * part, starter, phase: 0.5, learns_pace: false })
         }
     };
     Spec { position, slow_start, slots: u32::MAX, ..backend(SERVER, Place::Region) }
--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -56,7 +56,13 @@
 #[case::ours(4.0, 4 + 1)]
 #[case::left_to_others(0.0, 0)]
 fn a_starting_server_gets_its_rate_and_no_more(#[case] per_second: f64, #[case] max_count: usize) {
-    let start = SlowStart { until: START + Duration::from_mins(1), per_second, starter: per_second > 0.0, phase: 0.0 };
+    let start = SlowStart {
+        until: START + Duration::from_mins(1),
+        per_second,
+        starter: per_second > 0.0,
+        phase: 0.0,
+        learns_pace: false,
+    };
     let spec = class::Spec { affinity: true, ..classes()[LOOKUP].clone() };
     let server = Spec { slow_start: Some(start), slots: 100, ..backend(1, Place::Region) };
     let mut engine = engine(vec![spec], Budgets::DEFAULT, vec![server]);
@@ -148,7 +154,13 @@
     #[case] sends: bool,
 ) {
     let start = |per_second| {
-        Some(SlowStart { until: START + Duration::from_mins(1), per_second, starter: per_second > 0.0, phase: 0.0 })
+        Some(SlowStart {
+            until: START + Duration::from_mins(1),
+            per_second,
+            starter: per_second > 0.0,
+            phase: 0.0,
+            learns_pace: false,
+        })
     };
     let class = class::Spec { affinity: true, ..classes()[LOOKUP].clone() };
     let mut engine =
@@ -165,7 +177,13 @@
     let (daemons, per_second) = (33, 5.0);
     let server = |daemon: u32| {
         let phase = f64::from(daemon) / f64::from(daemons);
-        let start = SlowStart { until: Time::ZERO, per_second: per_second / f64::from(daemons), starter: false, phase };
+        let start = SlowStart {
+            until: Time::ZERO,
+            per_second: per_second / f64::from(daemons),
+            starter: false,
+            phase,
+            learns_pace: false,
+        };
         let mut server = Backend::new(Spec { slow_start: Some(start), ..backend(1, Place::Region) }, START);
         server.record_failure(START);
         server
