--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -13,6 +13,7 @@
 
 Verbs that only read:
   show                        revision, readiness and drains of every daemon
+  show accounts               client accounts: quota, requests, share served
   policy                      print the policy in the store
   report [--html FILE]        service-level burn by class and region
   explain REQUEST FILE...     trace one request through the logs of the daemons
@@ -44,6 +45,8 @@
     Version,
     /// Show the state of every daemon.
     Show,
+    /// Show the client accounts.
+    ShowAccounts,
     /// Print the policy.
     Policy,
     /// Show the burn; also write it as a page if a file is given.
@@ -132,6 +135,7 @@
     let words: Vec<&str> = given.positional.iter().map(String::as_str).collect();
     Ok(match words.as_slice() {
         ["show"] => Verb::Show,
+        ["show", "accounts"] => Verb::ShowAccounts,
         ["policy"] => Verb::Policy,
         ["report"] => Verb::Report(given.html),
         ["explain", request, files @ ..] if !files.is_empty() => {
--- a/crates/ctl/src/verbs/mod.rs
+++ b/crates/ctl/src/verbs/mod.rs
@@ -1,5 +1,6 @@
 //! The verbs. Each returns the text for standard output.
 
+pub mod accounts;
 mod check;
 mod drain;
 mod explain;
@@ -27,6 +28,7 @@
         Verb::Help => Ok(crate::cli::USAGE.to_owned()),
         Verb::Version => Ok(format!("hemlockctl {}\n", env!("CARGO_PKG_VERSION"))),
         Verb::Show => show::run(command),
+        Verb::ShowAccounts => accounts::run(command),
         Verb::Policy => Ok(change::read(&store)?.0.to_text()?),
         Verb::Report(html) => report::run(command, html.as_deref()),
         Verb::Check(path) => check::run(path),
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -39,6 +39,10 @@
     let start = incoming.arrived_at;
     let path = headers::logged_path(&incoming.head).to_owned();
     let Handled { class, account, outcome } = run(context, incoming, id, sender).await;
+    if let Some(account) = &account {
+        let labels = context.accounts.record(account, &outcome);
+        context.metrics.account_requests.with_label_values(&labels).inc();
+    }
     let account = account.as_deref().unwrap_or("-");
     let result = match &outcome {
         Ok(_) => "ok",
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -21,6 +21,7 @@
 use steer::grant::Manager;
 use steer::shift::Controller;
 
+use crate::accounts;
 use crate::adapter::{Adapter, Catalog};
 use crate::at_most_once::ClaimLease;
 use crate::backends::pool::Pool;
@@ -119,6 +120,8 @@
     pub claim_lease: Mutex<Option<ClaimLease>>,
     /// Good and bad answers over time, by class, for the service-level report.
     pub burn: Mutex<BTreeMap<String, burn::Series>>,
+    /// Counts of the requests of client accounts.
+    pub accounts: accounts::Tally,
     /// Quotas of client accounts.
     pub quotas: quotas::State,
     /// Metrics for operators.
@@ -192,6 +195,7 @@
             ledger: Mutex::new(Ledger::new(ledger_limits)),
             claim_lease: Mutex::new(None),
             burn: Mutex::new(BTreeMap::new()),
+            accounts: accounts::Tally::default(),
             quotas: quotas::State::new(&settings.instance, incarnation, now),
             metrics: Metrics::new(),
             store_answered_at: AtomicU64::new(0),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry daemon: plug-ins that do the input and output for the decisions of the crates `dispatch`, `steer`, `fleet`
 //! and `ledger`.
 
+pub mod accounts;
 pub mod adapter;
 pub mod at_most_once;
 pub mod backends;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -18,6 +18,8 @@
     pub replies: IntCounterVec,
     /// Requests answered, by class and result (`ok` or an error kind).
     pub requests: IntCounterVec,
+    /// Requests answered, by client account and result.
+    pub account_requests: IntCounterVec,
     /// Time from a request's arrival to its answer, by class, in seconds.
     pub latency: HistogramVec,
     /// Time from a request's arrival to its first attempt, in seconds.
@@ -111,6 +113,12 @@
                 &["address", "source", "status"],
             ),
             requests: counters(&registry, "hemlock_requests_total", "Requests answered", &["class", "result"]),
+            account_requests: counters(
+                &registry,
+                "hemlock_account_requests_total",
+                "Requests of client accounts",
+                &["account", "result"],
+            ),
             latency: histograms(&registry, "hemlock_request_seconds", "Time to the answer", &["class"]),
             wait_time: histogram(&registry, "hemlock_wait_seconds", "Time to the first attempt"),
             sends: counters(&registry, "hemlock_sends_total", "Attempts begun", &["again", "warm"]),
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -15,7 +15,7 @@
 
 use crate::context::lock;
 use crate::plugin::Plugin;
-use crate::{Context, logs};
+use crate::{Context, accounts, logs};
 
 /// Largest request body that is read and discarded, in bytes.
 const MAX_BODY_BYTES: u64 = 65_536;
@@ -124,7 +124,8 @@
         }
         "/decisions" => json(200, &decisions(context)),
         "/burn" => json(200, &burn_report(context)),
-        _ => text(404, b"try /health /ready /metrics /decisions /burn\n".to_vec(), "text/plain"),
+        "/accounts" => json(200, &accounts::lines(context)),
+        _ => text(404, b"try /health /ready /metrics /decisions /burn /accounts\n".to_vec(), "text/plain"),
     };
     if let Err(error) = request.respond(response) {
         log::debug!("operators: answer not sent reason={:?}", error.to_string());
