--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -17,7 +17,9 @@
   policy                      print the policy in the store
   report [--html FILE]        service-level burn by class and region
   explain REQUEST FILE...     trace one request through the logs of the daemons
-  check FILE                  check a policy file or a daemon's settings file
+  check FILE [--against FILE | --in-force]
+                              check a policy file or a daemon's settings file; tell what differs
+                              from another policy, or from the one in the store
 
 Verbs that change the policy; each prints the revision that contains the change:
   apply FILE [--expect N]     replace the policy by FILE, if it is at revision N
@@ -33,9 +35,21 @@
   -h, --help         show this
   -V, --version      show the version
 
-Exit codes: 0 done, 1 failed, 2 wrong input, 3 another operator was faster, 4 outcome unknown.
+Exit codes: 0 done, 1 failed or warnings of `check`, 2 wrong input, 3 another operator was faster, 4 outcome unknown.
 ";
 
+/// The policy that another one is compared with.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub enum Against {
+    /// None.
+    #[default]
+    Nothing,
+    /// The one in a file.
+    File(PathBuf),
+    /// The one in the store.
+    InForce,
+}
+
 /// What to do, with the arguments.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Verb {
@@ -53,8 +67,8 @@
     Report(Option<PathBuf>),
     /// Trace a request through log files.
     Explain(String, Vec<PathBuf>),
-    /// Check a policy file or a settings file.
-    Check(PathBuf),
+    /// Check a policy file or a settings file; compare a policy with another one.
+    Check(PathBuf, Against),
     /// Replace the policy, if it is at the given revision.
     Apply(PathBuf, Option<u64>),
     /// Set a target of a class.
@@ -85,6 +99,7 @@
     positional: Vec<String>,
     html: Option<PathBuf>,
     expect: Option<u64>,
+    against: Against,
 }
 
 impl Command {
@@ -112,6 +127,8 @@
                 Long("store") => command.store = option_value(&mut parser)?,
                 Long("list") => command.list = option_value(&mut parser)?,
                 Long("html") => given.html = Some(PathBuf::from(option_value(&mut parser)?)),
+                Long("against") => given.against = Against::File(PathBuf::from(option_value(&mut parser)?)),
+                Long("in-force") => given.against = Against::InForce,
                 Long("expect") => given.expect = Some(parse_number("--expect", &option_value(&mut parser)?)?),
                 Value(word) => given.positional.push(word.string().map_err(usage)?),
                 other => return Err(usage(other.unexpected())),
@@ -141,7 +158,7 @@
         ["explain", request, files @ ..] if !files.is_empty() => {
             Verb::Explain((*request).to_owned(), files.iter().map(PathBuf::from).collect())
         }
-        ["check", file] => Verb::Check(PathBuf::from(file)),
+        ["check", file] => Verb::Check(PathBuf::from(file), given.against),
         ["apply", file] => Verb::Apply(PathBuf::from(file), given.expect),
         ["set-target", class, key, value] => {
             Verb::SetTarget((*class).to_owned(), (*key).to_owned(), (*value).to_owned())
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -12,6 +12,9 @@
     /// Something could not be reached or read; nothing was changed.
     #[error("{0}; nothing was changed")]
     Failed(String),
+    /// A policy is valid, but parts of it have no effect; the text is the whole report.
+    #[error("{0}")]
+    Warnings(String),
     /// Another operator changed the policy first.
     #[error(
         "the policy is at revision {found}, not {expected}: another operator changed it; run `hemlockctl show`, then try again; nothing was changed"
@@ -41,7 +44,7 @@
     /// Returns the exit code of the process.
     pub const fn exit_code(&self) -> u8 {
         match self {
-            Self::Failed(_) => 1,
+            Self::Failed(_) | Self::Warnings(_) => 1,
             Self::Usage(_) | Self::Policy(_) => 2,
             Self::Conflict { .. } => 3,
             Self::Unknown { .. } => 4,
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod change;
 pub mod cli;
 pub mod error;
+pub mod findings;
 pub mod fleet;
 pub mod logs;
 pub mod verbs;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use ctl::Error;
 use ctl::cli::Command;
 use ctl::verbs;
 
@@ -13,6 +14,10 @@
             print!("{text}");
             ExitCode::SUCCESS
         }
+        Err(Error::Warnings(report)) => {
+            print!("{report}");
+            ExitCode::from(Error::Warnings(String::new()).exit_code())
+        }
         Err(error) => {
             eprintln!("hemlockctl: {error}");
             ExitCode::from(error.exit_code())
--- a/crates/ctl/src/verbs/mod.rs
+++ b/crates/ctl/src/verbs/mod.rs
@@ -14,7 +14,7 @@
 use store::Client;
 
 use crate::change::{self, Outcome};
-use crate::cli::{Command, Verb};
+use crate::cli::{Against, Command, Verb};
 use crate::error::{Error, Result};
 
 /// Maximum time for one call to the store.
@@ -31,7 +31,14 @@
         Verb::ShowAccounts => accounts::run(command),
         Verb::Policy => Ok(change::read(&store)?.0.to_text()?),
         Verb::Report(html) => report::run(command, html.as_deref()),
-        Verb::Check(path) => check::run(path),
+        Verb::Check(path, against) => {
+            let other = match against {
+                Against::Nothing => None,
+                Against::File(path) => Some(Policy::read(path)?),
+                Against::InForce => Some(change::read(&store)?.0),
+            };
+            check::run(path, other.as_ref(), command.json)
+        }
         Verb::Apply(path, expect) => {
             let policy = Policy::read(path)?;
             let expected = match expect {
