--- a/crates/config/src/configs/mod.rs
+++ b/crates/config/src/configs/mod.rs
@@ -27,8 +27,11 @@
 
 /// Memory for callers where neither the setting nor the machine's memory is known.
 const DEFAULT_CALLER_MEMORY_BYTES: u64 = 96 << 20;
-/// Part of the machine's memory for what callers make the daemon hold.
-const CALLER_MEMORY_PERCENT: u64 = 62;
+/// Part of the machine's memory for what callers make the daemon hold. Many bodies of different sizes take half as much memory
+/// again, as freed pieces are not used at once.
+const CALLER_MEMORY_PERCENT: u64 = 42;
+/// The same while one body takes most of it.
+const ONE_BODY_MEMORY_PERCENT: u64 = 62;
 /// Part of the machine's memory for answers that are being read.
 const ANSWER_MEMORY_PERCENT: u64 = 12;
 /// Log levels, from the least to the most verbose.
@@ -122,8 +125,7 @@
         Ok(settings)
     }
 
-    /// Returns the memory for what callers make the daemon hold, in bytes: the setting, or else a part of the machine's memory
-    /// that has room for one body of the largest size on the smallest machines.
+    /// Returns the memory for what callers make the daemon hold, in bytes: the setting, or else a part of the machine's memory.
     pub fn caller_memory_bytes(&self) -> u64 {
         match (self.callers.memory_bytes, self.machine.memory_bytes()) {
             (0, 0) => DEFAULT_CALLER_MEMORY_BYTES.max(self.callers.max_body_bytes),
@@ -132,6 +134,12 @@
         }
     }
 
+    /// Returns the same while one body takes most of it, in bytes: one of the largest size fits on the smallest machines.
+    pub fn one_body_memory_bytes(&self) -> u64 {
+        let machine = self.machine.memory_bytes() / 100 * ONE_BODY_MEMORY_PERCENT;
+        if self.callers.memory_bytes == 0 { machine.max(self.caller_memory_bytes()) } else { self.callers.memory_bytes }
+    }
+
     /// Returns the maximum number of open connections at the address for requests: the setting, or fewer on a machine with few
     /// descriptors, since connections to backend servers, other daemons and the store need some too.
     pub fn caller_connections(&self) -> u32 {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -186,7 +186,7 @@
             steering: RwLock::new(Arc::new(Steering::default())),
             refresh_state: Mutex::new(RefreshState::default()),
             instance_list: Mutex::new(List::default()),
-            caller_memory: Arc::new(Memory::new(settings.caller_memory_bytes() as usize)),
+            caller_memory: Arc::new(caller_memory(&settings)),
             answer_memory: Budget::new(settings.answer_memory_bytes() as usize),
             pool: Pool::new(),
             peer_pool: Pool::new(),
@@ -259,6 +259,13 @@
     }
 }
 
+/// Returns the memory budget for callers: one body of the largest size always fits, if no others hold much.
+fn caller_memory(settings: &Settings) -> Memory {
+    let bytes = settings.caller_memory_bytes();
+    let with_one = settings.one_body_memory_bytes();
+    Memory::new(bytes as usize).with_one(with_one as usize)
+}
+
 /// Locks `mutex`, also after a thread panicked while it held the lock: the state is still consistent, since no decision
 /// panics in the middle of a change.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/h1/src/memory.rs
+++ b/crates/h1/src/memory.rs
@@ -13,6 +13,8 @@
 
 /// Bytes that count as progress: fewer do not keep a connection from giving way.
 const PROGRESS_BYTES: usize = 1_024;
+/// What connections that give way may still hold, as a part of the budget: one in this number.
+const MAX_GIVEN_UP_PART: usize = 8;
 /// Time without progress after which a connection may have to give way.
 const IDLE_TIME: Duration = Duration::from_millis(200);
 
@@ -21,12 +23,17 @@
 pub struct Memory {
     /// Bytes for all connections together.
     bytes: usize,
+    /// Bytes while one connection holds half of them or more: memory in few large pieces wastes less.
+    bytes_with_one: usize,
     state: Mutex<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
+    /// Bytes in use, without those of connections that give way.
     used: usize,
+    /// Bytes of connections that give way and have not freed them yet.
+    given_up: usize,
     holders: BTreeMap<u64, Holder>,
     next: u64,
     given_way: u64,
@@ -65,7 +72,14 @@
 impl Memory {
     /// Creates a budget of `bytes`.
     pub fn new(bytes: usize) -> Self {
-        Self { bytes, state: Mutex::default() }
+        Self { bytes, bytes_with_one: bytes, state: Mutex::default() }
+    }
+
+    /// Sets the budget while one connection holds half of it or more, so that one very large body fits.
+    #[must_use]
+    pub fn with_one(mut self, bytes: usize) -> Self {
+        self.bytes_with_one = bytes.max(self.bytes);
+        self
     }
 
     /// Returns the bytes of the budget.
@@ -114,7 +128,9 @@
         let mut state = self.memory.state();
         let Some(holder) = state.holders.get_mut(&self.id) else { return false };
         if holder.gives_way {
-            // What it still holds until its end no longer counts.
+            let freed = holder.bytes.saturating_sub(usage.bytes);
+            holder.bytes -= freed;
+            state.given_up -= freed;
             return true;
         }
         if usage.moved >= holder.moved + PROGRESS_BYTES as u64 || usage.unfinished != holder.unfinished {
@@ -123,8 +139,15 @@
         }
         holder.unfinished = usage.unfinished;
         let before = holder.bytes;
-        let needed = (state.used - before + usage.bytes).saturating_sub(self.memory.bytes);
-        if usage.bytes > before && needed > 0 && !state.free(needed, self.id, now) {
+        let after = state.used - before + usage.bytes;
+        let is_large = usage.bytes * 2 >= after;
+        let allowed = if is_large { self.memory.bytes_with_one } else { self.memory.bytes };
+        if usage.bytes > before && after > allowed && !state.free(after - allowed, self.id, now) {
+            return false;
+        }
+        // What others give up is in memory until they have run.
+        let in_memory = state.used - before + usage.bytes + state.given_up;
+        if usage.bytes > before && in_memory > allowed + allowed / MAX_GIVEN_UP_PART {
             return false;
         }
         state.used = state.used - before + usage.bytes;
@@ -162,12 +185,12 @@
             }
             let Some(holder) = self.holders.get_mut(&id) else { continue };
             holder.gives_way = true;
-            holder.bytes = 0;
             holder.notify.notify_one();
             freed += bytes;
             self.given_way += 1;
         }
         self.used -= freed;
+        self.given_up += freed;
         true
     }
 }
@@ -175,8 +198,10 @@
 impl Drop for Hold {
     fn drop(&mut self) {
         let mut state = self.memory.state();
-        if let Some(holder) = state.holders.remove(&self.id) {
-            state.used -= holder.bytes;
+        match state.holders.remove(&self.id) {
+            Some(holder) if holder.gives_way => state.given_up -= holder.bytes,
+            Some(holder) => state.used -= holder.bytes,
+            None => {}
         }
     }
 }
