--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -12,13 +12,14 @@
 use futures_util::stream::FuturesOrdered;
 use h1::head;
 use h1::memory::{Hold, Usage};
-use http::{Method, StatusCode};
+use http::Method;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::arrival::Arrivals;
+use super::job::{self, Job, ReadyReply};
 use super::parser::{Parsed, Parser};
 use super::purpose::Purpose;
 use super::reply::Reply;
@@ -53,60 +54,6 @@
     pub arrived_at: Time,
 }
 
-/// A reply that is ready to be written.
-struct ReadyReply {
-    /// The request's method: a reply to `HEAD` has no body.
-    method: Method,
-    reply: Reply,
-    /// Whether the connection ends after this reply.
-    last: bool,
-}
-
-/// What to do for one request that was read.
-enum Job {
-    Run(Box<Incoming>),
-    /// A request that is complete, and is refused because the daemon stops.
-    Decline(Box<Incoming>),
-    /// Input that is no acceptable request.
-    Refuse(Kind),
-}
-
-async fn handle(context: Arc<Context>, purpose: Purpose, job: Job) -> ReadyReply {
-    let mut ready = run(&context, purpose, job).await;
-    ready.reply = purpose.complete(ready.reply);
-    let labels = [purpose.as_str(), ready.reply.source.as_str(), status_class(ready.reply.status)];
-    context.metrics.replies.with_label_values(&labels).inc();
-    ready
-}
-
-/// Returns the class of a status, as a metric's label.
-fn status_class(status: StatusCode) -> &'static str {
-    match status.as_u16() / 100 {
-        2 => "2xx",
-        3 => "3xx",
-        4 => "4xx",
-        5 => "5xx",
-        _ => "other",
-    }
-}
-
-async fn run(context: &Arc<Context>, purpose: Purpose, job: Job) -> ReadyReply {
-    match job {
-        Job::Run(incoming) => {
-            let (method, keep_alive) = (incoming.head.method.clone(), incoming.head.keep_alive);
-            let reply = purpose.answer(context, *incoming).await;
-            ReadyReply { method, last: !keep_alive || reply.close, reply }
-        }
-        Job::Decline(incoming) => {
-            let reply = purpose.refuse(context, &incoming, Kind::Leaving);
-            ReadyReply { method: incoming.head.method.clone(), last: true, reply }
-        }
-        Job::Refuse(kind) => {
-            ReadyReply { method: Method::GET, reply: Reply::error(kind, &context.dialect), last: true }
-        }
-    }
-}
-
 /// A connection and its requests in progress. `R` starts the handling of a request, `F` is the future it returns.
 struct Connection<R, F: Future> {
     context: Arc<Context>,
@@ -149,7 +96,7 @@
     peer: IpAddr,
     mut stop: watch::Receiver<Stop>,
 ) {
-    let mut connection = Connection::new(context, purpose, peer, handle);
+    let mut connection = Connection::new(context, purpose, peer, job::handle);
     let (mut reader, mut writer) = stream.split();
     loop {
         let current = *stop.borrow_and_update();
--- /dev/null
+++ b/crates/daemon/src/callers/job.rs
@@ -0,0 +1,66 @@
+//! What is done for one request of a connection, and its reply.
+
+use std::sync::Arc;
+
+use base::error::Kind;
+use http::{Method, StatusCode};
+
+use super::connection::Incoming;
+use super::purpose::Purpose;
+use super::reply::Reply;
+use crate::Context;
+
+/// A reply that is ready to be written.
+pub(super) struct ReadyReply {
+    /// The request's method: a reply to `HEAD` has no body.
+    pub(super) method: Method,
+    pub(super) reply: Reply,
+    /// Whether the connection ends after this reply.
+    pub(super) last: bool,
+}
+
+/// What to do for one request that was read.
+pub(super) enum Job {
+    Run(Box<Incoming>),
+    /// A request that is complete, and is refused because the daemon stops.
+    Decline(Box<Incoming>),
+    /// Input that is no acceptable request.
+    Refuse(Kind),
+}
+
+/// Does what a job says and counts the reply.
+pub(super) async fn handle(context: Arc<Context>, purpose: Purpose, job: Job) -> ReadyReply {
+    let mut ready = run(&context, purpose, job).await;
+    ready.reply = purpose.complete(ready.reply);
+    let labels = [purpose.as_str(), ready.reply.source.as_str(), status_class(ready.reply.status)];
+    context.metrics.replies.with_label_values(&labels).inc();
+    ready
+}
+
+/// Returns the class of a status, as a metric's label.
+fn status_class(status: StatusCode) -> &'static str {
+    match status.as_u16() / 100 {
+        2 => "2xx",
+        3 => "3xx",
+        4 => "4xx",
+        5 => "5xx",
+        _ => "other",
+    }
+}
+
+async fn run(context: &Arc<Context>, purpose: Purpose, job: Job) -> ReadyReply {
+    match job {
+        Job::Run(incoming) => {
+            let (method, keep_alive) = (incoming.head.method.clone(), incoming.head.keep_alive);
+            let reply = purpose.answer(context, *incoming).await;
+            ReadyReply { method, last: !keep_alive || reply.close, reply }
+        }
+        Job::Decline(incoming) => {
+            let reply = purpose.refuse(context, &incoming, Kind::Leaving);
+            ReadyReply { method: incoming.head.method.clone(), last: true, reply }
+        }
+        Job::Refuse(kind) => {
+            ReadyReply { method: Method::GET, reply: Reply::error(kind, &context.dialect), last: true }
+        }
+    }
+}
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -5,6 +5,7 @@
 pub mod forward;
 mod headers;
 pub mod identity;
+mod job;
 pub mod lookup;
 mod parser;
 pub mod purpose;
--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -3,6 +3,7 @@
 
 mod health;
 mod limiter;
+mod others;
 pub mod pace;
 mod spec;
 
@@ -12,6 +13,7 @@
 use base::time::Time;
 
 use self::limiter::Limiter;
+use self::others::Others;
 use self::pace::Pace;
 use crate::announcements::Announcement;
 
@@ -32,15 +34,8 @@
 const COLD_BURST: f64 = 1.0;
 /// Half-life of a reported pace: what else runs on the server's machine changes.
 const PACE_HALF_LIFE: Duration = Duration::from_millis(400);
-/// Half-life of the reported work of other daemons.
-const OTHERS_HALF_LIFE: Duration = Duration::from_millis(300);
-/// Time without a report after which the average work of other daemons fades. Without that, a server that gets nothing
-/// because it was busy could never report that it is free.
-const REPORT_SILENCE: Duration = Duration::from_millis(500);
 /// Load, as a multiple of the slots, by which a server that has just started shows that it falls behind.
 const CROWDED: f64 = 2.0;
-/// Weight of a new report in the average work of other daemons.
-const OTHERS_EWMA_WEIGHT: f64 = 0.2;
 
 /// Returns the rate, in requests per second, and the burst that this daemon may send the server in slow start.
 fn slow_start_rate(spec: &Spec) -> (f64, f64) {
@@ -95,12 +90,8 @@
     /// Last reported pace: how long work takes, as a multiple of the usual time.
     pace: f64,
     pace_reported_at: Time,
-    /// Work of other daemons, in requests, by the last report in an answer, with the time of that report.
-    reported_others: Option<(f64, Time)>,
-    /// Running average of that work.
-    average_others: f64,
-    /// Assumed work of other daemons until an answer reports it: that of the other servers of its service.
-    assumed_others: f64,
+    /// Work of other daemons.
+    others: Others,
 }
 
 impl Backend {
@@ -114,9 +105,7 @@
             slow_start_bucket: Bucket::new(per_second, burst, now),
             pace: 1.0,
             pace_reported_at: Time::ZERO,
-            reported_others: None,
-            average_others: 0.0,
-            assumed_others: 0.0,
+            others: Others::default(),
             in_flight: 0,
             waiting_in_flight: 0,
             late: 0,
@@ -181,11 +170,10 @@
     /// Records a report that arrived with the answer to one of our attempts; its load still includes that attempt.
     fn apply_answer_report(&mut self, report: Report, pace: f64) {
         let others = (f64::from(report.load) - f64::from(self.in_flight)).max(0.0);
-        self.average_others += OTHERS_EWMA_WEIGHT * (others - self.average_others);
         if f64::from(report.load) >= f64::from(self.spec.slots) * CROWDED {
             self.pace_of_start.record_failure(report.at);
         }
-        self.reported_others = Some((others, report.at));
+        self.others.record(others, report.at);
         self.pace = pace;
         self.pace_reported_at = report.at;
         self.report = Some(report);
@@ -193,15 +181,12 @@
 
     /// Returns the work of other daemons by the last report in an answer, and its weight, which fades with its age.
     pub fn reported_lately(&self, now: Time) -> (f64, f64) {
-        self.reported_others.map_or((0.0, 0.0), |(others, at)| {
-            let half_lives = now.since(at).as_secs_f64() / OTHERS_HALF_LIFE.as_secs_f64();
-            (0.5_f64.powf(half_lives), others)
-        })
+        self.others.reported_lately(now)
     }
 
     /// Sets the assumed work of other daemons, used until an answer has reported it, and again once that is long ago.
     pub const fn assume_others(&mut self, others: f64) {
-        self.assumed_others = others;
+        self.others.assume(others);
     }
 
     /// Returns when the server last reported its load; `None` if it never did.
@@ -354,15 +339,10 @@
     /// A report that arrived with an answer is current and fades to the average. Any other report is old when it
     /// arrives, and as work is short it does not show the current load, so its average fades with its age.
     pub fn others(&self, now: Time) -> f64 {
-        if let Some((reported, at)) = self.reported_others {
-            let age = now.since(at);
-            let half_lives = age.as_secs_f64() / OTHERS_HALF_LIFE.as_secs_f64();
-            let silence = age.saturating_sub(REPORT_SILENCE).as_secs_f64() / REPORT_SILENCE.as_secs_f64();
-            let assumed = self.assumed_others;
-            let average = assumed + (self.average_others - assumed) * 0.5_f64.powf(silence);
-            return average + (reported - average) * 0.5_f64.powf(half_lives);
+        if let Some(others) = self.others.estimate(now) {
+            return others;
         }
-        let Some(report) = self.report else { return self.assumed_others };
+        let Some(report) = self.report else { return self.others.assumed() };
         let age = now.since(report.at).as_secs_f64() / REPORT_MAX_AGE.as_secs_f64();
         (self.average_load - self.average_in_flight).max(0.0) * (1.0 - age).max(0.0)
     }
