--- a/crates/dispatch/tests/keyed.rs
+++ b/crates/dispatch/tests/keyed.rs
@@ -6,7 +6,7 @@
 
 use base::time::Time;
 use common::cluster::Cluster;
-use dispatch::backend::{BackendId, Place, Spec};
+use dispatch::backend::{BackendId, Place, Report, SlowStart, Spec};
 use dispatch::engine::{Account, Arrival, Remote};
 use dispatch::{Action, Ending, Engine, class, regions};
 use rstest::rstest;
@@ -182,3 +182,59 @@
     assert_eq!(servers.len(), 2, "both are sent at once, as at the primary home of an object");
     assert!(servers[0] == servers[1] && servers[0] >= 7, "to one server of the region: {servers:?}");
 }
+
+/// Load: a region is overloaded, and this instance has not heard of one of its servers for long. If it took that server for idle, and
+/// all instances did, none of the servers would ever get out of the overload.
+#[test]
+fn a_server_out_of_sight_is_as_busy_as_the_others_of_its_region() {
+    let class = class::Spec {
+        affinity: true,
+        target: Duration::from_millis(300),
+        ..class::Spec::new(0, Duration::from_secs(2))
+    };
+    let start = Time::from_millis(1_000);
+    let report = |load, at| Report { load, draining: false, pace: Some(1.0), at };
+    let sent = |busy: u32| {
+        let mut engine = Engine::new(vec![class.clone()], common::LIMITS, 7);
+        engine.set_backends((1..=6).map(|id| common::backend(id, Place::Region)).collect(), start);
+        (1..=6).for_each(|id| engine.record_report(id, report(12, start)));
+        let now = start + Duration::from_secs(5);
+        (2..=6).for_each(|id| engine.record_report(id, report(busy, now)));
+        for object in 1..=60 {
+            engine.submit(Arrival { object: Some(object), ..Arrival::new(object, 0, object, 10) }, now);
+        }
+        common::started(&mut engine).into_iter().filter(|(_, server)| *server == 1).count()
+    };
+    assert_eq!(sent(12), 0, "the others are full");
+    assert!(sent(0) > 0, "the others are idle");
+}
+
+/// Load: a server starts while the others run. It gets a part of its objects at first, which grows; the rest stay where they are warm.
+#[test]
+fn a_server_that_starts_gets_a_growing_part_of_its_objects() {
+    let class = class::Spec { affinity: true, ..class::Spec::new(0, Duration::from_secs(2)) };
+    let now = Time::from_millis(1_000);
+    let started_at = now + Duration::from_millis(500);
+    let start = SlowStart { until: started_at, per_second: 1e6, starter: true, phase: 0.0, learns_pace: true };
+    let part = |now: Time, learns_pace: bool| {
+        let mut engine = Engine::new(vec![class.clone()], common::LIMITS, 7);
+        let new = Spec { slow_start: Some(SlowStart { learns_pace, ..start }), ..common::backend(1, Place::Region) };
+        engine.set_backends(
+            std::iter::once(new).chain((2..=4).map(|id| common::backend(id, Place::Region))).collect(),
+            Time::from_millis(1_000),
+        );
+        let first = |object: u64| {
+            let mut engine = engine.clone();
+            engine.submit(Arrival { object: Some(object), ..Arrival::new(object, 0, object, 10) }, now);
+            common::started(&mut engine).first().map(|(_, server)| *server)
+        };
+        (1..=400).filter(|object| first(*object) == Some(1)).count()
+    };
+    let fair = part(started_at + Duration::from_secs(9), true);
+    assert!((80..=120).contains(&fair), "{fair} of 400 objects once it has run for long");
+    let first = part(started_at, true);
+    assert!(first * 4 <= fair && first > 0, "{first} of {fair} at first");
+    let later = part(started_at + Duration::from_secs(3), true);
+    assert!(later * 10 >= fair * 8, "{later} of {fair} after three seconds");
+    assert!(part(started_at, false) > 4 * first, "without the setting it gets all at once");
+}
--- a/crates/steer/tests/answers.rs
+++ b/crates/steer/tests/answers.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use base::hash;
 use base::time::Time;
 use proptest::prelude::*;
 use rstest::rstest;
 use steer::answer::look_up;
+use steer::by_region;
 use steer::shift::{Controller, HIGH_WATER, Load, RAMP_TIME, Shares};
 use steer::table::{Block, Table};
 use steer::view::{Entry, Standing, View};
@@ -231,3 +233,51 @@
     run(&mut controller, 6, RAMP_TIME.as_secs(), |now| loads(now, false));
     assert!((controller.shares().share(0, 0) - 1.0).abs() < 1e-9);
 }
+
+/// Entry instances of one region with these capacities.
+fn sized(capacities: &[u32]) -> View {
+    let entries = capacities.iter().enumerate();
+    let entry =
+        |(number, capacity): (usize, &u32)| Entry { capacity: *capacity, ..entry(0, 0, number, Standing::Good) };
+    View::new(entries.map(entry).collect(), 1)
+}
+
+/// Load: a fifth of the machines carry ten times as much as the others. Callers pick one of those that they are told of at random.
+#[test]
+fn callers_are_told_of_machines_in_proportion_to_what_they_carry() {
+    let view = sized(&[1_000, 1_000, 1_000, 1_000, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100]);
+    let mut load = [0.0; 16];
+    for caller in 0..20_000_u64 {
+        let told = by_region::look_up(&view, Some(0), hash::bytes(&caller.to_le_bytes()), 64);
+        told.iter().for_each(|position| load[usize::from(*position)] += 1.0 / told.len() as f64);
+    }
+    let (large, small) = (load[..4].iter().sum::<f64>() / 4.0, load[4..].iter().sum::<f64>() / 12.0);
+    assert!((7.0..=13.0).contains(&(large / small)), "{large} callers at a large machine, {small} at a small one");
+}
+
+/// Guards against callers that give up their connections because they are told of other instances each time.
+#[test]
+fn a_caller_is_always_told_of_the_same_machines() {
+    let view = sized(&[1_000, 100, 100, 100, 100, 100, 100, 100]);
+    let fewer = sized(&[1_000, 100, 100, 100, 100, 100, 100]);
+    for caller in 0..100 {
+        let told = by_region::look_up(&view, Some(0), caller, 64);
+        assert_eq!(told, by_region::look_up(&view, Some(0), caller, 64));
+        assert!(told.len() >= 3 && told.contains(&0), "{told:?}");
+        if !told.contains(&7) {
+            assert_eq!(
+                told,
+                by_region::look_up(&fewer, Some(0), caller, 64),
+                "the loss of another one changes nothing"
+            );
+        }
+    }
+}
+
+/// Guards against a different load where machines are alike or nothing is known of them.
+#[test]
+fn equal_machines_are_all_told() {
+    let told = by_region::look_up(&sized(&[5; 12]), Some(0), 77, 64);
+    assert_eq!(told, (0..12).collect::<Vec<u16>>());
+    assert_eq!(by_region::look_up(&sized(&[5; 12]), Some(0), 77, 4).len(), 4, "up to the limit");
+}
