--- a/crates/ctl/src/findings.rs
+++ b/crates/ctl/src/findings.rs
@@ -139,7 +139,7 @@
         match (before.classes.get(name), next.classes.get(name)) {
             (Some(old), Some(new)) => found.extend(class_changes(&key, old, new)),
             (Some(_), None) => {
-                found.push(change(key, "is removed; its requests get 404 unless another class covers them"))
+                found.push(change(key, "is removed; its requests get 404 unless another class covers them"));
             }
             (None, Some(_)) => found.push(change(key, "is new; its objects are cold at first")),
             (None, None) => {}
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -49,7 +49,7 @@
             Long("check") => check = true,
             Long("set") => overrides.push(parser.value()?.string()?),
             Long("set-given") => {
-                overrides.extend(Some(parser.value()?.string()?).filter(|given| !given.ends_with('=')))
+                overrides.extend(Some(parser.value()?.string()?).filter(|given| !given.ends_with('=')));
             }
             Value(value) if path.is_none() => path = Some(PathBuf::from(value)),
             other => return Err(other.unexpected()),
--- a/crates/daemon/src/quotas/mod.rs
+++ b/crates/daemon/src/quotas/mod.rs
@@ -58,14 +58,18 @@
 /// What a request that waited for a token is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Verdict {
-    Admitted,
+    /// It may be sent, and has spent a token that would have expired at this time.
+    Admitted(Time),
     /// The quota is used up; a request would pass after this time.
     UsedUp(Duration),
 }
 
 /// A token that a request has spent; given back if the request has not run.
 #[derive(Debug)]
-pub struct Token(Account);
+pub struct Token {
+    account: Account,
+    expires: Time,
+}
 
 impl State {
     /// Creates the state of the daemon `name`, whose process `incarnation` starts at `now`.
@@ -121,21 +125,21 @@
     let now = context.now();
     let receiver = {
         let mut inner = lock(&context.quotas.inner);
-        match inner.stock.admit(account, now) {
-            Admission::Granted => None,
+        let admission = inner.stock.admit(account, now);
+        context.quotas.changed.notify_one();
+        match admission {
+            Admission::Granted(expires) => return Ok(Some(Token { account, expires })),
             Admission::UsedUp(after) => return Err(used_up(after)),
             Admission::Pending => {
                 let (sender, receiver) = oneshot::channel();
                 inner.waiting.entry(account).or_default().push_back(sender);
-                Some(receiver)
+                receiver
             }
         }
     };
-    context.quotas.changed.notify_one();
-    let Some(receiver) = receiver else { return Ok(Some(Token(account))) };
     let wait = MAX_WAIT.min(deadline.since(now));
     match tokio::time::timeout(wait, receiver).await {
-        Ok(Ok(Verdict::Admitted)) => Ok(Some(Token(account))),
+        Ok(Ok(Verdict::Admitted(expires))) => Ok(Some(Token { account, expires })),
         Ok(Ok(Verdict::UsedUp(after))) => Err(used_up(after)),
         Ok(Err(_)) | Err(_) => {
             let mut inner = lock(&context.quotas.inner);
@@ -150,8 +154,8 @@
     pub fn give_back(self, context: &Context) {
         let now = context.now();
         let mut inner = lock(&context.quotas.inner);
-        inner.stock.give_back(self.0, now);
-        inner.serve_waiting(self.0, now);
+        inner.stock.give_back(self.account, self.expires, now);
+        inner.serve_waiting(self.account, now);
     }
 }
 
@@ -159,11 +163,11 @@
     /// Admits requests that wait while there are tokens.
     fn serve_waiting(&mut self, account: Account, now: Time) {
         self.drop_closed(account);
-        while self.stock.take_waiting(account, now) {
+        while let Some(expires) = self.stock.take_waiting(account, now) {
             let sender = self.waiting.get_mut(&account).and_then(VecDeque::pop_front);
-            if sender.is_none_or(|sender| sender.send(Verdict::Admitted).is_err()) {
+            if sender.is_none_or(|sender| sender.send(Verdict::Admitted(expires)).is_err()) {
                 // Its caller has disconnected.
-                self.stock.give_back(account, now);
+                self.stock.give_back(account, expires, now);
             }
         }
     }
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -82,7 +82,7 @@
     /// a server has requests about only few of its objects, so most of the allowed rate would be unused.
     fn pick_rate_limited(&self, state: &Request, now: Time) -> Option<BackendId> {
         let accepts = |server: &&Backend| {
-            let serves = server.spec.service == state.service && self.available(server, state, now);
+            let serves = server.spec.service == state.service && Self::available(server, state, now);
             let latency = self.expected_latency(server, state, 0.0, now);
             serves && now + latency <= state.deadline && self.accepts(server, state, latency, false, now)
         };
@@ -91,7 +91,7 @@
     }
 
     /// Returns whether `server` may get the request at all now, however long it would take there.
-    fn available(&self, server: &Backend, state: &Request, now: Time) -> bool {
+    fn available(server: &Backend, state: &Request, now: Time) -> bool {
         let in_use = !server.leaving() && !server.unavailable(now) && !state.excluded.contains(&server.spec.id);
         in_use && state.regions.contains(server.spec.region)
     }
@@ -151,7 +151,8 @@
     /// Returns the two highest ranked servers of `servers` for the object that can be homes, the highest first. Servers that have
     /// just started are homes of a part of their objects only, unless there are no others.
     fn homes_in(&self, servers: &[BackendId], state: &Request, object: u64, now: Time) -> [Option<BackendId>; 2] {
-        let can_be_home = |id: &BackendId| self.backends.get(id).is_some_and(|server| self.is_home(server, state, now));
+        let can_be_home =
+            |id: &BackendId| self.backends.get(id).is_some_and(|server| Self::is_home(server, state, now));
         let is_within =
             |id: &BackendId| self.backends.get(id).is_some_and(|server| is_within_part(server, object, now));
         let homes = highest_two(servers, object, |id| can_be_home(id) && is_within(id));
@@ -160,7 +161,7 @@
 
     /// Returns whether `server` can be a home of the request's object. One that has just turned a request away stays a home: in
     /// its place the object would be cold.
-    fn is_home(&self, server: &Backend, state: &Request, now: Time) -> bool {
+    fn is_home(server: &Backend, state: &Request, now: Time) -> bool {
         let in_use = !server.leaving() && !server.out_of_use(now) && !state.excluded.contains(&server.spec.id);
         in_use && state.regions.contains(server.spec.region)
     }
@@ -198,9 +199,9 @@
         let mut means: BTreeMap<u16, (f64, f64)> = BTreeMap::new();
         for server in self.backends.values().filter(|server| server.spec.service == service) {
             let (weight, sum) = means.entry(server.spec.region).or_default();
-            let (weighs, others) = server.reported_lately(now);
-            *weight += weighs;
-            *sum += weighs * others;
+            let (recency, others) = server.reported_lately(now);
+            *weight += recency;
+            *sum += recency * others;
         }
         for server in self.backends.values_mut().filter(|server| server.spec.service == service) {
             let (weight, sum) = means.get(&server.spec.region).copied().unwrap_or_default();
--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -29,7 +29,7 @@
 
 /// The tokens of an account.
 #[derive(Debug, Clone, PartialEq)]
-struct Purse {
+struct Bucket {
     limit: Limit,
     /// Share of the quota that is lent to this daemon.
     share: f64,
@@ -51,7 +51,7 @@
     loans: BTreeMap<Member, Loan>,
     /// The earliest end of a loan; `Time::MAX` without loans.
     next_end: Time,
-    purses: BTreeMap<Account, Purse>,
+    buckets: BTreeMap<Account, Bucket>,
     /// Whether it takes no loans any more.
     ended: bool,
 }
@@ -59,19 +59,20 @@
 impl Allocator {
     /// Creates the allocator of the member `own`; `incarnation` is that of its process.
     pub const fn new(own: Member, incarnation: u64) -> Self {
-        Self { own, incarnation, loans: BTreeMap::new(), next_end: Time::MAX, purses: BTreeMap::new(), ended: false }
+        Self { own, incarnation, loans: BTreeMap::new(), next_end: Time::MAX, buckets: BTreeMap::new(), ended: false }
     }
 
     /// Sets the quotas in force. A known account keeps its tokens up to the new burst; a new one begins with none.
     pub fn set_limits(&mut self, limits: impl IntoIterator<Item = (Account, Limit)>, now: Time) {
         self.advance(now);
-        let mut known = std::mem::take(&mut self.purses);
+        let mut known = std::mem::take(&mut self.buckets);
         for (account, limit) in limits {
-            let new = Purse { limit, share: 0.0, tokens: 0.0, filled_at: now, unmet: 0.0, granted: 0.0, faded_at: now };
-            let mut purse = known.remove(&account).unwrap_or(new);
-            purse.limit = limit;
-            purse.cap();
-            self.purses.insert(account, purse);
+            let new =
+                Bucket { limit, share: 0.0, tokens: 0.0, filled_at: now, unmet: 0.0, granted: 0.0, faded_at: now };
+            let mut bucket = known.remove(&account).unwrap_or(new);
+            bucket.limit = limit;
+            bucket.cap();
+            self.buckets.insert(account, bucket);
         }
         self.share_out(now);
     }
@@ -96,7 +97,7 @@
     /// Returns the share of an account's quota that is lent to this daemon at `now`.
     pub fn share(&mut self, account: Account, now: Time) -> f64 {
         self.advance(now);
-        self.purses.get(&account).map_or(0.0, |purse| purse.share)
+        self.buckets.get(&account).map_or(0.0, |bucket| bucket.share)
     }
 
     const fn stamp(&self, now: Time) -> Stamp {
@@ -118,7 +119,9 @@
             return;
         }
         let changed = known.is_none_or(|known| {
-            known.share != ask.share || known.choices != ask.choices || known.released != ask.released
+            known.share.to_bits() != ask.share.to_bits()
+                || known.choices != ask.choices
+                || known.released != ask.released
         });
         let (choices, released) = (ask.choices.clone(), ask.released.clone());
         let loan = Loan { incarnation: ask.incarnation, order, share: ask.share, choices, released, ends_at };
@@ -148,7 +151,7 @@
         for loan in self.loans.values() {
             *by_choices.entry((&loan.choices, &loan.released)).or_default() += loan.share;
         }
-        for (account, purse) in &mut self.purses {
+        for (account, bucket) in &mut self.buckets {
             let is_ours = |(choices, released): (&[Vec<Member>], &[Member])| {
                 let holder = |choice: &Vec<Member>| allocator_of(choice, *account);
                 let is_free = |holder: Option<Member>| {
@@ -158,19 +161,19 @@
                     && choices.iter().skip(1).map(holder).all(is_free)
             };
             let share = by_choices.iter().filter(|(lent, _)| is_ours(**lent)).map(|(_, share)| share).sum();
-            purse.set_share(share, now);
+            bucket.set_share(share, now);
         }
     }
 
     fn part(&mut self, account: Account, wanted: u32, now: Time) -> Part {
-        match self.purses.get_mut(&account) {
-            Some(purse) if purse.can_save_up_one() => purse.part(account, wanted, now),
+        match self.buckets.get_mut(&account) {
+            Some(bucket) if bucket.can_save_up_one() => bucket.part(account, wanted, now),
             _ => Part { account, tokens: 0, lifetime_ms: 0, per_second: 0.0, verdict: Verdict::NoShare },
         }
     }
 }
 
-impl Purse {
+impl Bucket {
     /// Changes the share. What is lent arrives without tokens; what ends takes its part of the tokens with it.
     fn set_share(&mut self, share: f64, now: Time) {
         self.fill(now);
--- a/crates/quota/src/lending.rs
+++ b/crates/quota/src/lending.rs
@@ -15,7 +15,7 @@
 use crate::message::{Account, Ask, Grant, Member, Stamp};
 
 /// Shortest time for which a share is lent. It bounds how long a quota cannot be used after its allocator fails.
-const MIN_TERM: Duration = Duration::from_millis(1_000);
+const MIN_TERM: Duration = Duration::from_secs(1);
 /// Time by which a share is lent longer for each member, so that an allocator's work does not grow with the fleet.
 const TERM_PER_MEMBER: Duration = Duration::from_millis(10);
 /// Fraction of the time of a lending after which it is renewed.
@@ -91,7 +91,7 @@
         let term = term(members);
         if term > self.term {
             // An earlier process of a large fleet may have lent the share for longer than was assumed at the start.
-            self.starts_at = self.starts_at + (term - self.term);
+            self.starts_at = self.starts_at + term.saturating_sub(self.term);
         }
         self.share = share;
         self.term = term;
--- a/crates/quota/src/stock.rs
+++ b/crates/quota/src/stock.rs
@@ -29,8 +29,8 @@
 /// What becomes of a request of an account.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
-    /// It may be sent, and has spent a token.
-    Granted,
+    /// It may be sent, and has spent a token that would have expired at this time.
+    Granted(Time),
     /// Tokens have to be asked for.
     Pending,
     /// The quota is used up; a request would pass after this time.
@@ -68,35 +68,31 @@
     pub fn admit(&mut self, account: Account, now: Time) -> Admission {
         let entry = self.accounts.entry(account).or_insert_with(|| Entry::new(now));
         entry.count(now);
-        if entry.take(now) {
-            return Admission::Granted;
+        if let Some(expires) = entry.take(now) {
+            return Admission::Granted(expires);
         }
         let used_up = entry.used_up.filter(|(until, _)| now < *until).map(|(_, passes_at)| passes_at.since(now));
-        match used_up.filter(|after| *after > SHORT_WAIT) {
-            Some(after) => Admission::UsedUp(after),
-            None => {
-                entry.waiting += 1;
-                Admission::Pending
-            }
+        if let Some(after) = used_up.filter(|after| *after > SHORT_WAIT) {
+            return Admission::UsedUp(after);
         }
+        entry.waiting += 1;
+        Admission::Pending
     }
 
-    /// Gives back the token of a request that has not run.
-    pub fn give_back(&mut self, account: Account, now: Time) {
-        let Some(entry) = self.accounts.get_mut(&account) else { return };
-        // The token may have been about to expire, so it is only worth something to a request that waits now.
-        let expires = entry.tokens.front().map_or(now, |(_, expires)| *expires);
-        if expires > now {
+    /// Gives back the token of a request that has not run. A token keeps its expiry: what it was lent for may have been lent
+    /// again since.
+    pub fn give_back(&mut self, account: Account, expires: Time, now: Time) {
+        if let Some(entry) = self.accounts.get_mut(&account).filter(|_| now < expires) {
             entry.tokens.push_front((1, expires));
         }
     }
 
-    /// Gives a token to a request that waits; returns whether there was one.
-    pub fn take_waiting(&mut self, account: Account, now: Time) -> bool {
-        let Some(entry) = self.accounts.get_mut(&account) else { return false };
-        let taken = entry.waiting > 0 && entry.take(now);
-        entry.waiting -= u32::from(taken);
-        taken
+    /// Gives a token to a request that waits; returns when the token would have expired, or `None` if none was given.
+    pub fn take_waiting(&mut self, account: Account, now: Time) -> Option<Time> {
+        let entry = self.accounts.get_mut(&account).filter(|entry| entry.waiting > 0)?;
+        let expires = entry.take(now)?;
+        entry.waiting -= 1;
+        Some(expires)
     }
 
     /// Counts a request that waited as gone.
@@ -186,13 +182,14 @@
         self.tokens.iter().filter(|(_, expires)| now < *expires).map(|(tokens, _)| tokens).sum()
     }
 
-    fn take(&mut self, now: Time) -> bool {
+    /// Takes the token that expires first; returns when it expires.
+    fn take(&mut self, now: Time) -> Option<Time> {
         while self.tokens.front().is_some_and(|(tokens, expires)| *tokens == 0 || *expires <= now) {
             self.tokens.pop_front();
         }
-        let Some((tokens, _)) = self.tokens.front_mut() else { return false };
+        let (tokens, expires) = self.tokens.front_mut()?;
         *tokens -= 1;
-        true
+        Some(*expires)
     }
 
     /// Returns how many tokens to ask for: for the requests that wait, and for those that are expected soon.
--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -6,7 +6,7 @@
 
 use base::time::Time;
 use fastrand::Rng;
-use quota::message::{Ask, Grant, Member};
+use quota::message::{Ask, Grant, Member, Part, Verdict};
 use quota::stock::Admission;
 use quota::{Allocator, Lender, Limit, Stock};
 use rstest::rstest;
@@ -110,7 +110,7 @@
         live.into_iter().take(ALLOCATORS).map(|one| one as Member).collect()
     }
 
-    fn send(&mut self, message: Message) {
+    fn send(&mut self, message: &Message) {
         let copies = if self.rng.f64() < self.network.repeat { 2 } else { 1 };
         for _ in 0..copies {
             if self.rng.f64() < self.network.loss {
@@ -134,7 +134,7 @@
                 Message::Ask(from, to, ask, sent_at) => {
                     if self.instances[to].is_up && self.side[from] == self.side[to] {
                         let grant = self.instances[to].allocator.answer(&ask, self.now);
-                        self.send(Message::Grant(to, from, grant, sent_at));
+                        self.send(&Message::Grant(to, from, grant, sent_at));
                     }
                 }
                 Message::Grant(from, to, grant, sent_at) => self.receive(from, to, &grant, sent_at),
@@ -151,7 +151,7 @@
         instance.lender.record(from as Member, grant, sent_at, self.now);
         for part in &grant.parts {
             let used_up = instance.stock.record(*part, sent_at, self.now);
-            while instance.stock.take_waiting(ACCOUNT, self.now) {
+            while instance.stock.take_waiting(ACCOUNT, self.now).is_some() {
                 instance.waiting.remove(0);
                 self.admitted.push(self.now);
             }
@@ -164,7 +164,7 @@
     fn request(&mut self, index: usize) {
         let instance = &mut self.instances[index];
         match instance.stock.admit(ACCOUNT, self.now) {
-            Admission::Granted => self.admitted.push(self.now),
+            Admission::Granted(_) => self.admitted.push(self.now),
             Admission::Pending => instance.waiting.push(self.now),
             Admission::UsedUp(_) => {}
         }
@@ -188,7 +188,7 @@
             }
         }
         for (member, ask) in due {
-            self.send(Message::Ask(index, member as usize, ask, now));
+            self.send(&Message::Ask(index, member as usize, ask, now));
         }
     }
 
@@ -209,7 +209,7 @@
                 if !self.instances[index].is_up {
                     continue;
                 }
-                if ticks % 20 == 0 {
+                if ticks.is_multiple_of(20) {
                     let (choice, now) = (self.choice(index, wrong), self.now);
                     self.instances[index].lender.choose(&choice, now);
                 }
@@ -270,7 +270,7 @@
     let mut fleet = Fleet::new(size, Limit { rate, burst: rate }, ROUGH, seed);
     let demand: Vec<usize> = (0..size).collect();
     for _ in 0..24 {
-        for _ in 0..1 + size / 10 {
+        for _ in 0..=size / 10 {
             let index = fleet.rng.usize(..size);
             match fleet.rng.u32(..6) {
                 0 => fleet.instances[index].is_up = false,
@@ -315,3 +315,24 @@
     fleet.check(Duration::from_secs(5));
     assert!(fleet.used(cut) <= 1.1);
 }
+
+/// Guards against a token that outlives its expiry because its request waited and did not run: the allocator has granted its
+/// place in the quota again by then.
+#[test]
+fn a_token_that_is_given_back_keeps_its_expiry() {
+    let mut stock = Stock::new();
+    let at = |millis| START + Duration::from_millis(millis);
+    let part =
+        |tokens, lifetime_ms| Part { account: ACCOUNT, tokens, lifetime_ms, per_second: 1.0, verdict: Verdict::All };
+    assert_eq!(stock.admit(ACCOUNT, START), Admission::Pending);
+    stock.stop_waiting(ACCOUNT);
+    stock.record(part(1, 1_000), START, START);
+    let Admission::Granted(expires) = stock.admit(ACCOUNT, at(10)) else { panic!("a token is in stock") };
+    assert_eq!(expires, at(1_000));
+    stock.record(part(1, 2_000), START, at(900));
+    stock.give_back(ACCOUNT, expires, at(1_100));
+    assert_eq!(stock.state(ACCOUNT, at(1_100)).0, 1);
+    stock.give_back(ACCOUNT, expires, at(950));
+    assert_eq!(stock.state(ACCOUNT, at(950)).0, 2);
+    assert_eq!(stock.state(ACCOUNT, at(1_050)).0, 1);
+}
--- a/crates/quota/tests/lending.rs
+++ b/crates/quota/tests/lending.rs
@@ -63,7 +63,7 @@
 /// An account of each allocator if both are chosen.
 fn accounts() -> [Account; 2] {
     ALLOCATORS.map(|allocator| {
-        (1..).find(|account| allocator_of(&ALLOCATORS, *account) == Some(allocator)).expect("one of them has it")
+        (1..1_000).find(|account| allocator_of(&ALLOCATORS, *account) == Some(allocator)).expect("one of them has it")
     })
 }
 
@@ -210,7 +210,7 @@
 #[test]
 fn a_share_is_lent_to_the_allocator_of_each_account() {
     let mut world = World::new();
-    assert_eq!(world.shares(), [1.0, 1.0]);
+    assert!(world.shares().iter().all(|share| (share - 1.0).abs() < 1e-9));
     let now = world.now;
     let [first, second] = accounts();
     assert!((world.allocators[0].share(first, now) - 1.0).abs() < 1e-9);
