--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -15,7 +15,6 @@
 
 use super::{Candidate, Engine, Request};
 use crate::backend::{Backend, BackendId, Place};
-use crate::regions;
 
 /// Probability that other daemons have made an object warm at its primary home, before this daemon has sent it there.
 const PRIMARY_WARM_PROBABILITY: f64 = 0.9;
@@ -121,33 +120,24 @@
         let Some([near, far]) = self.tiers.get(service) else {
             return [None, None];
         };
-        let allowed = |servers: &[BackendId]| {
-            state.regions == regions::Set::ALL || servers.iter().any(|id| self.allows(state, *id))
-        };
-        // A request that may run in one of the two only has its primary home there, whatever the share of other objects.
-        let primary_near = match (allowed(near), allowed(far)) {
-            (true, false) => true,
-            (false, true) => false,
-            _ => self.near_shares.get(service).is_none_or(|share| hash::unit_interval(object) < *share),
-        };
         let home = |id: Option<BackendId>, is_primary: bool| {
             let warm_probability = if is_primary { PRIMARY_WARM_PROBABILITY } else { SECONDARY_WARM_PROBABILITY };
             id.map(|id| Home { id, is_primary, warm_probability })
         };
         let [in_near, in_far] = [near, far].map(|servers| self.homes_in(servers, state, object, now));
         match (in_near, in_far) {
+            // A request that may run in one of the two only has its primary home there, whatever the share of other objects.
             ([first, second], [None, None]) | ([None, None], [first, second]) => {
                 [home(first, true), home(second, false)]
             }
-            ([near, _], [far, _]) => [home(near, primary_near), home(far, !primary_near)],
+            ([near, _], [far, _]) => {
+                let share = self.near_shares.get(service);
+                let primary_near = share.is_none_or(|share| hash::unit_interval(object) < *share);
+                [home(near, primary_near), home(far, !primary_near)]
+            }
         }
     }
 
-    /// Whether a server is in a region that may run the request.
-    fn allows(&self, state: &Request, id: BackendId) -> bool {
-        self.backends.get(&id).is_some_and(|server| state.regions.contains(server.spec.region))
-    }
-
     /// Returns the two highest ranked servers of `servers` for the object that can be homes, the highest first. Servers that have
     /// just started are homes of a part of their objects only, unless there are no others.
     fn homes_in(&self, servers: &[BackendId], state: &Request, object: u64, now: Time) -> [Option<BackendId>; 2] {
--- a/crates/quota/tests/fleet.rs
+++ b/crates/quota/tests/fleet.rs
@@ -336,3 +336,28 @@
     assert_eq!(stock.state(ACCOUNT, at(950)).0, 2);
     assert_eq!(stock.state(ACCOUNT, at(1_050)).0, 1);
 }
+
+/// Guards against an allocator that begins with a full burst: each allocator that starts or takes over would let a whole burst
+/// through again.
+#[test]
+fn an_allocator_that_starts_saves_up_its_tokens_from_zero() {
+    let allocator_of_all: Member = 9;
+    let mut allocator = Allocator::new(allocator_of_all, 1);
+    allocator.set_limits([(ACCOUNT, Limit { rate: 20.0, burst: 100.0 })], START);
+    let ask = |number, stamp, tokens| Ask {
+        from: 1,
+        incarnation: 1,
+        number,
+        share: 1.0,
+        lent_ms: 10_000,
+        choices: vec![vec![allocator_of_all]],
+        released: Vec::new(),
+        stamp,
+        wants: vec![(ACCOUNT, tokens)],
+    };
+    let stamp = allocator.answer(&ask(1, None, 0), START).stamp;
+    let tokens = |grant: &Grant| grant.parts.iter().map(|part| part.tokens).sum::<u32>();
+    assert_eq!(tokens(&allocator.answer(&ask(2, Some(stamp), 50), START)), 0);
+    let later = START + Duration::from_secs(1);
+    assert_eq!(tokens(&allocator.answer(&ask(3, Some(stamp), 50), later)), 20);
+}
