--- a/crates/quota/src/lending.rs
+++ b/crates/quota/src/lending.rs
@@ -3,8 +3,9 @@
 //! A share must never be with two allocators at once. Each lending ends by itself, and the lender knows a time by which it
 //! has surely ended: the allocator counts the time from its own earlier answer, which the lender had before it sent the
 //! message, and the lender counts it from when that answer arrived. So neither clocks that differ nor a message that arrives
-//! late make the lending last longer than its lender assumes. An allocator that stops says so, which ends its loans at once. While lendings under an earlier choice of allocators may last,
-//! the accounts that this choice and the present one give to different allocators are lent to neither.
+//! late make the lending last longer than its lender assumes. An allocator that stops says so, which ends its loans at once.
+//! While lendings under an earlier choice of allocators may last, the accounts that this choice and the present one give to
+//! different allocators are lent to neither.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
