--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -184,9 +184,9 @@
         self.others.reported_lately(now)
     }
 
-    /// Sets the assumed work of other daemons, used until an answer has reported it, and again once that is long ago.
-    pub const fn assume_others(&mut self, others: f64) {
-        self.others.assume(others);
+    /// Sets the assumed work of other daemons until an answer has reported it, and once that is long ago.
+    pub const fn assume_others(&mut self, others: f64, in_silence: f64) {
+        self.others.assume(others, in_silence);
     }
 
     /// Returns when the server last reported its load; `None` if it never did.
--- a/crates/dispatch/src/backend/others.rs
+++ b/crates/dispatch/src/backend/others.rs
@@ -6,8 +6,8 @@
 
 /// Half-life of the reported work.
 const HALF_LIFE: Duration = Duration::from_millis(300);
-/// Time without a report after which the average fades towards what is assumed. Without that, a server that gets nothing because
-/// it was busy could never report that it is free.
+/// Time without a report after which the average fades. Without that, a server that gets nothing because it was busy could never
+/// report that it is free.
 const SILENCE: Duration = Duration::from_millis(500);
 /// Weight of a new report in the average.
 const EWMA_WEIGHT: f64 = 0.2;
@@ -19,8 +19,10 @@
     reported: Option<(f64, Time)>,
     /// Running average of the reports.
     average: f64,
-    /// What the other servers of the service in the region suggest where no report says more.
+    /// What the other servers of the service in the region suggest until there is a report.
     assumed: f64,
+    /// The same long after the last report.
+    assumed_in_silence: f64,
 }
 
 impl Others {
@@ -30,9 +32,10 @@
         self.reported = Some((others, at));
     }
 
-    /// Sets what is assumed without a report, and again long after the last one.
-    pub(super) const fn assume(&mut self, others: f64) {
+    /// Sets what is assumed without a report, and what is assumed long after the last one.
+    pub(super) const fn assume(&mut self, others: f64, in_silence: f64) {
         self.assumed = others;
+        self.assumed_in_silence = in_silence;
     }
 
     /// Returns what is assumed without a report.
@@ -46,10 +49,11 @@
     }
 
     /// Returns the work by the reports; `None` before the first one. A report is current when it arrives and fades to the average,
-    /// which fades to what is assumed.
+    /// which fades to what is assumed then.
     pub(super) fn estimate(&self, now: Time) -> Option<f64> {
         let (reported, at) = self.reported?;
-        let average = self.assumed + (self.average - self.assumed) * half_lives(at + SILENCE, SILENCE, now);
+        let assumed = self.assumed_in_silence;
+        let average = assumed + (self.average - assumed) * half_lives(at + SILENCE, SILENCE, now);
         Some(average + (reported - average) * half_lives(at, HALF_LIFE, now))
     }
 }
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -175,17 +175,21 @@
         (regions as f64 * near / (near + far)).min(1.0).powf(SHORTAGE_EXPONENT)
     }
 
-    /// Assumes that servers whose load has not been reported lately are as busy as the others of their service in their region:
-    /// a server that this daemon has not used is not idle.
+    /// Assumes that servers without a load report are as busy as the others of their service in their region: servers that this
+    /// daemon has not used yet are not idle. While client accounts compete for servers, the same holds for those whose last
+    /// report is long ago.
     ///
-    /// Load pattern: a region is overloaded, and many daemons share its servers. Each of them learns of a server only by its
-    /// own answers. If it took a server for idle after a moment of silence, all of them would keep all servers full.
+    /// Load pattern: accounts ask for more than a region can do, and many daemons share its servers. Each of them learns of a
+    /// server only by its own answers. If it took a server for idle after a moment of silence, all of them would keep all
+    /// servers full, whatever part an account has had. Without accounts that is not worth its price: after a peak, requests
+    /// would go to other regions for as long as its reports count.
     pub(super) fn estimate_loads(&mut self, service: u16, now: Time) {
         let last = self.loads_estimated_at.entry(service).or_insert(Time::ZERO);
         if now.since(*last) < ESTIMATE_INTERVAL {
             return;
         }
         *last = now;
+        let has_accounts = !self.usage.is_empty();
         let mut means: BTreeMap<u16, (f64, f64)> = BTreeMap::new();
         for server in self.backends.values().filter(|server| server.spec.service == service) {
             let (weight, sum) = means.entry(server.spec.region).or_default();
@@ -196,7 +200,8 @@
         for server in self.backends.values_mut().filter(|server| server.spec.service == service) {
             let (weight, sum) = means.get(&server.spec.region).copied().unwrap_or_default();
             // With few reports, the assumption is that of an idle server.
-            server.assume_others(sum / weight.max(1.0));
+            let others = sum / weight.max(1.0);
+            server.assume_others(others, if has_accounts { others } else { 0.0 });
         }
     }
 
--- a/crates/dispatch/src/fairness.rs
+++ b/crates/dispatch/src/fairness.rs
@@ -61,6 +61,11 @@
         Self { accounts: BTreeMap::new(), equal: 0.0, equal_at: Time::ZERO, refused: 0.0 }
     }
 
+    /// Whether no account has had work.
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
     /// Returns how much of its target a request of an account may be expected to take when it is sent: all of it for an account
     /// with up to an equal part of the work, less for one with more. So while servers are full, those accounts stop sending
     /// first, at all daemons alike, and leave room for the others.
