--- a/crates/dispatch/src/backend.rs
+++ b/crates/dispatch/src/backend.rs
@@ -179,6 +179,11 @@
         self.report = Some(report);
     }
 
+    /// Returns the average work of other daemons; `None` until an answer has reported it.
+    pub fn average_others(&self) -> Option<f64> {
+        self.others.average()
+    }
+
     /// Returns the work of other daemons by the last report in an answer, and its weight, which fades with its age.
     pub fn reported_lately(&self, now: Time) -> (f64, f64) {
         self.others.reported_lately(now)
--- a/crates/dispatch/src/backend/others.rs
+++ b/crates/dispatch/src/backend/others.rs
@@ -19,7 +19,7 @@
     reported: Option<(f64, Time)>,
     /// Running average of the reports.
     average: f64,
-    /// What the other servers of the service in the region suggest until there is a report.
+    /// What the other servers of the service suggest until there is a report.
     assumed: f64,
     /// The same long after the last report.
     assumed_in_silence: f64,
@@ -32,6 +32,11 @@
         self.reported = Some((others, at));
     }
 
+    /// Returns the average of the reports; `None` before the first one.
+    pub(super) fn average(&self) -> Option<f64> {
+        self.reported.map(|_| self.average)
+    }
+
     /// Sets what is assumed without a report, and what is assumed long after the last one.
     pub(super) const fn assume(&mut self, others: f64, in_silence: f64) {
         self.assumed = others;
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -43,7 +43,9 @@
 /// Slots that requests which will miss the target must leave free.
 const RESERVED_SLOTS: f64 = 1.0;
 /// Interval between estimates of the load of servers without a report.
-const ESTIMATE_INTERVAL: Duration = Duration::from_millis(100);
+const ESTIMATE_INTERVAL: Duration = Duration::from_millis(500);
+/// The same where the estimate also stands in for reports that are old: it must follow the load.
+const REGION_ESTIMATE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The home servers of an object, near and far; `None` where no server is available.
 pub(super) type Homes = [Option<BackendId>; 2];
@@ -175,21 +177,34 @@
         (regions as f64 * near / (near + far)).min(1.0).powf(SHORTAGE_EXPONENT)
     }
 
-    /// Assumes that servers without a load report are as busy as the others of their service in their region: servers that this
-    /// daemon has not used yet are not idle. While client accounts compete for servers, the same holds for those whose last
-    /// report is long ago.
-    ///
-    /// Load pattern: accounts ask for more than a region can do, and many daemons share its servers. Each of them learns of a
-    /// server only by its own answers. If it took a server for idle after a moment of silence, all of them would keep all
-    /// servers full, whatever part an account has had. Without accounts that is not worth its price: after a peak, requests
-    /// would go to other regions for as long as its reports count.
+    /// Assumes that servers without a load report are as busy as the others of their service: servers that this daemon
+    /// has not used yet are not idle.
     pub(super) fn estimate_loads(&mut self, service: u16, now: Time) {
+        let has_accounts = !self.usage.is_empty();
+        let interval = if has_accounts { REGION_ESTIMATE_INTERVAL } else { ESTIMATE_INTERVAL };
         let last = self.loads_estimated_at.entry(service).or_insert(Time::ZERO);
-        if now.since(*last) < ESTIMATE_INTERVAL {
+        if now.since(*last) < interval {
             return;
         }
         *last = now;
-        let has_accounts = !self.usage.is_empty();
+        if has_accounts {
+            return self.estimate_loads_by_region(service, now);
+        }
+        let servers = self.backends.values().filter(|server| server.spec.service == service);
+        let reported = servers.filter_map(Backend::average_others);
+        let (count, sum) = reported.fold((0.0, 0.0), |(count, sum), one| (count + 1.0, sum + one));
+        let servers = self.backends.values_mut().filter(|server| server.spec.service == service);
+        servers.for_each(|server| server.assume_others(sum / f64::max(count, 1.0), 0.0));
+    }
+
+    /// Assumes that servers without a load report, and those whose last one is long ago, are as busy as the others of their service
+    /// in their region.
+    ///
+    /// Load pattern: client accounts ask for more than a region can do, and many daemons share its servers. Each of them learns
+    /// of a server only by its own answers. If it took a server for idle after a moment of silence, all of them would keep all
+    /// servers full, whatever part an account has had. Without accounts that is not worth its price: after a peak, requests
+    /// would go to other regions for as long as its reports count.
+    fn estimate_loads_by_region(&mut self, service: u16, now: Time) {
         let mut means: BTreeMap<u16, (f64, f64)> = BTreeMap::new();
         for server in self.backends.values().filter(|server| server.spec.service == service) {
             let (weight, sum) = means.entry(server.spec.region).or_default();
@@ -201,7 +216,7 @@
             let (weight, sum) = means.get(&server.spec.region).copied().unwrap_or_default();
             // With few reports, the assumption is that of an idle server.
             let others = sum / weight.max(1.0);
-            server.assume_others(others, if has_accounts { others } else { 0.0 });
+            server.assume_others(others, others);
         }
     }
 
