--- a/crates/dispatch/src/engine/held.rs
+++ b/crates/dispatch/src/engine/held.rs
@@ -166,7 +166,7 @@
             Some(false) => class.work.cold(),
             None => class.typical_latency(),
         };
-        self.usage.record_outcome(state.patience, false);
+        self.usage.record_outcome(state.target_fraction, false);
         self.usage.record(state.account, work.mul_f64(pace), now);
     }
 
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -238,7 +238,7 @@
             return false;
         }
         let (load, slots) = (server.load(now), f64::from(server.spec.slots));
-        let target = state.arrived + self.classes[state.class].spec.target.mul_f64(state.patience);
+        let target = state.arrived + self.classes[state.class].spec.target.mul_f64(state.target_fraction);
         let in_time = now + latency <= target && load < slots * MAX_LOAD_PER_SLOT;
         in_time || load < slots - RESERVED_SLOTS
     }
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -212,7 +212,7 @@
             regions: spec.regions.and(account.regions),
             account: account.id,
             precedence: (account.rank.unwrap_or(spec.rank), spec.rank),
-            patience: if account.id == 0 { 1.0 } else { self.usage.patience(account.id, now) },
+            target_fraction: if account.id == 0 { 1.0 } else { self.usage.target_fraction(account.id, now) },
             returning,
             fingerprint,
             bytes,
--- a/crates/dispatch/src/engine/state.rs
+++ b/crates/dispatch/src/engine/state.rs
@@ -26,7 +26,7 @@
     /// Priority: the account's, then the class's.
     pub(super) precedence: Precedence,
     /// Fraction of its target that it may be expected to take when it is sent.
-    pub(super) patience: f64,
+    pub(super) target_fraction: f64,
     /// Whether it was refused before, and its caller came back when it was told to.
     pub(super) returning: Return,
     pub(super) fingerprint: u64,
--- a/crates/dispatch/src/fairness.rs
+++ b/crates/dispatch/src/fairness.rs
@@ -19,9 +19,9 @@
 /// Time between two computations of an equal part.
 const EQUAL_INTERVAL: Duration = Duration::from_millis(200);
 /// Fraction of its target that a request may be expected to take, whatever its account had.
-const LEAST_PATIENCE: f64 = 0.75;
+const LEAST_TARGET_FRACTION: f64 = 0.75;
 /// The same while all requests of accounts with up to an equal part are refused.
-const HARD_PATIENCE: f64 = 0.2;
+const LEAST_TARGET_FRACTION_IN_SHORTAGE: f64 = 0.2;
 /// Weight of the latest request in the fraction of refused ones.
 const OUTCOME_WEIGHT: f64 = 0.02;
 /// Maximum number of refused requests that are remembered.
@@ -69,19 +69,19 @@
     /// Returns how much of its target a request of an account may be expected to take when it is sent: all of it for an account
     /// with up to an equal part of the work, less for one with more. So while servers are full, those accounts stop sending
     /// first, at all daemons alike, and leave room for the others.
-    pub fn patience(&mut self, account: u64, now: Time) -> f64 {
+    pub fn target_fraction(&mut self, account: u64, now: Time) -> f64 {
         if now.since(self.equal_at) >= EQUAL_INTERVAL {
             self.update_equal(now);
         }
         let work = self.work(account, now);
-        let least = LEAST_PATIENCE + (HARD_PATIENCE - LEAST_PATIENCE) * self.refused;
+        let least = LEAST_TARGET_FRACTION + (LEAST_TARGET_FRACTION_IN_SHORTAGE - LEAST_TARGET_FRACTION) * self.refused;
         if work <= self.equal { 1.0 } else { (self.equal / work).sqrt().max(least) }
     }
 
-    /// Records whether a request with this patience was refused for lack of room, or sent. While requests of accounts with up to
-    /// an equal part are refused, the others get less patience.
-    pub fn record_outcome(&mut self, patience: f64, refused: bool) {
-        if patience >= 1.0 {
+    /// Records whether a request with this fraction was refused for lack of room, or sent. While requests of accounts with up to
+    /// an equal part are refused, the others get smaller fractions.
+    pub fn record_outcome(&mut self, target_fraction: f64, refused: bool) {
+        if target_fraction >= 1.0 {
             self.refused += OUTCOME_WEIGHT * (f64::from(u8::from(refused)) - self.refused);
         }
     }
