--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -214,35 +214,31 @@
     if outgoing.keyed.is_some() {
         return run_keyed(context, outgoing, submission).await;
     }
-    let route = Route { sender, regions, deadline };
+    let passage = relay::Passage { regions, account: identity.for_instance(), deadline };
     if context.reach.is_lost() {
-        return send_through_peer(context, &outgoing, &route).await;
+        return send_through_peer(context, &outgoing, &passage, sender).await;
     }
     let mut guard = AbandonGuard { context: Arc::clone(context), request: Some(outgoing.number) };
     let outcome = context.driver.submit(context, Arc::clone(&outgoing), submission).await;
     guard.request = None;
     let outcome = outcome.unwrap_or_else(|_| Err(Kind::Internal.into()));
     if is_not_run(&outcome) && context.reach.is_lost() {
-        return send_through_peer(context, &outgoing, &route).await;
+        return send_through_peer(context, &outgoing, &passage, sender).await;
     }
     outcome
 }
 
-/// Where else a request may run, and until when.
-struct Route {
-    /// Who sent it here: another entry instance has passed it on already.
-    sender: Sender,
-    /// Regions that may run it; all if there are none.
-    regions: Vec<String>,
-    deadline: Time,
-}
-
 /// Passes a request that this daemon did not run and cannot run on to another entry instance.
-async fn send_through_peer(context: &Arc<Context>, outgoing: &Outgoing, route: &Route) -> Outcome {
-    if route.sender == Sender::Peer {
+async fn send_through_peer(
+    context: &Arc<Context>,
+    outgoing: &Outgoing,
+    passage: &relay::Passage,
+    sender: Sender,
+) -> Outcome {
+    if sender == Sender::Peer {
         return Err(Kind::Unreachable.into());
     }
-    relay::send(context, outgoing, &route.regions, route.deadline).await
+    relay::send(context, outgoing, passage).await
 }
 
 /// Runs a keyed request to completion even if its caller disconnects: the answer is kept in case the caller sends the
--- a/crates/daemon/src/callers/identity.rs
+++ b/crates/daemon/src/callers/identity.rs
@@ -7,8 +7,7 @@
 use base::time::Time;
 use config::policy::{Account, Class};
 use dispatch::{engine, regions};
-use h1::head;
-use http::header::{AUTHORIZATION, HeaderMap, HeaderValue};
+use http::header::{AUTHORIZATION, HeaderMap, HeaderValue, PROXY_AUTHORIZATION};
 
 use super::forward::Sender;
 use crate::Context;
@@ -17,6 +16,9 @@
 
 /// Scheme of the `Authorization` header by which callers send a key, in lower case.
 const SCHEME: &str = "bearer";
+/// Scheme of the `Proxy-Authorization` header by which an instance names the account of a request that it passes on, in lower
+/// case. No build passes on a caller's header of this name, so it is the word of the instance itself.
+const RELAYED_SCHEME: &str = "account";
 
 /// The client account of a request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -29,7 +31,7 @@
 
 impl Identity {
     /// Returns the account that holds the request's key, or that another entry instance names; an error if the request needs a
-    /// key and bears no known one.
+    /// key and bears no known one, or if the account that the instance names is not known here.
     pub fn of(
         context: &Context,
         active: &ActivePolicy,
@@ -40,21 +42,28 @@
         if active.policy.accounts.is_none() {
             return Ok(Self::default());
         }
-        if keys_unconfirmed(context) {
+        let key = headers.get(AUTHORIZATION).and_then(|value| credentials(value, SCHEME));
+        if keys_unconfirmed(context) && !(class.public && key.is_none()) {
             return Err(Kind::PolicyStale);
         }
-        let key = headers.get(AUTHORIZATION).and_then(key);
-        let holder = key.and_then(|key| active.directory.account_of(key));
         // An instance that passes a request on has checked the key and does not pass it on; earlier builds do.
-        let relayed =
-            (sender == Sender::Peer && key.is_none()).then(|| head::text(headers, &context.dialect.account)).flatten();
-        match holder.or(relayed) {
-            Some(name) => Ok(Self { name: Some(name.to_owned()), is_counted: holder.is_none() }),
+        if let Some(name) = relayed_name(headers, sender) {
+            // Without the account's regions, the request could run where it must not.
+            active.policy.account(name).ok_or(Kind::PolicyStale)?;
+            return Ok(Self { name: Some(name.to_owned()), is_counted: true });
+        }
+        match key.and_then(|key| active.directory.account_of(key)) {
+            Some(name) => Ok(Self { name: Some(name.to_owned()), is_counted: false }),
             None if class.public => Ok(Self::default()),
             None => Err(Kind::UnknownKey),
         }
     }
 
+    /// Returns the value of `Proxy-Authorization` that names the account to an instance that the request is passed on to.
+    pub fn for_instance(&self) -> Option<HeaderValue> {
+        HeaderValue::try_from(format!("{RELAYED_SCHEME} {}", self.name()?)).ok()
+    }
+
     /// Returns the account's name; `None` if the request has none.
     pub fn name(&self) -> Option<&str> {
         self.name.as_deref()
@@ -126,9 +135,15 @@
     age.is_none_or(|age| age.as_secs_f64() > settings.revoke_s)
 }
 
-/// Returns the key in the value of an `Authorization` header; `None` if it is of another scheme.
-fn key(value: &HeaderValue) -> Option<&[u8]> {
-    let (scheme, key) = value.as_bytes().split_at_checked(SCHEME.len())?;
-    let key = key.strip_prefix(b" ")?.trim_ascii();
-    (scheme.eq_ignore_ascii_case(SCHEME.as_bytes()) && !key.is_empty()).then_some(key)
+/// Returns the name of the account that another instance gives to a request that it passes on.
+fn relayed_name(headers: &HeaderMap, sender: Sender) -> Option<&str> {
+    let value = headers.get(PROXY_AUTHORIZATION).filter(|_| sender == Sender::Peer)?;
+    std::str::from_utf8(credentials(value, RELAYED_SCHEME)?).ok()
+}
+
+/// Returns the credentials in the value of an authorization header; `None` if it is of another scheme than `scheme`.
+fn credentials<'a>(value: &'a HeaderValue, scheme: &str) -> Option<&'a [u8]> {
+    let (given, credentials) = value.as_bytes().split_at_checked(scheme.len())?;
+    let credentials = credentials.strip_prefix(b" ")?.trim_ascii();
+    (given.eq_ignore_ascii_case(scheme.as_bytes()) && !credentials.is_empty()).then_some(credentials)
 }
--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -21,7 +21,7 @@
 use dispatch::backend::BackendId;
 use h1::client::{Answer, Connection, Fault};
 use http::StatusCode;
-use http::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use http::header::{HeaderMap, HeaderName, HeaderValue, PROXY_AUTHORIZATION, RETRY_AFTER};
 
 use self::disposition::Disposition;
 use self::peer::{Interface, Peer};
@@ -38,16 +38,27 @@
 /// How much earlier the other instance gives up, so that what it says still arrives in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
-/// Passes a request on; `regions` may run it, or all if there are none, and it is given up at `deadline`.
-pub async fn send(context: &Arc<Context>, outgoing: &Outgoing, regions: &[String], deadline: Time) -> Outcome {
+/// What an instance that gets a request passed on must keep to.
+#[derive(Debug)]
+pub struct Passage {
+    /// Regions that may run the request; all if there are none.
+    pub regions: Vec<String>,
+    /// Value of `Proxy-Authorization` that names the request's client account; `None` if it has none.
+    pub account: Option<HeaderValue>,
+    /// When the request is given up.
+    pub deadline: Time,
+}
+
+/// Passes a request on.
+pub async fn send(context: &Arc<Context>, outgoing: &Outgoing, passage: &Passage) -> Outcome {
     let mut retry_after = None;
-    for peer in peer::choose(context, regions) {
-        let left = deadline.since(context.now());
+    for peer in peer::choose(context, &passage.regions) {
+        let left = passage.deadline.since(context.now());
         if left.is_zero() {
             break;
         }
         let started = context.now();
-        let result = match tokio::time::timeout(left, exchange(context, outgoing, &peer, deadline)).await {
+        let result = match tokio::time::timeout(left, exchange(context, outgoing, &peer, passage)).await {
             Ok(result) => result,
             Err(_) => Err(Failure::Answer(Kind::BackendTimeout)),
         };
@@ -98,11 +109,11 @@
 }
 
 /// Sends the request to `peer` and reads its answer. A reusable connection is returned to the pool.
-async fn exchange(context: &Context, outgoing: &Outgoing, peer: &Peer, deadline: Time) -> Result<Answer, Failure> {
+async fn exchange(context: &Context, outgoing: &Outgoing, peer: &Peer, passage: &Passage) -> Result<Answer, Failure> {
     let address = peer.interface.address();
     let id = hash::bytes(address.to_string().as_bytes()) as BackendId;
     let mut connection = connect(context, id, address).await?;
-    let headers = headers(context, outgoing, peer.interface, deadline);
+    let headers = headers(context, outgoing, peer.interface, passage);
     let request_id = headers.get(&context.dialect.request_id).cloned();
     let is_ours = |head: &h1::head::Response| {
         let echoed = head.headers.get(&context.dialect.request_id);
@@ -163,14 +174,16 @@
     }
 }
 
-/// Returns the caller's headers with the time that is left.
-fn headers(context: &Context, outgoing: &Outgoing, interface: Interface, deadline: Time) -> HeaderMap {
+/// Returns the caller's headers with the time that is left and the client account.
+fn headers(context: &Context, outgoing: &Outgoing, interface: Interface, passage: &Passage) -> HeaderMap {
     let mut headers = outgoing.headers.clone();
-    let left = deadline.since(context.now()).saturating_sub(ANSWER_MARGIN);
+    let left = passage.deadline.since(context.now()).saturating_sub(ANSWER_MARGIN);
     let left_ms = left.as_millis().max(1) as u64;
     headers.insert(&context.dialect.deadline_ms, HeaderValue::from(left_ms));
-    if matches!(interface, Interface::Callers(_)) {
-        headers.insert(EARLIER_MARK, HeaderValue::from_static("1"));
+    match (interface, &passage.account) {
+        (Interface::Callers(_), _) => drop(headers.insert(EARLIER_MARK, HeaderValue::from_static("1"))),
+        (Interface::Peers(_), Some(account)) => drop(headers.insert(PROXY_AUTHORIZATION, account.clone())),
+        (Interface::Peers(_), None) => {}
     }
     headers
 }
