A daemon that hears neither the store nor a majority stops using its part of the quotas

Cause: the name of a daemon that is out of touch for ten minutes was removed by the oldest of the others, which then counted one fewer, while the daemon itself went on with its old part: in a cut of more than ten minutes the sum rose to 1 + k/N for k daemons cut off. Found by reading. A choice of allocators looks at all members, so it is made less often in fleets of more than a hundred.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -41,7 +41,7 @@
 /// The policy that another one is compared with.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub enum Against {
-    /// None.
+    /// Nothing: only the policy itself is checked.
     #[default]
     Nothing,
     /// The one in a file.
--- a/crates/ctl/src/verbs/accounts.rs
+++ b/crates/ctl/src/verbs/accounts.rs
@@ -11,7 +11,7 @@
 /// An account, at one daemon or in the sum over all of them.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Line {
-    /// Its name.
+    /// Name of the account.
     pub account: String,
     /// Requests per second that it may send over all daemons; zero for no limit.
     pub rate: f64,
--- a/crates/daemon/src/quotas/census.rs
+++ b/crates/daemon/src/quotas/census.rs
@@ -2,15 +2,16 @@
 //!
 //! Each daemon registers its name in the platform's store and never again, so that a fleet that restarts as a whole knows at
 //! once how many it is, before its members have met. A name whose daemon has been gone for long is removed by the daemon
-//! that has run for longest. Without a store that the daemon mirrors, the members known count.
+//! that has run for longest ([`quota::membership`]). Without a store that the daemon mirrors, the members known count.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::time::Time;
-use fleet::message::State;
+use fleet::message::{Record, State};
 use fleet::roster::Roster;
+use quota::membership::Contact;
 use store::key::INSTANCES;
 use store::{Call, Change};
 
@@ -22,9 +23,6 @@
 const REGISTRATION_TIME: Duration = Duration::from_secs(4);
 /// Time between two attempts to register.
 const RETRY_INTERVAL: Duration = Duration::from_secs(2);
-/// Time for which the share of a daemon that is gone stays reserved.
-const RESERVED: Duration = Duration::from_mins(10);
-
 /// What a daemon knows of the registered names.
 #[derive(Debug, Default)]
 pub(super) struct Census {
@@ -57,6 +55,7 @@
         let registered: BTreeSet<String> =
             mirror.range(INSTANCES).filter_map(|(key, _)| key.strip_prefix(INSTANCES)).map(str::to_owned).collect();
         let has_mirror = mirror.revision() > 0;
+        let age = mirror.age(now);
         drop(mirror);
         let own = &context.settings.instance;
         if registered.contains(own) {
@@ -67,37 +66,46 @@
             self.counted_at = Some(now + REGISTRATION_TIME);
             register(context);
         }
-        self.remove_gone(context, roster, &registered, now);
-        let known = roster.records().into_iter().map(|record| record.name);
-        let daemons = registered.iter().cloned().chain(known).collect::<BTreeSet<String>>().len();
+        let records = roster.records();
+        let live: BTreeSet<&str> =
+            records.iter().filter(|record| is_live(record)).map(|one| one.name.as_str()).collect();
+        let in_touch = registered.iter().filter(|name| live.contains(name.as_str())).count();
+        let contact = Contact { age, listed: registered.len(), live: in_touch };
+        self.note_gone(&registered, &live, now);
+        let oldest = records.iter().filter(|record| is_live(record)).min_by_key(|one| (one.incarnation, &one.name));
+        if oldest.is_some_and(|oldest| oldest.name == *own) {
+            self.remove_gone(context, contact, now);
+        }
+        let known = records.iter().map(|record| record.name.as_str());
+        let daemons = registered.iter().map(String::as_str).chain(known).collect::<BTreeSet<&str>>().len();
         let is_counted = registered.contains(own) && self.counted_at.is_some_and(|at| now >= at);
-        Share { of_all: if is_counted { 1.0 / daemons as f64 } else { 0.0 }, daemons }
+        let of_all = if is_counted && contact.may_use_share() { 1.0 / daemons as f64 } else { 0.0 };
+        Share { of_all, daemons }
     }
 
-    /// Removes names whose daemons have been gone for long, if this daemon has run for longest.
-    fn remove_gone(&mut self, context: &Arc<Context>, roster: &Roster, registered: &BTreeSet<String>, now: Time) {
-        let records = roster.records();
-        let live = records.iter().filter(|record| record.state <= State::Suspect);
-        let oldest = live.clone().min_by_key(|record| (record.incarnation, &record.name)).map(|record| &record.name);
-        let live: BTreeSet<&String> = live.map(|record| &record.name).collect();
-        self.gone_since.retain(|name, _| registered.contains(name) && !live.contains(name));
-        for name in registered.iter().filter(|name| !live.contains(name)) {
+    /// Notes since when registered names have had no live daemon.
+    fn note_gone(&mut self, registered: &BTreeSet<String>, live: &BTreeSet<&str>, now: Time) {
+        let is_gone = |name: &&String| !live.contains(name.as_str());
+        self.gone_since.retain(|name, _| registered.contains(name) && is_gone(&name));
+        for name in registered.iter().filter(is_gone) {
             self.gone_since.entry(name.clone()).or_insert(now);
         }
-        if oldest != Some(&context.settings.instance) {
-            return;
-        }
-        let due =
-            self.gone_since.iter().find(|(_, since)| now.since(**since) >= RESERVED).map(|(name, _)| name.clone());
-        if let Some(name) = due {
-            // Counted anew, so that a removal that fails is not tried all the time.
-            self.gone_since.insert(name.clone(), now);
-            let revision = lock(&context.mirror).get(&format!("{INSTANCES}{name}")).map(|record| record.revision);
-            revision
-                .into_iter()
-                .for_each(|revision| write(context, Change::delete(&format!("{INSTANCES}{name}"), revision)));
-        }
     }
+
+    /// Removes a name whose daemon has been gone for long.
+    fn remove_gone(&mut self, context: &Arc<Context>, contact: Contact, now: Time) {
+        let mut gone = self.gone_since.iter_mut();
+        let Some((name, since)) = gone.find(|(_, since)| contact.may_remove(now.since(**since))) else { return };
+        // Counted anew, so that a removal that fails is not tried all the time.
+        *since = now;
+        let key = format!("{INSTANCES}{name}");
+        let revision = lock(&context.mirror).get(&key).map(|record| record.revision);
+        revision.into_iter().for_each(|revision| write(context, Change::delete(&key, revision)));
+    }
+}
+
+fn is_live(record: &Record) -> bool {
+    record.state <= State::Suspect
 }
 
 fn register(context: &Arc<Context>) {
--- a/crates/daemon/src/quotas/exchange.rs
+++ b/crates/daemon/src/quotas/exchange.rs
@@ -21,8 +21,10 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// Largest number of requests of an account at all daemons for each one here that is assumed.
 const MAX_FLEET_FACTOR: f64 = 1_000.0;
-/// Time between two choices of allocators.
+/// Shortest time between two choices of allocators.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(100);
+/// The same for each daemon of the fleet: a choice looks at all of them.
+const CHOICE_INTERVAL_PER_DAEMON: Duration = Duration::from_millis(1);
 
 inventory::submit! {
     Plugin(kernel::Plugin { name: "quota", stage: 35, start })
@@ -103,9 +105,9 @@
     if now < inner.choice_due {
         return;
     }
-    inner.choice_due = now + CHOICE_INTERVAL;
     let roster = lock(&context.roster);
     let share = inner.census.share(context, &roster, now);
+    inner.choice_due = now + CHOICE_INTERVAL.max(CHOICE_INTERVAL_PER_DAEMON * share.daemons as u32);
     inner.lender.set_share(share.of_all, share.daemons);
     let choice = inner.allocators.choose(&roster, now);
     inner.lender.choose(&choice, now);
--- a/crates/dispatch/src/regions.rs
+++ b/crates/dispatch/src/regions.rs
@@ -5,7 +5,7 @@
 pub struct Set(u64);
 
 impl Set {
-    /// All regions.
+    /// Every region, those from position 64 on included.
     pub const ALL: Self = Self(u64::MAX);
 
     /// Returns the set of `regions`; an empty list stands for all.
--- a/crates/dispatch/tests/common/cluster.rs
+++ b/crates/dispatch/tests/common/cluster.rs
@@ -1,15 +1,20 @@
 //! Several engines in front of simulated servers that work faster on warm objects.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod demand;
+pub mod outcome;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use base::time::Time;
 use dispatch::backend::{BackendId, Place, Position, Report, Spec};
 use dispatch::class;
-use dispatch::engine::{Account, Arrival, Budgets, Limits, Remote};
+use dispatch::engine::{Arrival, Budgets, Limits, Remote};
 use dispatch::{Action, Ending, Engine, Verdict};
 
+use self::outcome::Outcome;
+
 /// Number of objects that a server keeps warm.
 const WARM_OBJECTS: usize = 40;
 /// Time of work on a cold object; work on a warm one takes a third of it.
@@ -21,15 +26,6 @@
 /// Maximum number of requests that wait at a server; it sheds further ones.
 const MAX_QUEUE: usize = 9;
 
-/// Counts of the requests of one region's callers.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Outcome {
-    pub asked: u32,
-    pub good: u32,
-    pub answered: u32,
-    pub refused: u32,
-}
-
 struct Server {
     region: u16,
     /// Engine and attempt of each running request, by number.
@@ -59,14 +55,6 @@
     repeats_left: u32,
 }
 
-/// What the callers of a client account send.
-#[derive(Debug, Clone, Copy)]
-pub struct Demand {
-    pub per_second: f64,
-    /// Times that callers repeat a refused request at once.
-    pub repeats: u32,
-}
-
 /// Simulated engines, servers and callers, with two engines in each region.
 pub struct Cluster {
     pub now: Time,
@@ -220,42 +208,6 @@
         }
     }
 
-    /// Runs for `time` with the demand of client accounts, whose numbers count from 1, from callers of all regions.
-    pub fn run_accounts(&mut self, time: Duration, demands: &[Demand], objects: u64) {
-        let end = self.now + time;
-        let mut due = vec![self.now; demands.len()];
-        while self.now < end {
-            let index = (0..due.len()).min_by_key(|index| due[*index]).unwrap_or(0);
-            self.advance(due[index].min(end));
-            if due[index] >= end {
-                break;
-            }
-            let region = self.rng.u16(..3);
-            let object = 1_000 * u64::from(region) + self.rng.u64(..objects);
-            self.by_account.entry(index as u64 + 1).or_default().asked += 1;
-            self.submit_for(region, object, index as u64 + 1, demands[index].repeats);
-            let pause = -(1.0 - self.rng.f64()).ln() / demands[index].per_second;
-            due[index] = due[index] + Duration::from_secs_f64(pause);
-        }
-    }
-
-    fn submit_for(&mut self, region: u16, object: u64, account: u64, repeats_left: u32) {
-        let engine = usize::from(region) * 2 + self.rng.usize(0..2);
-        self.next += 1;
-        self.requests.insert(self.next, Request { engine, object, arrived: self.now, account, repeats_left });
-        let arrival = Arrival {
-            object: Some(object),
-            account: Account { id: account, ..Account::NONE },
-            ..Arrival::new(self.next, 0, object, 100)
-        };
-        self.engines[engine].0.submit(arrival, self.now);
-        self.apply_actions(engine);
-        for again in std::mem::take(&mut self.repeated) {
-            let region = self.engines[again.engine].1;
-            self.submit_for(region, again.object, again.account, again.repeats_left - 1);
-        }
-    }
-
     fn next_object(&mut self, region: usize, objects: u64) -> u64 {
         if self.rounds[region].is_empty() {
             self.rounds[region] = (0..objects).collect();
@@ -444,27 +396,4 @@
             }
         }
     }
-
-    /// Sums up the requests that arrived from second `from` up to `to`, of all regions.
-    pub fn outcome(&self, from: u64, to: u64) -> Outcome {
-        let inside = self.outcomes.iter().filter(|((second, _), _)| (from..to).contains(second));
-        inside.fold(Outcome::default(), |sum, (_, one)| Outcome {
-            asked: sum.asked + one.asked,
-            good: sum.good + one.good,
-            answered: sum.answered + one.answered,
-            refused: sum.refused + one.refused,
-        })
-    }
-
-    /// Returns the fraction of the requests of `caller`'s region that ran in `region`, in the two seconds from
-    /// `second` on.
-    pub fn ran_fraction(&self, second: u64, caller: u16, region: u16) -> f64 {
-        let ran = (second..second + 2).filter_map(|second| self.ran.get(&(second, caller)));
-        let (mut inside, mut all) = (0, 0);
-        for counts in ran {
-            inside += counts.get(&region).copied().unwrap_or(0);
-            all += counts.values().sum::<u32>();
-        }
-        f64::from(inside) / f64::from(all.max(1))
-    }
 }
--- a/crates/dispatch/tests/fairness.rs
+++ b/crates/dispatch/tests/fairness.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use base::time::Time;
-use common::cluster::{Cluster, Demand};
+use common::cluster::Cluster;
+use common::cluster::demand::Demand;
 use dispatch::fairness::{Arrival, Refused, Usage};
 use rstest::rstest;
 
--- a/crates/h1/src/memory.rs
+++ b/crates/h1/src/memory.rs
@@ -61,7 +61,7 @@
 /// What a connection holds now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Usage {
-    /// Bytes in memory.
+    /// Bytes of heads, bodies and answers that the connection keeps in memory.
     pub bytes: usize,
     /// Bytes received and sent on the connection so far.
     pub moved: u64,
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod allocator;
 pub mod lending;
+pub mod membership;
 pub mod message;
 pub mod stock;
 
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -75,7 +75,7 @@
     /// The account.
     #[serde(rename = "a")]
     pub account: Account,
-    /// Number of tokens.
+    /// Number of tokens that the account gets.
     #[serde(rename = "n")]
     pub tokens: u32,
     /// Time after the request for the tokens until which they can be spent, in milliseconds.
@@ -92,7 +92,7 @@
 /// Why an account gets fewer tokens than were asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
-    /// It got all.
+    /// The account got all tokens that were asked for.
     #[serde(rename = "a")]
     All,
     /// Its quota is used up; further tokens are expected after this time, in milliseconds.
