A request that completes as its connection is told to give way is answered once, and counts again

Cause: the notice was obeyed even if the last byte had arrived in between. The caller got its answer and behind it a refusal (503) that belonged to no request, and all that it sent later on the connection was not counted. What gives way and has become complete counts again once there is room; until then it may not grow.

--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -138,6 +138,9 @@
                 connection.expire();
             }
             () = connection.hold.gives_way() => {
+                if !connection.hold.must_give_way() {
+                    continue;
+                }
                 if !connection.output.is_empty() {
                     return log::info!("callers: connection dropped, its caller does not read and others need the memory");
                 }
--- a/crates/h1/src/memory.rs
+++ b/crates/h1/src/memory.rs
@@ -128,10 +128,17 @@
         let mut state = self.memory.state();
         let Some(holder) = state.holders.get_mut(&self.id) else { return false };
         if holder.gives_way {
-            let freed = holder.bytes.saturating_sub(usage.bytes);
-            holder.bytes -= freed;
-            state.given_up -= freed;
-            return true;
+            let before = holder.bytes;
+            holder.unfinished = usage.unfinished;
+            // A request that has become complete in the meantime counts again once there is room.
+            let counts_again = !usage.unfinished && state.used + usage.bytes <= self.memory.bytes;
+            let Some(holder) = state.holders.get_mut(&self.id) else { return false };
+            holder.gives_way = !counts_again;
+            holder.bytes = if counts_again { usage.bytes } else { usage.bytes.min(before) };
+            let bytes = holder.bytes;
+            state.given_up -= before;
+            *(if counts_again { &mut state.used } else { &mut state.given_up }) += bytes;
+            return bytes == usage.bytes;
         }
         if usage.moved >= holder.moved + PROGRESS_BYTES as u64 || usage.unfinished != holder.unfinished {
             holder.moved = usage.moved;
@@ -157,10 +164,15 @@
         true
     }
 
-    /// Waits until the connection has to give way.
+    /// Waits until the connection has to give way. By then it may not have to any more ([`Hold::must_give_way`]).
     pub async fn gives_way(&self) {
         self.notify.notified().await;
     }
+
+    /// Whether the connection has to give way: its request was not complete when [`Hold::set`] was last called.
+    pub fn must_give_way(&self) -> bool {
+        self.memory.state().holders.get(&self.id).is_some_and(|holder| holder.gives_way && holder.unfinished)
+    }
 }
 
 impl State {
--- a/crates/h1/tests/memory.rs
+++ b/crates/h1/tests/memory.rs
@@ -90,3 +90,23 @@
     drop(holds);
     assert_eq!(memory.used(), 0);
 }
+
+/// Guards against a connection whose request completes just as it is told to give way: it must not be refused, and what it holds must
+/// count again, or its later requests would be free.
+#[test]
+fn a_request_that_completes_in_time_does_not_give_way() {
+    let memory = Arc::new(Memory::new(BYTES));
+    let (one, other) = (memory.open(NOW), memory.open(NOW));
+    assert!(one.set(partial(BYTES * 6 / 10), NOW));
+    assert!(other.set(partial(BYTES / 2), later(1_000)));
+    assert!(one.must_give_way());
+    assert!(one.set(complete(BYTES * 6 / 10), later(1_001)));
+    assert!(!one.must_give_way());
+    assert!(!one.set(partial(BYTES * 7 / 10), later(1_002)), "there is no room for more");
+    assert!(one.set(complete(0), later(1_003)));
+    assert!(one.set(partial(BYTES / 4), later(1_004)));
+    assert_eq!(memory.used(), BYTES * 3 / 4, "its next request counts");
+    assert!(!one.must_give_way());
+    drop((one, other));
+    assert_eq!(memory.used(), 0);
+}
