review: case 10, a route stays closed after its workers were slow (CONFIG)

The typical latency of a class is learnt from answers only; once it is above twice the time that requests have, none is sent any more.

--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -769,6 +769,8 @@
     pub time: Duration,
     /// Bytes of an answer.
     pub answer_bytes: usize,
+    /// While the flag is set, work takes this time instead.
+    pub slow: Option<(Arc<AtomicBool>, Duration)>,
 }
 
 /// Starts `count` workers of a service and registers them in the store. A worker works on `slots` requests at once, turns
@@ -847,7 +849,8 @@
             runs.push(run);
             runs.len() - 1
         };
-        thread::sleep(self.work.time);
+        let slow = self.work.slow.as_ref().filter(|(is_slow, _)| is_slow.load(Ordering::SeqCst));
+        thread::sleep(slow.map_or(self.work.time, |(_, time)| *time));
         lock(&self.runs.0)[index].done = Some(record.now());
         let running = self.running.fetch_sub(1, Ordering::SeqCst);
         let bytes = self.work.answer_bytes;
