--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -7,6 +7,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt as _;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -27,8 +28,13 @@
 pub const SIGSTOP: i32 = 19;
 pub const SIGTERM: i32 = 15;
 
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64, ...) -> i32;
 }
 
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -270,6 +276,14 @@
         let errors = log.try_clone().expect("a file can be cloned");
         let mut command = Command::new(self.root.join(&words[0]));
         command.args(&words[1..]).current_dir(&self.root).stdin(Stdio::null()).stdout(log).stderr(errors);
+        // A process that this run starts ends with it, also if the run itself is killed.
+        // SAFETY: only an async-signal-safe call is made between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
         let child = match command.spawn() {
             Ok(child) => child,
             Err(error) => self.give_up(&format!("{} does not start: {error}", words[0])),
@@ -773,8 +787,8 @@
     pub slow: Option<(Arc<AtomicBool>, Duration)>,
 }
 
-/// Starts `count` workers of a service and registers them in the store. A worker works on `slots` requests at once, turns
-/// others away as not run, and answers 421 if another worker is meant.
+/// Starts `count` workers of a service and registers them in the store. A worker works on `slots` requests at once, lets some more
+/// wait, turns others away as not run, stops at the deadline that it was given, and answers 421 if another worker is meant.
 pub fn start_workers(case: &Arc<Case>, store: &Store, runs: &Runs, service: &str, zone: &str, count: usize, work: &Work) {
     static LAST: AtomicUsize = AtomicUsize::new(100);
     for _ in 0..count {
@@ -786,7 +800,8 @@
             service: service.to_owned(),
             name: name.clone(),
             work: work.clone(),
-            running: AtomicUsize::new(0),
+            load: Mutex::default(),
+            freed: Condvar::new(),
         });
         let address = listen(&case.ip(number as u8), move |stream| worker.serve(stream));
         let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |now| now.as_millis());
@@ -808,9 +823,14 @@
     service: String,
     name: String,
     work: Work,
-    running: AtomicUsize,
+    /// Requests that run, and requests that wait.
+    load: Mutex<(usize, usize)>,
+    freed: Condvar,
 }
 
+/// Requests that may wait at a worker.
+const QUEUE: usize = 9;
+
 impl Worker {
     fn serve(&self, stream: TcpStream) {
         drop(stream.set_nodelay(true));
@@ -829,11 +849,24 @@
             let text = format!("HTTP/1.1 421 X\r\nInstance-Id: {}\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n", self.name);
             return text.into_bytes();
         }
-        let running = self.running.fetch_add(1, Ordering::SeqCst) + 1;
-        if running > self.work.slots {
-            self.running.fetch_sub(1, Ordering::SeqCst);
-            return format!("HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n").into_bytes();
+        let refused = format!("HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n").into_bytes();
+        let limit = request.header("deadline-ms").and_then(|text| text.parse().ok()).map_or(Duration::MAX, ms);
+        let arrived = Instant::now();
+        let mut load = lock(&self.load);
+        if load.0 >= self.work.slots && load.1 >= QUEUE {
+            return refused;
         }
+        load.1 += 1;
+        while load.0 >= self.work.slots {
+            let left = limit.saturating_sub(arrived.elapsed());
+            if left.is_zero() {
+                load.1 -= 1;
+                return refused;
+            }
+            load = self.freed.wait_timeout(load, left.min(ms(1_000))).unwrap_or_else(PoisonError::into_inner).0;
+        }
+        *load = (load.0 + 1, load.1 - 1);
+        drop(load);
         let record = &self.case.record;
         record.line(&format!("run   {id} {} {} at {} of {}", request.method, request.target, self.name, self.service));
         let run = Run {
@@ -850,12 +883,22 @@
             runs.len() - 1
         };
         let slow = self.work.slow.as_ref().filter(|(is_slow, _)| is_slow.load(Ordering::SeqCst));
-        thread::sleep(slow.map_or(self.work.time, |(_, time)| *time));
+        let time = slow.map_or(self.work.time, |(_, time)| *time);
+        let left = limit.saturating_sub(arrived.elapsed());
+        thread::sleep(time.min(left));
+        let (running, waiting) = {
+            let mut load = lock(&self.load);
+            load.0 -= 1;
+            self.freed.notify_one();
+            (load.0, load.1)
+        };
+        if time > left {
+            return format!("HTTP/1.1 504 X\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n").into_bytes();
+        }
         lock(&self.runs.0)[index].done = Some(record.now());
-        let running = self.running.fetch_sub(1, Ordering::SeqCst);
         let bytes = self.work.answer_bytes;
         let head = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {id}.{bytes}\r\nServer-Load: {running},0,{}\r\nContent-Length: {bytes}\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {id}.{bytes}\r\nServer-Load: {running},{waiting},{}\r\nContent-Length: {bytes}\r\n\r\n",
             self.work.slots
         );
         let mut answer = head.into_bytes();
--- a/review/stand-ins-2/starved.rs
+++ b/review/stand-ins-2/starved.rs
@@ -60,21 +60,25 @@
     let machine = case.start_machine(&Plan::new("front-mich-a-1", "mich-a"), 1, &address);
     case.require(common::wait(ms(15_000), || machine.is_ready()), "the machine is not ready");
     thread::sleep(ms(3_000));
+    if case.trouble {
+        slow.store(true, Ordering::SeqCst);
+        case.record.line("slow  two of the twelve workers of dist-gateway, those in mich, work 8 times as long");
+    }
     store.put("op/config", &state(13, &[LOOKUPS, pulls(6.0)]));
     case.record.line("ack   version 13 adds the route catalogue-pull with a time-out of 6 s");
-    thread::sleep(ms(2_000));
+    thread::sleep(ms(1_000));
 
     let (stop, steady) = (flag(), flag());
     let counts: [Arc<Count>; 2] = Default::default();
     let clients: Vec<_> = [("/stock-lookup/1", 2_500), ("/catalogue-pull/1", 6_000)]
         .into_iter()
         .zip(&counts)
-        .flat_map(|(route, count)| (0..4).map(move |number| (route, Arc::clone(count), number)))
+        .flat_map(|(route, count)| (0..6).map(move |number| (route, Arc::clone(count), number)))
         .map(|((path, budget_ms), count, number)| {
             let (case, front) = (Arc::clone(&case), machine.front());
             let (stop, steady) = (Arc::clone(&stop), Arc::clone(&steady));
             thread::spawn(move || {
-                thread::sleep(ms(500) * number);
+                thread::sleep(ms(150) * number);
                 while !stop.load(Ordering::Relaxed) {
                     let id = format!("r-{}", next_number());
                     let counted = steady.load(Ordering::Relaxed);
@@ -93,12 +97,7 @@
             })
         })
         .collect();
-    thread::sleep(ms(3_000));
-    if case.trouble {
-        slow.store(true, Ordering::SeqCst);
-        case.record.line("slow  two of the twelve workers of dist-gateway, those in mich, work 8 times as long");
-    }
-    thread::sleep(SLOW_FOR);
+    thread::sleep(SLOW_FOR - ms(1_000));
     slow.store(false, Ordering::SeqCst);
     case.record.line("slow  no worker is slow any more");
     store.put("op/config", &state(17, &[LOOKUPS, pulls(1.5)]));
