--- a/review/stand-ins-2/answers.rs
+++ b/review/stand-ins-2/answers.rs
@@ -15,9 +15,9 @@
 const BODY_BYTES: usize = 4 << 20;
 /// Clients of the crowd.
 const CROWD: usize = 300;
-/// Bytes of one piece of a body, and the pause after it.
+/// Bytes of one piece of a body, and the pause after it: all of the crowd send at most 82 MB a second, less than the link carries.
 const PIECE_BYTES: usize = 16_384;
-const PIECE_PAUSE: Duration = Duration::from_millis(20);
+const PIECE_PAUSE: Duration = Duration::from_millis(60);
 /// Bytes of a worker's answer; the sheets have up to 30,000.
 const ANSWER_BYTES: usize = 30_000;
 /// More than three requests on kept connections may not be lost.
@@ -30,7 +30,7 @@
     let (store, runs) = (Store::default(), Runs::default());
     let address = store.start(&case.ip(250));
     store.put("op/config", &desired_state(12, &[ORDERS], &["store-portal"], ""));
-    let work = Work { slots: 3, time: ms(100), answer_bytes: ANSWER_BYTES, slow: None };
+    let work = Work { slots: 3, time: ms(100), answer_bytes: ANSWER_BYTES, read_pause: Duration::ZERO, slow: None };
     common::start_workers(&case, &store, &runs, "store-portal", "mich-a", 16, &work);
     let machine = case.start_machine(&Plan::new("front-mich-a-1", "mich-a"), 1, &address);
     case.require(common::wait(ms(15_000), || machine.is_ready()), "the machine is not ready");
--- a/review/stand-ins-2/apart.rs
+++ b/review/stand-ins-2/apart.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use common::{Answer, BROKEN, Case, HELD, Machine, Plan, Request, Route, Store, desired_state, exchange, head, ms, next_number};
 
@@ -45,6 +45,20 @@
 /// Starts a worker that crashes when it begins to run the request: it drops all its connections and refuses new ones for a while.
 fn start_worker(case: &Arc<Case>, store: &Store, crashes: &Crashes, zone: &str, number: u8) {
     let name = format!("w-{number}");
+    let registry = store.clone();
+    let entry_of = {
+        let zone = zone.to_owned();
+        move |address: &str, cold_s: u32| {
+            let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |now| now.as_millis());
+            format!(
+                "{{\"service\":\"store-portal\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":3,\
+\"state\":\"ready\",\"cold_remaining_s\":{cold_s},\"sequence\":1,\"born\":{born}}}"
+            )
+        }
+    };
+    let entry = entry_of.clone();
+    let key = format!("servers/{name}");
+    let own_key = key.clone();
     let down = Arc::new(AtomicBool::new(false));
     let open: Arc<Mutex<BTreeMap<u64, TcpStream>>> = Arc::default();
     let (record, crashes, own) = (Arc::clone(&case.record), Arc::clone(crashes), name.clone());
@@ -58,6 +72,7 @@
         let mut reader = BufReader::new(stream);
         while let Some(request) = Request::read(&mut reader) {
             if request.target == POISON {
+                let own_address = reader.get_ref().local_addr().map(|address| address.to_string()).unwrap_or_default();
                 common::lock(&crashes).push(record.now());
                 record.line(&format!("crash {own} began to run {} and crashes", request.id()));
                 down.store(true, Ordering::SeqCst);
@@ -65,7 +80,9 @@
                     drop(stream.shutdown(std::net::Shutdown::Both));
                 }
                 thread::sleep(CRASHED_FOR);
+                // It starts again under the id that it had, and is cold.
                 down.store(false, Ordering::SeqCst);
+                registry.put(&own_key, &entry(&own_address, 3));
                 return;
             }
             thread::sleep(ms(50));
@@ -79,13 +96,7 @@
         }
         common::lock(&open).remove(&connection);
     });
-    store.put(
-        &format!("servers/{name}"),
-        &format!(
-            "{{\"service\":\"store-portal\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":3,\
-\"state\":\"ready\",\"cold_remaining_s\":0,\"sequence\":1,\"born\":1796600000000}}"
-        ),
-    );
+    store.put(&key, &entry_of(&address, 0));
 }
 
 fn main() {
--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -350,6 +350,12 @@
 impl Request {
     /// Reads the next request of a connection; `None` if the connection ends first.
     pub fn read(reader: &mut impl BufRead) -> Option<Self> {
+        Self::read_slowly(reader, Duration::ZERO)
+    }
+
+    /// Does the same, with a pause after each 64 KiB of the body.
+    pub fn read_slowly(reader: &mut impl BufRead, pause: Duration) -> Option<Self> {
+        const PIECE: usize = 65_536;
         let mut line = String::new();
         reader.read_line(&mut line).ok().filter(|bytes| *bytes > 0)?;
         let mut words = line.split_whitespace();
@@ -366,7 +372,12 @@
         }
         let length = request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
         request.body = vec![0; length];
-        reader.read_exact(&mut request.body).ok()?;
+        for piece in request.body.chunks_mut(PIECE) {
+            reader.read_exact(piece).ok()?;
+            if piece.len() == PIECE {
+                thread::sleep(pause);
+            }
+        }
         Some(request)
     }
 
@@ -783,6 +794,8 @@
     pub time: Duration,
     /// Bytes of an answer.
     pub answer_bytes: usize,
+    /// Pause of the worker after each 64 KiB of a body that it reads.
+    pub read_pause: Duration,
     /// While the flag is set, work takes this time instead.
     pub slow: Option<(Arc<AtomicBool>, Duration)>,
 }
@@ -836,7 +849,7 @@
         drop(stream.set_nodelay(true));
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::with_capacity(65_536, stream);
-        while let Some(request) = Request::read(&mut reader) {
+        while let Some(request) = Request::read_slowly(&mut reader, self.work.read_pause) {
             if writer.write_all(&self.answer(&request)).is_err() {
                 return;
             }
--- a/review/stand-ins-2/directory.rs
+++ b/review/stand-ins-2/directory.rs
@@ -23,7 +23,7 @@
     let (store, runs) = (Store::default(), Runs::default());
     let address = store.start(&case.ip(250));
     store.put("op/config", &desired_state(12, &[ORDERS], &["store-portal"], ""));
-    let work = Work { slots: 3, time: ms(100), answer_bytes: 400, slow: None };
+    let work = Work { slots: 3, time: ms(100), answer_bytes: 400, read_pause: Duration::ZERO, slow: None };
     common::start_workers(&case, &store, &runs, "store-portal", "mich-a", 4, &work);
     let seeds: Vec<String> = (1..=3).map(|last| format!("{}:8146", case.ip(last))).collect();
     let mut machines: Vec<Machine> = Vec::new();
--- a/review/stand-ins-2/left.rs
+++ b/review/stand-ins-2/left.rs
@@ -32,7 +32,7 @@
     let (store, runs) = (Store::default(), Runs::default());
     let address = store.start(&case.ip(250));
     store.put("op/config", &desired_state(12, &[ORDERS], &["store-portal"], ""));
-    let work = Work { slots: 3, time: ms(200), answer_bytes: 400, slow: None };
+    let work = Work { slots: 3, time: ms(200), answer_bytes: 400, read_pause: Duration::ZERO, slow: None };
     common::start_workers(&case, &store, &runs, "store-portal", "mich-a", 16, &work);
     let machine = case.start_machine(&Plan::new("front-mich-a-1", "mich-a"), 1, &address);
     case.require(common::wait(ms(15_000), || machine.is_ready()), "the machine is not ready");
--- a/review/stand-ins-2/memory.rs
+++ b/review/stand-ins-2/memory.rs
@@ -11,7 +11,11 @@
 use common::{BROKEN, Case, HELD, Machine, Plan, Route, Runs, Store, Work, desired_state, exchange, flag, head, ms, next_number};
 
 /// Bytes of a body of the crowd; the operator's `limits` allow 64 MiB.
-const BODY_BYTES: usize = 2 << 20;
+const BODY_BYTES: usize = 8 << 20;
+/// Time between two orders of one client of the crowd: all of them send 100 MB a second to each machine, less than its link carries.
+const INTERVAL: Duration = Duration::from_millis(1_000);
+/// Pause of a worker after each 64 KiB: it reads 3 MB a second.
+const READ_PAUSE: Duration = Duration::from_millis(20);
 /// Memory of a machine, as the sheet of Bayline has it, in megabytes.
 const MEMORY_MB: u32 = 260;
 /// Clients of the crowd, and ordinary clients, for each machine.
@@ -38,7 +42,7 @@
     let (store, runs) = (Store::default(), Runs::default());
     let address = store.start(&case.ip(250));
     store.put("op/config", &desired_state(12, &[ORDERS], &["store-portal"], ""));
-    let work = Work { slots: 3, time: ms(540), answer_bytes: 400, slow: None };
+    let work = Work { slots: 3, time: ms(540), answer_bytes: 400, read_pause: READ_PAUSE, slow: None };
     common::start_workers(&case, &store, &runs, "store-portal", "mich-a", 16, &work);
     let seeds: Vec<String> = (1..=2).map(|last| format!("{}:8146", case.ip(last))).collect();
     let start = {
@@ -129,6 +133,7 @@
 fn send_large(case: &Case, front: &str, is_over: impl Fn() -> bool) {
     let body = vec![b'b'; BODY_BYTES];
     while !is_over() {
+        let begin = Instant::now();
         let id = format!("large-{}", next_number());
         let text = head("POST", "/order-place/2", &id, 6_000, "", body.len());
         let Ok(mut stream) = common::connect(front, ms(1_000)) else {
@@ -146,6 +151,6 @@
             let answer = common::Answer::read(&mut std::io::BufReader::new(stream));
             case.record.line(&format!("got   {id} {}", answer.map_or(0, |answer| answer.status)));
         }
-        thread::sleep(ms(20));
+        thread::sleep(INTERVAL.saturating_sub(begin.elapsed()));
     }
 }
--- a/review/stand-ins-2/route.rs
+++ b/review/stand-ins-2/route.rs
@@ -47,7 +47,7 @@
     let services = ["dist-gateway", "store-portal"];
     let state = |version: u32, routes: &[Route<'_>]| desired_state(version, routes, &services, &tenants());
     store.put("op/config", &state(12, &[CATALOGUE, ORDERS, LOOKUPS]));
-    let work = Work { slots: 6, time: ms(40), answer_bytes: 400, slow: None };
+    let work = Work { slots: 6, time: ms(40), answer_bytes: 400, read_pause: Duration::ZERO, slow: None };
     common::start_workers(&case, &store, &runs, "store-portal", "mich-a", 12, &work);
     common::start_workers(&case, &store, &runs, "dist-gateway", "mich-a", 6, &work);
     let machine = case.start_machine(&Plan::new("front-mich-a-1", "mich-a"), 1, &address);
--- a/review/stand-ins-2/starved.rs
+++ b/review/stand-ins-2/starved.rs
@@ -48,7 +48,7 @@
     };
     store.put("op/config", &state(12, &[LOOKUPS]));
     let slow = Arc::new(AtomicBool::new(false));
-    let usual = Work { slots: 3, time: WORK, answer_bytes: 400, slow: None };
+    let usual = Work { slots: 3, time: WORK, answer_bytes: 400, read_pause: Duration::ZERO, slow: None };
     let sometimes_slow = Work { slow: Some((Arc::clone(&slow), WORK * SLOW)), ..usual.clone() };
     for (zone, portal, gateway) in
         [("mich-a", 1, 1), ("ohio-a", 3, 2), ("ontario-a", 4, 3), ("mich-b", 1, 1), ("ohio-b", 3, 2), ("ontario-b", 4, 3)]
