A page of keys that the store never returns costs no other keys

Cause: a list was all or nothing. A page refused with status 400 failed the list, which began again at the first page; a page that brought the same keys again was added for ever, and the process grew; a watch refused with status 400 was repeated for ever, and no list made up for it. The same loops stood in the blocking client and in the copy of another instance's keys.

Change: store::pages puts a list together. A page that the store cannot read (400, 414), or that brings nothing new although more follow, is passed over up to the next position of plain characters, or else with its folder; what lies between is a gap, of which the list says nothing: known keys there stay. Each gap has one warning with its bounds. A watch that the store cannot read is replaced by a list. The blocking client fails on a gap, since its callers count slots. A page of another instance that does not follow on the one before is an error of that instance, and so is an empty page that promises more, which until now ended the copy as if it were whole.

Not covered: an instance that starts with a gap passes its keys on without saying so.

--- a/crates/daemon/src/at_most_once.rs
+++ b/crates/daemon/src/at_most_once.rs
@@ -157,7 +157,7 @@
         Ok(Commit::Done(revision)) => Reply::Written(revision),
         Ok(Commit::Conflict) => Reply::Conflict,
         Err(Error::Ambiguous(_) | Error::Outdated { .. }) => Reply::Lost,
-        Err(Error::Unreachable(_) | Error::Refused(_)) => {
+        Err(Error::Unreachable(_) | Error::Unreadable(_) | Error::Refused(_)) => {
             // A refused write may mean that the lease has expired.
             *lock(&context.claim_lease) = None;
             Reply::Unsent
--- a/crates/daemon/src/mirror/follow.rs
+++ b/crates/daemon/src/mirror/follow.rs
@@ -90,7 +90,12 @@
             if page.era != first.era {
                 return Err(Failure::NoAnswer("the store was restored between two pages".to_owned()));
             }
-            more = page.more && !page.items.is_empty();
+            let last = items.last().map(|item| item.key.as_str());
+            let is_next = page.items.first().is_none_or(|item| Some(item.key.as_str()) > last);
+            if !is_next || (page.more && page.items.is_empty()) {
+                return Err(Failure::NoAnswer("a page of its keys does not follow on the one before".to_owned()));
+            }
+            more = page.more;
             items.extend(page.items);
         }
         let now = context.now();
--- a/crates/daemon/src/mirror/store.rs
+++ b/crates/daemon/src/mirror/store.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use store::{Answer, Call, Entry, Error, Reply, Result, Version};
+use store::{Answer, Call, Error, Pages, Reply, Result, Version};
 
 use super::{MIN_RETRY_DELAY, Outcome};
 use crate::Context;
@@ -21,11 +21,14 @@
 /// Lists all keys and replaces the mirror's contents with them.
 pub async fn list(context: &Context) -> Result<Outcome> {
     let sent = context.now();
-    let mut all: Vec<Entry> = Vec::new();
+    let mut pages = Pages::new();
     let mut first = None;
-    loop {
-        let after = all.last().map(|entry| entry.key.clone()).unwrap_or_default();
-        let Answer { era, reply } = call(context, Call::List { prefix: String::new(), after, stale: false }).await?;
+    while let Some(after) = pages.next().map(str::to_owned) {
+        let listed = call(context, Call::List { prefix: String::new(), after, stale: false }).await;
+        let Answer { era, reply } = match listed {
+            Err(Error::Unreadable(_)) if pages.pass_over().is_ok() => continue,
+            listed => listed?,
+        };
         let Reply::Page { entries, more, revision } = reply else { return Err(unexpected(&reply)) };
         // Later pages may be newer. The watch starts at the first page's revision and returns what the earlier ones
         // missed.
@@ -33,19 +36,21 @@
         if era != first.era {
             return Err(Error::Outdated { era: first.era, newest: era });
         }
-        let done = !more || entries.is_empty();
-        all.extend(entries);
-        if done {
-            let now = context.now();
-            let mut mirror = lock(&context.mirror);
-            let (known, keys) = (mirror.version(), all.len());
-            let changed = mirror.replace(all, first, now);
-            mirror.confirm(sent);
-            log::info!("mirror: all keys listed version={first} known={known} keys={keys} changed={changed}");
-            context.metrics.store_lists.inc();
-            return Ok(Outcome::Changed);
-        }
+        pages.add(entries, more).map_err(|fault| Error::Ambiguous(fault.to_string()))?;
     }
+    let first = first.unwrap_or_default();
+    let (entries, gaps) = pages.into_parts();
+    for gap in &gaps {
+        log::warn!("mirror: keys not listed, the store returns no page of them after={:?} to={:?}", gap.after, gap.to);
+    }
+    let now = context.now();
+    let mut mirror = lock(&context.mirror);
+    let (known, keys) = (mirror.version(), entries.len());
+    let changed = mirror.replace_except(entries, &gaps, first, now);
+    mirror.confirm(sent);
+    log::info!("mirror: all keys listed version={first} known={known} keys={keys} changed={changed}");
+    context.metrics.store_lists.inc();
+    Ok(Outcome::Changed)
 }
 
 /// Waits for changes and applies them; returns early when the source should be selected again.
@@ -61,7 +66,14 @@
 pub async fn changes_within(context: &Context, wait: Duration) -> Result<Outcome> {
     let after = lock(&context.mirror).version();
     let call = call(context, Call::Watch { prefix: String::new(), after: after.revision, wait });
-    let Answer { era, reply } = call.await?;
+    let Answer { era, reply } = match call.await {
+        // What a watch cannot tell, a list can.
+        Err(Error::Unreadable(reason)) => {
+            log::warn!("mirror: watch not readable for the store, all keys are listed instead reason={reason:?}");
+            return Ok(Outcome::Compacted);
+        }
+        answer => answer?,
+    };
     match reply {
         // The revision after which the store was asked is not one of this era.
         Reply::Events { .. } if era != after.era => Ok(Outcome::Compacted),
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -14,7 +14,7 @@
 use crate::call::{Answer, Call, Reply};
 use crate::codec::{Codec, Message};
 use crate::error::{Error, Result};
-use crate::{Change, Commit, Entry, Lease, Store, etcd};
+use crate::{Change, Commit, Entry, Lease, Pages, Store, etcd};
 
 /// Largest answer accepted from the store, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -179,16 +179,15 @@
     }
 
     fn list(&self, prefix: &str) -> Result<Vec<Entry>> {
-        let mut all: Vec<Entry> = Vec::new();
-        loop {
-            let after = all.last().map(|entry| entry.key.clone()).unwrap_or_default();
+        let mut pages = Pages::new();
+        while let Some(after) = pages.next().map(str::to_owned) {
             let reply = self.call_blocking(&Call::List { prefix: prefix.to_owned(), after, stale: false })?;
             let Reply::Page { entries, more, .. } = reply else { return Err(unexpected(&reply)) };
-            let done = !more || entries.is_empty();
-            all.extend(entries);
-            if done {
-                return Ok(all);
-            }
+            pages.add(entries, more).map_err(|fault| Error::Ambiguous(fault.to_string()))?;
+        }
+        match pages.into_parts() {
+            (entries, gaps) if gaps.is_empty() => Ok(entries),
+            (_, gaps) => Err(Error::Ambiguous(format!("the list lacks keys: {gaps:?}"))),
         }
     }
 
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -17,6 +17,9 @@
         /// The latest era known.
         newest: u64,
     },
+    /// The store could not read the call: it had no effect, and the same call fails again.
+    #[error("store could not read the call: {0}")]
+    Unreadable(String),
     /// The store refused the call: it had no effect.
     #[error("store refused the call: {0}")]
     Refused(String),
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod key;
 pub mod liveness;
 pub mod mirror;
+pub mod pages;
 pub mod wire;
 
 pub use base::version::Version;
@@ -22,6 +23,7 @@
 pub use liveness::Liveness;
 pub use mirror::Mirror;
 pub use mirror::{Order, OrderFn};
+pub use pages::Pages;
 
 use std::time::Duration;
 
--- a/crates/store/src/mirror/mod.rs
+++ b/crates/store/src/mirror/mod.rs
@@ -16,6 +16,7 @@
 pub use self::era::{Order, OrderFn};
 use crate::Entry;
 use crate::call::Event;
+use crate::pages::Gap;
 
 /// Time after the end of an outage was noticed in which writers whose leases expired write their keys again; the
 /// platform documents about two seconds.
@@ -157,6 +158,17 @@
     /// Replaces all keys with the list of `entries` as of `version`; returns whether anything changed. Newer keys of
     /// the mirror stay. A list of an earlier era is ignored; the first list of a later one begins that era.
     pub fn replace(&mut self, entries: Vec<Entry>, version: impl Into<Version>, now: Time) -> bool {
+        self.replace_except(entries, &[], version, now)
+    }
+
+    /// Does the same with a list that says nothing of the keys in `gaps`, which stay as they are.
+    pub fn replace_except(
+        &mut self,
+        entries: Vec<Entry>,
+        gaps: &[Gap],
+        version: impl Into<Version>,
+        now: Time,
+    ) -> bool {
         let Version { era, revision } = version.into();
         if era < self.era {
             return false;
@@ -165,7 +177,7 @@
             self.begin_era(era, now);
         }
         let listed: BTreeSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
-        let mut changed = self.remove_unlisted(&listed, revision, now);
+        let mut changed = self.remove_unlisted(&listed, gaps, revision, now);
         for entry in entries {
             changed |= self.put_listed(entry, now, now);
         }
@@ -189,10 +201,11 @@
         self.confirmed_at.map(|confirmed| now.since(confirmed))
     }
 
-    /// Removes the keys that do not appear in the list of `revision`, unless they are newer than it.
-    fn remove_unlisted(&mut self, listed: &BTreeSet<&str>, revision: u64, now: Time) -> bool {
+    /// Removes the keys that do not appear in the list of `revision`, unless they are newer than it or in one of its `gaps`.
+    fn remove_unlisted(&mut self, listed: &BTreeSet<&str>, gaps: &[Gap], revision: u64, now: Time) -> bool {
         let missing =
             self.records.iter().filter(|(key, record)| record.revision <= revision && !listed.contains(key.as_str()));
+        let missing = missing.filter(|(key, _)| !gaps.iter().any(|gap| gap.contains(key)));
         let missing: Vec<String> = missing.map(|(key, _)| key.clone()).collect();
         let mut changed = false;
         for key in missing {
--- a/crates/store/src/mirror/relay.rs
+++ b/crates/store/src/mirror/relay.rs
@@ -90,7 +90,7 @@
         let applicable = received.after <= self.revision && received.revision >= self.revision;
         if applicable && received.full {
             let listed: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
-            changed |= self.remove_unlisted(&listed, received.revision, now);
+            changed |= self.remove_unlisted(&listed, &[], received.revision, now);
             changed |= self.put_items(items, is_empty, transit, now);
             self.finish_full_sync(received.revision);
         } else if applicable {
--- a/crates/store/tests/mirror.rs
+++ b/crates/store/tests/mirror.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use base::time::Time;
+use store::pages::Gap;
 use store::{Entry, Event, Mirror};
 
 const START: Time = Time::from_millis(10_000);
@@ -87,3 +88,16 @@
     assert!(mirror.apply(vec![Event::Delete("a/1".to_owned(), 6)], 6, again));
     assert!(mirror.get("a/1").is_none());
 }
+
+/// Fault: a list lacks a part of the keys, since the store returns no page of them. They stay as they are.
+#[test]
+fn a_list_removes_no_key_of_which_it_says_nothing() {
+    let mut mirror = mirror();
+    let gap = Gap { after: "a/1".to_owned(), to: Some("b/1".to_owned()) };
+    assert!(!mirror.replace_except(vec![entry("a/1", "x", 3)], &[gap], 9, START));
+    assert!(mirror.get("b/1").is_some());
+    assert_eq!(mirror.revision(), 9);
+    let before = Gap { after: "a/0".to_owned(), to: Some("a/9".to_owned()) };
+    assert!(mirror.replace_except(Vec::new(), &[before], 10, START));
+    assert!(mirror.get("a/1").is_some() && mirror.get("b/1").is_none());
+}
