--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -74,6 +74,21 @@
     assert_eq!(unreadable.map(|answer| answer.era), Ok(7), "an era that cannot be read changes nothing");
 }
 
+/// Guards against an answer of the store that is none: it may have been to a call that took effect, and tells no era.
+#[rstest]
+#[case("000")]
+#[case("099")]
+#[case("600")]
+#[case("2000")]
+#[case("20")]
+fn an_answer_with_an_invalid_status_is_none(#[case] status: &str) {
+    let runtime = runtime();
+    let client = Client::with_runtime(CODEC, &start(), Duration::from_secs(5), runtime.handle().clone());
+    let result = runtime.block_on(client.call(&read(&format!("{status}/7"))));
+    assert!(matches!(result, Err(Error::Ambiguous(_))), "{result:?}");
+    assert_eq!(client.era(), 0);
+}
+
 /// Fault: an answer from before a restore arrives after one from after it.
 #[rstest]
 #[case::named("200/1/300")]
