No request is sent without the header that names its server

Evidence: an adapter that takes any name, with a server named m, line break, m. On the commit before the request was sent and answered 200; the test failed.

Change: such a server is not usable, like one without a usable address: nothing is sent, another server gets the request, and without one it is refused as not run. Dialects without the header are as before.

--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -11,7 +11,7 @@
 use dispatch::backend::BackendId;
 use h1::client::{Answer, Call, Connection, Fault};
 use h1::head;
-use http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, StatusCode};
 
 use crate::Context;
@@ -47,6 +47,8 @@
 struct Target {
     address: SocketAddr,
     name: String,
+    /// Its name as a header that makes any other server refuse the request, if the dialect has one.
+    header: Option<(HeaderName, HeaderValue)>,
     /// Its failure domain.
     domain: String,
     /// Whether the server is in another region than this daemon.
@@ -236,7 +238,7 @@
 pub fn to_response(context: &Context, answer: Answer) -> Response {
     let mut headers = HeaderMap::with_capacity(answer.headers.len());
     let internal = [&context.dialect.load, &context.dialect.cold_ms];
-    let is_relayed = |name: &http::HeaderName| {
+    let is_relayed = |name: &HeaderName| {
         *name != CONTENT_LENGTH && !head::is_hop_by_hop(name.as_str()) && !internal.contains(&&Some(name.clone()))
     };
     for (name, value) in answer.headers.iter().filter(|(name, _)| is_relayed(name)) {
@@ -267,8 +269,8 @@
     }
     let remaining_ms = attempt.deadline.since(context.now()).as_millis().max(1);
     insert_header(&mut headers, &dialect.deadline_ms, &remaining_ms.to_string());
-    if let Some(server) = &dialect.server {
-        insert_header(&mut headers, server, &target.name);
+    if let Some((name, value)) = &target.header {
+        headers.insert(name, value.clone());
     }
     if needs_own_connection(context, outgoing) || (dialect.dedicated_connections && attempt.retry) {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -282,7 +284,7 @@
 }
 
 /// Sets a header; a value that is not valid in HTTP is left out and logged.
-fn insert_header(headers: &mut HeaderMap, name: &http::HeaderName, value: &str) {
+fn insert_header(headers: &mut HeaderMap, name: &HeaderName, value: &str) {
     match HeaderValue::from_str(value) {
         Ok(value) => drop(headers.insert(name, value)),
         Err(_) => log::warn!("dispatch: header left out, not valid in HTTP name={name} value={value:?}"),
@@ -295,7 +297,7 @@
     headers
 }
 
-/// Returns the address of a backend server; `None` if the server was removed or its address is not usable.
+/// Returns the address of a backend server; `None` if the server was removed, or its address or its name is not usable.
 fn resolve_target(context: &Context, backend: BackendId) -> Option<Target> {
     let steering = context.steering();
     let instance = steering.backends.get(&backend)?;
@@ -303,8 +305,15 @@
         log::warn!("dispatch: server without a usable address name={} address={}", instance.name, instance.address);
         return None;
     };
+    // Without the header, another server that has taken over the address would run the request.
+    let header =
+        context.dialect.server.clone().map(|name| HeaderValue::from_str(&instance.name).map(|value| (name, value)));
+    let Ok(header) = header.transpose() else {
+        log::warn!("dispatch: server whose name cannot be a header name={:?}", instance.name);
+        return None;
+    };
     let remote = instance.region != context.settings.region;
-    Some(Target { address, name: instance.name.clone(), domain: instance.domain.clone(), remote })
+    Some(Target { address, name: instance.name.clone(), header, domain: instance.domain.clone(), remote })
 }
 
 /// Returns the id of an attempt on the wire, unique over all incarnations.
