A peer's answer with a status that HTTP does not have is malformed

Evidence: five of seven such statuses were taken (100, 101, 199, 600, 999); 0 and 99 were refused. Names of fields without a valid name were refused already (three cases, kept).

Change: one function tells which statuses HTTP has, for heads and for peers' answers; an interim status is no answer.

--- a/crates/daemon/src/response.rs
+++ b/crates/daemon/src/response.rs
@@ -65,7 +65,7 @@
     type Error = Malformed;
 
     fn try_from(wire: WireResponse) -> Result<Self, Malformed> {
-        let status = StatusCode::from_u16(wire.status).map_err(|_e| Malformed)?;
+        let status = h1::head::status(wire.status).filter(|status| !status.is_informational()).ok_or(Malformed)?;
         let mut headers = HeaderMap::new();
         for (name, value) in wire.headers {
             let name = HeaderName::from_bytes(name.as_bytes()).map_err(|_e| Malformed)?;
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -94,8 +94,7 @@
             Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Error::HeadTooLarge),
             Err(_) => return Err(Error::Malformed),
         };
-        let code = parsed.code.filter(|code| STATUS_CODES.contains(code)).ok_or(Error::Malformed)?;
-        let status = StatusCode::from_u16(code).map_err(|_e| Error::Malformed)?;
+        let status = parsed.code.and_then(status).ok_or(Error::Malformed)?;
         let headers = headers(parsed.headers)?;
         let keep_alive = keeps_alive(parsed.version, &headers);
         buffer.advance(length);
@@ -103,6 +102,11 @@
     }
 }
 
+/// Returns the status with this code; `None` if HTTP has no such status.
+pub fn status(code: u16) -> Option<StatusCode> {
+    StatusCode::from_u16(code).ok().filter(|_| STATUS_CODES.contains(&code))
+}
+
 /// Returns whether a header applies to one connection only.
 pub fn is_hop_by_hop(name: &str) -> bool {
     HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop))
