--- a/crates/store/src/pages.rs
+++ b/crates/store/src/pages.rs
@@ -30,6 +30,9 @@
 #[error("the store returns no first page")]
 pub struct NoFirstPage;
 
+/// The result of adding or passing over a page.
+pub type Result<T> = std::result::Result<T, NoFirstPage>;
+
 /// A list as far as its pages were read.
 #[derive(Debug, Clone, Default)]
 pub struct Pages {
@@ -53,7 +56,7 @@
 
     /// Adds the next page; `more` says whether other pages follow. A page without a key after the position, although more
     /// follow, is passed over.
-    pub fn add(&mut self, entries: Vec<Entry>, more: bool) -> Result<(), NoFirstPage> {
+    pub fn add(&mut self, entries: Vec<Entry>, more: bool) -> Result<()> {
         let before = self.entries.len();
         self.entries.extend(entries.into_iter().filter(|entry| before == 0 || entry.key > self.position));
         self.complete = !more;
@@ -66,7 +69,7 @@
     }
 
     /// Passes over the next page.
-    pub fn pass_over(&mut self) -> Result<(), NoFirstPage> {
+    pub fn pass_over(&mut self) -> Result<()> {
         if self.position.is_empty() {
             return Err(NoFirstPage);
         }
