A list that lacks keys is made again

Change: the mirror keeps what its last list lacks. While there is something, all keys are listed again every two seconds, and a watch waits no longer than that. A gap is logged once, not with every list.

--- a/crates/daemon/src/mirror/store.rs
+++ b/crates/daemon/src/mirror/store.rs
@@ -12,10 +12,15 @@
 /// Prefix of which there are no keys: a list of them returns the store's revision and little else.
 const EMPTY_PREFIX: &str = "hemlock/none/";
 
-/// Whether the mirror has nothing yet of the store's era, so that a watch cannot follow on it.
+/// Time after which a list that said nothing of some keys is made again: the store may have refused a page for a moment only.
+const RELIST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Whether the mirror has nothing yet of the store's era, so that a watch cannot follow on it, or the last list lacked keys.
 pub fn must_list(context: &Context) -> bool {
-    let version = lock(&context.mirror).version();
-    version.revision == 0 || version.era < context.store.era()
+    let now = context.now();
+    let mirror = lock(&context.mirror);
+    let version = mirror.version();
+    version.revision == 0 || version.era < context.store.era() || mirror.lacks_keys(RELIST_INTERVAL, now)
 }
 
 /// Lists all keys and replaces the mirror's contents with them.
@@ -40,13 +45,13 @@
     }
     let first = first.unwrap_or_default();
     let (entries, gaps) = pages.into_parts();
-    for gap in &gaps {
-        log::warn!("mirror: keys not listed, the store returns no page of them after={:?} to={:?}", gap.after, gap.to);
-    }
     let now = context.now();
     let mut mirror = lock(&context.mirror);
+    for gap in gaps.iter().filter(|gap| !mirror.gaps().contains(gap)) {
+        log::warn!("mirror: keys not listed, the store returns no page of them after={:?} to={:?}", gap.after, gap.to);
+    }
     let (known, keys) = (mirror.version(), entries.len());
-    let changed = mirror.replace_except(entries, &gaps, first, now);
+    let changed = mirror.replace_except(entries, gaps, first, now);
     mirror.confirm(sent);
     log::info!("mirror: all keys listed version={first} known={known} keys={keys} changed={changed}");
     context.metrics.store_lists.inc();
@@ -56,6 +61,7 @@
 /// Waits for changes and applies them; returns early when the source should be selected again.
 pub async fn changes(context: &Context) -> Result<Outcome> {
     let wait = Duration::from_millis(context.settings.platform.watch_ms);
+    let wait = if lock(&context.mirror).gaps().is_empty() { wait } else { wait.min(RELIST_INTERVAL) };
     tokio::select! {
         outcome = changes_within(context, wait) => outcome,
         () = context.mirror_sync.reselect.notified() => Ok(Outcome::Unchanged),
--- a/crates/store/src/mirror/mod.rs
+++ b/crates/store/src/mirror/mod.rs
@@ -62,6 +62,10 @@
     deleted: BTreeMap<String, Deletion>,
     /// Keys that the store lists in this era although they were deleted in an earlier one.
     withheld: BTreeMap<String, Withheld>,
+    /// Keys of which the last list said nothing.
+    gaps: Vec<Gap>,
+    /// When all keys were last listed.
+    listed_at: Time,
     /// When the store last answered.
     last_answer: Option<Time>,
     /// Since when calls have failed; `None` if the last one was answered.
@@ -99,6 +103,16 @@
         self.last_answer
     }
 
+    /// Returns the keys of which the last list said nothing.
+    pub fn gaps(&self) -> &[Gap] {
+        &self.gaps
+    }
+
+    /// Whether the last list is older than `age` and said nothing of some keys.
+    pub fn lacks_keys(&self, age: Duration, now: Time) -> bool {
+        !self.gaps.is_empty() && now.since(self.listed_at) >= age
+    }
+
     /// Returns the keys that start with `prefix`, in order.
     pub fn range<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = (&'a str, &'a Record)> {
         let from = self.records.range(prefix.to_owned()..);
@@ -158,14 +172,14 @@
     /// Replaces all keys with the list of `entries` as of `version`; returns whether anything changed. Newer keys of
     /// the mirror stay. A list of an earlier era is ignored; the first list of a later one begins that era.
     pub fn replace(&mut self, entries: Vec<Entry>, version: impl Into<Version>, now: Time) -> bool {
-        self.replace_except(entries, &[], version, now)
+        self.replace_except(entries, Vec::new(), version, now)
     }
 
     /// Does the same with a list that says nothing of the keys in `gaps`, which stay as they are.
     pub fn replace_except(
         &mut self,
         entries: Vec<Entry>,
-        gaps: &[Gap],
+        gaps: Vec<Gap>,
         version: impl Into<Version>,
         now: Time,
     ) -> bool {
@@ -177,10 +191,11 @@
             self.begin_era(era, now);
         }
         let listed: BTreeSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
-        let mut changed = self.remove_unlisted(&listed, gaps, revision, now);
+        let mut changed = self.remove_unlisted(&listed, &gaps, revision, now);
         for entry in entries {
             changed |= self.put_listed(entry, now, now);
         }
+        (self.gaps, self.listed_at) = (gaps, now);
         self.finish_full_sync(revision);
         changed
     }
--- a/crates/store/tests/mirror.rs
+++ b/crates/store/tests/mirror.rs
@@ -94,10 +94,17 @@
 fn a_list_removes_no_key_of_which_it_says_nothing() {
     let mut mirror = mirror();
     let gap = Gap { after: "a/1".to_owned(), to: Some("b/1".to_owned()) };
-    assert!(!mirror.replace_except(vec![entry("a/1", "x", 3)], &[gap], 9, START));
+    assert!(!mirror.replace_except(vec![entry("a/1", "x", 3)], vec![gap], 9, START));
     assert!(mirror.get("b/1").is_some());
     assert_eq!(mirror.revision(), 9);
+    let second = Duration::from_secs(1);
+    assert!(mirror.lacks_keys(second, START + second) && !mirror.lacks_keys(second, START));
     let before = Gap { after: "a/0".to_owned(), to: Some("a/9".to_owned()) };
-    assert!(mirror.replace_except(Vec::new(), &[before], 10, START));
+    assert!(mirror.replace_except(Vec::new(), vec![before], 10, START));
     assert!(mirror.get("a/1").is_some() && mirror.get("b/1").is_none());
+    mirror.replace(Vec::new(), 11, START);
+    assert!(
+        mirror.get("a/1").is_none() && !mirror.lacks_keys(second, START + second),
+        "a list without a gap is complete"
+    );
 }
