A mirror that lacks keys passes on no list; a peer's page follows on the one before

An instance whose list lacks keys, since the store returned no page of them, passed what it had on as a list of all keys, and an instance that follows it removed the others. Evidence: changes.rs, a mirror of three keys kept two of them. Now such a mirror passes on changes, which are complete, and no list: the other one asks elsewhere, as it does while a mirror is empty. The check that a peer's page follows on the one before had no test. It is a function of the message now, with one.

--- a/crates/daemon/src/mirror/follow.rs
+++ b/crates/daemon/src/mirror/follow.rs
@@ -20,7 +20,7 @@
 
 /// Why a member returned no changes.
 enum Failure {
-    /// Its mirror is still empty.
+    /// Its mirror is still empty, or its list lacks keys.
     EmptyMirror,
     /// It did not answer.
     NoAnswer(String),
@@ -58,7 +58,9 @@
                 tokio::time::sleep(MIN_WAIT).await;
                 return Ok(Outcome::Unchanged);
             }
-            Err(Failure::EmptyMirror) => Err(Error::Unreachable("the member's mirror is still empty".to_owned())),
+            Err(Failure::EmptyMirror) => {
+                Err(Error::Unreachable("the member's mirror is still empty or lacks keys".to_owned()))
+            }
             Err(Failure::NoAnswer(reason)) => {
                 self.0 = None;
                 Err(Error::Unreachable(reason))
@@ -85,14 +87,12 @@
         let mut items = first.items.clone();
         let mut more = first.more;
         while more {
-            let from = items.last().map(|item: &Item| item.key.clone()).unwrap_or_default();
-            let page = request(client, Version::new(first.era, 0), from, MAX_WAIT).await?;
+            let last = items.last().map(|item: &Item| item.key.clone()).unwrap_or_default();
+            let page = request(client, Version::new(first.era, 0), last.clone(), MAX_WAIT).await?;
             if page.era != first.era {
                 return Err(Failure::NoAnswer("the store was restored between two pages".to_owned()));
             }
-            let last = items.last().map(|item| item.key.as_str());
-            let is_next = page.items.first().is_none_or(|item| Some(item.key.as_str()) > last);
-            if !is_next || (page.more && page.items.is_empty()) {
+            if !page.follows_on(&last) {
                 return Err(Failure::NoAnswer("a page of its keys does not follow on the one before".to_owned()));
             }
             more = page.more;
--- a/crates/store/src/changes.rs
+++ b/crates/store/src/changes.rs
@@ -114,6 +114,12 @@
         Version::new(self.era, self.revision)
     }
 
+    /// Whether this page of all keys follows on the key `last`: it begins after it, and promises more only if it brings some.
+    /// Pages that do not would never end.
+    pub fn follows_on(&self, last: &str) -> bool {
+        self.items.first().map_or(!self.more, |first| first.key.as_str() > last)
+    }
+
     /// Returns this answer as sent at `now` to a request that came at `asked`; its ages must be as of `now`.
     #[must_use]
     pub fn with_wait(self, asked: Time, now: Time) -> Self {
--- a/crates/store/src/mirror/relay.rs
+++ b/crates/store/src/mirror/relay.rs
@@ -17,7 +17,7 @@
     /// Returns the changes after the version `after`, for another mirror. Returns all keys after the key `from`, one
     /// page of them, if the changes are too large for one message or the deletions since `after` are no longer known,
     /// as at the first request in a new era. Returns no keys to a mirror of a later era. `None` while this mirror is
-    /// empty.
+    /// empty, or if all keys are needed and its own list lacks some, which the other mirror would remove.
     pub fn changes(&self, after: impl Into<Version>, from: &str, now: Time) -> Option<Changes> {
         if self.revision == 0 {
             return None;
@@ -41,32 +41,35 @@
             return Some(Changes { after: self.revision, ..empty });
         }
         if era < self.era || after < self.tombstones_since {
-            return Some(self.page(empty, from, now));
+            return self.page(empty, from, now);
         }
         let changed = self.records.iter().filter(|(_, record)| record.revision > after);
         let items: Vec<Item> = changed.map(|(key, record)| item(key, record, now)).collect();
         let bytes: usize =
             self.records.values().filter(|record| record.revision > after).map(|record| record.value.len()).sum();
         if bytes > MAX_PAGE_BYTES {
-            return Some(self.page(empty, from, now));
+            return self.page(empty, from, now);
         }
         let tombstones = self.tombstones.iter().filter(|(_, revision)| *revision > after).cloned().collect();
         Some(Changes { after, items, tombstones, ..empty })
     }
 
-    /// Returns the keys after `from` that fit into one message.
-    fn page(&self, empty: Changes, from: &str, now: Time) -> Changes {
+    /// Returns the keys after `from` that fit into one message; `None` if the list of this mirror lacks some.
+    fn page(&self, empty: Changes, from: &str, now: Time) -> Option<Changes> {
+        if !self.gaps.is_empty() {
+            return None;
+        }
         let bounds = (Bound::Excluded(from.to_owned()), Bound::Unbounded);
         let mut items = Vec::new();
         let mut bytes = 0;
         for (key, record) in self.records.range(bounds) {
             bytes += record.value.len();
             if bytes > MAX_PAGE_BYTES && !items.is_empty() {
-                return Changes { full: true, more: true, items, ..empty };
+                return Some(Changes { full: true, more: true, items, ..empty });
             }
             items.push(item(key, record, now));
         }
-        Changes { full: true, items, ..empty }
+        Some(Changes { full: true, items, ..empty })
     }
 
     /// Merges the changes received from another mirror into this one; returns whether anything changed. `items` holds
@@ -92,6 +95,7 @@
             let listed: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
             changed |= self.remove_unlisted(&listed, &[], received.revision, now);
             changed |= self.put_items(items, is_empty, transit, now);
+            self.gaps.clear();
             self.finish_full_sync(received.revision);
         } else if applicable {
             changed |= self.put_items(items, is_empty, transit, now);
--- a/crates/store/tests/changes.rs
+++ b/crates/store/tests/changes.rs
@@ -6,6 +6,7 @@
 use base::time::Time;
 use rstest::rstest;
 use store::changes::{Changes, Item};
+use store::pages::Gap;
 use store::{Entry, Event, Mirror};
 
 const START: Time = Time::from_millis(10_000);
@@ -297,3 +298,38 @@
     other.merge(&changes, changes.items.clone(), START, START);
     assert_eq!(keys(&one), keys(&other));
 }
+
+/// Fault: a daemon whose list lacks keys, since the store returned no page of them, is asked for all keys. What it lacks must not
+/// be removed elsewhere.
+#[test]
+fn a_mirror_that_lacks_keys_does_not_pass_on_a_full_list() {
+    let all = [entry("a/1", "x", 1), entry("b/1", "y", 2), entry("c/1", "z", 3)];
+    let mut to = Mirror::new();
+    to.replace(all.to_vec(), 5, START);
+    let mut from = Mirror::new();
+    let gap = Gap { after: "a/1".to_owned(), to: Some("b/9".to_owned()) };
+    from.replace_except(vec![all[0].clone(), all[2].clone()], vec![gap], 9, START);
+    sync(&from, &mut to, START);
+    assert_eq!(keys(&to).len(), 3, "all keys stay");
+    from.apply(vec![Event::Put(entry("d/1", "new", 10))], 10, START);
+    let (changes, items) = pages(&from, 9, START).expect("changes are passed on");
+    assert!(!changes.full && items.len() == 1);
+    // A complete list ends it, from the store or from another mirror.
+    let mut complete = Mirror::new();
+    complete.replace(all.to_vec(), 11, START);
+    assert!(sync(&complete, &mut from, START));
+    sync(&from, &mut to, START);
+    assert_eq!((to.revision(), keys(&to).len()), (11, 3));
+}
+
+/// Fault: a peer answers with the same page for ever, or with empty ones, and its keys are added without an end.
+#[test]
+fn a_page_follows_on_the_one_before_or_is_refused() {
+    let mut mirror = Mirror::new();
+    mirror.replace(vec![entry("a/1", "x", 1), entry("b/1", "y", 2)], 5, START);
+    let page = mirror.changes(0, "a/1", START).expect("it has keys");
+    assert!(page.follows_on("a/1") && !page.follows_on("b/1") && !page.follows_on("c/1"));
+    let last = Changes { items: Vec::new(), more: false, ..page.clone() };
+    assert!(last.follows_on("b/1"), "keys were removed since the page before");
+    assert!(!Changes { more: true, ..last }.follows_on("b/1"));
+}
