A request is submitted by the policy that it was matched with, or matched again

Cause: a request is matched with the policy that is in force when it arrives, and is submitted by the position of its class, up to 400 ms later. By then the position may stand for something else: a class that is gone had service 0, a closed one service 0 too, and one that kept its name may cover other paths and name another service. The policy in force and the classes of the engine also changed one after the other, with the routing state rebuilt in between, so the same could happen without a wait.

Change: `Driver::submit` takes the policy that the request was matched with, and submits nothing if another is in force; the engine's lock is held when classes, servers and the policy in force are replaced together. `forward::run` then matches the request again: route, account, regions, quota. A token of the same account is kept, any other is given back. A request that goes to another instance, at once or after a refusal, is matched again in the same way. A claim of a keyed order is withdrawn first. All times still count from the arrival.

--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -21,7 +21,7 @@
 use crate::at_most_once;
 use crate::context::lock;
 use crate::dialect::AtMostOnce;
-use crate::driver::{Outcome, Outgoing, Refusal, Submission};
+use crate::driver::{Outcome, Outdated, Outgoing, Refusal, Submission};
 use crate::policies::ActivePolicy;
 use crate::quotas;
 
@@ -102,50 +102,79 @@
     }
 }
 
-/// Finds the class and the client account of a request and dispatches it. All its times count from its arrival, also if it
-/// has waited behind others of its connection.
+/// Dispatches a request by the policy in force; it is matched again if another one comes into force before it is submitted. All
+/// its times count from its arrival, also if it has waited behind others of its connection.
 async fn run(context: &Arc<Context>, incoming: Incoming, id: &str, sender: Sender) -> Handled {
-    let active = context.policy();
+    let mut token = None;
+    loop {
+        let active = context.policy();
+        let found = match find(context, &active, &incoming, sender) {
+            Ok(found) => found,
+            Err(handled) => {
+                give_back(context, token);
+                return handled;
+            }
+        };
+        token = match admit(context, &found, token).await {
+            Ok(token) => token,
+            Err(refusal) => return found.handled(Err(refusal)),
+        };
+        let request = Request { active: &active, found: &found, incoming: &incoming, id, sender };
+        if let Ok(outcome) = dispatch(context, request).await {
+            give_back(context, token.filter(|_| is_not_run(&outcome)));
+            return found.handled(outcome);
+        }
+        log::info!(request = id, class = found.class; "callers: matched again, the policy has changed");
+    }
+}
+
+/// Finds the class and the client account of a request; returns the refusal if there are none that may run it.
+fn find(context: &Context, active: &ActivePolicy, incoming: &Incoming, sender: Sender) -> Result<Match, Handled> {
     if active.policy.regions.is_empty() {
-        return Handled::refused(None, Kind::NoPolicy.into());
+        return Err(Handled::refused(None, Kind::NoPolicy.into()));
     }
     let head = &incoming.head;
     let found = active.policy.class_of(headers::host(&head.headers), head.path());
     let found = found.and_then(|(name, class)| Some((name, class, active.class_position(name)?)));
     let Some((name, class, position)) = found else {
-        return Handled::refused(None, Kind::UnknownRoute.into());
+        return Err(Handled::refused(None, Kind::UnknownRoute.into()));
     };
-    let name = name.to_owned();
-    let identity = match Identity::of(context, &active, class, &head.headers, sender) {
+    let identity = match Identity::of(context, active, class, &head.headers, sender) {
         Ok(identity) => identity,
-        Err(kind) => return Handled::refused(Some(name), kind.into()),
+        Err(kind) => return Err(Handled::refused(Some(name.to_owned()), kind.into())),
     };
-    let account = identity.account(&active);
+    let account = identity.account(active);
     let closed = class.closed || account.is_some_and(|account| account.closed);
     let regions = identity::common_regions(class, account).filter(|_| !closed);
-    let Some(regions) = regions else {
-        let account = identity.name().map(str::to_owned);
-        return Handled { class: Some(name), account, outcome: Err(Kind::NoBackend.into()) };
-    };
     let limit = incoming.arrived_at + Duration::from_millis(class.deadline_ms);
-    let found = ClassMatch { position, idempotent: class.idempotent, regions, limit };
-    let account = identity.name().map(str::to_owned);
-    let outcome = match admit(context, &identity, limit).await {
-        Ok(token) => {
-            let outcome = dispatch(context, &active, found, &identity, incoming, id, sender).await;
-            token.filter(|_| is_not_run(&outcome)).into_iter().for_each(|token| token.give_back(context));
-            outcome
-        }
-        Err(refusal) => Err(refusal),
+    let mut found =
+        Match { class: name.to_owned(), position, idempotent: class.idempotent, regions: Vec::new(), limit, identity };
+    let Some(regions) = regions else { return Err(found.handled(Err(Kind::NoBackend.into()))) };
+    found.regions = regions;
+    Ok(found)
+}
+
+/// Admits a request to the quota of its account. `token` is what it has been admitted with before it was matched again.
+async fn admit(
+    context: &Context,
+    found: &Match,
+    token: Option<quotas::Token>,
+) -> Result<Option<quotas::Token>, Refusal> {
+    let name = found.identity.counted_name();
+    let (own, other) = match token {
+        Some(token) if name.is_some_and(|name| token.is_of(name)) => (Some(token), None),
+        other => (None, other),
     };
-    Handled { class: Some(name), account, outcome }
+    give_back(context, other);
+    match name {
+        Some(name) if own.is_none() => quotas::admit(context, name, found.limit).await,
+        _ => Ok(own),
+    }
 }
 
-/// Admits a request to the quota of its account.
-async fn admit(context: &Context, identity: &Identity, deadline: Time) -> Result<Option<quotas::Token>, Refusal> {
-    match identity.counted_name() {
-        Some(name) => quotas::admit(context, name, deadline).await,
-        None => Ok(None),
+fn give_back(context: &Context, token: Option<quotas::Token>) {
+    if let Some(token) = token {
+        token.give_back(context);
     }
 }
 
@@ -154,48 +183,63 @@
     matches!(outcome, Err(refusal) if refusal.kind.answer().outcome == Ran::NotRun)
 }
 
-/// The class that a request matched, by its position in the policy, with what passing the request on depends on.
+/// What a request matched in a policy: its class, its client account, and what passing it on depends on.
 #[derive(Debug, Clone)]
-struct ClassMatch {
+struct Match {
+    class: String,
+    /// Position of the class in the policy.
     position: usize,
     idempotent: bool,
     /// Regions that may run the request; all if there are none.
     regions: Vec<String>,
     /// When the request is given up, whatever its caller's deadline.
     limit: Time,
+    identity: Identity,
 }
 
-/// Dispatches a request of a class. A keyed request first passes the ledger, which may replay an earlier answer or
-/// refuse the request.
-async fn dispatch(
-    context: &Arc<Context>,
-    active: &ActivePolicy,
-    class: ClassMatch,
-    identity: &Identity,
-    incoming: Incoming,
-    id: &str,
+impl Match {
+    fn handled(&self, outcome: Outcome) -> Handled {
+        Handled { class: Some(self.class.clone()), account: self.identity.name().map(str::to_owned), outcome }
+    }
+}
+
+/// A caller's request with the policy that it was matched with.
+#[derive(Clone, Copy)]
+struct Request<'a> {
+    active: &'a Arc<ActivePolicy>,
+    found: &'a Match,
+    incoming: &'a Incoming,
+    id: &'a str,
     sender: Sender,
-) -> Outcome {
-    let ClassMatch { position, idempotent, regions, limit } = class;
+}
+
+/// Dispatches a request of a class. A keyed request first passes the ledger, which may replay an earlier answer or
+/// refuse the request. An error if another policy is in force: the request was not submitted, or did not run.
+async fn dispatch(context: &Arc<Context>, request: Request<'_>) -> Result<Outcome, Outdated> {
+    let Request { active, found, incoming, id, sender } = request;
+    let Match { position, idempotent, limit, identity, .. } = found;
     let Incoming { head, body, arrived_at, .. } = incoming;
-    let caller_deadline = headers::caller_limit(context, &head.headers).map(|limit| arrived_at + limit);
-    let deadline = caller_deadline.map_or(limit, |caller| caller.min(limit));
-    let fingerprint = fingerprint(head.method.as_str(), &head.target, &body);
+    let caller_deadline = headers::caller_limit(context, &head.headers).map(|limit| *arrived_at + limit);
+    let deadline = caller_deadline.map_or(*limit, |caller| caller.min(*limit));
+    let fingerprint = fingerprint(head.method.as_str(), &head.target, body);
     let needs_key = !idempotent && context.dialect.at_most_once == AtMostOnce::PerKey;
-    let keyed = if needs_key { Some(headers::keyed_request(context, &head.headers, fingerprint)?) } else { None };
+    let keyed = match needs_key.then(|| headers::keyed_request(context, &head.headers, fingerprint)).transpose() {
+        Ok(keyed) => keyed,
+        Err(kind) => return Ok(Err(kind.into())),
+    };
     if let Some(keyed) = &keyed {
         match at_most_once::begin(context, keyed) {
             Admission::Claim | Admission::Run => {}
             Admission::Replay(response) => {
                 context.metrics.replays.inc();
-                return Ok(response);
+                return Ok(Ok(response));
             }
-            Admission::Refuse(kind) => return Err(kind.into()),
+            Admission::Refuse(kind) => return Ok(Err(kind.into())),
         }
     }
     let submission = Submission {
         account: identity.for_engine(active),
-        ..submission(context, position, fingerprint, &head.headers, deadline)
+        ..submission(context, *position, fingerprint, &head.headers, deadline)
     };
     let object = context.dialect.object.as_ref().and_then(|name| head::text(&head.headers, name)).unwrap_or("-");
     let mut forwarded = headers::forwarded_headers(context, &head.headers);
@@ -204,55 +248,70 @@
         number: context.driver.next_request_number(),
         id: id.to_owned(),
         object: object.to_owned(),
-        method: head.method,
-        target: head.target,
+        method: head.method.clone(),
+        target: head.target.clone(),
         headers: forwarded,
-        body,
-        idempotent,
+        body: body.clone(),
+        idempotent: *idempotent,
         keyed,
     });
     if outgoing.keyed.is_some() {
-        return run_keyed(context, outgoing, submission).await;
+        return run_keyed(context, active, outgoing, submission).await;
     }
-    let passage = relay::Passage { regions, account: identity.for_instance(), deadline };
+    let passage = relay::Passage { regions: found.regions.clone(), account: identity.for_instance(), deadline };
     if context.reach.is_lost() {
-        return send_through_peer(context, &outgoing, &passage, sender).await;
+        return send_through_peer(context, active, &outgoing, &passage, sender).await;
     }
+    let submitted = context.driver.submit(context, active, Arc::clone(&outgoing), submission)?;
     let mut guard = AbandonGuard { context: Arc::clone(context), request: Some(outgoing.number) };
-    let outcome = context.driver.submit(context, Arc::clone(&outgoing), submission).await;
+    let outcome = submitted.await;
     guard.request = None;
     let outcome = outcome.unwrap_or_else(|_| Err(Kind::Internal.into()));
     if is_not_run(&outcome) && context.reach.is_lost() {
-        return send_through_peer(context, &outgoing, &passage, sender).await;
+        return send_through_peer(context, active, &outgoing, &passage, sender).await;
     }
-    outcome
+    Ok(outcome)
 }
 
 /// Passes a request that this daemon did not run and cannot run on to another entry instance.
 async fn send_through_peer(
     context: &Arc<Context>,
+    active: &Arc<ActivePolicy>,
     outgoing: &Outgoing,
     passage: &relay::Passage,
     sender: Sender,
-) -> Outcome {
+) -> Result<Outcome, Outdated> {
+    if !context.is_in_force(active) {
+        return Err(Outdated);
+    }
     if sender == Sender::Peer {
-        return Err(Kind::Unreachable.into());
+        return Ok(Err(Kind::Unreachable.into()));
     }
-    relay::send(context, outgoing, passage).await
+    Ok(relay::send(context, outgoing, passage).await)
 }
 
 /// Runs a keyed request to completion even if its caller disconnects: the answer is kept in case the caller sends the
 /// request again.
-async fn run_keyed(context: &Arc<Context>, outgoing: Arc<Outgoing>, submission: Submission) -> Outcome {
-    let shared = Arc::clone(context);
+async fn run_keyed(
+    context: &Arc<Context>,
+    active: &Arc<ActivePolicy>,
+    outgoing: Arc<Outgoing>,
+    submission: Submission,
+) -> Result<Outcome, Outdated> {
+    let (shared, active) = (Arc::clone(context), Arc::clone(active));
     let task = context.runtime.spawn(async move {
-        let outcome = shared.driver.submit(&shared, Arc::clone(&outgoing), submission).await;
-        let outcome = outcome.unwrap_or_else(|_| Err(Kind::Internal.into()));
-        let Some(keyed) = &outgoing.keyed else { return outcome };
+        let submitted = shared.driver.submit(&shared, &active, Arc::clone(&outgoing), submission);
+        let is_outdated = submitted.is_err();
+        let outcome = match submitted {
+            Ok(outcome) => outcome.await.unwrap_or_else(|_| Err(Kind::Internal.into())),
+            Err(Outdated) => Err(Kind::NoPolicy.into()),
+        };
+        let Some(keyed) = &outgoing.keyed else { return Ok(outcome) };
         at_most_once::withdraw(&shared, keyed);
-        at_most_once::finish(&shared, keyed, outcome)
+        let outcome = at_most_once::finish(&shared, keyed, outcome);
+        if is_outdated { Err(Outdated) } else { Ok(outcome) }
     });
-    task.await.unwrap_or_else(|_| Err(Kind::Internal.into()))
+    task.await.unwrap_or_else(|_| Ok(Err(Kind::Internal.into())))
 }
 
 /// Abandons a request when it is dropped before the outcome is known, which happens when the caller disconnects.
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -220,6 +220,11 @@
         Arc::clone(&self.active_policy.read().unwrap_or_else(std::sync::PoisonError::into_inner))
     }
 
+    /// Whether `active` is still the policy in force.
+    pub fn is_in_force(&self, active: &Arc<ActivePolicy>) -> bool {
+        Arc::ptr_eq(active, &self.active_policy.read().unwrap_or_else(std::sync::PoisonError::into_inner))
+    }
+
     /// Returns the routing state that look-ups and dispatch read.
     pub fn steering(&self) -> Arc<Steering> {
         Arc::clone(&self.steering.read().unwrap_or_else(std::sync::PoisonError::into_inner))
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -22,6 +22,7 @@
 use crate::context::lock;
 use crate::decision_log;
 use crate::plugin::Plugin;
+use crate::policies::ActivePolicy;
 use crate::response::Response;
 use crate::stall;
 
@@ -84,6 +85,10 @@
     pub account: Account,
 }
 
+/// The policy that a request was matched with is no longer in force, so its class may be gone, or stand for other work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Outdated;
+
 /// Why a caller's request gets no answer of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Refusal {
@@ -151,13 +156,15 @@
         self.next_number.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Submits a request to the engine; its outcome arrives through the returned receiver.
+    /// Submits a request that was matched with the policy `active` to the engine; its outcome arrives through the returned
+    /// receiver. Nothing is submitted if another policy is in force by now.
     pub fn submit(
         &self,
         context: &Arc<Context>,
+        active: &Arc<ActivePolicy>,
         outgoing: Arc<Outgoing>,
         submission: Submission,
-    ) -> oneshot::Receiver<Outcome> {
+    ) -> Result<oneshot::Receiver<Outcome>, Outdated> {
         let (reply, outcome) = oneshot::channel();
         let Submission { class, fingerprint, timeout, object, account } = submission;
         let bytes = outgoing.body.len() as u64;
@@ -166,8 +173,19 @@
         stall::check(context);
         let now = context.now();
         lock(&self.pending).insert(outgoing.number, Pending { outgoing, reply, arrived_at: now });
-        self.with_engine_mut(context, |engine| engine.submit(arrival, now));
-        outcome
+        // The engine's lock is held when the policy in force is replaced, see `view::activate`.
+        let submitted = self.with_engine_mut(context, |engine| {
+            let in_force = context.is_in_force(active);
+            if in_force {
+                engine.submit(arrival, now);
+            }
+            in_force
+        });
+        if submitted {
+            return Ok(outcome);
+        }
+        lock(&self.pending).remove(&request);
+        Err(Outdated)
     }
 
     /// Drops `request`, whose caller disconnected.
--- a/crates/daemon/src/quotas/mod.rs
+++ b/crates/daemon/src/quotas/mod.rs
@@ -150,6 +150,11 @@
 }
 
 impl Token {
+    /// Whether the token is of the quota of the account `name`.
+    pub fn is_of(&self, name: &str) -> bool {
+        self.account == account(name)
+    }
+
     /// Gives the token back: its request has not run.
     pub fn give_back(self, context: &Context) {
         let now = context.now();
--- a/crates/daemon/src/view/mod.rs
+++ b/crates/daemon/src/view/mod.rs
@@ -10,6 +10,7 @@
 
 use base::instance::{Instance, Role};
 use base::time::Time;
+use dispatch::Engine;
 use dispatch::backend::{BackendId, Spec};
 use dispatch::engine::{Budgets, Remote};
 use fleet::replica::Version;
@@ -85,47 +86,66 @@
 pub fn refresh(context: &Arc<Context>) {
     let mut state = lock(&context.refresh_state);
     let active = context.policy();
-    update(context, &active, &mut state);
+    let changes = update(context, &active, &mut state);
+    context.driver.with_engine_mut(context, |engine| changes.apply(engine));
 }
 
 /// Makes `next` the active policy. The routing state is rebuilt for it first, so that a request that is handled by the
-/// new policy finds its servers.
+/// new policy finds its servers. The engine's classes and the policy in force change together: positions of classes are
+/// looked up in the one and used in the other.
 pub fn activate(context: &Arc<Context>, next: Arc<ActivePolicy>) {
     let mut state = lock(&context.refresh_state);
     if next.regions != context.policy().regions {
         let answer_ttl = Duration::from_millis(context.settings.callers.answer_kept_ms);
         *lock(&context.shift_controller) = Controller::new(next.regions.len(), answer_ttl, context.now());
     }
-    context.driver.with_engine_mut(context, |engine| engine.set_classes(next.class_specs()));
     state.versions = None;
-    update(context, &next, &mut state);
-    *context.active_policy.write().unwrap_or_else(PoisonError::into_inner) = next;
+    let changes = update(context, &next, &mut state);
+    context.driver.with_engine_mut(context, |engine| {
+        engine.set_classes(next.class_specs());
+        changes.apply(engine);
+        *context.active_policy.write().unwrap_or_else(PoisonError::into_inner) = next;
+    });
+}
+
+/// What changes in the dispatch engine with the routing state.
+struct EngineChanges {
+    budgets: Budgets,
+    /// This daemon's shares of other regions, by position.
+    remotes: Vec<(u16, Remote)>,
+    /// The servers in use; `None` if they are the same.
+    servers: Option<Vec<Spec>>,
+    at: Time,
 }
 
-/// Updates the routing state for the policy `active`. Goes through the list and the members only if they changed, since
-/// time alone changes little.
-fn update(context: &Arc<Context>, active: &ActivePolicy, state: &mut RefreshState) {
+impl EngineChanges {
+    fn apply(self, engine: &mut Engine) {
+        engine.set_budgets(self.budgets);
+        for (region, remote) in self.remotes {
+            engine.set_remote(region, remote, self.at);
+        }
+        if let Some(servers) = self.servers {
+            engine.set_backends(servers, self.at);
+        }
+    }
+}
+
+/// Updates the routing state for the policy `active`; returns what changes in the engine. Goes through the list and the members
+/// only if they changed, since time alone changes little.
+fn update(context: &Context, active: &ActivePolicy, state: &mut RefreshState) -> EngineChanges {
     let now = context.now();
     let list = lock(&context.instance_list).clone();
     let roster = lock(&context.roster).digest();
     let versions = InputVersions { list: list.version, roster, settled: servers::settled(context) };
-    let specs = (state.versions != Some(versions)).then(|| rebuild(context, active, &list.items, state));
+    let servers = (state.versions != Some(versions)).then(|| rebuild(context, active, &list.items, state));
     state.versions = Some(versions);
     let steering = shift_callers(context, active, now);
     context.pool.retain(|backend| steering.backends.contains_key(&backend), now);
     let remotes = remotes(context, &state.slots, active, now);
     let budgets = budgets(context, servers::known_daemons(context, &lock(&context.roster)));
-    context.driver.with_engine_mut(context, |engine| {
-        engine.set_budgets(budgets);
-        for (region, remote) in remotes {
-            engine.set_remote(region, remote, now);
-        }
-        if let Some(specs) = specs {
-            engine.set_backends(specs, now);
-        }
-    });
     let policy = !active.policy.regions.is_empty();
     state.inputs = Inputs { version: active.version, policy, list: list.read_at.is_some() };
+    EngineChanges { budgets, remotes, servers, at: now }
 }
 
 /// Rebuilds backend servers and entry instances from the list and the members; returns the specs of the used servers
