A class that is refused for its latency gets a trial now and then

Cause: a request without an object is refused at once if half of its class's typical latency is longer than the time that it has. The typical latency is the median of the last 128 answers, so it changes only with answers, and a class that is refused gets none. Where some callers have more time, it takes 64 of their answers until the others are served.

Change: `trials` sends one such request in spite of the estimate, if a server is free for it at once, one at a time, no sooner than 2 s after the last trial or the last answer that agrees with the estimate. An answered trial shows that the estimate is out of date: the latencies before are dropped, with a log line (`dispatch: typical latency corrected by a trial`).

--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -96,6 +96,12 @@
                 "dispatch: server rate limit changed"
             );
         }
+        Decision::Corrected { class, before, latency } => {
+            let active = context.policy();
+            let class = active.classes.get(*class).map_or("-", String::as_str);
+            let (before_ms, ms) = (before.as_millis() as u64, latency.as_millis() as u64);
+            log::info!(class, before_ms, ms; "dispatch: typical latency corrected by a trial");
+        }
         Decision::Quarantined { fingerprint } => {
             log::warn!(fingerprint:% = format_args!("{fingerprint:016x}"); "dispatch: requests poisonous");
         }
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -293,6 +293,7 @@
             | Decision::Leaving { .. }
             | Decision::Paused { .. }
             | Decision::RateLimited { .. }
+            | Decision::Corrected { .. }
             | Decision::Quarantined { .. } => None,
         };
         let pending = lock(&self.pending);
--- a/crates/dispatch/src/class.rs
+++ b/crates/dispatch/src/class.rs
@@ -8,6 +8,7 @@
 use crate::regions;
 use crate::samples::Samples;
 use crate::split::{Share, Split};
+use crate::trials::Trials;
 use crate::work_time::Estimate;
 
 /// Typical latency before any is observed.
@@ -83,6 +84,8 @@
     latencies: Samples,
     /// Times of work on objects.
     pub work: Estimate,
+    /// Requests that are sent although the typical latency keeps them from servers.
+    pub trials: Trials,
     split: Split,
     answer_size: f64,
     /// Whether an answer was observed.
@@ -97,6 +100,7 @@
             in_flight: 0,
             latencies: Samples::new(INITIAL_LATENCY),
             work: Estimate::new(spec.target.mul_f64(INITIAL_WARM_RATIO)),
+            trials: Trials::default(),
             split: Split::new(&spec.split),
             spec,
             answer_size: INITIAL_ANSWER_SIZE,
@@ -124,6 +128,12 @@
         self.latencies.record(latency);
     }
 
+    /// Records the same of an answered trial, which shows that the latencies before are out of date.
+    pub fn record_trial(&mut self, latency: Duration, bytes: u64) {
+        self.latencies.clear();
+        self.record(latency, bytes);
+    }
+
     /// Returns the median of recent latencies, which a third of slow servers does not move far.
     pub const fn typical_latency(&self) -> Duration {
         self.latencies.median()
--- a/crates/dispatch/src/engine/decision.rs
+++ b/crates/dispatch/src/engine/decision.rs
@@ -88,6 +88,15 @@
         /// This daemon's position among those that share the limit.
         position: Position,
     },
+    /// A trial was answered sooner than the latency by which requests of its class were refused, which no longer counts.
+    Corrected {
+        /// The class, by position.
+        class: usize,
+        /// Typical latency until now.
+        before: Duration,
+        /// Latency of the trial.
+        latency: Duration,
+    },
     /// Requests with this fingerprint are refused, as connections to servers were lost while they ran.
     Quarantined {
         /// The fingerprint.
--- a/crates/dispatch/src/engine/ending.rs
+++ b/crates/dispatch/src/engine/ending.rs
@@ -5,7 +5,7 @@
 use base::error::{Kind, Outcome};
 use base::time::Time;
 
-use super::{Attempt, Ending, Engine, Verdict};
+use super::{Attempt, Decision, Ending, Engine, Verdict};
 use crate::backend::{Backend, BackendId};
 
 /// What the end of an attempt is judged by.
@@ -21,7 +21,7 @@
 
 impl Engine {
     /// Releases what an ended attempt used of its server, class and link, and updates their statistics.
-    pub(super) fn release(&mut self, ended: &Attempt, ending: Ending, now: Time) {
+    pub(super) fn release(&mut self, attempt: u64, ended: &Attempt, ending: Ending, now: Time) {
         let class = &mut self.classes[ended.class];
         class.in_flight -= 1;
         let may_wait = class.spec.may_wait;
@@ -46,7 +46,17 @@
         };
         let min_informative = class.late_after(true).min(class.spec.target);
         if matches!(ending, Ending::Answered(_)) {
-            class.record(latency, bytes);
+            if class.trials.includes(attempt) {
+                let (class, before) = (ended.class, class.typical_latency());
+                self.decisions.push(Decision::Corrected { class, before, latency });
+                self.classes[class].record_trial(latency, bytes);
+            } else {
+                if latency >= class.typical_latency() / 2 {
+                    class.trials.record_agreement(now);
+                }
+                class.record(latency, bytes);
+            }
+            let class = &mut self.classes[ended.class];
             let on_free_slot = ended.warm.filter(|_| ended.had_free_slot);
             on_free_slot.into_iter().for_each(|warm| class.work.record(latency, ended.pace, warm));
         }
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -259,7 +259,7 @@
             return;
         };
         self.timers.remove(&(ended.late_at, Timer::Late(attempt)));
-        self.release(&ended, ending, now);
+        self.release(attempt, &ended, ending, now);
         self.resolve(attempt, &ended, ending, now);
         self.dispatch_waiting_for(Some(ended.backend), now);
     }
--- a/crates/dispatch/src/engine/queue.rs
+++ b/crates/dispatch/src/engine/queue.rs
@@ -104,17 +104,22 @@
     }
 
     /// Sends the waiting requests of `class` in order until one has to wait; refuses those that no server can run or
-    /// that cannot finish in time.
+    /// that cannot finish in time, unless one is due as a trial and a server is free for it.
     pub(super) fn dispatch_class(&mut self, class: usize, now: Time) {
         while let Some(request) = self.classes[class].queue.front().copied() {
             if self.attempts.len() >= self.limits.max_in_flight {
                 return;
             }
-            if self.cannot_finish(request, now) {
+            let cannot_finish = self.cannot_finish(request, now);
+            if cannot_finish && !self.trial_is_due(request, now) {
                 self.refuse(request, Kind::WontFinish, now);
                 continue;
             }
             let Some(backend) = self.pick(request, now) else {
+                if cannot_finish {
+                    self.refuse(request, Kind::WontFinish, now);
+                    continue;
+                }
                 if self.reinstate_slow(request, now) {
                     continue;
                 }
@@ -130,6 +135,28 @@
                 state.queued = false;
             }
             self.start(request, backend, now);
+            if cannot_finish {
+                self.record_trial_start(request, now);
+            }
+        }
+    }
+
+    /// Returns whether a request that cannot finish may be sent as a trial: it could not when it arrived either, and has not just
+    /// waited for too long.
+    fn trial_is_due(&self, request: u64, now: Time) -> bool {
+        let Some(state) = self.requests.get(&request) else {
+            return false;
+        };
+        let class = &self.classes[state.class];
+        class.trials.is_due(now) && state.arrived + class.typical_latency() / 2 > state.deadline
+    }
+
+    fn record_trial_start(&mut self, request: u64, now: Time) {
+        let Some(state) = self.requests.get(&request) else {
+            return;
+        };
+        if let Some(attempt) = state.live.last() {
+            self.classes[state.class].trials.start(*attempt, state.deadline, now);
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod samples;
 pub mod split;
 pub mod subset;
+mod trials;
 pub mod warmth;
 pub mod work_time;
 
--- a/crates/dispatch/src/samples.rs
+++ b/crates/dispatch/src/samples.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Drops all durations; the median stays until one is recorded.
+    pub fn clear(&mut self) {
+        self.times.clear();
+        self.since_refresh = 0;
+    }
+
     /// Returns the median of recent durations, which a third of outliers does not move far.
     pub const fn median(&self) -> Duration {
         self.median
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -115,10 +115,20 @@
     }
 
     pub fn send_as(&mut self, class: usize, fingerprint: u64) -> u64 {
+        self.submit(class, fingerprint, None)
+    }
+
+    /// Sends a request whose caller waits for `limit`.
+    pub fn send_within(&mut self, class: usize, limit: Duration) -> u64 {
+        self.next += 1;
+        self.submit(class, self.next, Some(limit))
+    }
+
+    fn submit(&mut self, class: usize, fingerprint: u64, timeout: Option<Duration>) -> u64 {
         self.next += 1;
         let request = self.next;
         self.traces.insert(request, Trace { class, ..Trace::default() });
-        self.engine.submit(Arrival::new(request, class, fingerprint, 100), self.now);
+        self.engine.submit(Arrival { timeout, ..Arrival::new(request, class, fingerprint, 100) }, self.now);
         self.apply_actions();
         request
     }
