A server with one slot gets late requests while it is idle

What callers would see: requests about objects are refused for good, by servers with one slot each, once work took longer than the target for a moment.

Cause: a request that will miss the target may be sent only where one slot is left free besides, so never to a server with one slot. Without answers the estimate of the work stays as it is, and no later request counts as in time.

Change and result: such a server takes a late request while it is idle; those with more slots are treated as before. The test answers 40 of 40.

--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -240,7 +240,9 @@
         let (load, slots) = (server.load(now), f64::from(server.spec.slots));
         let target = state.arrived + self.classes[state.class].spec.target.mul_f64(state.target_fraction);
         let in_time = now + latency <= target && load < slots * MAX_LOAD_PER_SLOT;
-        in_time || load < slots - RESERVED_SLOTS
+        // A server with one slot has none to leave free: late requests would never reach it, and no answer would tell that work
+        // has become faster.
+        in_time || load < (slots - RESERVED_SLOTS).max(1.0)
     }
 
     /// Returns the time to the answer if the request is sent to `server`, where its object is warm with the given
--- a/crates/dispatch/tests/estimates.rs
+++ b/crates/dispatch/tests/estimates.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use base::error::Kind;
-use common::{LOOKUP, ORDER, World, backend, classes, refused};
-use dispatch::backend::Place;
-use dispatch::{Ending, Verdict};
+use base::time::Time;
+use common::{LIMITS, LOOKUP, ORDER, World, backend, classes, refused};
+use dispatch::backend::{Place, Spec};
+use dispatch::engine::Arrival;
+use dispatch::{Ending, Engine, Verdict, class};
 use rstest::rstest;
 
 const USUAL: Duration = Duration::from_millis(500);
@@ -146,3 +148,26 @@
     let most = (SLOW.as_secs() / 2 + 1) as u32;
     assert!(counts.sent <= most, "{counts:?}");
 }
+
+/// Guards against servers with one slot that get no request about an object any more once work took longer than the target.
+#[test]
+fn a_server_with_one_slot_gets_late_requests_while_it_is_idle() {
+    let target = Duration::from_millis(800);
+    let spec = class::Spec { affinity: true, target, ..class::Spec::new(0, LONG) };
+    let mut engine = Engine::new(vec![spec], LIMITS, 7);
+    let start = Time::from_millis(1_000);
+    engine.set_backends(vec![Spec { slots: 1, ..backend(1, Place::Domain) }], start);
+    let mut answered = 0;
+    for request in 1..=60 {
+        let sent = start + LONG * request;
+        let (work, in_calm) = if request <= 20 { (SLOW, false) } else { (USUAL, true) };
+        engine.submit(Arrival { object: Some(1), ..Arrival::new(u64::from(request), 0, u64::from(request), 10) }, sent);
+        for (attempt, _) in common::started(&mut engine) {
+            engine.finish(attempt, Ending::Answered(10), sent + work);
+            answered += u32::from(in_calm);
+        }
+        engine.tick(sent + LONG - STEP);
+        engine.take_actions();
+    }
+    assert_eq!(answered, 40, "all requests in calm are served");
+}
