--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -13,7 +13,7 @@
 use ledger::table::Admission;
 
 use super::connection::Incoming;
-use super::identity::{self, Identity};
+use super::matching::{self, Handled, Match};
 use super::reply::Reply;
 use super::stop::Demand;
 use super::{headers, relay};
@@ -87,28 +87,13 @@
     Reply::refusal(Refusal { kind, retry_after: Some(Duration::ZERO) }, &context.dialect)
 }
 
-/// What became of a request.
-struct Handled {
-    /// Name of its class; `None` if it has none.
-    class: Option<String>,
-    /// Name of its client account; `None` if it has none.
-    account: Option<String>,
-    outcome: Outcome,
-}
-
-impl Handled {
-    const fn refused(class: Option<String>, refusal: Refusal) -> Self {
-        Self { class, account: None, outcome: Err(refusal) }
-    }
-}
-
 /// Dispatches a request by the policy in force; it is matched again if another one comes into force before it is submitted. All
 /// its times count from its arrival, also if it has waited behind others of its connection.
 async fn run(context: &Arc<Context>, incoming: Incoming, id: &str, sender: Sender) -> Handled {
     let mut token = None;
     loop {
         let active = context.policy();
-        let found = match find(context, &active, &incoming, sender) {
+        let found = match matching::find(context, &active, &incoming, sender) {
             Ok(found) => found,
             Err(handled) => {
                 give_back(context, token);
@@ -128,32 +113,6 @@
     }
 }
 
-/// Finds the class and the client account of a request; returns the refusal if there are none that may run it.
-fn find(context: &Context, active: &ActivePolicy, incoming: &Incoming, sender: Sender) -> Result<Match, Handled> {
-    if active.policy.regions.is_empty() {
-        return Err(Handled::refused(None, Kind::NoPolicy.into()));
-    }
-    let head = &incoming.head;
-    let found = active.policy.class_of(headers::host(&head.headers), head.path());
-    let found = found.and_then(|(name, class)| Some((name, class, active.class_position(name)?)));
-    let Some((name, class, position)) = found else {
-        return Err(Handled::refused(None, Kind::UnknownRoute.into()));
-    };
-    let identity = match Identity::of(context, active, class, &head.headers, sender) {
-        Ok(identity) => identity,
-        Err(kind) => return Err(Handled::refused(Some(name.to_owned()), kind.into())),
-    };
-    let account = identity.account(active);
-    let closed = class.closed || account.is_some_and(|account| account.closed);
-    let regions = identity::common_regions(class, account).filter(|_| !closed);
-    let limit = incoming.arrived_at + Duration::from_millis(class.deadline_ms);
-    let mut found =
-        Match { class: name.to_owned(), position, idempotent: class.idempotent, regions: Vec::new(), limit, identity };
-    let Some(regions) = regions else { return Err(found.handled(Err(Kind::NoBackend.into()))) };
-    found.regions = regions;
-    Ok(found)
-}
-
 /// Admits a request to the quota of its account. `token` is what it has been admitted with before it was matched again.
 async fn admit(
     context: &Context,
@@ -183,26 +142,6 @@
     matches!(outcome, Err(refusal) if refusal.kind.answer().outcome == Ran::NotRun)
 }
 
-/// What a request matched in a policy: its class, its client account, and what passing it on depends on.
-#[derive(Debug, Clone)]
-struct Match {
-    class: String,
-    /// Position of the class in the policy.
-    position: usize,
-    idempotent: bool,
-    /// Regions that may run the request; all if there are none.
-    regions: Vec<String>,
-    /// When the request is given up, whatever its caller's deadline.
-    limit: Time,
-    identity: Identity,
-}
-
-impl Match {
-    fn handled(&self, outcome: Outcome) -> Handled {
-        Handled { class: Some(self.class.clone()), account: self.identity.name().map(str::to_owned), outcome }
-    }
-}
-
 /// A caller's request with the policy that it was matched with.
 #[derive(Clone, Copy)]
 struct Request<'a> {
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -7,6 +7,7 @@
 pub mod identity;
 mod job;
 pub mod lookup;
+mod matching;
 mod parser;
 pub mod purpose;
 pub mod relay;
