--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -93,6 +93,11 @@
         Self::exchange_on(self.connect(), text)
     }
 
+    /// Does the same at `address`, for threads: a harness can't be shared by them.
+    pub fn exchange_at(address: &str, text: &str) -> String {
+        Self::exchange_on(Self::connect_to(address), text)
+    }
+
     /// Does the same at the address for look-ups.
     pub fn look_up(&self, text: &str) -> String {
         Self::exchange_on(Self::connect_to(&self.lookup_address), text)
