--- a/crates/daemon/src/view/mod.rs
+++ b/crates/daemon/src/view/mod.rs
@@ -109,7 +109,7 @@
 }
 
 /// What changes in the dispatch engine with the routing state.
-struct EngineChanges {
+struct Changes {
     budgets: Budgets,
     /// This daemon's shares of other regions, by position.
     remotes: Vec<(u16, Remote)>,
@@ -118,7 +118,7 @@
     at: Time,
 }
 
-impl EngineChanges {
+impl Changes {
     fn apply(self, engine: &mut Engine) {
         engine.set_budgets(self.budgets);
         for (region, remote) in self.remotes {
@@ -132,7 +132,7 @@
 
 /// Updates the routing state for the policy `active`; returns what changes in the engine. Goes through the list and the members
 /// only if they changed, since time alone changes little.
-fn update(context: &Context, active: &ActivePolicy, state: &mut RefreshState) -> EngineChanges {
+fn update(context: &Context, active: &ActivePolicy, state: &mut RefreshState) -> Changes {
     let now = context.now();
     let list = lock(&context.instance_list).clone();
     let roster = lock(&context.roster).digest();
@@ -145,7 +145,7 @@
     let budgets = budgets(context, servers::known_daemons(context, &lock(&context.roster)));
     let policy = !active.policy.regions.is_empty();
     state.inputs = Inputs { version: active.version, policy, list: list.read_at.is_some() };
-    EngineChanges { budgets, remotes, servers, at: now }
+    Changes { budgets, remotes, servers, at: now }
 }
 
 /// Rebuilds backend servers and entry instances from the list and the members; returns the specs of the used servers
