Lines about single requests displace no others in the log

Cause: all lines share one budget, so the rarest ones are lost first when requests are many, which is when they are needed.

Change: lines with the field `request` have a budget of their own; the others have another one of the same size.

--- a/crates/daemon/src/logs/writer.rs
+++ b/crates/daemon/src/logs/writer.rs
@@ -1,4 +1,7 @@
 //! A bounded buffer of log lines, written out by a thread.
+//!
+//! Load pattern: thousands of requests a second, each with several lines, beside a change of the policy with one line. Lines about
+//! single requests have a budget of their own, so that they displace no others.
 
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -14,6 +17,9 @@
 /// Field with the number of lines that were left out before its line.
 const LEFT_OUT_FIELD: &str = "lines_left_out";
 
+/// Field of the lines that concern a single request.
+const REQUEST_FIELD: &[u8] = b" request=";
+
 /// Lines left out; one count for the process, which has one standard output.
 static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
 
@@ -26,12 +32,15 @@
 #[derive(Debug)]
 pub struct Buffer {
     lines: SyncSender<Vec<u8>>,
+    /// Budget of the lines about single requests.
+    request_budget: Budget,
+    /// Budget of all other lines.
     budget: Budget,
     clock: Clock,
 }
 
 impl Buffer {
-    /// Starts a thread that writes up to `per_second` lines a second to `out`.
+    /// Starts a thread that writes up to `per_second` lines a second about single requests to `out`, and as many others.
     pub fn start<W: Write + Send + 'static>(per_second: u32, out: W) -> Self {
         let (lines, waiting) = sync_channel(MAX_WAITING);
         let clock = Clock::new();
@@ -40,21 +49,23 @@
             // The receiver was dropped with the thread that did not start, so all lines are left out and counted.
             eprintln!("logs: no lines are written reason={:?}", error.to_string());
         }
-        Self { lines, budget: Budget::new(per_second, clock.now()), clock }
+        let budget = Budget::new(per_second, clock.now());
+        Self { lines, request_budget: budget.clone(), budget, clock }
     }
 }
 
 impl Write for Buffer {
     /// Buffers one line, or leaves it out if the budget is spent or the buffer full; never blocks.
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        if let Some(left_out) = self.budget.pass(self.clock.now()) {
+        let budget = if concerns_request(buf) { &mut self.request_budget } else { &mut self.budget };
+        if let Some(left_out) = budget.pass(self.clock.now()) {
             let mut text = buf.to_vec();
             if left_out > 0 {
                 text.truncate(text.trim_ascii_end().len());
                 text.extend_from_slice(format!(" {LEFT_OUT_FIELD}={left_out}\n").as_bytes());
             }
             if self.lines.try_send(text).is_err() {
-                self.budget.record_lost(left_out + 1);
+                budget.record_lost(left_out + 1);
                 LEFT_OUT.fetch_add(1, Ordering::Relaxed);
             }
         } else {
@@ -68,6 +79,11 @@
     }
 }
 
+/// Whether a line concerns a single request.
+fn concerns_request(line: &[u8]) -> bool {
+    line.windows(REQUEST_FIELD.len()).any(|window| window == REQUEST_FIELD)
+}
+
 /// Writes lines to `out` until the buffer is dropped or a write fails.
 fn write_out<W: Write>(waiting: &Receiver<Vec<u8>>, mut out: W) {
     while let Ok(line) = waiting.recv() {
