Rejections are logged and counted by who made them and by which policy

Logs and metrics could not tell the hypotheses apart: the line of a refusal without a class had neither version nor age of the policy, that of an answer not whether the server had signed it, input that was refused had no line at all, and replies were counted by class of status only.

Now: `callers: refused` without a class has version, source and age of the policy in force, `callers: answered` has `signed`, `callers: input refused` names the error's kind, and `hemlock_rejections_total{address,source,signed,kind,status}` counts replies with 3xx and 4xx. Nothing that callers see changes.

--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -24,6 +24,7 @@
 use crate::driver::{Outcome, Outdated, Outgoing, Refusal, Submission};
 use crate::policies::ActivePolicy;
 use crate::quotas;
+use crate::response::{self, Response};
 
 /// Who sent a request to this daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,15 +49,19 @@
         Ok(_) => "ok",
         Err(refusal) => refusal.kind.as_str(),
     };
+    let signed = outcome.as_ref().map_or("-", |response| signed_label(context, response));
     if let Some(class) = class {
         let latency = context.now().since(start);
         context.metrics.requests.with_label_values(&[&class, result]).inc();
         context.metrics.latency.with_label_values(&[&class]).observe(latency.as_secs_f64());
         record_burn(context, &class, &outcome, latency);
         let status = outcome.as_ref().map_or(0, |response| response.status.as_u16());
-        log::info!(request = id, class, account, result, status, ms:% = latency.as_millis(); "callers: answered");
+        log::info!(
+            request = id, class, account, result, status, signed, ms:% = latency.as_millis();
+            "callers: answered"
+        );
     } else {
-        log::info!(request = id, result, path = path.as_str(); "callers: refused");
+        log_unmatched(context, id, result, &path);
     }
     match outcome {
         Ok(response) => Reply::from_response(&response, &context.dialect),
@@ -64,6 +69,22 @@
     }
 }
 
+/// Returns whether a backend server's answer bears its signature, as a field of a log line.
+fn signed_label(context: &Context, response: &Response) -> &'static str {
+    if response::is_signed(&context.dialect, &response.headers) { "yes" } else { "no" }
+}
+
+/// Logs the refusal of a request that no class of the policy in force covers.
+fn log_unmatched(context: &Context, id: &str, result: &str, path: &str) {
+    let active = context.policy();
+    let age = context.now().since(active.provenance.since);
+    log::info!(
+        request = id, result, path, version:% = active.version, source = active.provenance.source.as_str(),
+        age_ms:% = age.as_millis();
+        "callers: refused"
+    );
+}
+
 /// Returns what a stop decides by: a request without a class runs nowhere, and is answered at once.
 pub fn demand(context: &Context, incoming: &Incoming) -> Demand {
     let head = &incoming.head;
--- a/crates/daemon/src/callers/job.rs
+++ b/crates/daemon/src/callers/job.rs
@@ -8,7 +8,7 @@
 use super::connection::Incoming;
 use super::purpose::Purpose;
 use super::reply::Reply;
-use crate::Context;
+use crate::{Context, response};
 
 /// A reply that is ready to be written.
 pub(super) struct ReadyReply {
@@ -34,9 +34,20 @@
     ready.reply = purpose.complete(ready.reply);
     let labels = [purpose.as_str(), ready.reply.source.as_str(), status_class(ready.reply.status)];
     context.metrics.replies.with_label_values(&labels).inc();
+    if ready.reply.status.is_redirection() || ready.reply.status.is_client_error() {
+        count_rejection(&context, purpose, &ready.reply);
+    }
     ready
 }
 
+/// Counts a reply that tells the caller that its request is wrong, by who says so.
+fn count_rejection(context: &Context, purpose: Purpose, reply: &Reply) {
+    let signed = if response::is_signed(&context.dialect, &reply.headers) { "yes" } else { "no" };
+    let status = reply.status.as_str();
+    let labels = [purpose.as_str(), reply.source.as_str(), signed, reply.source.error_kind(), status];
+    context.metrics.rejections.with_label_values(&labels).inc();
+}
+
 /// Returns the class of a status, as a metric's label.
 fn status_class(status: StatusCode) -> &'static str {
     match status.as_u16() / 100 {
@@ -60,6 +71,7 @@
             ReadyReply { method: incoming.head.method.clone(), last: true, reply }
         }
         Job::Refuse(kind) => {
+            log::info!(request = "-", result = kind.as_str(), address = purpose.as_str(); "callers: input refused");
             ReadyReply { method: Method::GET, reply: Reply::error(kind, &context.dialect), last: true }
         }
     }
--- a/crates/daemon/src/callers/purpose.rs
+++ b/crates/daemon/src/callers/purpose.rs
@@ -102,8 +102,8 @@
 fn with_disposition(mut reply: Reply) -> Reply {
     let disposition = match reply.source {
         Source::Server => Disposition::Complete,
-        Source::Error(Ran::NotRun) => Disposition::NotRun,
-        Source::Error(Ran::Unknown) | Source::LookUp => Disposition::Unknown,
+        Source::Error(kind) if kind.answer().outcome == Ran::NotRun => Disposition::NotRun,
+        Source::Error(_) | Source::LookUp => Disposition::Unknown,
     };
     disposition.append(&mut reply.headers);
     reply
--- a/crates/daemon/src/callers/reply.rs
+++ b/crates/daemon/src/callers/reply.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use base::error::{Kind, Outcome as Ran};
+use base::error::Kind;
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use http::{Method, StatusCode};
@@ -19,8 +19,8 @@
     Server,
     /// This daemon, which answered a look-up.
     LookUp,
-    /// This daemon, in place of a backend server's answer; states whether the request ran.
-    Error(Ran),
+    /// This daemon, in place of a backend server's answer, for an error of this kind.
+    Error(Kind),
 }
 
 impl Source {
@@ -32,6 +32,14 @@
             Self::Error(_) => "error",
         }
     }
+
+    /// Returns the kind of error in metrics; a dash for an answer.
+    pub const fn error_kind(self) -> &'static str {
+        match self {
+            Self::Error(kind) => kind.as_str(),
+            Self::Server | Self::LookUp => "-",
+        }
+    }
 }
 
 /// A reply with a complete body.
@@ -97,7 +105,7 @@
         let Refusal { kind, retry_after } = refusal;
         let answer = kind.answer();
         let body = ErrorBody { error: kind.as_str(), outcome: answer.outcome.as_str(), advice: kind.advice() };
-        let mut reply = Self::json(&body, Source::Error(answer.outcome));
+        let mut reply = Self::json(&body, Source::Error(kind));
         reply.status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         reply.close = answer.close;
         if let Some(outcome) = &dialect.outcome {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -16,6 +16,9 @@
     pub lookups: IntCounter,
     /// Replies on connections of callers, by what the address is for, who made the reply, and the class of its status.
     pub replies: IntCounterVec,
+    /// Replies with a status 3xx or 4xx, by what the address is for, who made the reply, whether a backend server signed it, the
+    /// kind of error and the status.
+    pub rejections: IntCounterVec,
     /// Requests answered, by class and result (`ok` or an error kind).
     pub requests: IntCounterVec,
     /// Requests answered, by client account and result.
@@ -112,6 +115,12 @@
                 "Replies to callers",
                 &["address", "source", "status"],
             ),
+            rejections: counters(
+                &registry,
+                "hemlock_rejections_total",
+                "Replies to callers with a status 3xx or 4xx",
+                &["address", "source", "signed", "kind", "status"],
+            ),
             requests: counters(&registry, "hemlock_requests_total", "Requests answered", &["class", "result"]),
             account_requests: counters(
                 &registry,
--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -6,6 +6,7 @@
 
 use accounts::Directory;
 use base::hash;
+use base::time::Time;
 use config::policy::{Class, Policy};
 use dispatch::split::Share;
 use dispatch::{class, regions};
@@ -15,11 +16,22 @@
 use crate::context::lock;
 use crate::{Context, view};
 
+/// Where the policy in force came from, and when.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Provenance {
+    /// The store, a file, or the address of the daemon that passed it on; empty before any policy was applied.
+    pub source: String,
+    /// When it came into force here.
+    pub since: Time,
+}
+
 /// The policy in force with its revision, and the names that the engine refers to by position.
 #[derive(Debug, Clone, Default)]
 pub struct ActivePolicy {
     /// Version of the policy; zero for that of the settings file or before any was applied.
     pub version: Version,
+    /// Where it came from, and when.
+    pub provenance: Provenance,
     /// The policy.
     pub policy: Policy,
     /// Class names; the index is the class's position.
@@ -50,7 +62,14 @@
         let directory = accounts.fold(Directory::new(fastrand::u64(..)), |directory, (name, account)| {
             directory.with_account(name, &account.keys)
         });
-        Self { version, policy, classes, services, regions, table, directory }
+        Self { version, provenance: Provenance::default(), policy, classes, services, regions, table, directory }
+    }
+
+    /// Sets where the policy came from, and when.
+    #[must_use]
+    pub fn with_provenance(mut self, provenance: Provenance) -> Self {
+        self.provenance = provenance;
+        self
     }
 
     /// Returns the position of a service; `None` if no class of this policy or of an earlier one refers to it.
@@ -106,7 +125,7 @@
     let mut replica = lock(&context.policy_replica);
     match replica.apply(document, origin) {
         Ok(Some(policy)) => {
-            activate(context, version, policy);
+            activate(context, version, policy, source);
             log::info!("policy: in force version={version} source={source}");
             true
         }
@@ -135,15 +154,16 @@
     }
     let policy = Policy::read(Path::new(path))?;
     let _replica = lock(&context.policy_replica);
-    activate(context, Version::default(), policy);
+    activate(context, Version::default(), policy, path);
     log::info!("policy: in force from the settings file={path}");
     Ok(())
 }
 
 /// Replaces the active policy. The caller holds the lock of the policy replica, so that policies are applied in the order
 /// of their versions.
-fn activate(context: &Arc<Context>, version: Version, policy: Policy) {
-    let next = ActivePolicy::replacing(&context.policy(), version, policy);
+fn activate(context: &Arc<Context>, version: Version, policy: Policy, source: &str) {
+    let provenance = Provenance { source: source.to_owned(), since: context.now() };
+    let next = ActivePolicy::replacing(&context.policy(), version, policy).with_provenance(provenance);
     view::activate(context, Arc::new(next));
     context.metrics.policy_revision.set(version.stored.revision as i64);
 }
--- a/crates/daemon/src/response.rs
+++ b/crates/daemon/src/response.rs
@@ -10,8 +10,12 @@
 /// Whether an answer with this status and these headers can be the whole answer of a backend server: a success must be
 /// signed, where the dialect has signatures, and must not be encoded by a proxy, since nobody asks for an encoding.
 pub fn is_proven(dialect: &Dialect, status: StatusCode, headers: &HeaderMap) -> bool {
-    let signed = dialect.signature.as_ref().is_none_or(|name| headers.contains_key(name));
-    !status.is_success() || (signed && !headers.contains_key(CONTENT_ENCODING))
+    !status.is_success() || (is_signed(dialect, headers) && !headers.contains_key(CONTENT_ENCODING))
+}
+
+/// Whether an answer with these headers bears the signature of a backend server, where the dialect has signatures.
+pub fn is_signed(dialect: &Dialect, headers: &HeaderMap) -> bool {
+    dialect.signature.as_ref().is_none_or(|name| headers.contains_key(name))
 }
 
 /// A complete answer: status, headers and body.
