A failure that no backend server signed is not passed on to the caller

Seen by callers (DENIED): whatever answers at a server's address without a signature, with 301, 302, 304, 400, 401, 403, 404, 405, 413 or 431, decides that a proper request is wrong, and the caller does not send it again. With 408, 429 or 503 it promises for this daemon that nothing ran.

Cause: `response::is_proven` asked for the signature on successes only. The class: the word of a party that has not proved who it is taken for that of the one that was asked.

Evidence: a_failure_that_no_server_signed_is_not_passed_on failed before in both cases (301 came to the caller on a safe route), and passes now.

Change: any answer without a signature, where the dialect has signatures, counts as cut: a safe request may go to another server, any other gets 502, which promises nothing. A server that states that it ran nothing needs no signature, as before, and 421 neither. The same for what another instance passes on: an earlier build passes unsigned failures on, and before its own 404 by its own policy, without a mark; this test case of stranded.rs failed before.

Tests of package platform pass, but for three cases of resource_limits whose addresses another run of that test held (address in use).

--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -209,8 +209,8 @@
 /// it.
 ///
 /// A misdirected request (status 421) reached another server than it was meant for, so its server counts as
-/// unreachable. An answer counts as cut if the dialect requires framing that it lacks, or if it is a success that is not
-/// proven to be the server's whole answer.
+/// unreachable. An answer counts as cut if the dialect requires framing that it lacks, or if it is not proven to be the
+/// server's whole answer.
 fn classify_answer(context: &Arc<Context>, attempt: Attempt, answer: Answer) -> (Ending, Option<Arc<Response>>) {
     let dialect = &context.dialect;
     load::record(context, attempt.backend, &answer.headers);
--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -28,6 +28,7 @@
 use crate::Context;
 use crate::backends::attempt::{self, UNACKED_TIMEOUT};
 use crate::driver::{Outcome, Outgoing, Refusal};
+use crate::response;
 
 /// Marks a request that is passed on to an instance of a build up to 4e2e901.
 const EARLIER_MARK: HeaderName = HeaderName::from_static("hemlock-relayed");
@@ -136,7 +137,11 @@
         Interface::Callers(_) => Some(earlier_disposition(context, &answer)),
     };
     match disposition {
-        Some(Disposition::Complete) => Ok(answer),
+        // An earlier build passes on failures that no server signed.
+        Some(Disposition::Complete) if response::is_proven(&context.dialect, answer.status, &answer.headers) => {
+            Ok(answer)
+        }
+        Some(Disposition::Complete) => Err(Failure::Answer(Kind::AnswerCut)),
         Some(Disposition::NotRun) => Err(Failure::Refused(retry_after(&answer))),
         Some(Disposition::Unknown) if answer.status == StatusCode::GATEWAY_TIMEOUT => {
             Err(Failure::Answer(Kind::BackendTimeout))
@@ -146,8 +151,8 @@
     }
 }
 
-/// Returns the disposition of an instance of an earlier build, which states refusals at most. Anything else is passed on as it
-/// is, since its status holds for the caller as well.
+/// Returns the disposition of an instance of an earlier build, which states refusals at most. Anything else may be a server's
+/// whole answer.
 fn earlier_disposition(context: &Context, answer: &Answer) -> Disposition {
     let is_signed = context.dialect.signature.as_ref().is_some_and(|name| answer.headers.contains_key(name));
     if !is_signed && answer.headers.contains_key(&EARLIER_NOT_RUN) {
--- a/crates/daemon/src/response.rs
+++ b/crates/daemon/src/response.rs
@@ -7,10 +7,13 @@
 
 use crate::dialect::Dialect;
 
-/// Whether an answer with this status and these headers can be the whole answer of a backend server: a success must be
-/// signed, where the dialect has signatures, and must not be encoded by a proxy, since nobody asks for an encoding.
+/// Whether an answer with this status and these headers can be the whole answer of a backend server: it must be signed, where the
+/// dialect has signatures, and a success must not be encoded by a proxy, since nobody asks for an encoding.
+///
+/// A failure needs a signature too: callers take one that is not a server's for a word of this daemon, which tells them by its
+/// status that their request is wrong, or that it did not run.
 pub fn is_proven(dialect: &Dialect, status: StatusCode, headers: &HeaderMap) -> bool {
-    !status.is_success() || (is_signed(dialect, headers) && !headers.contains_key(CONTENT_ENCODING))
+    is_signed(dialect, headers) && !(status.is_success() && headers.contains_key(CONTENT_ENCODING))
 }
 
 /// Whether an answer with these headers bears the signature of a backend server, where the dialect has signatures.
