A text that a peer of another build sent no longer shuts out the store's

Cause: Replica remembers the last version whose text was not a valid policy, and passes over every text of that version, whoever it comes from. A peer of a build with one more field in the policy sends a text that this build refuses (deny_unknown_fields). The text that this build then makes of the store's own document for the same version is valid, and was passed over as refused.

Evidence: the new test failed before at from_store.is_some(). Of the builds that run side by side in an upgrade none has other fields than this one, so the fault was latent; it would have come with the next field. Builds before this commit keep it: a field may not be added to the text that peers pass on as long as they run.

Change: what was refused counts for peers only. The store's text of a version is taken if it is later than the one in force. An invalid one is then tried again when its keys change, which costs one parse.

--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -98,7 +98,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Replica {
     document: Option<Document>,
-    /// The last version whose text was not a valid policy; `None` if there was none.
+    /// The last version whose text was not a valid policy; `None` if there was none. A text that a peer sends may have fields of
+    /// its build, so this says nothing of the store's text of that version.
     refused: Option<Version>,
 }
 
@@ -126,24 +127,20 @@
         let version = version.into();
         let in_force = self.version();
         let by_era_alone = version.declared == in_force.declared && version.stored.era != in_force.stored.era;
-        self.is_newer(version) && !(by_era_alone && self.document.is_some())
-    }
-
-    fn is_newer(&self, version: Version) -> bool {
-        version > self.version() && Some(version) != self.refused
+        version > in_force && Some(version) != self.refused && !(by_era_alone && self.document.is_some())
     }
 
     /// Puts `document` into force if it is intact, valid and newer, and returns the policy if it is now in force. From the
     /// store, another text of the version in force counts as newer: keys that a restored store no longer has expire
     /// without a change there.
     ///
-    /// A rejected document changes nothing in force. The version of an invalid policy is not fetched again; that of a
-    /// damaged document is, since another peer may have it intact.
+    /// A rejected document changes nothing in force. The version of an invalid policy is not fetched from peers again; that of
+    /// a damaged document is, since another peer may have it intact.
     pub fn apply(&mut self, document: Document, origin: Origin) -> Result<Option<Policy>> {
         let is_other_text =
             || self.document.as_ref().is_some_and(|known| known.version == document.version && *known != document);
         let is_due = match origin {
-            Origin::Store => self.is_newer(document.version) || is_other_text(),
+            Origin::Store => document.version > self.version() || is_other_text(),
             Origin::Peer => self.needs(document.version),
         };
         if !is_due {
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -219,6 +219,20 @@
     assert!(replica.needs(4));
 }
 
+/// Guards against requests for added routes that are refused as unknown: a peer of another build sends a text of a version that
+/// this build cannot read, and the text that it reads from the store for the same version is passed over.
+#[test]
+fn an_unreadable_text_of_a_peer_does_not_exclude_the_stores_text_of_that_version() {
+    let mut replica = Replica::new();
+    replica.apply(Document::new(2, POLICY.to_owned()), Origin::Store).expect("the policy is valid");
+    let unreadable = Document::new(3, format!("{POLICY}\n[field_of_another_build]\n"));
+    replica.apply(unreadable, Origin::Peer).expect_err("the field is unknown");
+    assert!(!replica.needs(3), "it is not fetched again from peers");
+    let from_store = replica.apply(Document::new(3, POLICY.to_owned()), Origin::Store).expect("the policy is valid");
+    assert!(from_store.is_some());
+    assert_eq!(replica.version(), Version::from(3));
+}
+
 /// Load: many connections of one daemon end at once. Nearly all losses reach all daemons, and each is sent only a few
 /// times.
 #[rstest]
