The number of header lines is limited by what they take, not to 100

Cause: heads were parsed into a table of 100 lines, and one more was an error of the same kind as too many bytes.

Change: a head that does not fit is parsed again with room for 4096 lines: all that can stand in 16384 bytes, what the operators allow on the deployments in force. The usual head costs what it did. What the lines beyond 100 take is counted towards the memory budget of callers, since a line of four bytes takes fifty times that.

--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -54,6 +54,13 @@
     pub arrived_at: Time,
 }
 
+impl Incoming {
+    /// Returns the memory that counts towards the budget of callers, in bytes.
+    fn memory_bytes(&self) -> usize {
+        self.body.len() + self.head.unusual_memory_bytes()
+    }
+}
+
 /// A connection and its requests in progress. `R` starts the handling of a request, `F` is the future it returns.
 struct Connection<R, F: Future> {
     context: Arc<Context>,
@@ -70,7 +77,7 @@
     deferred: Option<Incoming>,
     /// Replies of the running requests, in order of arrival.
     replies: FuturesOrdered<F>,
-    /// Sizes of the bodies of the running requests, in the same order.
+    /// Memory that the running requests take, in bytes, in the same order.
     running_bytes: VecDeque<usize>,
     /// What the connection holds of the memory budget.
     hold: Hold,
@@ -209,7 +216,7 @@
         let usage = |connection: &Self| Usage {
             bytes: connection.input.len()
                 + connection.parser.body_bytes()
-                + connection.deferred.as_ref().map_or(0, |incoming| incoming.body.len())
+                + connection.deferred.as_ref().map_or(0, Incoming::memory_bytes)
                 + connection.running_bytes.iter().sum::<usize>()
                 + connection.output.len(),
             moved: connection.moved,
@@ -320,7 +327,7 @@
 
     fn push(&mut self, job: Job) {
         self.running_bytes.push_back(match &job {
-            Job::Run(incoming) | Job::Decline(incoming) => incoming.body.len(),
+            Job::Run(incoming) | Job::Decline(incoming) => incoming.memory_bytes(),
             Job::Refuse(_) => 0,
         });
         self.replies.push_back((self.handler)(Arc::clone(&self.context), self.purpose, job));
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -10,8 +10,12 @@
 
 /// Status codes that HTTP has (RFC 9110, 15). The parser accepts any three digits.
 const STATUS_CODES: RangeInclusive<u16> = 100..=599;
-/// Maximum number of header lines in one head.
-const MAX_HEADERS: usize = 100;
+/// Number of header lines for which a head is parsed without an allocation; few heads have more.
+const USUAL_LINES: usize = 100;
+/// Maximum number of header lines in one head: a parsed line takes far more memory than the few bytes that it may have.
+const MAX_LINES: usize = 4_096;
+/// Memory that a parsed header line takes beside its text, in bytes.
+const LINE_MEMORY_BYTES: usize = 200;
 
 /// Hop-by-hop headers, which apply to one connection only and are never forwarded.
 const HOP_HEADERS: [&str; 9] = [
@@ -55,20 +59,24 @@
     /// `max_bytes` bytes is an error.
     pub fn parse(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>> {
         skip_blank_lines(buffer);
-        let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut parsed = httparse::Request::new(&mut lines);
-        let length = match parsed.parse(buffer) {
-            Ok(httparse::Status::Complete(length)) if length <= max_bytes => length,
-            Ok(httparse::Status::Partial) if buffer.len() < max_bytes => return Ok(None),
-            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Error::HeadTooLarge),
-            Err(_) => return Err(Error::Malformed),
-        };
+        let Some((request, length)) = parse_in_lines(buffer, max_bytes, Self::parse_in)? else { return Ok(None) };
+        buffer.advance(length);
+        Ok(Some(request))
+    }
+
+    fn parse_in<'b>(buffer: &'b [u8], max_bytes: usize, lines: &mut [httparse::Header<'b>]) -> Parsed<Self> {
+        let mut parsed = httparse::Request::new(lines);
+        let Some(length) = length(parsed.parse(buffer), buffer.len(), max_bytes)? else { return Ok(None) };
         let method = Method::from_bytes(parsed.method.unwrap_or_default().as_bytes()).map_err(|_e| Error::Malformed)?;
         let target = parsed.path.unwrap_or_default().to_owned();
         let headers = headers(parsed.headers)?;
         let keep_alive = keeps_alive(parsed.version, &headers);
-        buffer.advance(length);
-        Ok(Some(Self { method, target, headers, keep_alive }))
+        Ok(Some((Self { method, target, headers, keep_alive }, length)))
+    }
+
+    /// Returns the memory that the header lines beyond the usual number take, in bytes.
+    pub fn unusual_memory_bytes(&self) -> usize {
+        self.headers.len().saturating_sub(USUAL_LINES) * LINE_MEMORY_BYTES
     }
 
     /// Returns the path without the query.
@@ -86,19 +94,18 @@
     /// Parses a head and removes it from the front of `buffer`; `None` if it is not complete yet. A head of more than
     /// `max_bytes` bytes is an error.
     pub fn parse(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>> {
-        let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut parsed = httparse::Response::new(&mut lines);
-        let length = match parsed.parse(buffer) {
-            Ok(httparse::Status::Complete(length)) if length <= max_bytes => length,
-            Ok(httparse::Status::Partial) if buffer.len() < max_bytes => return Ok(None),
-            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Error::HeadTooLarge),
-            Err(_) => return Err(Error::Malformed),
-        };
+        let Some((response, length)) = parse_in_lines(buffer, max_bytes, Self::parse_in)? else { return Ok(None) };
+        buffer.advance(length);
+        Ok(Some(response))
+    }
+
+    fn parse_in<'b>(buffer: &'b [u8], max_bytes: usize, lines: &mut [httparse::Header<'b>]) -> Parsed<Self> {
+        let mut parsed = httparse::Response::new(lines);
+        let Some(length) = length(parsed.parse(buffer), buffer.len(), max_bytes)? else { return Ok(None) };
         let status = parsed.code.and_then(status).ok_or(Error::Malformed)?;
         let headers = headers(parsed.headers)?;
         let keep_alive = keeps_alive(parsed.version, &headers);
-        buffer.advance(length);
-        Ok(Some(Self { status, headers, keep_alive }))
+        Ok(Some((Self { status, headers, keep_alive }, length)))
     }
 }
 
@@ -117,6 +124,54 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
+/// A head with its length, `None` if it is not complete yet.
+type Parsed<T> = std::result::Result<Option<(T, usize)>, Failure>;
+
+/// Why a head was not parsed.
+enum Failure {
+    /// It has more lines than there was room for.
+    TooManyLines,
+    Invalid(Error),
+}
+
+impl From<Error> for Failure {
+    fn from(error: Error) -> Self {
+        Self::Invalid(error)
+    }
+}
+
+/// Calls `parse` with room for the usual number of header lines and, if that is too little, with room for all that a head may
+/// have.
+fn parse_in_lines<'b, T>(
+    buffer: &'b [u8],
+    max_bytes: usize,
+    parse: impl Fn(&'b [u8], usize, &mut [httparse::Header<'b>]) -> Parsed<T>,
+) -> Result<Option<(T, usize)>> {
+    let mut parsed = parse(buffer, max_bytes, &mut [httparse::EMPTY_HEADER; USUAL_LINES]);
+    if matches!(parsed, Err(Failure::TooManyLines)) {
+        parsed = parse(buffer, max_bytes, &mut vec![httparse::EMPTY_HEADER; MAX_LINES]);
+    }
+    parsed.map_err(|failure| match failure {
+        Failure::TooManyLines => Error::HeadTooLarge,
+        Failure::Invalid(error) => error,
+    })
+}
+
+/// Returns the length of a head of which `received` bytes or more have arrived; `None` if it is not complete yet.
+fn length(
+    status: httparse::Result<usize>,
+    received: usize,
+    max_bytes: usize,
+) -> std::result::Result<Option<usize>, Failure> {
+    match status {
+        Ok(httparse::Status::Complete(length)) if length <= max_bytes => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if received < max_bytes => Ok(None),
+        Ok(_) => Err(Error::HeadTooLarge.into()),
+        Err(httparse::Error::TooManyHeaders) => Err(Failure::TooManyLines),
+        Err(_) => Err(Error::Malformed.into()),
+    }
+}
+
 /// Removes empty lines before a request, which HTTP/1.1 allows.
 fn skip_blank_lines(buffer: &mut BytesMut) {
     let blank = buffer.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
--- a/crates/h1/tests/bodies.rs
+++ b/crates/h1/tests/bodies.rs
@@ -126,3 +126,32 @@
     assert_eq!(Framing::of_request(&head.headers), Ok(Framing::Length(3)), "only the framing of the encoder");
     assert_eq!(&out[..], b"abc");
 }
+
+/// Guards against a proper request that is refused with 431, and a server's answer that is replaced by 502, for the number of
+/// their header lines although the head is within its limit of bytes.
+#[rstest]
+#[case::usual(100)]
+#[case::many(101)]
+#[case::all_that_fit(4_000)]
+fn a_head_within_its_limit_may_have_any_number_of_lines(#[case] lines: usize) {
+    let lines = "a:\r\n".repeat(lines);
+    let (limit, count) = (16_384, lines.len() / 4);
+    let text = format!("GET / HTTP/1.1\r\n{lines}\r\n");
+    for end in [text.len() / 2, text.len() - 1] {
+        let parsed = head::Request::parse(&mut BytesMut::from(&text[..end]), limit);
+        assert!(matches!(parsed, Ok(None)), "{parsed:?}");
+    }
+    let request = head::Request::parse(&mut BytesMut::from(text.as_str()), limit).expect("it is within the limit");
+    assert_eq!(request.expect("it is complete").headers.len(), count);
+    let text = format!("HTTP/1.1 200 OK\r\n{lines}\r\n");
+    let response = head::Response::parse(&mut BytesMut::from(text.as_str()), limit).expect("it is within the limit");
+    assert_eq!(response.expect("it is complete").headers.len(), count);
+}
+
+/// Guards against a head whose lines take far more memory than its bytes.
+#[test]
+fn the_number_of_lines_is_limited_where_the_limit_of_bytes_is_high() {
+    let text = format!("GET / HTTP/1.1\r\n{}\r\n", "a:\r\n".repeat(100_000));
+    let parsed = head::Request::parse(&mut BytesMut::from(text.as_str()), 1 << 20);
+    assert!(matches!(parsed, Err(Error::HeadTooLarge)), "{parsed:?}");
+}
