A request in absolute form is routed by its own host and path

Cause: the target was taken as the path, and no prefix begins it.

Change: a head in absolute form is reduced to path and query when it is parsed, and the host of the target replaces that of the header. So a server gets the path that the route covers, unchanged, and the host that selected the route. An instance that gets the request passed on, of whatever build, sees the usual form. A target without a host is malformed.

--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -3,10 +3,11 @@
 use std::ops::RangeInclusive;
 
 use bytes::{Buf as _, BytesMut};
-use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
+use http::header::{CONNECTION, HOST, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, StatusCode};
 
 use crate::error::{Error, Result};
+use crate::target::Absolute;
 
 /// Status codes that HTTP has (RFC 9110, 15). The parser accepts any three digits.
 const STATUS_CODES: RangeInclusive<u16> = 100..=599;
@@ -35,7 +36,7 @@
 pub struct Request {
     /// The method.
     pub method: Method,
-    /// Path and query, as sent.
+    /// Path and query as sent; a target in absolute form is reduced to them, and its host stands in the headers.
     pub target: String,
     /// The headers.
     pub headers: HeaderMap,
@@ -68,9 +69,9 @@
         let mut parsed = httparse::Request::new(lines);
         let Some(length) = length(parsed.parse(buffer), buffer.len(), max_bytes)? else { return Ok(None) };
         let method = Method::from_bytes(parsed.method.unwrap_or_default().as_bytes()).map_err(|_e| Error::Malformed)?;
-        let target = parsed.path.unwrap_or_default().to_owned();
-        let headers = headers(parsed.headers)?;
+        let mut headers = headers(parsed.headers)?;
         let keep_alive = keeps_alive(parsed.version, &headers);
+        let target = origin_form(parsed.path.unwrap_or_default(), &mut headers)?;
         Ok(Some((Self { method, target, headers, keep_alive }, length)))
     }
 
@@ -172,6 +173,13 @@
     }
 }
 
+/// Returns path and query of a target. The host of one in absolute form replaces that of the header, as RFC 9112 (3.2.2) says.
+fn origin_form(target: &str, headers: &mut HeaderMap) -> Result<String> {
+    let Some(absolute) = Absolute::parse(target)? else { return Ok(target.to_owned()) };
+    headers.insert(HOST, HeaderValue::from_str(absolute.authority).map_err(|_e| Error::Malformed)?);
+    Ok(absolute.path)
+}
+
 /// Removes empty lines before a request, which HTTP/1.1 allows.
 fn skip_blank_lines(buffer: &mut BytesMut) {
     let blank = buffer.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod error;
 pub mod head;
 pub mod memory;
+mod target;
 
 pub use body::{Decoder, Framing};
 pub use budget::Budget;
--- a/crates/h1/tests/bodies.rs
+++ b/crates/h1/tests/bodies.rs
@@ -155,3 +155,26 @@
     let parsed = head::Request::parse(&mut BytesMut::from(text.as_str()), 1 << 20);
     assert!(matches!(parsed, Err(Error::HeadTooLarge)), "{parsed:?}");
 }
+
+/// Guards against a target in absolute form that is read as a path, or as that of another host.
+#[rstest]
+#[case("http://a.example/b?c=d", "a.example", "/b?c=d")]
+#[case("http://a.example:80?c=d", "a.example:80", "/?c=d")]
+#[case("http://a.example", "a.example", "/")]
+#[case("http://user@a.example/", "a.example", "/")]
+#[case("/b/http://a.example/", "x", "/b/http://a.example/")]
+#[case("*", "x", "*")]
+fn a_target_in_absolute_form_gives_host_and_path(#[case] target: &str, #[case] host: &str, #[case] path: &str) {
+    let text = format!("GET {target} HTTP/1.1\r\nhost: x\r\nhost: y\r\n\r\n");
+    let parsed = head::Request::parse(&mut BytesMut::from(text.as_str()), 1_000).expect("it is valid");
+    let head = parsed.expect("it is complete");
+    assert_eq!(head.target, path);
+    assert_eq!(head::text(&head.headers, &http::header::HOST), Some(host));
+}
+
+#[test]
+fn a_target_without_a_host_is_malformed() {
+    let text = "GET http:///b HTTP/1.1\r\nhost: x\r\n\r\n";
+    let parsed = head::Request::parse(&mut BytesMut::from(text), 1_000);
+    assert!(matches!(parsed, Err(Error::Malformed)), "{parsed:?}");
+}
