A host is found with a port, a final dot or as a literal address

Cause: the request's host was cut at its first colon and then compared with the route's as it was written.

--- a/crates/config/src/policy/class.rs
+++ b/crates/config/src/policy/class.rs
@@ -17,7 +17,7 @@
     /// Services that share the work, each with its weight.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub split: BTreeMap<String, u32>,
-    /// The host that requests must name; empty for any host.
+    /// The host that requests must name, without a port; empty for any host.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub host: String,
     /// Path prefixes of the class; each starts with `/` and covers whole path segments.
@@ -102,6 +102,14 @@
     }
 }
 
+/// Returns the name in `host` without a port and without the dot that may end a full domain name.
+pub fn host_name(host: &str) -> &str {
+    let port_from = host.rfind(']').map_or(0, |bracket| bracket + 1);
+    let end = host[port_from..].find(':').map_or(host.len(), |colon| port_from + colon);
+    let name = &host[..end];
+    name.strip_suffix('.').unwrap_or(name)
+}
+
 /// Whether `prefix` covers `path` by whole path segments; `path` may end with a query.
 fn is_path_prefix(prefix: &str, path: &str) -> bool {
     let Some(rest) = path.strip_prefix(prefix) else {
--- a/crates/config/src/policy/mod.rs
+++ b/crates/config/src/policy/mod.rs
@@ -18,7 +18,7 @@
 
 pub use self::account::Account;
 pub use self::block::Block;
-pub use self::class::Class;
+pub use self::class::{Class, host_name};
 pub use self::drain::{Drain, Scope};
 pub use self::link::Link;
 pub use self::region::Region;
--- a/crates/daemon/src/callers/headers.rs
+++ b/crates/daemon/src/callers/headers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::error::Kind;
+use config::policy;
 use h1::head;
 use http::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName};
 
@@ -42,8 +43,7 @@
 
 /// Returns the host that the request's `Host` header names, without the port; empty if the header is missing.
 pub(super) fn host(headers: &HeaderMap) -> &str {
-    let host = head::text(headers, &HOST).unwrap_or_default();
-    host.split(':').next().unwrap_or_default()
+    policy::host_name(head::text(headers, &HOST).unwrap_or_default())
 }
 
 /// Reads the headers of a keyed request. Fails if the key is missing or too long, or belongs to a session of
