Lines between chunks may be as long as a request's head

Cause: the decoder of bodies had limits of its own.

For servers' answers, whose lines are not counted, a line stays at 4096 bytes, and the trailers at what a hundred such lines have, however many they are.

--- a/crates/daemon/src/callers/parser.rs
+++ b/crates/daemon/src/callers/parser.rs
@@ -91,7 +91,8 @@
             return Err(Kind::BodyTooLarge);
         }
         self.expects_continue = head.headers.contains_key(EXPECT);
-        Ok(Partial { head, decoder: Decoder::new(framing), body: BytesMut::new() })
+        let decoder = Decoder::new(framing).with_max_line_bytes(self.max_head);
+        Ok(Partial { head, decoder, body: BytesMut::new() })
     }
 
     /// Whether the head of a request has arrived, and not all of its body.
--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -6,10 +6,10 @@
 
 use crate::error::{Error, Result};
 
-/// Maximum length of a line between chunks, in bytes.
+/// Maximum length of a line between chunks if no other is set, in bytes.
 const MAX_LINE_BYTES: usize = 4_096;
-/// Maximum number of trailer lines after the last chunk.
-const MAX_TRAILERS: u32 = 100;
+/// Maximum length of all trailer lines after the last chunk if no other is set, in bytes; they are dropped as they come.
+const MAX_TRAILER_BYTES: usize = 100 * MAX_LINE_BYTES;
 
 /// How the end of a body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,8 +57,8 @@
     Chunk(u64),
     /// Before the line break after a chunk.
     Break,
-    /// Before a trailer line, with the number of trailer lines before it.
-    Trailer(u32),
+    /// Before a trailer line, with the length of the trailer lines before it in bytes.
+    Trailer(usize),
     UntilClose,
     End,
 }
@@ -67,6 +67,8 @@
 #[derive(Debug, Clone)]
 pub struct Decoder {
     state: State,
+    max_line_bytes: usize,
+    max_trailer_bytes: usize,
 }
 
 impl Decoder {
@@ -78,7 +80,13 @@
             Framing::Chunked => State::Size,
             Framing::UntilClose => State::UntilClose,
         };
-        Self { state }
+        Self { state, max_line_bytes: MAX_LINE_BYTES, max_trailer_bytes: MAX_TRAILER_BYTES }
+    }
+
+    /// Sets the maximum length of a line between chunks, and of all trailer lines after the last one, in bytes.
+    #[must_use]
+    pub const fn with_max_line_bytes(self, bytes: usize) -> Self {
+        Self { max_line_bytes: bytes, max_trailer_bytes: bytes, ..self }
     }
 
     /// Returns whether the whole body was decoded.
@@ -109,20 +117,22 @@
                 State::UntilClose if buffer.is_empty() => return Ok(None),
                 State::UntilClose => return Ok(Some(buffer.split().freeze())),
                 State::Size => {
-                    let Some(size) = chunk_size(buffer)? else { return Ok(None) };
+                    let Some(size) = chunk_size(buffer, self.max_line_bytes)? else { return Ok(None) };
                     self.state = if size == 0 { State::Trailer(0) } else { State::Chunk(size) };
                 }
                 State::Break => {
-                    let Some(line) = line(buffer)? else { return Ok(None) };
+                    let Some(line) = line(buffer, self.max_line_bytes)? else { return Ok(None) };
                     if !line.is_empty() {
                         return Err(Error::Malformed);
                     }
                     self.state = State::Size;
                 }
-                State::Trailer(MAX_TRAILERS) => return Err(Error::Malformed),
-                State::Trailer(lines) => {
-                    let Some(line) = line(buffer)? else { return Ok(None) };
-                    self.state = if line.is_empty() { State::End } else { State::Trailer(lines + 1) };
+                State::Trailer(bytes) if bytes > self.max_trailer_bytes => return Err(Error::Malformed),
+                State::Trailer(bytes) => {
+                    let before = buffer.len();
+                    let Some(line) = line(buffer, self.max_line_bytes)? else { return Ok(None) };
+                    let bytes = bytes + before - buffer.len();
+                    self.state = if line.is_empty() { State::End } else { State::Trailer(bytes) };
                 }
             }
         }
@@ -151,21 +161,21 @@
     }
 }
 
-fn chunk_size(buffer: &mut BytesMut) -> Result<Option<u64>> {
+fn chunk_size(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<u64>> {
     match httparse::parse_chunk_size(buffer) {
         Ok(httparse::Status::Complete((length, size))) => {
             buffer.advance(length);
             Ok(Some(size))
         }
-        Ok(httparse::Status::Partial) if buffer.len() < MAX_LINE_BYTES => Ok(None),
+        Ok(httparse::Status::Partial) if buffer.len() < max_bytes => Ok(None),
         Ok(httparse::Status::Partial) | Err(_) => Err(Error::Malformed),
     }
 }
 
 /// Removes a line from `buffer` and returns it without its line break; `None` if it is not complete yet.
-fn line(buffer: &mut BytesMut) -> Result<Option<BytesMut>> {
+fn line(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<BytesMut>> {
     let Some(end) = buffer.iter().position(|byte| *byte == b'\n') else {
-        return if buffer.len() < MAX_LINE_BYTES { Ok(None) } else { Err(Error::Malformed) };
+        return if buffer.len() < max_bytes { Ok(None) } else { Err(Error::Malformed) };
     };
     let mut line = buffer.split_to(end + 1);
     line.truncate(end);
--- a/crates/h1/tests/bodies.rs
+++ b/crates/h1/tests/bodies.rs
@@ -178,3 +178,26 @@
     let parsed = head::Request::parse(&mut BytesMut::from(text), 1_000);
     assert!(matches!(parsed, Err(Error::Malformed)), "{parsed:?}");
 }
+
+/// Guards against a proper request that is refused with 400 for what stands between and behind its chunks, although it is within the
+/// limit of the head.
+#[rstest]
+#[case::extension(format!("5;x={}\r\nhello\r\n0\r\n\r\n", "y".repeat(10_000)))]
+#[case::trailer(format!("5\r\nhello\r\n0\r\nx: {}\r\n\r\n", "y".repeat(10_000)))]
+#[case::trailers(format!("5\r\nhello\r\n0\r\n{}\r\n", "x: y\r\n".repeat(2_000)))]
+fn lines_between_chunks_may_be_as_long_as_a_head(#[case] text: String) {
+    let decode = |max_line_bytes: usize| {
+        let mut decoder = Decoder::new(Framing::Chunked).with_max_line_bytes(max_line_bytes);
+        let mut buffer = BytesMut::new();
+        let mut body = Vec::new();
+        for piece in text.as_bytes().chunks(1_000) {
+            buffer.extend_from_slice(piece);
+            while let Some(part) = decoder.decode(&mut buffer)? {
+                body.extend_from_slice(&part);
+            }
+        }
+        decoder.close().map(|()| body)
+    };
+    assert_eq!(decode(16_384), Ok(b"hello".to_vec()));
+    assert_eq!(decode(8_192), Err(Error::Malformed), "the limit holds");
+}
