A head within its limit is read to its end

Callers whose head is longer than 65536 bytes, where max_header_bytes allows that, had their connection closed without an answer after header_timeout_ms; nothing says that a request that was never answered has not run, so an order was not sent again.

Cause: no more than 65536 bytes are read ahead, so the rest of such a head was never read.

Change: as much is read ahead as a head may have.

--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -30,7 +30,7 @@
 const MAX_PIPELINED: usize = 16;
 /// Buffer space reserved before each read, in bytes.
 const READ_BYTES: usize = 4_096;
-/// Unparsed input, in bytes, beyond which no more is read from the socket.
+/// Unparsed input, in bytes, beyond which no more is read from the socket; a head may be longer.
 const MAX_READ_AHEAD_BYTES: usize = 65_536;
 /// Unsent reply bytes beyond which no further request of this connection is started.
 const MAX_UNSENT_BYTES: usize = 65_536;
@@ -114,7 +114,7 @@
         if connection.is_finished() {
             break;
         }
-        let may_read = connection.input.len() < MAX_READ_AHEAD_BYTES;
+        let may_read = connection.input.len() < connection.max_read_ahead();
         connection.input.reserve(READ_BYTES);
         let deadline = connection.next_deadline(&current);
         tokio::select! {
@@ -205,6 +205,11 @@
         }
     }
 
+    /// Returns the bytes of unparsed input beyond which no more is read from the socket.
+    fn max_read_ahead(&self) -> usize {
+        MAX_READ_AHEAD_BYTES.max(self.context.settings.callers.max_header_bytes as usize)
+    }
+
     /// Whether all replies are written and no further request is read.
     fn is_finished(&self) -> bool {
         self.closing && self.replies.is_empty() && self.output.is_empty()
