Callers may send what the operators' limits allow

Cause: limits in op/config were read by nobody.

Change: the limits are read beside the policy and raise those of the settings. A connection takes up new limits with its next request.

--- a/crates/daemon/src/adapter.rs
+++ b/crates/daemon/src/adapter.rs
@@ -20,6 +20,19 @@
     pub cold_for: Duration,
 }
 
+/// Limits of callers that operators declare; `None` for those that they leave to the settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct DeclaredLimits {
+    /// Maximum size of a request line with its headers, in bytes.
+    pub max_header_bytes: Option<u64>,
+    /// Maximum size of a request's body, in bytes.
+    pub max_body_bytes: Option<u64>,
+    /// Maximum time for a caller to send a request's header.
+    pub header_timeout: Option<Duration>,
+    /// Maximum time that a connection stays open without a request.
+    pub idle_timeout: Option<Duration>,
+}
+
 /// The policy as the platform's store has it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PolicyUpdate {
@@ -27,6 +40,9 @@
     pub version: Version,
     /// The policy.
     pub policy: Policy,
+    /// Limits of callers. They are not part of the policy, whose text builds without them refuse if it has more fields; each
+    /// daemon reads them from its own mirror.
+    pub limits: DeclaredLimits,
     /// Items of the policy that cannot be used or are unknown, one sentence each; all others apply.
     pub passed_over: BTreeSet<String>,
 }
--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -20,6 +20,7 @@
 
 use super::arrival::Arrivals;
 use super::job::{self, Job, ReadyReply};
+use super::limits::Limits;
 use super::parser::{Parsed, Parser};
 use super::purpose::Purpose;
 use super::reply::Reply;
@@ -178,10 +179,10 @@
     F: Future<Output = ReadyReply>,
 {
     fn new(context: Arc<Context>, purpose: Purpose, peer: IpAddr, handler: R) -> Self {
-        let settings = &context.settings.callers;
-        let parser = Parser::new(settings, purpose.max_body_bytes(settings));
+        let limits = purpose.limits(context.caller_limits());
+        let parser = Parser::new(limits, context.settings.callers.chunked_bodies);
         let accepted_at = context.now();
-        let read_deadline = Instant::now() + Duration::from_millis(settings.header_timeout_ms);
+        let read_deadline = Instant::now() + limits.header_timeout;
         let hold = context.caller_memory.open(accepted_at);
         Self {
             context,
@@ -205,9 +206,14 @@
         }
     }
 
+    /// Returns the limits in force.
+    fn limits(&self) -> Limits {
+        self.purpose.limits(self.context.caller_limits())
+    }
+
     /// Returns the bytes of unparsed input beyond which no more is read from the socket.
     fn max_read_ahead(&self) -> usize {
-        MAX_READ_AHEAD_BYTES.max(self.context.settings.callers.max_header_bytes as usize)
+        MAX_READ_AHEAD_BYTES.max(self.limits().max_header_bytes)
     }
 
     /// Whether all replies are written and no further request is read.
@@ -256,7 +262,7 @@
     /// When the connection times out if the caller neither reads nor sends anything; `None` while only requests run.
     fn next_deadline(&self, stop: &Stop) -> Option<Instant> {
         if !self.output.is_empty() {
-            return Some(self.last_write + Duration::from_millis(self.context.settings.callers.idle_timeout_ms));
+            return Some(self.last_write + self.limits().idle_timeout);
         }
         if !self.replies.is_empty() {
             return None;
@@ -290,6 +296,7 @@
     fn parse(&mut self) -> Option<Incoming> {
         let was_partial = self.parser.has_partial(&self.input);
         let was_in_body = self.parser.in_body();
+        self.parser.set_limits(self.limits());
         match self.parser.next(&mut self.input) {
             Parsed::Incomplete => self.wait_for_input(was_partial, was_in_body),
             Parsed::Refused(kind) => {
@@ -306,7 +313,6 @@
 
     /// Sends `100 Continue` if the caller expects it, and sets the read deadline when a new request has begun.
     fn wait_for_input(&mut self, was_partial: bool, was_in_body: bool) {
-        let settings = &self.context.settings.callers;
         if self.parser.take_expects_continue() {
             self.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
@@ -317,10 +323,10 @@
             // A body must progress; how long it may take in all follows from its size.
             if !was_in_body || bytes >= before + MIN_BODY_PROGRESS_BYTES {
                 self.body_progress = (bytes, now);
-                self.read_deadline = now + Duration::from_millis(settings.body_timeout_ms);
+                self.read_deadline = now + Duration::from_millis(self.context.settings.callers.body_timeout_ms);
             }
         } else if self.parser.has_partial(&self.input) && !was_partial {
-            self.read_deadline = now + Duration::from_millis(settings.header_timeout_ms);
+            self.read_deadline = now + self.limits().header_timeout;
         }
     }
 
@@ -353,8 +359,7 @@
             self.running_bytes.clear();
             self.deferred = None;
         }
-        let idle = Duration::from_millis(self.context.settings.callers.idle_timeout_ms);
-        self.read_deadline = Instant::now() + idle;
+        self.read_deadline = Instant::now() + self.limits().idle_timeout;
     }
 
     /// Handles the read deadline: a request with an incomplete body is answered with an error; a connection that is
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -6,6 +6,7 @@
 mod headers;
 pub mod identity;
 mod job;
+pub mod limits;
 pub mod lookup;
 mod matching;
 mod parser;
--- a/crates/daemon/src/callers/parser.rs
+++ b/crates/daemon/src/callers/parser.rs
@@ -2,11 +2,12 @@
 
 use base::error::Kind;
 use bytes::{Bytes, BytesMut};
-use config::configs::Callers;
 use h1::body::{Decoder, Framing};
 use h1::head;
 use http::header::{EXPECT, TRANSFER_ENCODING};
 
+use super::limits::Limits;
+
 /// A request whose head was parsed and whose body is incomplete.
 #[derive(Debug)]
 struct Partial {
@@ -29,8 +30,7 @@
 /// Parses requests from a buffer, within the configured limits.
 #[derive(Debug)]
 pub struct Parser {
-    max_head: usize,
-    max_body: u64,
+    limits: Limits,
     /// Whether request bodies with `Transfer-Encoding` are accepted.
     allow_chunked: bool,
     partial: Option<Partial>,
@@ -39,14 +39,15 @@
 }
 
 impl Parser {
-    /// Creates a parser with the limits of the settings, but bodies of at most `max_body` bytes.
-    pub fn new(settings: &Callers, max_body: u64) -> Self {
-        Self {
-            max_head: settings.max_header_bytes as usize,
-            max_body,
-            allow_chunked: settings.chunked_bodies,
-            partial: None,
-            expects_continue: false,
+    /// Creates a parser with these `limits` that accepts bodies with `Transfer-Encoding` if `allow_chunked` is set.
+    pub const fn new(limits: Limits, allow_chunked: bool) -> Self {
+        Self { limits, allow_chunked, partial: None, expects_continue: false }
+    }
+
+    /// Replaces the limits, but for a request whose body is arriving.
+    pub const fn set_limits(&mut self, limits: Limits) {
+        if self.partial.is_none() {
+            self.limits = limits;
         }
     }
 
@@ -61,14 +62,14 @@
 
     fn try_next(&mut self, buffer: &mut BytesMut) -> Result<Option<(head::Request, Bytes)>, Kind> {
         if self.partial.is_none() {
-            let Some(head) = head::Request::parse(buffer, self.max_head).map_err(error_kind)? else {
+            let Some(head) = head::Request::parse(buffer, self.limits.max_header_bytes).map_err(error_kind)? else {
                 return Ok(None);
             };
             self.partial = Some(self.start_body(head)?);
         }
         let Some(partial) = &mut self.partial else { return Ok(None) };
         while let Some(chunk) = partial.decoder.decode(buffer).map_err(error_kind)? {
-            if partial.body.len() as u64 + chunk.len() as u64 > self.max_body {
+            if partial.body.len() as u64 + chunk.len() as u64 > self.limits.max_body_bytes {
                 return Err(Kind::BodyTooLarge);
             }
             partial.body.extend_from_slice(&chunk);
@@ -87,11 +88,11 @@
             return Err(Kind::LengthRequired);
         }
         let framing = framing.map_err(error_kind)?;
-        if matches!(framing, Framing::Length(length) if length > self.max_body) {
+        if matches!(framing, Framing::Length(length) if length > self.limits.max_body_bytes) {
             return Err(Kind::BodyTooLarge);
         }
         self.expects_continue = head.headers.contains_key(EXPECT);
-        let decoder = Decoder::new(framing).with_max_line_bytes(self.max_head);
+        let decoder = Decoder::new(framing).with_max_line_bytes(self.limits.max_header_bytes);
         Ok(Partial { head, decoder, body: BytesMut::new() })
     }
 
--- a/crates/daemon/src/callers/purpose.rs
+++ b/crates/daemon/src/callers/purpose.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use base::error::{Kind, Outcome as Ran};
-use config::configs::{Callers, Settings};
+use config::configs::Settings;
 
 use super::connection::Incoming;
 use super::forward::Sender;
+use super::limits::Limits;
 use super::relay::disposition::Disposition;
 use super::reply::{Reply, Source};
 use super::stop::Demand;
@@ -53,11 +54,12 @@
         }
     }
 
-    /// Returns the maximum size of a request's body, in bytes.
-    pub fn max_body_bytes(self, settings: &Callers) -> u64 {
+    /// Returns the limits of requests at such an address, where those of callers are `limits`.
+    #[must_use]
+    pub fn limits(self, limits: Limits) -> Limits {
         match self {
-            Self::Requests | Self::Relayed => settings.max_body_bytes,
-            Self::LookUps => settings.max_body_bytes.min(MAX_LOOK_UP_BODY_BYTES),
+            Self::Requests | Self::Relayed => limits,
+            Self::LookUps => Limits { max_body_bytes: limits.max_body_bytes.min(MAX_LOOK_UP_BODY_BYTES), ..limits },
         }
     }
 
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -26,6 +26,7 @@
 use crate::at_most_once::ClaimLease;
 use crate::backends::pool::Pool;
 use crate::backends::reach;
+use crate::callers::limits;
 use crate::clock::{self, Clock};
 use crate::dialect::Dialect;
 use crate::driver::Driver;
@@ -102,6 +103,8 @@
     pub refresh_state: Mutex<RefreshState>,
     /// Instances that the platform lists.
     pub instance_list: Mutex<List>,
+    /// Limits of what callers may send, and of how long they may take.
+    caller_limits: RwLock<limits::Limits>,
     /// Memory budget for what callers make the daemon hold: requests that arrive or run, and answers that they do not read.
     pub caller_memory: Arc<Memory>,
     /// Memory budget for backend servers' answers that are being read.
@@ -186,6 +189,7 @@
             steering: RwLock::new(Arc::new(Steering::default())),
             refresh_state: Mutex::new(RefreshState::default()),
             instance_list: Mutex::new(List::default()),
+            caller_limits: RwLock::new(limits::Limits::new(&settings.callers)),
             caller_memory: Arc::new(caller_memory(&settings)),
             answer_memory: Budget::new(settings.answer_memory_bytes() as usize),
             pool: Pool::new(),
@@ -240,6 +244,16 @@
         *self.steering.write().unwrap_or_else(std::sync::PoisonError::into_inner) = Arc::new(steering);
     }
 
+    /// Returns the limits of what callers may send, and of how long they may take.
+    pub fn caller_limits(&self) -> limits::Limits {
+        *self.caller_limits.read().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Replaces the limits of what callers may send, and of how long they may take.
+    pub fn set_caller_limits(&self, limits: limits::Limits) {
+        *self.caller_limits.write().unwrap_or_else(std::sync::PoisonError::into_inner) = limits;
+    }
+
     /// Opens a listening socket at `address` on the event loop.
     pub fn listen(&self, address: &str) -> std::io::Result<tokio::net::TcpListener> {
         let listener = std::net::TcpListener::bind(address)?;
--- a/crates/daemon/src/mirror/publish.rs
+++ b/crates/daemon/src/mirror/publish.rs
@@ -7,6 +7,7 @@
 use fleet::replica::Origin;
 
 use crate::adapter::{Catalog, PolicyUpdate};
+use crate::callers::limits::Limits;
 use crate::context::lock;
 use crate::{Context, peers, policies, view};
 
@@ -51,7 +52,8 @@
 
 /// Applies a policy that was read from the store; logs each reason why something in it was ignored once.
 fn apply_policy(context: &Arc<Context>, update: PolicyUpdate) {
-    let PolicyUpdate { version, policy, passed_over } = update;
+    let PolicyUpdate { version, policy, limits, passed_over } = update;
+    context.set_caller_limits(Limits::new(&context.settings.callers).with_declared(&limits));
     match policy.to_text() {
         Ok(text) => {
             if policies::apply(context, Document::new(version, text), Origin::Store, "store") {
