An earlier answer of the store that comes late restores no deleted key

What it would cost: a server that has left is used again, or an evacuation that was ended is in force again, on one instance until its next list of all keys.

Cause: an instance that follows another one asks the store itself once its knowledge is too old (`check::catch_up`), while the other call stays under way. If the answer that reaches less far comes last, `Mirror::apply` and `Mirror::replace` take its keys, among them those that were deleted in between. No later event names these keys again.

Evidence: by reading, and by the new test of the mirror; no run of daemons showed it. Keys that are only ever written, as `op/config`, are ordered by their revisions and were not affected.

Change: events up to a version before the mirror's are ignored, as the mirror has all of them. Of a list from before it, entries whose key was deleted since are left out; keys that are newer than the mirror still count.

Measured: the test failed before (both answers brought the key back).

--- a/crates/store/src/mirror/mod.rs
+++ b/crates/store/src/mirror/mod.rs
@@ -152,10 +152,10 @@
     }
 
     /// Applies the changes up to `version`; returns whether anything changed. Changes of another era are ignored: they
-    /// do not follow on what the mirror holds.
+    /// do not follow on what the mirror holds. So are those of an earlier version, which could restore keys deleted since.
     pub fn apply(&mut self, events: Vec<Event>, version: impl Into<Version>, now: Time) -> bool {
         let Version { era, revision } = version.into();
-        if era != self.era {
+        if era != self.era || revision < self.revision {
             return false;
         }
         let mut changed = false;
@@ -192,8 +192,11 @@
         }
         let listed: BTreeSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
         let mut changed = self.remove_unlisted(&listed, &gaps, revision, now);
+        let is_behind = revision < self.revision;
         for entry in entries {
-            changed |= self.put_listed(entry, now, now);
+            if !(is_behind && self.is_deleted_since(&entry)) {
+                changed |= self.put_listed(entry, now, now);
+            }
         }
         (self.gaps, self.listed_at) = (gaps, now);
         self.finish_full_sync(revision);
@@ -229,6 +232,11 @@
         changed
     }
 
+    /// Whether an entry of a list that is older than the mirror is of a key that was deleted since.
+    fn is_deleted_since(&self, entry: &Entry) -> bool {
+        entry.revision <= self.revision && self.deleted.contains_key(&entry.key)
+    }
+
     /// Completes a full synchronization: all keys as of `revision` are known, but not the deletions before it.
     fn finish_full_sync(&mut self, revision: u64) {
         if self.revision == 0 || revision > self.revision {
--- a/crates/store/tests/mirror.rs
+++ b/crates/store/tests/mirror.rs
@@ -108,3 +108,30 @@
         "a list without a gap is complete"
     );
 }
+
+/// Guards against deleted keys that come back: two calls are under way, and the answer that shows less of the history comes last.
+/// A server that has left, or an evacuation that was ended, would stay in use until the next list.
+#[test]
+fn an_earlier_answer_that_comes_late_restores_no_deleted_key() {
+    let earlier_events: fn(&mut Mirror) -> bool =
+        |mirror| mirror.apply(vec![Event::Put(entry("c/1", "z", 7))], 7, START);
+    let earlier_list: fn(&mut Mirror) -> bool =
+        |mirror| mirror.replace(vec![entry("a/1", "x", 3), entry("b/1", "y", 5), entry("c/1", "z", 7)], 7, START);
+    for earlier in [earlier_events, earlier_list] {
+        let mut mirror = mirror();
+        let events = vec![Event::Put(entry("c/1", "z", 7)), Event::Delete("c/1".to_owned(), 8)];
+        mirror.apply(events, 8, START);
+        assert!(!earlier(&mut mirror));
+        assert!(mirror.get("c/1").is_none() && mirror.get("b/1").is_some());
+        assert_eq!(mirror.revision(), 8);
+    }
+}
+
+/// Guards against keys that are lost: a page of a list shows a key that was written after what the mirror knows.
+#[test]
+fn a_list_that_began_earlier_still_brings_newer_keys() {
+    let mut mirror = mirror();
+    mirror.apply(vec![Event::Put(entry("c/1", "z", 7))], 8, START);
+    mirror.replace(vec![entry("a/1", "x", 3), entry("b/1", "y", 5), entry("d/1", "v", 9)], 6, START);
+    assert!(mirror.get("d/1").is_some() && mirror.get("c/1").is_some());
+}
