The time for a head counts from its first byte

Cause: the check whether a head has just begun looked at input that held its first bytes already, so it was never true. The head had to be complete within header_timeout_ms of the connection's start, and after a reply within idle_timeout_ms of that, however late it began.

Evidence: the_time_for_a_head_counts_from_its_first_byte failed before: the connection ended without an answer.

Change: the connection notes that a head is arriving. A head on a kept connection now has header_timeout_ms in place of the rest of idle_timeout_ms, which is usually longer.

--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -86,6 +86,8 @@
     moved: u64,
     /// Progress of the request body that is arriving: the bytes so far, and when it was last enough.
     body_progress: (usize, Instant),
+    /// Whether part of a head has arrived, for which `read_deadline` is set.
+    in_head: bool,
     /// Set once no further request is read; the connection ends when the remaining replies are written.
     closing: bool,
     /// When the connection was accepted.
@@ -199,6 +201,7 @@
             hold,
             moved: 0,
             body_progress: (0, read_deadline),
+            in_head: false,
             closing: false,
             accepted_at,
             read_deadline,
@@ -294,16 +297,16 @@
     /// Returns the next request that has arrived completely. Input that is no acceptable request is answered as the last
     /// of the connection.
     fn parse(&mut self) -> Option<Incoming> {
-        let was_partial = self.parser.has_partial(&self.input);
         let was_in_body = self.parser.in_body();
         self.parser.set_limits(self.limits());
         match self.parser.next(&mut self.input) {
-            Parsed::Incomplete => self.wait_for_input(was_partial, was_in_body),
+            Parsed::Incomplete => self.wait_for_input(was_in_body),
             Parsed::Refused(kind) => {
                 self.closing = true;
                 self.push(Job::Refuse(kind));
             }
             Parsed::Request(head, body) => {
+                self.in_head = false;
                 let arrived_at = self.arrivals.take(self.input.len(), self.context.now());
                 return Some(Incoming { head, body, peer: self.peer, arrived_at });
             }
@@ -312,7 +315,7 @@
     }
 
     /// Sends `100 Continue` if the caller expects it, and sets the read deadline when a new request has begun.
-    fn wait_for_input(&mut self, was_partial: bool, was_in_body: bool) {
+    fn wait_for_input(&mut self, was_in_body: bool) {
         if self.parser.take_expects_continue() {
             self.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
@@ -325,9 +328,10 @@
                 self.body_progress = (bytes, now);
                 self.read_deadline = now + Duration::from_millis(self.context.settings.callers.body_timeout_ms);
             }
-        } else if self.parser.has_partial(&self.input) && !was_partial {
+        } else if !self.input.is_empty() && !self.in_head {
             self.read_deadline = now + self.limits().header_timeout;
         }
+        self.in_head = !self.parser.in_body() && !self.input.is_empty();
     }
 
     /// Dispatches a request; one that asks for the end of its connection is the last.
