Bodies of callers are kept in parts, and own their place in the memory budget

Cause: the budget counted something other than what is limited. It counted lengths, while a body was one buffer that doubled, up to twice its length, and both the old and the new one while it grew; the allocator raises its threshold for blocks of their own once a large one was freed, and from then on large buffers come from a heap that does not shrink and has no fitting holes. It counted bodies of running requests with their connection, while attempts keep them after their caller has left. And what a connection read after a refusal, or held while it waited for the caller to close, was kept.

Change: a body is received into parts of 4 to 32 KB that are never moved (`h1::payload`); the budget counts the memory that buffers take; a complete body owns its place until its last holder drops it. Parts are sent to servers without a copy; the fingerprint is equal for equal bodies whatever the parts. A connection that ends drops further input and frees what it holds before it waits for the caller to close.

--- a/crates/base/src/hash.rs
+++ b/crates/base/src/hash.rs
@@ -7,6 +7,13 @@
     xxh3::xxh3_64(bytes)
 }
 
+/// Returns the hash that [`bytes`] returns for all `parts` together.
+pub fn parts<'a>(parts: impl Iterator<Item = &'a [u8]>) -> u64 {
+    let mut hash = xxh3::Xxh3::new();
+    parts.for_each(|part| hash.update(part));
+    hash.digest()
+}
+
 /// Returns a 128-bit hash of `bytes`, for names that must not collide.
 pub fn bytes_128(bytes: &[u8]) -> u128 {
     xxh3::xxh3_128(bytes)
--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -6,11 +6,10 @@
 
 use base::error::Kind;
 use base::time::Time;
-use bytes::Bytes;
 use dispatch::Ending;
 use dispatch::backend::BackendId;
 use h1::client::{Answer, Call, Connection, Fault};
-use h1::head;
+use h1::{Payload, head};
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, StatusCode};
 
@@ -78,7 +77,7 @@
             method: &Method::POST,
             target: &url,
             headers: &host_header(target.address),
-            body: &Bytes::new(),
+            body: &Payload::default(),
             max_answer_bytes: 0,
             budget: &shared.answer_memory,
         };
--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -1,17 +1,15 @@
 //! One caller connection: pipelined requests are read ahead, run concurrently and answered in order of arrival.
 
-use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::error::Kind;
 use base::time::Time;
-use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesOrdered;
-use h1::head;
 use h1::memory::{Hold, Usage};
+use h1::{Payload, head};
 use http::Method;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
@@ -19,6 +17,7 @@
 use tokio::time::Instant;
 
 use super::arrival::Arrivals;
+use super::buffer::Buffer;
 use super::job::{self, Job, ReadyReply};
 use super::limits::Limits;
 use super::parser::{Parsed, Parser};
@@ -48,20 +47,13 @@
     /// The request line and headers.
     pub head: head::Request,
     /// The whole body.
-    pub body: Bytes,
+    pub body: Payload,
     /// The IP address of the connected caller.
     pub peer: IpAddr,
     /// When the whole request had arrived.
     pub arrived_at: Time,
 }
 
-impl Incoming {
-    /// Returns the memory that counts towards the budget of callers, in bytes.
-    fn memory_bytes(&self) -> usize {
-        self.body.len() + self.head.unusual_memory_bytes()
-    }
-}
-
 /// A connection and its requests in progress. `R` starts the handling of a request, `F` is the future it returns.
 struct Connection<R, F: Future> {
     context: Arc<Context>,
@@ -70,17 +62,15 @@
     purpose: Purpose,
     peer: IpAddr,
     parser: Parser,
-    input: BytesMut,
+    input: Buffer,
     /// When the bytes of `input` and of the request that is being parsed arrived.
     arrivals: Arrivals,
-    output: BytesMut,
+    output: Buffer,
     /// A request that was read and is not started yet; it may wait until all earlier replies are ready.
     deferred: Option<Incoming>,
     /// Replies of the running requests, in order of arrival.
     replies: FuturesOrdered<F>,
-    /// Memory that the running requests take, in bytes, in the same order.
-    running_bytes: VecDeque<usize>,
-    /// What the connection holds of the memory budget.
+    /// What the connection holds of the memory budget, besides the bodies of complete requests.
     hold: Hold,
     /// Bytes received and sent.
     moved: u64,
@@ -117,8 +107,8 @@
         if connection.is_finished() {
             break;
         }
-        let may_read = connection.input.len() < connection.max_read_ahead();
-        connection.input.reserve(READ_BYTES);
+        let may_read = connection.input.bytes.len() < connection.max_read_ahead();
+        connection.prepare_buffers();
         let deadline = connection.next_deadline(&current);
         tokio::select! {
             // Bytes that have arrived are read before an idle connection is closed, however late this task runs.
@@ -126,14 +116,14 @@
             Some(ready) = connection.replies.next(), if !connection.replies.is_empty() => {
                 connection.write(&ready, &stop.borrow());
             }
-            written = writer.write_buf(&mut connection.output), if !connection.output.is_empty() => {
+            written = writer.write_buf(&mut connection.output.bytes), if !connection.output.bytes.is_empty() => {
                 match written {
                     Ok(bytes) if bytes > 0 => connection.moved += bytes as u64,
                     Ok(_) | Err(_) => return,
                 }
                 connection.last_write = Instant::now();
             }
-            read = reader.read_buf(&mut connection.input), if may_read => match read {
+            read = reader.read_buf(&mut connection.input.bytes), if may_read => match read {
                 Ok(bytes) if bytes > 0 => {
                     connection.moved += bytes as u64;
                     connection.arrivals.record(bytes, connection.context.now());
@@ -142,7 +132,7 @@
                 Ok(_) | Err(_) => return,
             },
             () = tokio::time::sleep_until(deadline.unwrap_or(connection.read_deadline)), if deadline.is_some() => {
-                if !connection.output.is_empty() {
+                if !connection.output.bytes.is_empty() {
                     return log::info!("callers: connection dropped, the caller does not read its answer");
                 }
                 connection.expire();
@@ -151,7 +141,7 @@
                 if !connection.hold.must_give_way() {
                     continue;
                 }
-                if !connection.output.is_empty() {
+                if !connection.output.bytes.is_empty() {
                     return log::info!("callers: connection dropped, its caller does not read and others need the memory");
                 }
                 connection.give_way();
@@ -159,6 +149,8 @@
             changed = stop.changed() => if changed.is_err() { return },
         }
     }
+    // What it holds is free for others while the caller reads the last reply.
+    drop(connection);
     linger(&mut stream).await;
 }
 
@@ -192,12 +184,11 @@
             purpose,
             peer,
             parser,
-            input: BytesMut::new(),
+            input: Buffer::new(),
             arrivals: Arrivals::new(),
-            output: BytesMut::new(),
+            output: Buffer::new(),
             deferred: None,
             replies: FuturesOrdered::new(),
-            running_bytes: VecDeque::new(),
             hold,
             moved: 0,
             body_progress: (0, read_deadline),
@@ -219,33 +210,40 @@
         MAX_READ_AHEAD_BYTES.max(self.limits().max_header_bytes)
     }
 
+    /// Makes room for the next read, and frees what the buffers no longer need.
+    fn prepare_buffers(&mut self) {
+        if self.closing {
+            // Nothing of it is parsed.
+            self.clear_input();
+        }
+        self.input.release(READ_BYTES);
+        self.input.reserve(READ_BYTES);
+        self.output.release(0);
+    }
+
     /// Whether all replies are written and no further request is read.
     fn is_finished(&self) -> bool {
-        self.closing && self.replies.is_empty() && self.output.is_empty()
+        self.closing && self.replies.is_empty() && self.output.bytes.is_empty()
     }
 
     /// Accounts for what the connection holds. If there is no room for the request that is arriving, refuses it; returns false
     /// if the connection must end.
     fn fits(&mut self) -> bool {
         let usage = |connection: &Self| Usage {
-            bytes: connection.input.len()
-                + connection.parser.body_bytes()
-                + connection.deferred.as_ref().map_or(0, Incoming::memory_bytes)
-                + connection.running_bytes.iter().sum::<usize>()
-                + connection.output.len(),
+            bytes: connection.input.allocated() + connection.parser.body_capacity() + connection.output.allocated(),
             moved: connection.moved,
             unfinished: connection.replies.is_empty()
-                && (connection.parser.has_partial(&connection.input) || !connection.output.is_empty()),
+                && (connection.parser.has_partial(&connection.input.bytes) || !connection.output.bytes.is_empty()),
         };
         let now = self.context.now();
         if self.hold.set(usage(self), now) {
             return true;
         }
-        if !self.closing && self.parser.has_partial(&self.input) {
+        if !self.closing && self.parser.has_partial(&self.input.bytes) {
             self.give_way();
-            return self.hold.set(usage(self), now) || self.output.len() <= MAX_UNSENT_BYTES;
+            return self.hold.set(usage(self), now) || self.output.bytes.len() <= MAX_UNSENT_BYTES;
         }
-        self.closing && self.output.len() <= MAX_UNSENT_BYTES
+        self.closing && self.output.bytes.len() <= MAX_UNSENT_BYTES
     }
 
     /// Refuses the request that is arriving, as others need the memory, and ends the connection.
@@ -258,26 +256,26 @@
 
     /// Drops what has arrived of further requests.
     fn clear_input(&mut self) {
-        self.input = BytesMut::new();
+        self.input = Buffer::new();
         self.parser.clear();
     }
 
     /// When the connection times out if the caller neither reads nor sends anything; `None` while only requests run.
     fn next_deadline(&self, stop: &Stop) -> Option<Instant> {
-        if !self.output.is_empty() {
+        if !self.output.bytes.is_empty() {
             return Some(self.last_write + self.limits().idle_timeout);
         }
         if !self.replies.is_empty() {
             return None;
         }
-        let closes_at = stop.closes_at(self.accepted_at, self.parser.has_partial(&self.input));
+        let closes_at = stop.closes_at(self.accepted_at, self.parser.has_partial(&self.input.bytes));
         let until_close = closes_at.since(self.context.now());
         Some(self.read_deadline.min(Instant::now() + until_close.min(MAX_SLEEP)))
     }
 
     /// Starts the requests that were received completely, within the limits of the connection.
     fn start_requests(&mut self, stop: &Stop) {
-        while !self.closing && self.replies.len() < MAX_PIPELINED && self.output.len() < MAX_UNSENT_BYTES {
+        while !self.closing && self.replies.len() < MAX_PIPELINED && self.output.bytes.len() < MAX_UNSENT_BYTES {
             if stop.holds(self.replies.len()) {
                 return;
             }
@@ -299,7 +297,7 @@
     fn parse(&mut self) -> Option<Incoming> {
         let was_in_body = self.parser.in_body();
         self.parser.set_limits(self.limits());
-        match self.parser.next(&mut self.input) {
+        match self.parser.next(&mut self.input.bytes) {
             Parsed::Incomplete => self.wait_for_input(was_in_body),
             Parsed::Refused(kind) => {
                 self.closing = true;
@@ -307,7 +305,9 @@
             }
             Parsed::Request(head, body) => {
                 self.in_head = false;
-                let arrived_at = self.arrivals.take(self.input.len(), self.context.now());
+                let place = self.hold.hand_on(body.capacity() + head.unusual_memory_bytes());
+                let body = body.finish().with_place(place);
+                let arrived_at = self.arrivals.take(self.input.bytes.len(), self.context.now());
                 return Some(Incoming { head, body, peer: self.peer, arrived_at });
             }
         }
@@ -317,7 +317,7 @@
     /// Sends `100 Continue` if the caller expects it, and sets the read deadline when a new request has begun.
     fn wait_for_input(&mut self, was_in_body: bool) {
         if self.parser.take_expects_continue() {
-            self.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+            self.output.bytes.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
         let now = Instant::now();
         if self.parser.in_body() {
@@ -328,10 +328,10 @@
                 self.body_progress = (bytes, now);
                 self.read_deadline = now + Duration::from_millis(self.context.settings.callers.body_timeout_ms);
             }
-        } else if !self.input.is_empty() && !self.in_head {
+        } else if !self.input.bytes.is_empty() && !self.in_head {
             self.read_deadline = now + self.limits().header_timeout;
         }
-        self.in_head = !self.parser.in_body() && !self.input.is_empty();
+        self.in_head = !self.parser.in_body() && !self.input.bytes.is_empty();
     }
 
     /// Dispatches a request; one that asks for the end of its connection is the last.
@@ -341,26 +341,21 @@
     }
 
     fn push(&mut self, job: Job) {
-        self.running_bytes.push_back(match &job {
-            Job::Run(incoming) | Job::Decline(incoming) => incoming.memory_bytes(),
-            Job::Refuse(_) => 0,
-        });
         self.replies.push_back((self.handler)(Arc::clone(&self.context), self.purpose, job));
     }
 
     /// Adds a reply to the output. During a stop, the last one announces that the connection closes.
     fn write(&mut self, ready: &ReadyReply, stop: &Stop) {
-        self.running_bytes.pop_front();
-        if self.output.is_empty() {
+        if self.output.bytes.is_empty() {
             self.last_write = Instant::now();
         }
         let last = ready.last || stop.is_last_reply(self.replies.len());
-        ready.reply.write(&mut self.output, &ready.method, last);
+        ready.reply.write(&mut self.output.bytes, &ready.method, last);
+        self.output.record();
         if last {
             self.closing = true;
             // Requests after the last reply count as not read; those already running are abandoned.
             self.replies.clear();
-            self.running_bytes.clear();
             self.deferred = None;
         }
         self.read_deadline = Instant::now() + self.limits().idle_timeout;
@@ -372,7 +367,7 @@
         self.closing = true;
         if self.parser.in_body() {
             let reply = Reply::error(Kind::SlowSender, &self.context.dialect);
-            self.purpose.complete(reply).write(&mut self.output, &Method::GET, true);
+            self.purpose.complete(reply).write(&mut self.output.bytes, &Method::GET, true);
         }
         self.clear_input();
     }
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -6,9 +6,8 @@
 use base::error::{Kind, Outcome as Ran};
 use base::hash;
 use base::time::Time;
-use bytes::Bytes;
 use dispatch::engine;
-use h1::head;
+use h1::{Payload, head};
 use http::header::HeaderMap;
 use ledger::table::Admission;
 
@@ -302,8 +301,8 @@
 }
 
 /// Returns a hash of the method, the target and the body: equal for a request that is sent again.
-fn fingerprint(method: &str, target: &str, body: &Bytes) -> u64 {
-    hash::combine(hash::bytes(format!("{method} {target}").as_bytes()), hash::bytes(body))
+fn fingerprint(method: &str, target: &str, body: &Payload) -> u64 {
+    hash::combine(hash::bytes(format!("{method} {target}").as_bytes()), hash::parts(body.parts()))
 }
 
 /// Records whether an answer met its class's target; errors of the caller do not count.
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -1,6 +1,7 @@
 //! The addresses for requests for classes of work, of callers and of other entry instances, and for look-ups.
 
 pub mod arrival;
+mod buffer;
 pub mod connection;
 pub mod forward;
 mod headers;
--- a/crates/daemon/src/callers/parser.rs
+++ b/crates/daemon/src/callers/parser.rs
@@ -1,9 +1,10 @@
 //! Parsing of callers' requests from the bytes that have arrived.
 
 use base::error::Kind;
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use h1::body::{Decoder, Framing};
 use h1::head;
+use h1::payload::Buffer;
 use http::header::{EXPECT, TRANSFER_ENCODING};
 
 use super::limits::Limits;
@@ -13,14 +14,14 @@
 struct Partial {
     head: head::Request,
     decoder: Decoder,
-    body: BytesMut,
+    body: Buffer,
 }
 
 /// The result of parsing the buffered input.
 #[derive(Debug)]
 pub enum Parsed {
     /// A complete request.
-    Request(head::Request, Bytes),
+    Request(head::Request, Buffer),
     /// Input that is no acceptable request.
     Refused(Kind),
     /// More bytes are needed.
@@ -60,7 +61,7 @@
         }
     }
 
-    fn try_next(&mut self, buffer: &mut BytesMut) -> Result<Option<(head::Request, Bytes)>, Kind> {
+    fn try_next(&mut self, buffer: &mut BytesMut) -> Result<Option<(head::Request, Buffer)>, Kind> {
         if self.partial.is_none() {
             let Some(head) = head::Request::parse(buffer, self.limits.max_header_bytes).map_err(error_kind)? else {
                 return Ok(None);
@@ -72,13 +73,13 @@
             if partial.body.len() as u64 + chunk.len() as u64 > self.limits.max_body_bytes {
                 return Err(Kind::BodyTooLarge);
             }
-            partial.body.extend_from_slice(&chunk);
+            partial.body.extend(&chunk);
         }
         if !partial.decoder.is_complete() {
             return Ok(None);
         }
         self.expects_continue = false;
-        Ok(self.partial.take().map(|partial| (partial.head, partial.body.freeze())))
+        Ok(self.partial.take().map(|partial| (partial.head, partial.body)))
     }
 
     /// Checks the framing of a request's body against the limits and prepares to decode it.
@@ -93,7 +94,11 @@
         }
         self.expects_continue = head.headers.contains_key(EXPECT);
         let decoder = Decoder::new(framing).with_max_line_bytes(self.limits.max_header_bytes);
-        Ok(Partial { head, decoder, body: BytesMut::new() })
+        let body = match framing {
+            Framing::Length(length) => Buffer::new().with_length(length as usize),
+            Framing::Chunked | Framing::UntilClose => Buffer::new(),
+        };
+        Ok(Partial { head, decoder, body })
     }
 
     /// Whether the head of a request has arrived, and not all of its body.
@@ -111,6 +116,11 @@
         self.partial.as_ref().map_or(0, |partial| partial.body.len())
     }
 
+    /// Returns the bytes of memory that they take.
+    pub fn body_capacity(&self) -> usize {
+        self.partial.as_ref().map_or(0, |partial| partial.body.capacity())
+    }
+
     /// Drops the part of a request that has arrived.
     pub fn clear(&mut self) {
         self.partial = None;
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -7,10 +7,10 @@
 
 use base::error::Kind;
 use base::time::Time;
-use bytes::Bytes;
 use dispatch::backend::{BackendId, Report};
 use dispatch::engine::{Account, Arrival, Basis, Decision};
 use dispatch::{Action, Ending, Engine, Verdict};
+use h1::Payload;
 use h1::client::Call;
 use http::{HeaderMap, Method};
 use tokio::sync::{Notify, oneshot};
@@ -49,7 +49,7 @@
     /// Headers to pass on to the backend server.
     pub headers: HeaderMap,
     /// Body.
-    pub body: Bytes,
+    pub body: Payload,
     /// Whether the request may safely run more than once.
     pub idempotent: bool,
     /// Idempotency key and claim of a request that must run at most once; `None` for any other.
--- a/crates/h1/src/client.rs
+++ b/crates/h1/src/client.rs
@@ -13,6 +13,7 @@
 use crate::body::{Decoder, Framing};
 use crate::budget::{Budget, Reservation};
 use crate::error::Error;
+use crate::payload::{Payload, Remainder};
 use crate::{encode, head};
 
 /// Maximum size of the head of an answer, in bytes.
@@ -61,7 +62,7 @@
     /// All headers except those that frame the body.
     pub headers: &'a HeaderMap,
     /// The body.
-    pub body: &'a Bytes,
+    pub body: &'a Payload,
     /// Maximum size of the answer's body, in bytes.
     pub max_answer_bytes: usize,
     /// Memory budget for the answer's head and body while they are read.
@@ -141,7 +142,7 @@
         let mut out = BytesMut::new();
         encode::request(&mut out, call.method, call.target, call.headers, call.body.len());
         // The body is sent from where it is: a copy of a large one could exceed the machine's memory.
-        let mut body: Bytes = call.body.clone();
+        let mut body = Remainder::new(call.body);
         let length = out.len() + body.len();
         let mut reading = Reading::new(call);
         let (mut reader, mut writer) = self.stream.split();
@@ -173,14 +174,19 @@
 
 /// Writes a part of a request: of its head, or of its body once the head is written. A small body goes with the head, since each
 /// write costs a call.
-async fn write_next<W>(writer: &mut W, head: &mut BytesMut, body: &mut Bytes) -> io::Result<usize>
+async fn write_next<W>(writer: &mut W, head: &mut BytesMut, body: &mut Remainder) -> io::Result<usize>
 where
     W: tokio::io::AsyncWrite + Unpin,
 {
     if !head.is_empty() && body.len() <= SMALL_BODY_BYTES {
-        head.extend_from_slice(&body.split_to(body.len()));
+        body.drain_into(head);
     }
-    if head.is_empty() { writer.write_buf(body).await } else { writer.write_buf(head).await }
+    if !head.is_empty() {
+        return writer.write_buf(head).await;
+    }
+    let written = writer.write(body.next()).await?;
+    body.advance(written);
+    Ok(written)
 }
 
 /// The answer as far as it has been received.
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -12,9 +12,11 @@
 pub mod error;
 pub mod head;
 pub mod memory;
+pub mod payload;
 mod target;
 
 pub use body::{Decoder, Framing};
 pub use budget::Budget;
 pub use error::{Error, Result};
 pub use memory::Memory;
+pub use payload::Payload;
--- a/crates/h1/src/memory.rs
+++ b/crates/h1/src/memory.rs
@@ -58,6 +58,13 @@
     notify: Arc<Notify>,
 }
 
+/// Bytes of a complete body. They count until the place is dropped, also after the body's connection has ended.
+#[derive(Debug)]
+pub struct Place {
+    memory: Arc<Memory>,
+    bytes: usize,
+}
+
 /// What a connection holds now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Usage {
@@ -164,6 +171,20 @@
         true
     }
 
+    /// Moves `bytes` of what the connection holds to a place of their own: a request is complete, and its body is handed on. From
+    /// now on the connection no longer states them.
+    pub fn hand_on(&self, bytes: usize) -> Place {
+        let mut state = self.memory.state();
+        if let Some(holder) = state.holders.get_mut(&self.id) {
+            let (moved, gives_way) = (holder.bytes.min(bytes), holder.gives_way);
+            holder.bytes -= moved;
+            *(if gives_way { &mut state.given_up } else { &mut state.used }) -= moved;
+        }
+        state.used += bytes;
+        drop(state);
+        Place { memory: Arc::clone(&self.memory), bytes }
+    }
+
     /// Waits until the connection has to give way. By then it may not have to any more ([`Hold::must_give_way`]).
     pub async fn gives_way(&self) {
         self.notify.notified().await;
@@ -217,3 +238,9 @@
         }
     }
 }
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.memory.state().used -= self.bytes;
+    }
+}
--- a/crates/h1/tests/client.rs
+++ b/crates/h1/tests/client.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use h1::Budget;
 use h1::client::{Answer, Call, Connection, Fault};
+use h1::payload::Buffer;
+use h1::{Budget, Payload};
 use http::Method;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use rstest::rstest;
@@ -37,7 +38,7 @@
     }
 }
 
-async fn send(connection: &mut Connection, id: &str, body: &Bytes) -> Result<Answer, Fault> {
+async fn send(connection: &mut Connection, id: &str, body: &Payload) -> Result<Answer, Fault> {
     let mut headers = HeaderMap::new();
     headers.insert(ID, HeaderValue::from_str(id).expect("it is plain"));
     let budget = Budget::new(1_000);
@@ -71,7 +72,7 @@
     });
     let answer = runtime().block_on(async {
         let mut connection = Connection::open(address, Duration::from_secs(5)).await.expect("the server listens");
-        send(&mut connection, "new", &Bytes::new()).await
+        send(&mut connection, "new", &Payload::default()).await
     });
     match expected {
         Err(fault) => assert_eq!(answer.expect_err("it is not complete"), fault),
@@ -92,7 +93,7 @@
         drop(stream.read(&mut [0; 1]));
         std::thread::park_timeout(Duration::from_mins(1));
     });
-    let body = Bytes::from(vec![7; 32 << 20]);
+    let body = Payload::from(Bytes::from(vec![7; 32 << 20]));
     let answer = runtime().block_on(async {
         let mut connection = Connection::open(address, Duration::from_mins(1)).await.expect("the server listens");
         send(&mut connection, "a", &body).await
@@ -110,7 +111,7 @@
 #[case::chunks("transfer-encoding: chunked\r\n", Err(Fault::Cut))]
 fn an_answer_during_an_upload_ends_only_in_order(#[case] framing: &'static str, #[case] expected: Result<&str, Fault>) {
     const UPLOADS: u64 = 100;
-    let body = Bytes::from(vec![7; 32 << 20]);
+    let body = Payload::from(Bytes::from(vec![7; 32 << 20]));
     for number in 0..UPLOADS {
         let address = server(move |mut stream| {
             read_head(&mut stream);
@@ -146,7 +147,7 @@
     });
     runtime().block_on(async {
         let mut connection = Connection::open(address, Duration::from_secs(5)).await.expect("the server listens");
-        let answer = send(&mut connection, "a", &Bytes::new()).await.expect("it is complete");
+        let answer = send(&mut connection, "a", &Payload::default()).await.expect("it is complete");
         assert!(answer.reusable && connection.is_idle());
         send_more.send(()).expect("the server waits");
         while connection.is_idle() {
@@ -179,7 +180,7 @@
     });
     let fault = runtime().block_on(async {
         let mut connection = Connection::open(address, Duration::from_secs(5)).await.expect("the server listens");
-        send(&mut connection, "new", &Bytes::new()).await.expect_err("it is not an answer")
+        send(&mut connection, "new", &Payload::default()).await.expect_err("it is not an answer")
     });
     assert!(matches!(fault, Fault::LimitExceeded | Fault::Malformed), "{fault:?}");
     end.recv().expect("the connection is closed, so that the server stops");
@@ -198,7 +199,7 @@
         while connection.is_idle() {
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
-        let fault = send(&mut connection, "a", &Bytes::new()).await.expect_err("nobody answers");
+        let fault = send(&mut connection, "a", &Payload::default()).await.expect_err("nobody answers");
         assert!(matches!(fault, Fault::Unsent | Fault::Lost), "{fault:?}");
     });
 }
@@ -222,7 +223,7 @@
             let budget = Arc::clone(&budget);
             exchanges.spawn(async move {
                 let mut connection = Connection::open(address, Duration::from_secs(5)).await.expect("it listens");
-                let (headers, body) = (HeaderMap::new(), Bytes::new());
+                let (headers, body) = (HeaderMap::new(), Payload::default());
                 let method = Method::GET;
                 let (max_answer_bytes, budget) = (100, &*budget);
                 let call =
@@ -238,3 +239,26 @@
         }
     });
 }
+
+/// Guards against a body that reaches a server with parts missing, doubled or out of order.
+#[rstest]
+fn a_body_in_parts_arrives_whole(#[values(10, 5_000, 16_384, 16_385, 3_000_000)] length: usize) {
+    let body: Vec<u8> = (0..length).map(|index| (index % 251) as u8).collect();
+    let expected = body.clone();
+    let address = server(move |mut stream| {
+        read_head(&mut stream);
+        let mut received = vec![0; length];
+        stream.read_exact(&mut received).expect("the body arrives complete");
+        let status = if received == expected { "200 OK" } else { "400 Bad Request" };
+        let text = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+        stream.write_all(text.as_bytes()).expect("the client reads");
+    });
+    let mut buffer = Buffer::new().with_length(length);
+    body.chunks(1_000).for_each(|part| buffer.extend(part));
+    let body = buffer.finish();
+    let answer = runtime().block_on(async {
+        let mut connection = Connection::open(address, Duration::from_mins(1)).await.expect("the server listens");
+        send(&mut connection, "a", &body).await
+    });
+    assert_eq!(answer.map(|answer| (answer.status.as_u16(), answer.reusable)).ok(), Some((200, true)));
+}
--- a/crates/h1/tests/memory.rs
+++ b/crates/h1/tests/memory.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use base::time::Time;
-use h1::Memory;
 use h1::memory::{Hold, Usage};
+use h1::{Memory, Payload};
 
 const BYTES: usize = 1_000_000;
 const NOW: Time = Time::from_millis(5_000);
@@ -110,3 +110,39 @@
     drop((one, other));
     assert_eq!(memory.used(), 0);
 }
+
+/// Guards against bodies that nobody counts: a body that was handed on counts until its last holder drops it, also after its
+/// connection has ended.
+#[test]
+fn a_body_counts_until_its_last_holder_drops_it() {
+    let memory = Arc::new(Memory::new(BYTES));
+    let hold = memory.open(NOW);
+    assert!(hold.set(partial(BYTES * 6 / 10), NOW));
+    let body = Payload::default().with_place(hold.hand_on(BYTES / 2));
+    assert!(hold.set(complete(BYTES / 10), NOW));
+    assert_eq!(memory.used(), BYTES * 6 / 10, "it counts once");
+    drop(hold);
+    let attempt = body.clone();
+    drop(body);
+    assert_eq!(memory.used(), BYTES / 2);
+    assert!(!memory.open(NOW).set(partial(BYTES * 6 / 10), later(1_000)), "there is no room beside it");
+    drop(attempt);
+    assert_eq!(memory.used(), 0);
+}
+
+/// Guards against a budget that is wrong for good after a connection gave way just as its request became complete.
+#[test]
+fn a_body_that_is_handed_on_while_its_connection_gives_way_counts_once() {
+    let memory = Arc::new(Memory::new(BYTES));
+    let (one, other) = (memory.open(NOW), memory.open(NOW));
+    assert!(one.set(partial(BYTES * 6 / 10), NOW));
+    assert!(other.set(partial(BYTES / 2), later(1_000)));
+    assert!(one.must_give_way());
+    let place = one.hand_on(BYTES * 7 / 10);
+    assert_eq!(memory.used(), BYTES * 12 / 10, "what is in memory counts, whether there is room or not");
+    assert!(one.set(complete(0), later(1_001)));
+    drop((one, other));
+    assert_eq!(memory.used(), BYTES * 7 / 10);
+    drop(place);
+    assert_eq!(memory.used(), 0);
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use h1::Budget;
 use h1::client::{self, Connection, Fault};
+use h1::{Budget, Payload};
 use http::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use tokio::runtime::{Builder, Handle, Runtime};
 
@@ -121,7 +121,7 @@
         if !message.body.is_empty() {
             headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         }
-        let body = Bytes::copy_from_slice(&message.body);
+        let body = Payload::from(Bytes::copy_from_slice(&message.body));
         let call = client::Call {
             method: &message.method,
             target: &message.target,
