An order that ran is answered while bodies use up the memory for callers

Cause: a connection asked whether what it holds fits only after it had started the request, and after it had added the answer to its output. With the budget used up by bodies that still progressed, both were dropped with the connection.

Change: room is asked for before a request starts; without it the caller gets 503 `memory-short`, which is not run. What the caller's socket takes of an answer at once is written before room is asked for the rest. Connections with up to 32 KB of requests, and answers, may use an eighth of the budget beyond what large bodies may use, so large bodies neither refuse ordinary requests nor drop their answers. An answer that is not read still ends its connection when there is no room; what such a connection may keep all the same falls from 64 KB to 4 KB, enough for a refusal.

h1/memory.rs names the new field `answers`, zero, in its usages; nothing else in its earlier tests changes.

--- a/crates/config/src/configs/mod.rs
+++ b/crates/config/src/configs/mod.rs
@@ -32,6 +32,8 @@
 const CALLER_MEMORY_PERCENT: u64 = 42;
 /// The same while one body takes most of it.
 const ONE_BODY_MEMORY_PERCENT: u64 = 62;
+/// Memory that is kept for small requests and for answers, as a part of that for callers: one in this number.
+const SMALL_REQUEST_PART: u64 = 8;
 /// Part of the machine's memory for answers that are being read.
 const ANSWER_MEMORY_PERCENT: u64 = 12;
 /// Log levels, from the least to the most verbose.
@@ -140,6 +142,11 @@
         if self.callers.memory_bytes == 0 { machine.max(self.caller_memory_bytes()) } else { self.callers.memory_bytes }
     }
 
+    /// Returns the memory up to which small requests are accepted, in bytes: some more than large bodies may use.
+    pub fn small_request_memory_bytes(&self) -> u64 {
+        self.one_body_memory_bytes() + self.caller_memory_bytes() / SMALL_REQUEST_PART
+    }
+
     /// Returns the maximum number of open connections at the address for requests: the setting, or fewer on a machine with few
     /// descriptors, since connections to backend servers, other daemons and the store need some too.
     pub fn caller_connections(&self) -> u32 {
--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -1,11 +1,13 @@
 //! One caller connection: pipelined requests are read ahead, run concurrently and answered in order of arrival.
 
+use std::io;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::error::Kind;
 use base::time::Time;
+use bytes::Buf as _;
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesOrdered;
 use h1::memory::{Hold, Usage};
@@ -13,6 +15,7 @@
 use http::Method;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
+use tokio::net::tcp::WriteHalf;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -34,6 +37,8 @@
 const MAX_READ_AHEAD_BYTES: usize = 65_536;
 /// Unsent reply bytes beyond which no further request of this connection is started.
 const MAX_UNSENT_BYTES: usize = 65_536;
+/// Unsent reply bytes that a connection may keep although the memory for callers is used up, such as those of a refusal.
+const MAX_KEPT_BYTES: usize = 4_096;
 /// Bytes of a body that must arrive within `callers.body_timeout_ms`.
 const MIN_BODY_PROGRESS_BYTES: usize = 1_024;
 /// Longest sleep of a connection on which nothing happens.
@@ -115,6 +120,10 @@
             biased;
             Some(ready) = connection.replies.next(), if !connection.replies.is_empty() => {
                 connection.write(&ready, &stop.borrow());
+                // What the caller takes at once needs no memory.
+                if connection.flush(&writer).is_err() {
+                    return;
+                }
             }
             written = writer.write_buf(&mut connection.output.bytes), if !connection.output.bytes.is_empty() => {
                 match written {
@@ -229,21 +238,52 @@
     /// Accounts for what the connection holds. If there is no room for the request that is arriving, refuses it; returns false
     /// if the connection must end.
     fn fits(&mut self) -> bool {
-        let usage = |connection: &Self| Usage {
-            bytes: connection.input.allocated() + connection.parser.body_capacity() + connection.output.allocated(),
-            moved: connection.moved,
-            unfinished: connection.replies.is_empty()
-                && (connection.parser.has_partial(&connection.input.bytes) || !connection.output.bytes.is_empty()),
-        };
         let now = self.context.now();
-        if self.hold.set(usage(self), now) {
+        if self.hold.set(self.usage(), now) {
             return true;
         }
         if !self.closing && self.parser.has_partial(&self.input.bytes) {
             self.give_way();
-            return self.hold.set(usage(self), now) || self.output.bytes.len() <= MAX_UNSENT_BYTES;
+            if self.hold.set(self.usage(), now) {
+                return true;
+            }
+        }
+        self.output.bytes.len() <= MAX_KEPT_BYTES
+    }
+
+    /// Whether there is room for a request that has arrived with a body of `body_bytes`. It is asked before the request starts,
+    /// since one that has started is answered.
+    fn admits(&self, body_bytes: usize) -> bool {
+        let usage = self.usage();
+        let usage = Usage { bytes: usage.bytes + body_bytes, unfinished: false, ..usage };
+        self.hold.set(usage, self.context.now())
+    }
+
+    /// Returns what the connection holds, without the bodies of complete requests.
+    fn usage(&self) -> Usage {
+        let answers = self.output.allocated();
+        let waits = self.parser.has_partial(&self.input.bytes) || !self.output.bytes.is_empty();
+        Usage {
+            bytes: self.input.allocated() + self.parser.body_capacity() + answers,
+            answers,
+            moved: self.moved,
+            unfinished: self.replies.is_empty() && waits,
+        }
+    }
+
+    /// Sends as much of the output as the system takes at once.
+    fn flush(&mut self, writer: &WriteHalf<'_>) -> io::Result<()> {
+        match writer.try_write(&self.output.bytes) {
+            Ok(bytes) => {
+                self.output.bytes.advance(bytes);
+                self.output.release(0);
+                self.moved += bytes as u64;
+                self.last_write = Instant::now();
+                Ok(())
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(error) => Err(error),
         }
-        self.closing && self.output.bytes.len() <= MAX_UNSENT_BYTES
     }
 
     /// Refuses the request that is arriving, as others need the memory, and ends the connection.
@@ -305,7 +345,12 @@
             }
             Parsed::Request(head, body) => {
                 self.in_head = false;
-                let place = self.hold.hand_on(body.capacity() + head.unusual_memory_bytes());
+                let memory = body.capacity() + head.unusual_memory_bytes();
+                if !self.admits(memory) {
+                    self.give_way();
+                    return None;
+                }
+                let place = self.hold.hand_on(memory);
                 let body = body.finish().with_place(place);
                 let arrived_at = self.arrivals.take(self.input.bytes.len(), self.context.now());
                 return Some(Incoming { head, body, peer: self.peer, arrived_at });
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -278,11 +278,13 @@
     }
 }
 
-/// Returns the memory budget for callers: one body of the largest size always fits, if no others hold much.
+/// Returns the memory budget for callers: one body of the largest size always fits, if no others hold much, and small requests
+/// fit beside large bodies.
 fn caller_memory(settings: &Settings) -> Memory {
     let bytes = settings.caller_memory_bytes();
     let with_one = settings.one_body_memory_bytes();
-    Memory::new(bytes as usize).with_one(with_one as usize)
+    let with_small = settings.small_request_memory_bytes();
+    Memory::new(bytes as usize).with_one(with_one as usize).with_small(with_small as usize)
 }
 
 /// Locks `mutex`, also after a thread panicked while it held the lock: the state is still consistent, since no decision
--- a/crates/h1/src/memory.rs
+++ b/crates/h1/src/memory.rs
@@ -15,6 +15,8 @@
 const PROGRESS_BYTES: usize = 1_024;
 /// What connections that give way may still hold, as a part of the budget: one in this number.
 const MAX_GIVEN_UP_PART: usize = 8;
+/// What a connection may hold of requests, in bytes, to use the memory that is kept for such connections.
+const MAX_SMALL_BYTES: usize = 32_768;
 /// Time without progress after which a connection may have to give way.
 const IDLE_TIME: Duration = Duration::from_millis(200);
 
@@ -23,8 +25,10 @@
 pub struct Memory {
     /// Bytes for all connections together.
     bytes: usize,
-    /// Bytes while one connection holds half of them or more: memory in few large pieces wastes less.
+    /// Bytes while one connection holds half of them or more, so that one very large body fits.
     bytes_with_one: usize,
+    /// Bytes up to which connections with small requests and with answers are served: large bodies do not use them up.
+    bytes_for_small: usize,
     state: Mutex<State>,
 }
 
@@ -70,6 +74,8 @@
 pub struct Usage {
     /// Bytes of heads, bodies and answers that the connection keeps in memory.
     pub bytes: usize,
+    /// Those of them that are answers.
+    pub answers: usize,
     /// Bytes received and sent on the connection so far.
     pub moved: u64,
     /// Whether the connection waits for its peer, to send the rest of a request or to read an answer, and nothing else.
@@ -79,7 +85,7 @@
 impl Memory {
     /// Creates a budget of `bytes`.
     pub fn new(bytes: usize) -> Self {
-        Self { bytes, bytes_with_one: bytes, state: Mutex::default() }
+        Self { bytes, bytes_with_one: bytes, bytes_for_small: bytes, state: Mutex::default() }
     }
 
     /// Sets the budget while one connection holds half of it or more, so that one very large body fits.
@@ -89,6 +95,13 @@
         self
     }
 
+    /// Sets the budget for connections with small requests and with answers. What is beyond the other budgets is theirs alone.
+    #[must_use]
+    pub fn with_small(mut self, bytes: usize) -> Self {
+        self.bytes_for_small = bytes.max(self.bytes);
+        self
+    }
+
     /// Returns the bytes of the budget.
     pub const fn bytes(&self) -> usize {
         self.bytes
@@ -156,12 +169,14 @@
         let after = state.used - before + usage.bytes;
         let is_large = usage.bytes * 2 >= after;
         let allowed = if is_large { self.memory.bytes_with_one } else { self.memory.bytes };
-        if usage.bytes > before && after > allowed && !state.free(after - allowed, self.id, now) {
+        let is_small = usage.bytes - usage.answers <= MAX_SMALL_BYTES;
+        let max = if is_small { allowed.max(self.memory.bytes_for_small) } else { allowed };
+        if usage.bytes > before && after > allowed && !state.free(after - allowed, self.id, now) && after > max {
             return false;
         }
         // What others give up is in memory until they have run.
         let in_memory = state.used - before + usage.bytes + state.given_up;
-        if usage.bytes > before && in_memory > allowed + allowed / MAX_GIVEN_UP_PART {
+        if usage.bytes > before && in_memory > max.max(allowed + allowed / MAX_GIVEN_UP_PART) {
             return false;
         }
         state.used = state.used - before + usage.bytes;
--- a/crates/h1/tests/memory.rs
+++ b/crates/h1/tests/memory.rs
@@ -11,7 +11,7 @@
 const NOW: Time = Time::from_millis(5_000);
 
 fn partial(bytes: usize) -> Usage {
-    Usage { bytes, moved: bytes as u64, unfinished: true }
+    Usage { bytes, answers: 0, moved: bytes as u64, unfinished: true }
 }
 
 fn complete(bytes: usize) -> Usage {
@@ -80,7 +80,8 @@
     let mut holds: Vec<Hold> = (0..50).map(|_| memory.open(NOW)).collect();
     for step in 0..20_000 {
         let index = rng.usize(..holds.len());
-        let usage = Usage { bytes: rng.usize(..BYTES / 10), moved: rng.u64(..1 << 30), unfinished: rng.bool() };
+        let bytes = rng.usize(..BYTES / 10);
+        let usage = Usage { bytes, answers: 0, moved: rng.u64(..1 << 30), unfinished: rng.bool() };
         holds[index].set(usage, later(step));
         assert!(memory.used() <= BYTES, "{} bytes in use", memory.used());
         if rng.u32(..20) == 0 {
@@ -146,3 +147,18 @@
     drop(place);
     assert_eq!(memory.used(), 0);
 }
+
+/// Guards against ordinary requests that are refused, and answers that are dropped, while large bodies use the budget up.
+#[test]
+fn large_bodies_leave_room_for_small_requests_and_answers() {
+    let memory = Arc::new(Memory::new(BYTES).with_small(BYTES * 12 / 10));
+    let (large, other) = (memory.open(NOW), memory.open(NOW));
+    assert!(large.set(complete(BYTES), NOW));
+    assert!(!other.set(partial(BYTES / 10), NOW), "a large body does not fit");
+    assert!(other.set(complete(400), NOW), "a small request does");
+    let answer = Usage { answers: BYTES / 10, ..complete(BYTES / 10 + 400) };
+    assert!(other.set(answer, NOW), "and so does its answer");
+    let more: Vec<Hold> = (0..1_000).map(|_| memory.open(NOW)).collect();
+    assert!(!more.iter().all(|hold| hold.set(complete(400), NOW)), "they have a bound of their own");
+    assert!(memory.used() <= BYTES * 12 / 10, "{} bytes in use", memory.used());
+}
