New connections take the place of stalled ones once all are open

Cause: the accept loop waits for a free place before it accepts, and a place becomes free only by the timeouts for heads, bodies and idle connections. Memory makes stalled requests give way; the number of connections did not.

Change: callers::slots decides without sockets which connection gives way: one that has made no progress for 200 ms, as for memory; first those that wait for their callers to close, then those without a whole request, then kept ones; among equals those of an address with more than an eighth of all connections, then the longest stalled. A connection with a complete request in progress keeps its place. The accept loop takes a connection and then asks for its place, so at most one more is open per address. A body that is cut so is told (408, not run) if that can be sent at once.

--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -26,6 +26,7 @@
 use super::parser::{Parsed, Parser};
 use super::purpose::Purpose;
 use super::reply::Reply;
+use super::slots::{Activity, Slot};
 use super::stop::{Start, Stop};
 use crate::Context;
 
@@ -85,6 +86,8 @@
     in_head: bool,
     /// Set once no further request is read; the connection ends when the remaining replies are written.
     closing: bool,
+    /// Whether a request was answered.
+    has_answered: bool,
     /// When the connection was accepted.
     accepted_at: Time,
     /// When a partial request must be complete; for an idle connection, when it is closed.
@@ -93,15 +96,16 @@
     last_write: Instant,
 }
 
-/// Serves one connection until it ends; `purpose` is that of the address at which it was accepted.
+/// Serves one connection until it ends or its slot is needed for another one; `purpose` is that of the address at which it was
+/// accepted.
 pub async fn serve(
     context: Arc<Context>,
     purpose: Purpose,
     mut stream: TcpStream,
-    peer: IpAddr,
+    slot: Slot,
     mut stop: watch::Receiver<Stop>,
 ) {
-    let mut connection = Connection::new(context, purpose, peer, job::handle);
+    let mut connection = Connection::new(context, purpose, slot.address(), job::handle);
     let (mut reader, mut writer) = stream.split();
     loop {
         let current = *stop.borrow_and_update();
@@ -109,6 +113,7 @@
         if !connection.fits() {
             return log::info!("callers: connection dropped, no memory for the answers that its caller does not read");
         }
+        slot.set(connection.activity(), connection.moved, connection.context.now());
         if connection.is_finished() {
             break;
         }
@@ -155,12 +160,16 @@
                 }
                 connection.give_way();
             }
+            () = slot.gives_way() => return connection.release(&writer),
             changed = stop.changed() => if changed.is_err() { return },
         }
     }
     // What it holds is free for others while the caller reads the last reply.
     drop(connection);
-    linger(&mut stream).await;
+    tokio::select! {
+        () = linger(&mut stream) => {}
+        () = slot.gives_way() => {}
+    }
 }
 
 /// Shuts down sending and waits for the caller to close: closing at once could reset the connection before the caller
@@ -203,6 +212,7 @@
             body_progress: (0, read_deadline),
             in_head: false,
             closing: false,
+            has_answered: false,
             accepted_at,
             read_deadline,
             last_write: read_deadline,
@@ -235,6 +245,19 @@
         self.closing && self.replies.is_empty() && self.output.bytes.is_empty()
     }
 
+    /// Returns what the connection does, by which it may have to give way to a new one.
+    fn activity(&self) -> Activity {
+        if self.is_finished() {
+            Activity::Ending
+        } else if !self.replies.is_empty() || !self.output.bytes.is_empty() || self.deferred.is_some() {
+            Activity::Busy
+        } else if self.parser.has_partial(&self.input.bytes) || !self.has_answered {
+            Activity::Receiving
+        } else {
+            Activity::Idle
+        }
+    }
+
     /// Accounts for what the connection holds. If there is no room for the request that is arriving, refuses it; returns false
     /// if the connection must end.
     fn fits(&mut self) -> bool {
@@ -294,6 +317,17 @@
         self.push(Job::Refuse(Kind::MemoryShort));
     }
 
+    /// Ends the connection in favour of a new one. Its caller is told of a request with an incomplete body if that can be sent at
+    /// once.
+    fn release(&mut self, writer: &WriteHalf<'_>) {
+        self.context.metrics.connections_displaced.inc();
+        log::info!("callers: connection closed, a new one needs its place caller={}", self.peer);
+        self.expire();
+        if let Err(error) = self.flush(writer) {
+            log::debug!("callers: caller not told of the end of its connection reason={:?}", error.to_string());
+        }
+    }
+
     /// Drops what has arrived of further requests.
     fn clear_input(&mut self) {
         self.input = Buffer::new();
@@ -394,6 +428,7 @@
         if self.output.bytes.is_empty() {
             self.last_write = Instant::now();
         }
+        self.has_answered = true;
         let last = ready.last || stop.is_last_reply(self.replies.len());
         ready.reply.write(&mut self.output.bytes, &ready.method, last);
         self.output.record();
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -15,4 +15,5 @@
 pub mod relay;
 pub mod reply;
 pub mod server;
+pub mod slots;
 pub mod stop;
--- a/crates/daemon/src/callers/server.rs
+++ b/crates/daemon/src/callers/server.rs
@@ -6,10 +6,11 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::watch;
 
 use super::connection;
 use super::purpose::Purpose;
+use super::slots::{Slot, Slots};
 use super::stop::{Phase, Stop};
 use crate::Context;
 use crate::plugin::Plugin;
@@ -20,6 +21,8 @@
 const KEEP_ALIVE_AFTER: Duration = Duration::from_secs(30);
 /// Pause after a failed accept, before the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// Time between two checks whether a connection gives way to a new one.
+const SLOT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 inventory::submit! {
     Plugin(kernel::Plugin { name: "callers", stage: 60, start })
@@ -89,14 +92,11 @@
 
 impl Acceptor {
     async fn run(mut self, listener: TcpListener) {
-        let slots = Arc::new(Semaphore::new(self.purpose.max_connections(&self.context.settings)));
+        let slots = Arc::new(Slots::new(self.purpose.max_connections(&self.context.settings)));
         while self.stop.borrow_and_update().phase() != Phase::Closing {
-            let Ok(slot) = Arc::clone(&slots).acquire_owned().await else {
-                return;
-            };
             tokio::select! {
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, peer)) => self.serve(stream, peer, slot),
+                    Ok((stream, peer)) => self.serve(stream, self.slot(&slots, peer).await),
                     Err(error) => {
                         log::warn!("callers: connection not accepted reason={:?}", error.to_string());
                         tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -110,30 +110,39 @@
 
     /// Accepts connections for a limited time, since callers may come back all the time, and then those that wait in the
     /// backlog already.
-    async fn accept_backlog(&self, listener: &TcpListener, slots: &Arc<Semaphore>) {
+    async fn accept_backlog(&self, listener: &TcpListener, slots: &Arc<Slots>) {
         loop {
             let left = self.stop.borrow().port_closes_at().since(self.context.now());
             let Ok(Ok((stream, peer))) = tokio::time::timeout(left, listener.accept()).await else { return };
-            let Ok(slot) = Arc::clone(slots).acquire_owned().await else {
-                return;
-            };
-            self.serve(stream, peer, slot);
+            self.serve(stream, self.slot(slots, peer).await);
         }
     }
 
-    fn serve(&self, stream: TcpStream, peer: SocketAddr, slot: OwnedSemaphorePermit) {
+    /// Waits for the slot of a connection that is accepted already: until then nobody knows whether one is needed.
+    async fn slot(&self, slots: &Arc<Slots>, peer: SocketAddr) -> Slot {
+        loop {
+            if let Some(slot) = slots.take(peer.ip(), self.context.now()) {
+                return slot;
+            }
+            tokio::select! {
+                () = slots.changed() => {}
+                () = tokio::time::sleep(SLOT_RETRY_DELAY) => {}
+            }
+        }
+    }
+
+    fn serve(&self, stream: TcpStream, slot: Slot) {
         if let Err(error) = set_options(&stream) {
             log::debug!("callers: socket options not set reason={:?}", error.to_string());
         }
         let (context, open) = (Arc::clone(&self.context), Arc::clone(&self.open));
-        let serving = connection::serve(Arc::clone(&context), self.purpose, stream, peer.ip(), self.stop.clone());
+        let serving = connection::serve(Arc::clone(&context), self.purpose, stream, slot, self.stop.clone());
         open.fetch_add(1, Ordering::Relaxed);
         context.metrics.connections.inc();
         self.context.runtime.spawn(async move {
             serving.await;
             open.fetch_sub(1, Ordering::Relaxed);
             context.metrics.connections.dec();
-            drop(slot);
         });
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -51,6 +51,8 @@
     pub in_flight: IntGauge,
     /// Open connections of callers.
     pub connections: IntGauge,
+    /// Connections of callers that were closed to make room for new ones.
+    pub connections_displaced: IntCounter,
     /// Requests refused, and connections dropped, because the memory for callers was used up.
     pub memory_refusals: IntCounter,
     /// Bytes that callers make the daemon hold.
@@ -155,6 +157,11 @@
             queued: gauge(&registry, "hemlock_queued", "Requests that wait"),
             in_flight: gauge(&registry, "hemlock_in_flight", "Attempts in flight"),
             connections: gauge(&registry, "hemlock_connections", "Connections of callers"),
+            connections_displaced: counter(
+                &registry,
+                "hemlock_connections_displaced_total",
+                "Connections closed to make room for new ones",
+            ),
             memory_refusals: counter(
                 &registry,
                 "hemlock_memory_refusals_total",
