512 connections may wait to be accepted at the addresses for callers

Cause: the standard library listens with a backlog of 128. Beyond it opening packets are dropped, and sent again after a second.

Change: the listening sockets have a backlog of 512. No larger: what callers send before they are accepted stays in the kernel's memory.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -20,6 +20,7 @@
 use ledger::Ledger;
 use steer::grant::Manager;
 use steer::shift::Controller;
+use tokio::net::{TcpListener, TcpSocket};
 
 use crate::accounts;
 use crate::adapter::{Adapter, Catalog};
@@ -39,6 +40,9 @@
 use crate::response::Response;
 use crate::view::{Inputs, RefreshState, Steering};
 
+/// Maximum number of connections that wait to be accepted at an address. Beyond it callers' opening packets are dropped, and sent
+/// again after a second.
+const MAX_BACKLOG: u32 = 512;
 /// Maximum number of idempotency keys of sessions that the ledger holds.
 const MAX_SESSION_KEYS: usize = 65_536;
 
@@ -255,11 +259,13 @@
     }
 
     /// Opens a listening socket at `address` on the event loop.
-    pub fn listen(&self, address: &str) -> std::io::Result<tokio::net::TcpListener> {
-        let listener = std::net::TcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
+    pub fn listen(&self, address: &str) -> std::io::Result<TcpListener> {
+        let address: SocketAddr = address.parse().map_err(std::io::Error::other)?;
         let _guard = self.runtime.enter();
-        tokio::net::TcpListener::from_std(listener)
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(MAX_BACKLOG)
     }
 
     /// Whether the daemon is stopping.
