The first request of a connection is not started if its caller has left

Cause: a connection that waited to be accepted brings its request and its end together. The event loop lets a new connection be read at once, before the system has reported anything of it: the request is parsed and dispatched, and only the next read finds the end. An order that has begun isn't stopped then.

A look at the readiness that tokio knows (trial) didn't help: of 20 connections one showed the end by then.

Change: before the first request of a connection is started, one byte is peeked at; if the connection ends there, it is dropped. Later requests come with an event that names the end. One system call for each connection. As before, a caller that closes its side counts as one that has left.

--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -1,6 +1,7 @@
 //! One caller connection: pipelined requests are read ahead, run concurrently and answered in order of arrival.
 
-use std::io;
+use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use h1::memory::{Hold, Usage};
 use h1::{Payload, head};
 use http::Method;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::net::tcp::WriteHalf;
@@ -109,7 +111,10 @@
     let (mut reader, mut writer) = stream.split();
     loop {
         let current = *stop.borrow_and_update();
-        connection.start_requests(&current);
+        if !connection.start_requests(&current, reader.as_ref()) {
+            connection.context.metrics.callers_disconnected.inc();
+            return log::info!("callers: request not started, its caller has left");
+        }
         if !connection.fits() {
             return log::info!("callers: connection dropped, no memory for the answers that its caller does not read");
         }
@@ -172,6 +177,16 @@
     }
 }
 
+/// Whether the caller has closed its connection behind what was read so far. A connection that waited to be accepted brings its request
+/// and its end at the same moment, and the event loop reports the end only after the request was read.
+fn has_left(stream: &TcpStream) -> bool {
+    let mut next = [MaybeUninit::uninit()];
+    match SockRef::from(stream).peek(&mut next) {
+        Ok(bytes) => bytes == 0,
+        Err(error) => error.kind() == ErrorKind::ConnectionReset,
+    }
+}
+
 /// Shuts down sending and waits for the caller to close: closing at once could reset the connection before the caller
 /// has read the last reply.
 async fn linger(stream: &mut TcpStream) {
@@ -304,7 +319,7 @@
                 self.last_write = Instant::now();
                 Ok(())
             }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(()),
             Err(error) => Err(error),
         }
     }
@@ -347,23 +362,29 @@
         Some(self.read_deadline.min(Instant::now() + until_close.min(MAX_SLEEP)))
     }
 
-    /// Starts the requests that were received completely, within the limits of the connection.
-    fn start_requests(&mut self, stop: &Stop) {
+    /// Starts the requests that were received completely, within the limits of the connection; returns false if their caller has
+    /// left.
+    fn start_requests(&mut self, stop: &Stop, stream: &TcpStream) -> bool {
         while !self.closing && self.replies.len() < MAX_PIPELINED && self.output.bytes.len() < MAX_UNSENT_BYTES {
             if stop.holds(self.replies.len()) {
-                return;
+                return true;
+            }
+            let Some(incoming) = self.deferred.take().or_else(|| self.parse()) else { return true };
+            let is_first = !self.has_answered && self.replies.is_empty();
+            if is_first && has_left(stream) {
+                return false;
             }
-            let Some(incoming) = self.deferred.take().or_else(|| self.parse()) else { return };
             let demand = self.purpose.demand(&self.context, &incoming);
             match stop.start(demand, self.replies.len(), self.context.now()) {
                 Start::Now => self.start(incoming),
                 Start::Refused => self.push(Job::Decline(Box::new(incoming))),
                 Start::AfterEarlier | Start::Never => {
                     self.deferred = Some(incoming);
-                    return;
+                    return true;
                 }
             }
         }
+        true
     }
 
     /// Returns the next request that has arrived completely. Input that is no acceptable request is answered as the last
