An attempt is not sent once nobody waits for its request

Cause: Engine::abandon cancels attempts of work that may run twice, and leaves the others alone, since a cancelled order's outcome is unknown. An attempt that has sent nothing has a known outcome, but the last check before the sending asked for the server only.

No run of the daemon shows this share of the fault by itself.

Change: Engine::may_send says no if the attempt's request is no longer open. The attempt then ends as recalled, and is sent nowhere. Keyed orders stay open when their callers leave, as before.

Measured: the test failed before in both cases (may_send was true after the caller had left) and passes; all tests of dispatch and daemon pass.

--- a/crates/dispatch/src/engine/update.rs
+++ b/crates/dispatch/src/engine/update.rs
@@ -213,13 +213,17 @@
         self.dispatch_waiting(now);
     }
 
-    /// Returns whether `attempt` may still be sent to `backend`: the state may have changed since the choice was made.
+    /// Returns whether `attempt` may still be sent to `backend`: the state may have changed since the choice was made, and the
+    /// caller may have left.
     pub fn may_send(&self, attempt: u64, backend: BackendId, now: Time) -> bool {
         let accepts = |server: &Backend| {
             let within_limit = !server.rate_limited(now) || self.counted_lately(attempt, now);
             !server.leaving() && !server.paused(now) && within_limit
         };
-        now >= self.suspended_until && self.backends.get(&backend).is_some_and(accepts)
+        let is_awaited = |attempt: &Attempt| self.requests.contains_key(&attempt.request);
+        now >= self.suspended_until
+            && self.attempts.get(&attempt).is_none_or(is_awaited)
+            && self.backends.get(&backend).is_some_and(accepts)
     }
 
     /// Returns whether an attempt was counted towards its server's rate limit, so lately that it still belongs to the
--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -130,6 +130,22 @@
     assert_eq!(cancels, usize::from(cancelled));
 }
 
+/// Guards against work for nobody: the caller leaves after a server was chosen, and before anything was sent there.
+#[rstest]
+#[case::lookup(LOOKUP)]
+#[case::order(ORDER)]
+fn nothing_is_sent_once_its_caller_has_left(#[case] class: usize) {
+    let mut engine = engine(classes(), Budgets::DEFAULT, vec![backend(1, Place::Domain)]);
+    submit(&mut engine, 1, class, None, START);
+    let (attempt, server) = started(&mut engine)[0];
+    assert!(engine.may_send(attempt, server, START));
+    engine.abandon(1, START);
+    assert!(!engine.may_send(attempt, server, START));
+    engine.finish(attempt, Ending::Recalled, START);
+    assert_eq!(engine.in_flight(), 0);
+    assert!(started(&mut engine).is_empty(), "it is not sent elsewhere either");
+}
+
 /// Load: all daemons restart while servers are cold; at first each knows only itself, then all of them.
 #[test]
 fn daemons_that_do_not_know_each_other_yet_send_a_starting_server_nothing() {
