The order of the events in an answer of the store does not matter

A key that was written and deleted stays, as a server in use or an evacuation in force, if its deletion comes first in the answer.

Cause: `Mirror::apply` applied events as they came. A deletion of a key that the mirror does not hold leaves nothing by which an older write of that key could be told. Keys that are only written, as `op/config`, were not affected.

Change: events are applied by their revisions.

Measured: all tests of the crate pass, and restored_store, stalled_watch, catalog, odd_entries, stranded, store and lagging of platform.

--- a/crates/store/src/call.rs
+++ b/crates/store/src/call.rs
@@ -61,6 +61,16 @@
     Delete(String, u64),
 }
 
+impl Event {
+    /// Returns the revision of the change.
+    pub const fn revision(&self) -> u64 {
+        match self {
+            Self::Put(entry) => entry.revision,
+            Self::Delete(_, revision) => *revision,
+        }
+    }
+}
+
 /// A reply with the store's era that it belongs to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
--- a/crates/store/src/mirror/mod.rs
+++ b/crates/store/src/mirror/mod.rs
@@ -151,13 +151,17 @@
         self.failing_since.get_or_insert(since);
     }
 
-    /// Applies the changes up to `version`; returns whether anything changed. Changes of another era are ignored: they
-    /// do not follow on what the mirror holds. So are those of an earlier version, which could restore keys deleted since.
-    pub fn apply(&mut self, events: Vec<Event>, version: impl Into<Version>, now: Time) -> bool {
+    /// Applies the changes up to `version`, which may come in any order; returns whether anything changed. Changes of another
+    /// era are ignored: they do not follow on what the mirror holds. Of an earlier version, only later changes are applied: the
+    /// others are known, and could restore keys deleted since.
+    pub fn apply(&mut self, mut events: Vec<Event>, version: impl Into<Version>, now: Time) -> bool {
         let Version { era, revision } = version.into();
-        if era != self.era || revision < self.revision {
+        if era != self.era {
             return false;
         }
+        let is_behind = revision < self.revision;
+        events.retain(|event| !is_behind || event.revision() > self.revision);
+        events.sort_by_key(Event::revision);
         let mut changed = false;
         for event in events {
             changed |= match event {
--- a/crates/store/tests/mirror.rs
+++ b/crates/store/tests/mirror.rs
@@ -135,3 +135,25 @@
     mirror.replace(vec![entry("a/1", "x", 3), entry("b/1", "y", 5), entry("d/1", "v", 9)], 6, START);
     assert!(mirror.get("d/1").is_some() && mirror.get("c/1").is_some());
 }
+
+/// Guards against an old value, or a deleted key, that is left where the events of one answer come twice or out of order.
+#[test]
+fn the_order_of_events_in_an_answer_does_not_matter() {
+    let mut mirror = mirror();
+    let (written, deleted) = (Event::Put(entry("c/1", "z", 6)), Event::Delete("c/1".to_owned(), 8));
+    let newest = Event::Put(entry("a/1", "new", 9));
+    let older = Event::Put(entry("a/1", "old", 7));
+    mirror.apply(vec![newest.clone(), deleted, older, written, newest], 9, START);
+    assert_eq!(mirror.get("a/1").map(|record| record.value.as_slice()), Some(b"new".as_slice()));
+    assert!(mirror.get("c/1").is_none(), "it was deleted");
+}
+
+/// Guards against changes that are lost where a revision is ahead of, or behind, the events that come with it.
+#[test]
+fn later_events_count_whatever_revision_comes_with_them() {
+    let mut mirror = mirror();
+    mirror.apply(Vec::new(), 9, START);
+    assert!(mirror.apply(vec![Event::Put(entry("c/1", "v", 7))], 10, START), "the answer before did not bring it");
+    assert!(mirror.apply(vec![Event::Put(entry("d/1", "v", 12))], 8, START));
+    assert_eq!(mirror.revision(), 10);
+}
