--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -157,11 +157,7 @@
             queued: gauge(&registry, "hemlock_queued", "Requests that wait"),
             in_flight: gauge(&registry, "hemlock_in_flight", "Attempts in flight"),
             connections: gauge(&registry, "hemlock_connections", "Connections of callers"),
-            connections_displaced: counter(
-                &registry,
-                "hemlock_connections_displaced_total",
-                "Connections closed to make room for new ones",
-            ),
+            connections_displaced: counter(&registry, "hemlock_connections_displaced_total", "Closed for new ones"),
             memory_refusals: counter(
                 &registry,
                 "hemlock_memory_refusals_total",
