An answer of a connection that was told to give way has room

Cause: such a connection counts again only once it holds nothing unfinished, and an answer that is being sent is unfinished.

Change: what is remembered is that the request has become complete; from then on the connection counts again as soon as there is room, its answer with the room that is kept for answers.

Result: an_answer_of_a_connection_that_was_to_give_way_has_room failed before, passes now; all tests of h1/memory pass.

--- a/crates/h1/src/memory.rs
+++ b/crates/h1/src/memory.rs
@@ -51,6 +51,8 @@
     progress_at: Time,
     unfinished: bool,
     gives_way: bool,
+    /// Whether its request has become complete since it was told to give way, so that it does not.
+    completed: bool,
     notify: Arc<Notify>,
 }
 
@@ -129,6 +131,7 @@
             progress_at: now,
             unfinished: false,
             gives_way: false,
+            completed: false,
             notify: Arc::clone(&notify),
         };
         state.holders.insert(id, holder);
@@ -150,10 +153,13 @@
         if holder.gives_way {
             let before = holder.bytes;
             holder.unfinished = usage.unfinished;
-            // A request that has become complete in the meantime counts again once there is room.
-            let counts_again = !usage.unfinished && state.used + usage.bytes <= self.memory.bytes;
+            holder.completed |= !usage.unfinished;
+            // A request that has become complete in the meantime counts again once there is room, and so does its answer.
+            let max = if usage.is_small() { self.memory.bytes.max(self.memory.bytes_for_small) } else { self.memory.bytes };
+            let counts_again = holder.completed && state.used + usage.bytes <= max;
             let Some(holder) = state.holders.get_mut(&self.id) else { return false };
             holder.gives_way = !counts_again;
+            holder.completed &= !counts_again;
             holder.bytes = if counts_again { usage.bytes } else { usage.bytes.min(before) };
             let bytes = holder.bytes;
             state.given_up -= before;
@@ -169,8 +175,7 @@
         let after = state.used - before + usage.bytes;
         let is_large = usage.bytes * 2 >= after;
         let allowed = if is_large { self.memory.bytes_with_one } else { self.memory.bytes };
-        let is_small = usage.bytes - usage.answers <= MAX_SMALL_BYTES;
-        let max = if is_small { allowed.max(self.memory.bytes_for_small) } else { allowed };
+        let max = if usage.is_small() { allowed.max(self.memory.bytes_for_small) } else { allowed };
         if usage.bytes > before && after > allowed && !state.free(after - allowed, self.id, now) && after > max {
             return false;
         }
@@ -207,7 +212,20 @@
 
     /// Whether the connection has to give way: its request was not complete when [`Hold::set`] was last called.
     pub fn must_give_way(&self) -> bool {
-        self.memory.state().holders.get(&self.id).is_some_and(|holder| holder.gives_way && holder.unfinished)
+        self.memory.state().holders.get(&self.id).is_some_and(Holder::must_give_way)
+    }
+}
+
+impl Holder {
+    const fn must_give_way(&self) -> bool {
+        self.gives_way && self.unfinished && !self.completed
+    }
+}
+
+impl Usage {
+    /// Whether the connection holds little, answers apart.
+    const fn is_small(&self) -> bool {
+        self.bytes - self.answers <= MAX_SMALL_BYTES
     }
 }
 
--- a/crates/h1/tests/memory.rs
+++ b/crates/h1/tests/memory.rs
@@ -112,6 +112,25 @@
     assert_eq!(memory.used(), 0);
 }
 
+/// Guards against the answer to an order that has run and is dropped: its connection was told to give way just as the order became
+/// complete, and stays marked although there is room again.
+#[test]
+fn an_answer_of_a_connection_that_was_to_give_way_has_room() {
+    let memory = Arc::new(Memory::new(BYTES));
+    let (one, other) = (memory.open(NOW), memory.open(NOW));
+    assert!(one.set(partial(BYTES * 6 / 10), NOW));
+    assert!(other.set(partial(BYTES / 2), later(1_000)));
+    assert!(one.must_give_way());
+    assert!(one.set(complete(BYTES * 6 / 10), later(1_001)));
+    drop(other);
+    let unread = Usage { answers: BYTES / 10, unfinished: true, ..complete(BYTES / 10) };
+    assert!(one.set(unread, later(1_002)));
+    assert!(!one.must_give_way());
+    assert_eq!(memory.used(), BYTES / 10);
+    assert!(memory.open(NOW).set(partial(BYTES), later(2_000)), "an answer that is not read gives way like any other");
+    assert!(one.must_give_way());
+}
+
 /// Guards against bodies that nobody counts: a body that was handed on counts until its last holder drops it, also after its
 /// connection has ended.
 #[test]
