Heads of requests that wait or run count towards the memory for callers

Seen: callers that send 16 requests with heads of 60 KB one behind the other, to servers that do not answer, made the process grow by 22 MB beside an unused budget of 17 MB (33 MB at the peak of a machine of 40 MB), and filled the queue of all classes: an ordinary request was refused with queue-full.

Cause: once a head is parsed, its text counted nowhere; only lines beyond the 100th did.

Change: a complete request's place in the budget has its head's text too, twice, since it is copied to be sent.

--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -400,7 +400,7 @@
             }
             Parsed::Request(head, body) => {
                 self.in_head = false;
-                let memory = body.capacity() + head.unusual_memory_bytes();
+                let memory = body.capacity() + head.memory_bytes();
                 if !self.admits(memory) {
                     self.give_way();
                     return None;
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -15,6 +15,8 @@
 const USUAL_LINES: usize = 100;
 /// Maximum number of header lines in one head: a parsed line takes far more memory than the few bytes that it may have.
 const MAX_LINES: usize = 4_096;
+/// Copies of a head's text that are in memory at a time: the parsed one, and the one that is being sent.
+const TEXT_COPIES: usize = 2;
 /// Memory that a parsed header line takes beside its text, in bytes.
 const LINE_MEMORY_BYTES: usize = 200;
 
@@ -75,9 +77,12 @@
         Ok(Some((Self { method, target, headers, keep_alive }, length)))
     }
 
-    /// Returns the memory that the header lines beyond the usual number take, in bytes.
-    pub fn unusual_memory_bytes(&self) -> usize {
-        self.headers.len().saturating_sub(USUAL_LINES) * LINE_MEMORY_BYTES
+    /// Returns the memory that the head takes until its request is answered, in bytes: its text, here and in what is sent to a
+    /// server, and the lines beyond the usual number.
+    pub fn memory_bytes(&self) -> usize {
+        let lines: usize = self.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+        let text = self.target.len() + lines;
+        TEXT_COPIES * text + self.headers.len().saturating_sub(USUAL_LINES) * LINE_MEMORY_BYTES
     }
 
     /// Returns the path without the query.
--- a/crates/h1/src/memory.rs
+++ b/crates/h1/src/memory.rs
@@ -155,7 +155,8 @@
             holder.unfinished = usage.unfinished;
             holder.completed |= !usage.unfinished;
             // A request that has become complete in the meantime counts again once there is room, and so does its answer.
-            let max = if usage.is_small() { self.memory.bytes.max(self.memory.bytes_for_small) } else { self.memory.bytes };
+            let max =
+                if usage.is_small() { self.memory.bytes.max(self.memory.bytes_for_small) } else { self.memory.bytes };
             let counts_again = holder.completed && state.used + usage.bytes <= max;
             let Some(holder) = state.holders.get_mut(&self.id) else { return false };
             holder.gives_way = !counts_again;
--- a/crates/h1/tests/bodies.rs
+++ b/crates/h1/tests/bodies.rs
@@ -156,6 +156,18 @@
     assert!(matches!(parsed, Err(Error::HeadTooLarge)), "{parsed:?}");
 }
 
+/// Guards against heads that no memory budget counts: a head takes at least its text, and twice that while it is sent to a server.
+#[rstest]
+#[case::long_lines(90, 650)]
+#[case::many_lines(2_000, 5)]
+fn a_head_takes_the_memory_of_its_text(#[case] lines: usize, #[case] length: usize) {
+    let lines: String = (0..lines).map(|line| format!("x-{line}: {}\r\n", "y".repeat(length))).collect();
+    let text = format!("GET /a HTTP/1.1\r\n{lines}\r\n");
+    let parsed = head::Request::parse(&mut BytesMut::from(text.as_str()), 65_536).expect("it is within the limit");
+    let memory = parsed.expect("it is complete").memory_bytes();
+    assert!(memory > lines.len() * 3 / 2, "{memory} bytes for {} of text", lines.len());
+}
+
 /// Guards against a target in absolute form that is read as a path, or as that of another host.
 #[rstest]
 #[case("http://a.example/b?c=d", "a.example", "/b?c=d")]
