What follows the last request of a connection is read up to a limit

Cause: input that is dropped left the buffer empty, so reading never stopped.

Change: what was dropped counts towards the limit of what is read ahead.

The log lines of connections that end have the field request too, so that a crowd of them displaces no line about a policy.

--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -86,6 +86,8 @@
     body_progress: (usize, Instant),
     /// Whether part of a head has arrived, for which `read_deadline` is set.
     in_head: bool,
+    /// Bytes that were read since the connection is closing, and dropped.
+    discarded: usize,
     /// Set once no further request is read; the connection ends when the remaining replies are written.
     closing: bool,
     /// Whether a request was answered.
@@ -113,16 +115,16 @@
         let current = *stop.borrow_and_update();
         if !connection.start_requests(&current, reader.as_ref()) {
             connection.context.metrics.callers_disconnected.inc();
-            return log::info!("callers: request not started, its caller has left");
+            return log::info!(request = "-"; "callers: request not started, its caller has left");
         }
         if !connection.fits() {
-            return log::info!("callers: connection dropped, no memory for the answers that its caller does not read");
+            return log::info!(request = "-"; "callers: connection dropped, no memory for the answers that its caller does not read");
         }
         slot.set(connection.activity(), connection.moved, connection.context.now());
         if connection.is_finished() {
             break;
         }
-        let may_read = connection.input.bytes.len() < connection.max_read_ahead();
+        let may_read = connection.may_read();
         connection.prepare_buffers();
         let deadline = connection.next_deadline(&current);
         tokio::select! {
@@ -152,7 +154,7 @@
             },
             () = tokio::time::sleep_until(deadline.unwrap_or(connection.read_deadline)), if deadline.is_some() => {
                 if !connection.output.bytes.is_empty() {
-                    return log::info!("callers: connection dropped, the caller does not read its answer");
+                    return log::info!(request = "-"; "callers: connection dropped, the caller does not read its answer");
                 }
                 connection.expire();
             }
@@ -161,7 +163,7 @@
                     continue;
                 }
                 if !connection.output.bytes.is_empty() {
-                    return log::info!("callers: connection dropped, its caller does not read and others need the memory");
+                    return log::info!(request = "-"; "callers: connection dropped, its caller does not read and others need the memory");
                 }
                 connection.give_way();
             }
@@ -226,6 +228,7 @@
             moved: 0,
             body_progress: (0, read_deadline),
             in_head: false,
+            discarded: 0,
             closing: false,
             has_answered: false,
             accepted_at,
@@ -239,15 +242,17 @@
         self.purpose.limits(self.context.caller_limits())
     }
 
-    /// Returns the bytes of unparsed input beyond which no more is read from the socket.
-    fn max_read_ahead(&self) -> usize {
-        MAX_READ_AHEAD_BYTES.max(self.limits().max_header_bytes)
+    /// Whether more is read from the socket.
+    fn may_read(&self) -> bool {
+        let max = MAX_READ_AHEAD_BYTES.max(self.limits().max_header_bytes);
+        self.discarded + self.input.bytes.len() < max
     }
 
     /// Makes room for the next read, and frees what the buffers no longer need.
     fn prepare_buffers(&mut self) {
         if self.closing {
             // Nothing of it is parsed.
+            self.discarded += self.input.bytes.len();
             self.clear_input();
         }
         self.input.release(READ_BYTES);
@@ -336,7 +341,7 @@
     /// once.
     fn release(&mut self, writer: &WriteHalf<'_>) {
         self.context.metrics.connections_displaced.inc();
-        log::info!("callers: connection closed, a new one needs its place caller={}", self.peer);
+        log::info!(request = "-", caller:% = self.peer; "callers: connection closed, a new one needs its place");
         self.expire();
         if let Err(error) = self.flush(writer) {
             log::debug!("callers: caller not told of the end of its connection reason={:?}", error.to_string());
