--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -294,11 +294,11 @@
         self.output.bytes.len() <= MAX_KEPT_BYTES
     }
 
-    /// Whether there is room for a request that has arrived with a body of `body_bytes`. It is asked before the request starts,
+    /// Whether there is room for a complete request that takes `request_bytes` of memory. It is asked before the request starts,
     /// since one that has started is answered.
-    fn admits(&self, body_bytes: usize) -> bool {
+    fn admits(&self, request_bytes: usize) -> bool {
         let usage = self.usage();
-        let usage = Usage { bytes: usage.bytes + body_bytes, unfinished: false, ..usage };
+        let usage = Usage { bytes: usage.bytes + request_bytes, unfinished: false, ..usage };
         self.hold.set(usage, self.context.now())
     }
 
