A rejection can be judged from the logs: its host, the routes of each version, and hemlockctl audit

Callers saw DENIED, and no log could tell whether a refusal was right: the line of a 404 had the path and not the host, routes of a version stood nowhere, 400, 413 and 431 had no line with the request, and lines about many requests displaced single refusals.

Each 3xx and 4xx that leaves the process now has a line (callers: rejected) with a budget of its own, each version's added and removed routes have lines, and hemlockctl audit asks of each rejection whether any version that may be in force refuses it.

No behaviour towards callers changes; a request is kept until its reply is written, which it was before.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -1,12 +1,16 @@
 //! Parses the command line.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use config::policy::Scope;
 use lexopt::prelude::{Long, Short, Value, ValueExt as _};
 
 use crate::error::{Error, Result};
 
+/// Time in which every daemon learns of a new policy, in milliseconds, unless `--apply-ms` gives another one.
+const DEFAULT_APPLY_MS: u64 = 3_000;
+
 /// The text of `--help`.
 pub const USAGE: &str = "\
 hemlockctl [OPTIONS] VERB
@@ -17,6 +21,10 @@
   policy                      print the policy in the store
   report [--html FILE]        service-level burn by class and region
   explain REQUEST FILE...     trace one request through the logs of the daemons
+  audit FILE...               judge each refusal in the daemons' logs that tells a caller that its request is
+                              wrong: does a policy that may have been in force refuse it?
+      --apply-ms N            time in which every daemon learns of a new policy  (default 3000)
+      --any-callers           callers need not keep to HTTP and to the limits
   check FILE [--against FILE | --in-force]
                               check a policy file or a daemon's settings file; tell what differs
                               from another policy, or from the one in the store
@@ -35,7 +43,7 @@
   -h, --help         show this
   -V, --version      show the version
 
-Exit codes: 0 done, 1 failed or warnings of `check`, 2 wrong input, 3 another operator was faster, 4 outcome unknown.
+Exit codes: 0 done, 1 failed, warnings of `check` or faults that `audit` finds, 2 wrong input, 3 another operator was faster, 4 outcome unknown.
 ";
 
 /// The policy that another one is compared with.
@@ -50,6 +58,17 @@
     InForce,
 }
 
+/// What an audit reads, and what it asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Audit {
+    /// Files of log lines of one deployment; a dash for standard input.
+    pub files: Vec<PathBuf>,
+    /// Time in which every daemon learns of a new policy.
+    pub apply: Duration,
+    /// Whether callers need not keep to HTTP and to the limits.
+    pub any_callers: bool,
+}
+
 /// What to do, with the arguments.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Verb {
@@ -67,6 +86,8 @@
     Report(Option<PathBuf>),
     /// Trace a request through log files.
     Explain(String, Vec<PathBuf>),
+    /// Judge the refusals in log files.
+    Audit(Audit),
     /// Check a policy file or a settings file; compare a policy with another one.
     Check(PathBuf, Against),
     /// Replace the policy, if it is at the given revision.
@@ -100,6 +121,8 @@
     html: Option<PathBuf>,
     expect: Option<u64>,
     against: Against,
+    apply_ms: Option<u64>,
+    any_callers: bool,
 }
 
 impl Command {
@@ -130,6 +153,10 @@
                 Long("against") => given.against = Against::File(PathBuf::from(option_value(&mut parser)?)),
                 Long("in-force") => given.against = Against::InForce,
                 Long("expect") => given.expect = Some(parse_number("--expect", &option_value(&mut parser)?)?),
+                Long("apply-ms") => {
+                    given.apply_ms = Some(parse_number("--apply-ms", &option_value(&mut parser)?)?);
+                }
+                Long("any-callers") => given.any_callers = true,
                 Value(word) => given.positional.push(word.string().map_err(usage)?),
                 other => return Err(usage(other.unexpected())),
             }
@@ -158,6 +185,11 @@
         ["explain", request, files @ ..] if !files.is_empty() => {
             Verb::Explain((*request).to_owned(), files.iter().map(PathBuf::from).collect())
         }
+        ["audit", files @ ..] if !files.is_empty() => Verb::Audit(Audit {
+            files: files.iter().map(PathBuf::from).collect(),
+            apply: Duration::from_millis(given.apply_ms.unwrap_or(DEFAULT_APPLY_MS)),
+            any_callers: given.any_callers,
+        }),
         ["check", file] => Verb::Check(PathBuf::from(file), given.against),
         ["apply", file] => Verb::Apply(PathBuf::from(file), given.expect),
         ["set-target", class, key, value] => {
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,5 +1,6 @@
 //! The operators' command line.
 
+pub mod audit;
 pub mod change;
 pub mod cli;
 pub mod error;
--- a/crates/ctl/src/logs.rs
+++ b/crates/ctl/src/logs.rs
@@ -43,10 +43,14 @@
         None
     }
 
+    /// Returns the line without its level: component, sentence and fields.
+    pub fn sentence(&self) -> &str {
+        self.text.split_once(' ').map_or("", |(_, sentence)| sentence)
+    }
+
     /// Returns the component that wrote the line: the word before the first colon.
     pub fn component(&self) -> &str {
-        let sentence = self.text.split_once(' ').map_or("", |(_, sentence)| sentence);
-        sentence.split(':').next().unwrap_or_default()
+        self.sentence().split(':').next().unwrap_or_default()
     }
 
     /// Returns the backend servers that the line names.
--- a/crates/ctl/src/verbs/mod.rs
+++ b/crates/ctl/src/verbs/mod.rs
@@ -1,6 +1,7 @@
 //! The verbs. Each returns the text for standard output.
 
 pub mod accounts;
+mod audit;
 mod check;
 mod drain;
 mod explain;
@@ -60,6 +61,7 @@
             acknowledgement(command, &id, &outcome)
         }
         Verb::Explain(request, files) => explain::run(request, files),
+        Verb::Audit(audit) => audit::run(audit),
         Verb::Settle(id) => settle(command, &store, id),
     }
 }
--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -35,7 +35,7 @@
 }
 
 /// Handles the request `id` for a class of work: dispatches it, records metrics and logs the result.
-pub async fn handle(context: &Arc<Context>, incoming: Incoming, sender: Sender, id: &str) -> Reply {
+pub async fn handle(context: &Arc<Context>, incoming: &Incoming, sender: Sender, id: &str) -> Reply {
     let start = incoming.arrived_at;
     let path = headers::logged_path(&incoming.head).to_owned();
     let Handled { class, account, outcome } = run(context, incoming, id, sender).await;
@@ -109,11 +109,11 @@
 
 /// Dispatches a request by the policy in force; it is matched again if another one comes into force before it is submitted. All
 /// its times count from its arrival, also if it has waited behind others of its connection.
-async fn run(context: &Arc<Context>, incoming: Incoming, id: &str, sender: Sender) -> Handled {
+async fn run(context: &Arc<Context>, incoming: &Incoming, id: &str, sender: Sender) -> Handled {
     let mut token = None;
     loop {
         let active = context.policy();
-        let found = match matching::find(context, &active, &incoming, sender) {
+        let found = match matching::find(context, &active, incoming, sender) {
             Ok(found) => found,
             Err(handled) => {
                 give_back(context, token);
@@ -124,7 +124,7 @@
             Ok(token) => token,
             Err(refusal) => return found.handled(Err(refusal)),
         };
-        let request = Request { active: &active, found: &found, incoming: &incoming, id, sender };
+        let request = Request { active: &active, found: &found, incoming, id, sender };
         if let Ok(outcome) = dispatch(context, request).await {
             give_back(context, token.filter(|_| is_not_run(&outcome)));
             return found.handled(outcome);
--- a/crates/daemon/src/callers/job.rs
+++ b/crates/daemon/src/callers/job.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use base::error::Kind;
+use h1::head;
 use http::{Method, StatusCode};
 
 use super::connection::Incoming;
+use super::headers;
 use super::purpose::Purpose;
 use super::reply::Reply;
 use crate::{Context, response};
@@ -28,24 +30,40 @@
     Refuse(Kind),
 }
 
+impl Job {
+    /// Returns the head of the request; `None` if the input is no acceptable request.
+    const fn head(&self) -> Option<&head::Request> {
+        match self {
+            Self::Run(incoming) | Self::Decline(incoming) => Some(&incoming.head),
+            Self::Refuse(_) => None,
+        }
+    }
+}
+
 /// Does what a job says and counts the reply.
 pub(super) async fn handle(context: Arc<Context>, purpose: Purpose, job: Job) -> ReadyReply {
-    let mut ready = run(&context, purpose, job).await;
+    let mut ready = run(&context, purpose, &job).await;
     ready.reply = purpose.complete(ready.reply);
     let labels = [purpose.as_str(), ready.reply.source.as_str(), status_class(ready.reply.status)];
     context.metrics.replies.with_label_values(&labels).inc();
     if ready.reply.status.is_redirection() || ready.reply.status.is_client_error() {
-        count_rejection(&context, purpose, &ready.reply);
+        record_rejection(&context, purpose, &job, &ready.reply);
     }
     ready
 }
 
-/// Counts a reply that tells the caller that its request is wrong, by who says so.
-fn count_rejection(context: &Context, purpose: Purpose, reply: &Reply) {
+/// Counts and logs a reply that tells the caller that its request is wrong, by who says so and for which request.
+fn record_rejection(context: &Context, purpose: Purpose, job: &Job, reply: &Reply) {
     let signed = if response::is_signed(&context.dialect, &reply.headers) { "yes" } else { "no" };
+    let (address, source, kind) = (purpose.as_str(), reply.source.as_str(), reply.source.error_kind());
     let status = reply.status.as_str();
-    let labels = [purpose.as_str(), reply.source.as_str(), signed, reply.source.error_kind(), status];
-    context.metrics.rejections.with_label_values(&labels).inc();
+    context.metrics.rejections.with_label_values(&[address, source, signed, kind, status]).inc();
+    let head = job.head();
+    let request = head.map_or_else(|| "-".to_owned(), |head| headers::request_id(context, &head.headers));
+    let host = head.map_or("-", |head| headers::host(&head.headers));
+    let path = head.map_or("-", headers::logged_path);
+    let version = context.policy().version;
+    log::info!(request, address, source, kind, status, signed, host, path, version:%; "callers: rejected");
 }
 
 /// Returns the class of a status, as a metric's label.
@@ -59,20 +77,20 @@
     }
 }
 
-async fn run(context: &Arc<Context>, purpose: Purpose, job: Job) -> ReadyReply {
+async fn run(context: &Arc<Context>, purpose: Purpose, job: &Job) -> ReadyReply {
     match job {
         Job::Run(incoming) => {
             let (method, keep_alive) = (incoming.head.method.clone(), incoming.head.keep_alive);
-            let reply = purpose.answer(context, *incoming).await;
+            let reply = purpose.answer(context, incoming).await;
             ReadyReply { method, last: !keep_alive || reply.close, reply }
         }
         Job::Decline(incoming) => {
-            let reply = purpose.refuse(context, &incoming, Kind::Leaving);
+            let reply = purpose.refuse(context, incoming, Kind::Leaving);
             ReadyReply { method: incoming.head.method.clone(), last: true, reply }
         }
         Job::Refuse(kind) => {
             log::info!(request = "-", result = kind.as_str(), address = purpose.as_str(); "callers: input refused");
-            ReadyReply { method: Method::GET, reply: Reply::error(kind, &context.dialect), last: true }
+            ReadyReply { method: Method::GET, reply: Reply::error(*kind, &context.dialect), last: true }
         }
     }
 }
--- a/crates/daemon/src/callers/purpose.rs
+++ b/crates/daemon/src/callers/purpose.rs
@@ -72,11 +72,11 @@
     }
 
     /// Handles a request that arrived at such an address.
-    pub async fn answer(self, context: &Arc<Context>, incoming: Incoming) -> Reply {
+    pub async fn answer(self, context: &Arc<Context>, incoming: &Incoming) -> Reply {
         let sender = match self {
             Self::Requests => Sender::Caller,
             Self::Relayed => Sender::Peer,
-            Self::LookUps => return lookup::handle(context, &incoming),
+            Self::LookUps => return lookup::handle(context, incoming),
         };
         let id = headers::request_id(context, &incoming.head.headers);
         let reply = forward::handle(context, incoming, sender, &id).await;
--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -2,7 +2,7 @@
 //!
 //! A field has the same name in all lines; `docs/OPERATIONS.md` lists them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use dispatch::Ending;
@@ -12,6 +12,7 @@
 use crate::Context;
 use crate::backends::attempt::Attempt;
 use crate::driver::Outgoing;
+use crate::policies::ActivePolicy;
 use crate::view::Steering;
 
 /// Maximum number of server names in one line about changes of the list.
@@ -155,6 +156,30 @@
     }
 }
 
+/// Logs which routes a policy has that the one before it lacked, which it lacks, and that it is in force. From these lines of any
+/// instance it is known which requests a version of the policy refuses.
+pub fn policy_changed(before: &ActivePolicy, after: &ActivePolicy) {
+    let (known, routes) = (routes(before), routes(after));
+    let (version, replaces) = (after.version, before.version);
+    for (host, prefix) in routes.difference(&known) {
+        log::info!(version:% = version, replaces:% = replaces, host, prefix; "policy: route added");
+    }
+    for (host, prefix) in known.difference(&routes) {
+        log::info!(version:% = version, replaces:% = replaces, host, prefix; "policy: route removed");
+    }
+    let accounts = after.policy.accounts.as_ref().map_or_else(|| "-".to_owned(), |accounts| accounts.len().to_string());
+    log::info!(
+        version:% = version, source = after.provenance.source.as_str(), replaces:% = replaces, routes = routes.len(), accounts;
+        "policy: in force"
+    );
+}
+
+/// Returns host and prefix of each route of a policy.
+fn routes(active: &ActivePolicy) -> BTreeSet<(&str, &str)> {
+    let classes = active.policy.classes.values();
+    classes.flat_map(|class| class.paths.iter().map(|path| (class.host.as_str(), path.as_str()))).collect()
+}
+
 /// Joins the first [`MAX_NAMES`] names by commas; `,...` stands for any further ones.
 fn joined(names: &[String]) -> String {
     let more = if names.len() > MAX_NAMES { ",..." } else { "" };
--- a/crates/daemon/src/logs/writer.rs
+++ b/crates/daemon/src/logs/writer.rs
@@ -1,7 +1,8 @@
 //! A bounded buffer of log lines, written out by a thread.
 //!
-//! Load pattern: thousands of requests a second, each with several lines, beside a change of the policy with one line. Lines about
-//! single requests have a budget of their own, so that they displace no others.
+//! Load pattern: thousands of requests a second, each with several lines, beside a change of the policy with a few, and some refusals
+//! that tell a caller that its request is wrong. Lines about single requests have a budget of their own, and so have those
+//! refusals, so that they displace no others and are not displaced.
 
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -17,6 +18,8 @@
 /// Field with the number of lines that were left out before its line.
 const LEFT_OUT_FIELD: &str = "lines_left_out";
 
+/// Text of the lines about requests that are refused as wrong.
+const REJECTION: &[u8] = b" callers: rejected ";
 /// Field of the lines that concern a single request.
 const REQUEST_FIELD: &[u8] = b" request=";
 
@@ -32,7 +35,9 @@
 #[derive(Debug)]
 pub struct Buffer {
     lines: SyncSender<Vec<u8>>,
-    /// Budget of the lines about single requests.
+    /// Budget of the lines about requests that are refused as wrong.
+    rejection_budget: Budget,
+    /// Budget of the other lines about single requests.
     request_budget: Budget,
     /// Budget of all other lines.
     budget: Budget,
@@ -40,7 +45,8 @@
 }
 
 impl Buffer {
-    /// Starts a thread that writes up to `per_second` lines a second about single requests to `out`, and as many others.
+    /// Starts a thread that writes up to `per_second` lines a second about single requests to `out`, as many about those that are
+    /// refused as wrong, and as many others.
     pub fn start<W: Write + Send + 'static>(per_second: u32, out: W) -> Self {
         let (lines, waiting) = sync_channel(MAX_WAITING);
         let clock = Clock::new();
@@ -50,14 +56,20 @@
             eprintln!("logs: no lines are written reason={:?}", error.to_string());
         }
         let budget = Budget::new(per_second, clock.now());
-        Self { lines, request_budget: budget.clone(), budget, clock }
+        Self { lines, rejection_budget: budget.clone(), request_budget: budget.clone(), budget, clock }
     }
 }
 
 impl Write for Buffer {
     /// Buffers one line, or leaves it out if the budget is spent or the buffer full; never blocks.
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        let budget = if concerns_request(buf) { &mut self.request_budget } else { &mut self.budget };
+        let budget = if contains(buf, REJECTION) {
+            &mut self.rejection_budget
+        } else if contains(buf, REQUEST_FIELD) {
+            &mut self.request_budget
+        } else {
+            &mut self.budget
+        };
         if let Some(left_out) = budget.pass(self.clock.now()) {
             let mut text = buf.to_vec();
             if left_out > 0 {
@@ -79,9 +91,8 @@
     }
 }
 
-/// Whether a line concerns a single request.
-fn concerns_request(line: &[u8]) -> bool {
-    line.windows(REQUEST_FIELD.len()).any(|window| window == REQUEST_FIELD)
+fn contains(line: &[u8], text: &[u8]) -> bool {
+    line.windows(text.len()).any(|window| window == text)
 }
 
 /// Writes lines to `out` until the buffer is dropped or a write fails.
--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -14,7 +14,7 @@
 use fleet::replica::{Origin, Version};
 
 use crate::context::lock;
-use crate::{Context, view};
+use crate::{Context, decision_log, view};
 
 /// Where the policy in force came from, and when.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -126,7 +126,6 @@
     match replica.apply(document, origin) {
         Ok(Some(policy)) => {
             activate(context, version, policy, source);
-            log::info!("policy: in force version={version} source={source}");
             true
         }
         Ok(None) => {
@@ -163,8 +162,10 @@
 /// of their versions.
 fn activate(context: &Arc<Context>, version: Version, policy: Policy, source: &str) {
     let provenance = Provenance { source: source.to_owned(), since: context.now() };
-    let next = ActivePolicy::replacing(&context.policy(), version, policy).with_provenance(provenance);
-    view::activate(context, Arc::new(next));
+    let before = context.policy();
+    let next = Arc::new(ActivePolicy::replacing(&before, version, policy).with_provenance(provenance));
+    view::activate(context, Arc::clone(&next));
+    decision_log::policy_changed(&before, &next);
     context.metrics.policy_revision.set(version.stored.revision as i64);
 }
 
