A daemon that may have missed a change of the policy refuses nothing for good

Callers saw 404 for a route, or 401 for a key, that the operators had added, from an instance that had lost the store and its peers, or whose policy came from a peer before it had read the store. Callers take both as final, although another instance serves the request.

Cause: a refusal was decided by the policy in force, whatever the age of what the instance knew. Class: a final answer from knowledge of unknown age.

Change: 404 and 401 are answered only if the mirror was confirmed to be complete within callers.policy_age_s, which the platform's template sets to the time in which a change must be in force, and every change that has arrived is in force; else 503 policy-stale, which promises that nothing ran. So each 404 is right by a version that may be in force, however slowly versions spread. The change count of the policy's keys is now recorded once the policy is applied, no longer before.

That this is what the users saw is not shown.

--- a/crates/config/src/configs/callers.rs
+++ b/crates/config/src/configs/callers.rs
@@ -44,6 +44,9 @@
     pub revoke_strict: bool,
     /// With `revoke_strict`, how long the daemon may be without contact to the store, in seconds.
     pub revoke_s: f64,
+    /// Maximum age of what the daemon knows of the policy, in seconds, at which it refuses a request for a reason that callers
+    /// take as final: no class covers it, or its key is unknown.
+    pub policy_age_s: f64,
 }
 
 impl Default for Callers {
@@ -66,6 +69,7 @@
             answer_entries: 3,
             revoke_strict: false,
             revoke_s: 5.0,
+            policy_age_s: 2.0,
         }
     }
 }
@@ -91,6 +95,7 @@
         check_range(name, "callers.answer_kept_ms", self.answer_kept_ms, 0, 86_400_000)?;
         check_range(name, "callers.stop_ms", self.stop_ms, self.answer_kept_ms, 86_400_000)?;
         check_float(name, "callers.revoke_s", self.revoke_s, 3_600.0)?;
+        check_float(name, "callers.policy_age_s", self.policy_age_s, 3_600.0)?;
         check_range(name, "callers.answer_entries", self.answer_entries, 1, 64)
     }
 }
--- a/crates/daemon/src/callers/identity.rs
+++ b/crates/daemon/src/callers/identity.rs
@@ -10,6 +10,7 @@
 use http::header::{AUTHORIZATION, HeaderMap, HeaderValue, PROXY_AUTHORIZATION};
 
 use super::forward::Sender;
+use super::refusal;
 use crate::Context;
 use crate::context::lock;
 use crate::policies::ActivePolicy;
@@ -55,7 +56,7 @@
         match key.and_then(|key| active.directory.account_of(key)) {
             Some(name) => Ok(Self { name: Some(name.to_owned()), is_counted: false }),
             None if class.public => Ok(Self::default()),
-            None => Err(Kind::UnknownKey),
+            None => Err(refusal::of_unknown(context, Kind::UnknownKey)),
         }
     }
 
--- a/crates/daemon/src/callers/matching.rs
+++ b/crates/daemon/src/callers/matching.rs
@@ -9,6 +9,7 @@
 use super::forward::Sender;
 use super::headers;
 use super::identity::{self, Identity};
+use super::refusal;
 use crate::Context;
 use crate::driver::{Outcome, Refusal};
 use crate::policies::ActivePolicy;
@@ -62,7 +63,7 @@
     let found = active.policy.class_of(headers::host(&head.headers), head.path());
     let found = found.and_then(|(name, class)| Some((name, class, active.class_position(name)?)));
     let Some((name, class, position)) = found else {
-        return Err(Handled::refused(None, Kind::UnknownRoute.into()));
+        return Err(Handled::refused(None, refusal::of_unknown(context, Kind::UnknownRoute).into()));
     };
     let identity = match Identity::of(context, active, class, &head.headers, sender) {
         Ok(identity) => identity,
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -12,6 +12,7 @@
 mod matching;
 mod parser;
 pub mod purpose;
+mod refusal;
 pub mod relay;
 pub mod reply;
 pub mod server;
--- a/crates/daemon/src/mirror/publish.rs
+++ b/crates/daemon/src/mirror/publish.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ::store::Mirror;
+use base::time::Time;
 use fleet::Document;
 use fleet::replica::Origin;
 
@@ -17,7 +19,8 @@
 /// Applies the policy and the servers that the mirror holds now; logs each reason for a skipped entry once.
 pub fn publish(context: &Arc<Context>, catalog: Catalog) {
     let _publishing = lock(&context.mirror_sync.publishing);
-    match read_policy(context, catalog) {
+    let changes = policy_changes(&lock(&context.mirror), catalog);
+    match read_policy(context, catalog, changes) {
         Ok(Some(update)) => apply_policy(context, update),
         Ok(None) => {}
         Err(reason) => {
@@ -28,6 +31,7 @@
         }
     }
     let mut state = lock(&context.catalog_state);
+    state.policy_changes = Some(changes);
     let (items, reasons) = state.entries.read(&lock(&context.mirror), catalog, &context.settings);
     let new_reasons = reasons.iter().filter(|reason| !state.entries_passed_over.contains(*reason));
     new_reasons.for_each(|reason| log::warn!("mirror: server entry ignored reason={reason:?}"));
@@ -38,16 +42,27 @@
     view::refresh(context);
 }
 
-/// Reads the policy from the mirror if its keys changed since it was last read and it is not older than the one in force.
-fn read_policy(context: &Context, catalog: Catalog) -> Result<Option<PolicyUpdate>, String> {
+/// Returns the store's era and the number of changes of the policy's keys so far.
+fn policy_changes(mirror: &Mirror, catalog: Catalog) -> (u64, u64) {
+    (mirror.version().era, mirror.change_count(catalog.policy_folder))
+}
+
+/// Reads the policy from the mirror if its keys changed since it was last applied, which `changes` shows, and it is not older than the
+/// one in force.
+fn read_policy(context: &Context, catalog: Catalog, changes: (u64, u64)) -> Result<Option<PolicyUpdate>, String> {
     let in_force = lock(&context.policy_replica).version();
-    let mut state = lock(&context.catalog_state);
-    let mirror = lock(&context.mirror);
-    let changes = Some((mirror.version().era, mirror.change_count(catalog.policy_folder)));
-    if std::mem::replace(&mut state.policy_changes, changes) == changes {
+    if lock(&context.catalog_state).policy_changes == Some(changes) {
         return Ok(None);
     }
-    (catalog.read_policy)(&mirror, &context.settings, in_force)
+    (catalog.read_policy)(&lock(&context.mirror), &context.settings, in_force)
+}
+
+/// Returns how long ago the policy in force was last known to be the store's; `None` if it never was, or if a change of it has
+/// arrived that is not in force yet.
+pub fn policy_age(context: &Context, catalog: Catalog, now: Time) -> Option<Duration> {
+    let applied = lock(&context.catalog_state).policy_changes;
+    let mirror = lock(&context.mirror);
+    if applied == Some(policy_changes(&mirror, catalog)) { mirror.age(now) } else { None }
 }
 
 /// Applies a policy that was read from the store; logs each reason why something in it was ignored once.
