A host that an earlier build passes on with its port is found

This build cuts the port off the request's host, and off the document's, but not off the host in a text of a peer. Class of fault: messages of another build that mean something else. Change: a class compares the name in its host. Not mended: of three routes of one name, such a build drops one; its text lacks it here too until the store's text of the version is read (the_text_of_the_store_replaces_that_of_an_earlier_build).

--- a/crates/config/src/policy/class.rs
+++ b/crates/config/src/policy/class.rs
@@ -17,7 +17,7 @@
     /// Services that share the work, each with its weight.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub split: BTreeMap<String, u32>,
-    /// The host that requests must name, without a port; empty for any host.
+    /// The host that requests must name; empty for any host. Builds up to e9ecf57 pass it on with the port that it may have.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub host: String,
     /// Path prefixes of the class; each starts with `/` and covers whole path segments.
@@ -58,9 +58,9 @@
         std::iter::once(&self.service).filter(|service| !service.is_empty()).chain(self.split.keys())
     }
 
-    /// Whether requests to `host` may belong to this class; host names are compared without case.
+    /// Whether requests to `host`, which has no port, may belong to this class; host names are compared without case.
     pub fn matches_host(&self, host: &str) -> bool {
-        self.host.is_empty() || self.host.eq_ignore_ascii_case(host)
+        self.host.is_empty() || host_name(&self.host).eq_ignore_ascii_case(host)
     }
 
     /// Returns the length of the longest prefix that covers `path`; `None` if none does.
