A process that starts takes the place of one before it whose clock was ahead

After a clock went back, a restarted instance was never ready, and look-ups named the addresses of its process before, which may take anything but requests (404, 405) if the ports have changed. Cause: the order of two processes of one name is the calendar time of their starts; the later one took itself for replaced. A process that was paused fetches none, and is replaced as before. Before: a_process_that_starts_takes_the_place_of_one_that_seems_later fails (superseded). Now it passes.

--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -178,10 +178,20 @@
         }
     }
 
-    /// Applies the records of a peer's snapshot.
+    /// Applies the records of a peer's snapshot, which a daemon fetches when it starts.
     pub fn merge_snapshot(&mut self, snapshot: &Snapshot, now: Time) {
         for record in &snapshot.records {
             self.apply(record, now);
+            self.succeed(record);
+        }
+    }
+
+    /// Takes the place of an earlier process of this daemon whose record, in the snapshot that a starting daemon fetches, seems to be
+    /// of a later one: the machine's clock went back in between.
+    fn succeed(&mut self, record: &Record) {
+        if record.name == self.own.name && record.incarnation > self.own.incarnation {
+            self.own.incarnation = record.incarnation.saturating_add(1);
+            self.superseded = false;
         }
     }
 
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -154,6 +154,25 @@
     assert!(!new.superseded());
 }
 
+/// Guards against an instance that never is ready, and is known at the addresses of its process before: the clock went back between the
+/// two, so that the process before seems to be the later one.
+#[test]
+fn a_process_that_starts_takes_the_place_of_one_that_seems_later() {
+    let now = Time::from_millis(1);
+    let mut observer = Roster::new(record("o", 1), TIMEOUTS, 0);
+    let mut before = Roster::new(Record { caller_address: "before".to_owned(), ..record("x", 20) }, TIMEOUTS, 1);
+    let mut started = Roster::new(Record { caller_address: "started".to_owned(), ..record("x", 10) }, TIMEOUTS, 2);
+    observer.merge(&before.message(0, now), now);
+    // A message may come before the snapshot that the starting process asks for.
+    started.merge(&observer.message(0, now), now);
+    started.merge_snapshot(&Snapshot { records: observer.records(), ..Snapshot::default() }, now);
+    assert!(!started.superseded());
+    observer.merge(&started.message(0, now), now);
+    assert_eq!(observer.member("x").expect("it is known").caller_address, "started");
+    before.merge(&observer.message(0, now), now);
+    assert!(before.superseded());
+}
+
 #[test]
 fn a_suspected_member_refutes_the_suspicion() {
     let now = Time::from_millis(1);
