An instance whose address another one has is named in look-ups no more

An instance that had ended stayed in look-ups for good if another one, of another name, answered at its address for peers. At its former address for requests anything may listen by then, such as the operators' port: 404 or 405 for a proper request. Cause: an exchange counted as answered whoever had answered it. Change: an answer of another instance counts as none, so that the one that has ended is suspected and then dead, as if nobody listened.

--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -84,7 +84,8 @@
     }
 }
 
-/// Sends `message` to one peer and applies its answer; records a failure in the roster.
+/// Sends `message` to one peer and applies its answer; records a failure in the roster, also if another instance answers: the peer has
+/// ended, and its address was given to that one.
 pub async fn exchange_with(context: &Arc<Context>, name: &str, address: &str, message: Message) {
     let Some(client) = client::client(context, address) else {
         return;
@@ -93,6 +94,13 @@
         Ok(answer) => {
             context.metrics.exchanges.with_label_values(&["ok"]).inc();
             context.peer_answered_at.store(context.now().as_micros(), Ordering::Relaxed);
+            if answer.from.name != name {
+                log::info!(
+                    "peers: another instance answered peer={name} address={address} answered={}",
+                    answer.from.name
+                );
+                lock(&context.roster).record_failure(name, context.now());
+            }
             apply_message(context, &answer);
         }
         Err(error) => {
