What is too large is refused for that only by who knows the operators' limits

An instance in its first seconds, or one that started while the store was away, refused heads and bodies that the operators' limits allow with 413 and 431, which callers do not send again. Cause: operators declare limits beside the routes; peers pass on the routes alone, so a policy came into force without its limits, and before any policy the settings stood in for them. Change: the limits have the version of the policy that they were declared beside. As long as that is below the policy in force, a request that is too large by the settings gets 503 (limits-unknown: it did not run, send it again elsewhere). Such an instance has no servers from peers' policies either, so nothing else is lost.

--- a/crates/base/src/error.rs
+++ b/crates/base/src/error.rs
@@ -40,6 +40,8 @@
     MemoryShort,
     /// This instance has no policy yet.
     NoPolicy,
+    /// The request is larger than the settings allow, and this instance does not know what operators allow.
+    LimitsUnknown,
     /// This instance has not heard of the operators for too long to know which keys are valid.
     PolicyStale,
     /// The request bears no key, or one that no client account holds.
@@ -113,7 +115,7 @@
 
 impl Kind {
     /// All kinds, in the order of declaration.
-    pub const ALL: [Self; 36] = [
+    pub const ALL: [Self; 37] = [
         Self::Malformed,
         Self::AmbiguousFraming,
         Self::LengthRequired,
@@ -122,6 +124,7 @@
         Self::HeadTooLarge,
         Self::MemoryShort,
         Self::NoPolicy,
+        Self::LimitsUnknown,
         Self::PolicyStale,
         Self::UnknownKey,
         Self::OverQuota,
@@ -164,6 +167,7 @@
             Self::HeadTooLarge => (431, NotRun, None, true),
             Self::MemoryShort => (503, NotRun, Some(1), true),
             Self::NoPolicy => (503, NotRun, Some(1), false),
+            Self::LimitsUnknown => (503, NotRun, Some(1), true),
             Self::PolicyStale => (503, NotRun, Some(1), false),
             Self::UnknownKey => (401, NotRun, None, false),
             Self::OverQuota => (429, NotRun, Some(1), false),
@@ -207,6 +211,7 @@
             Self::HeadTooLarge => "head-too-large",
             Self::MemoryShort => "memory-short",
             Self::NoPolicy => "no-policy",
+            Self::LimitsUnknown => "limits-unknown",
             Self::PolicyStale => "policy-stale",
             Self::UnknownKey => "unknown-key",
             Self::OverQuota => "over-quota",
@@ -248,6 +253,7 @@
             Self::SlowSender => "send the whole request faster",
             Self::HeadTooLarge => "send fewer or shorter headers",
             Self::MemoryShort => "send again after the given time",
+            Self::LimitsUnknown => "ask the look-up for another entry instance and send again",
             Self::PolicyStale => "ask the look-up for another entry instance and send again",
             Self::UnknownKey => "send a key of a client account in the Authorization header",
             Self::OverQuota => "send again after the given time",
--- a/crates/daemon/src/callers/connection.rs
+++ b/crates/daemon/src/callers/connection.rs
@@ -401,7 +401,7 @@
             Parsed::Incomplete => self.wait_for_input(was_in_body),
             Parsed::Refused(kind) => {
                 self.closing = true;
-                self.push(Job::Refuse(kind));
+                self.push(Job::Refuse(self.purpose.reason(&self.context, kind)));
             }
             Parsed::Request(head, body) => {
                 self.in_head = false;
--- a/crates/daemon/src/callers/purpose.rs
+++ b/crates/daemon/src/callers/purpose.rs
@@ -91,6 +91,18 @@
         }
     }
 
+    /// Returns why input of this `kind` is refused. Only who knows what operators allow can tell that a request is too large.
+    pub fn reason(self, context: &Context, kind: Kind) -> Kind {
+        match (self, kind) {
+            (Self::Requests | Self::Relayed, Kind::BodyTooLarge | Kind::HeadTooLarge)
+                if !context.knows_caller_limits() =>
+            {
+                Kind::LimitsUnknown
+            }
+            _ => kind,
+        }
+    }
+
     /// Completes a reply that is sent at such an address: another instance is told what became of its request.
     pub fn complete(self, reply: Reply) -> Reply {
         match self {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -107,8 +107,9 @@
     pub refresh_state: Mutex<RefreshState>,
     /// Instances that the platform lists.
     pub instance_list: Mutex<List>,
-    /// Limits of what callers may send, and of how long they may take.
-    caller_limits: RwLock<limits::Limits>,
+    /// Limits of what callers may send, and of how long they may take, with the version of the policy that operators declared them
+    /// beside; `None` for those of the settings alone.
+    caller_limits: RwLock<(limits::Limits, Option<Version>)>,
     /// Memory budget for what callers make the daemon hold: requests that arrive or run, and answers that they do not read.
     pub caller_memory: Arc<Memory>,
     /// Memory budget for backend servers' answers that are being read.
@@ -193,7 +194,7 @@
             steering: RwLock::new(Arc::new(Steering::default())),
             refresh_state: Mutex::new(RefreshState::default()),
             instance_list: Mutex::new(List::default()),
-            caller_limits: RwLock::new(limits::Limits::new(&settings.callers)),
+            caller_limits: RwLock::new((limits::Limits::new(&settings.callers), None)),
             caller_memory: Arc::new(caller_memory(&settings)),
             answer_memory: Budget::new(settings.answer_memory_bytes() as usize),
             pool: Pool::new(),
@@ -250,12 +251,19 @@
 
     /// Returns the limits of what callers may send, and of how long they may take.
     pub fn caller_limits(&self) -> limits::Limits {
-        *self.caller_limits.read().unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.caller_limits.read().unwrap_or_else(std::sync::PoisonError::into_inner).0
     }
 
-    /// Replaces the limits of what callers may send, and of how long they may take.
-    pub fn set_caller_limits(&self, limits: limits::Limits) {
-        *self.caller_limits.write().unwrap_or_else(std::sync::PoisonError::into_inner) = limits;
+    /// Whether these limits are those of the policy in force. They are not where the policy came from a peer, or there is none yet, as
+    /// long as this daemon has not read from the store what operators declare beside it.
+    pub fn knows_caller_limits(&self) -> bool {
+        let (_, version) = *self.caller_limits.read().unwrap_or_else(std::sync::PoisonError::into_inner);
+        self.catalog.is_none() || version.is_some_and(|version| version >= self.policy().version)
+    }
+
+    /// Replaces the limits of what callers may send, and of how long they may take, by those beside the policy of `version`.
+    pub fn set_caller_limits(&self, limits: limits::Limits, version: Version) {
+        *self.caller_limits.write().unwrap_or_else(std::sync::PoisonError::into_inner) = (limits, Some(version));
     }
 
     /// Opens a listening socket at `address` on the event loop.
--- a/crates/daemon/src/mirror/publish.rs
+++ b/crates/daemon/src/mirror/publish.rs
@@ -53,7 +53,7 @@
 /// Applies a policy that was read from the store; logs each reason why something in it was ignored once.
 fn apply_policy(context: &Arc<Context>, update: PolicyUpdate) {
     let PolicyUpdate { version, policy, limits, passed_over } = update;
-    context.set_caller_limits(Limits::new(&context.settings.callers).with_declared(&limits));
+    context.set_caller_limits(Limits::new(&context.settings.callers).with_declared(&limits), version);
     match policy.to_text() {
         Ok(text) => {
             if policies::apply(context, Document::new(version, text), Origin::Store, "store") {
