A body that is arriving is bounded by the higher limit, before or after a change

A body in chunks that began to arrive before its limit was known, or was raised, got 413. Cause: the limits of a request were those of the moment at which its head was read. Change: the limit of an arriving body follows the one in force upwards; it is not lowered under a caller. Before, declared_limits: a_body_that_is_arriving_is_bounded_by_the_limit_that_is_in_force got 413.

--- a/crates/daemon/src/callers/parser.rs
+++ b/crates/daemon/src/callers/parser.rs
@@ -45,11 +45,13 @@
         Self { limits, allow_chunked, partial: None, expects_continue: false }
     }
 
-    /// Replaces the limits, but for a request whose body is arriving.
-    pub const fn set_limits(&mut self, limits: Limits) {
-        if self.partial.is_none() {
-            self.limits = limits;
-        }
+    /// Replaces the limits. That of a body that is arriving is raised at most, since its caller began to send it under the one before.
+    pub fn set_limits(&mut self, limits: Limits) {
+        let max_body_bytes = match self.partial {
+            Some(_) => self.limits.max_body_bytes.max(limits.max_body_bytes),
+            None => limits.max_body_bytes,
+        };
+        self.limits = Limits { max_body_bytes, ..limits };
     }
 
     /// Parses the next request; `buffer` may hold any part of it.
