--- a/crates/ctl/src/logs.rs
+++ b/crates/ctl/src/logs.rs
@@ -60,6 +60,35 @@
     }
 }
 
+/// The clock of a log collector that puts its time in seconds before each line, as in `-9.3140 host` or `12.0312 host`.
+///
+/// The lines of machines whose own clocks differ are in one order by it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Clock {
+    /// What is added to the collector's time, in milliseconds: the first line keeps its own time.
+    offset_ms: Option<i64>,
+}
+
+impl Clock {
+    /// Parses a line as [`Line::parse`] does; its time is the collector's if the text begins with it.
+    pub fn parse(&mut self, text: &str) -> Option<Line> {
+        let line = Line::parse(text)?;
+        let Some(collected_ms) = collected_ms(text) else { return Some(line) };
+        let offset_ms = *self.offset_ms.get_or_insert(line.at_ms as i64 - collected_ms);
+        Some(Line { at_ms: collected_ms.saturating_add(offset_ms).max(0) as u64, ..line })
+    }
+}
+
+/// Returns the time that a log collector has put before a line; `None` if the text begins with anything else, such as the
+/// daemon's own time.
+fn collected_ms(text: &str) -> Option<i64> {
+    let words: Vec<&str> = text.split(" instance=").next()?.split_whitespace().collect();
+    // The last two are the daemon's own time and the level.
+    let [collected, .., _, _] = words.as_slice() else { return None };
+    let seconds = collected.parse::<f64>().ok().filter(|seconds| seconds.is_finite() && collected.contains('.'))?;
+    Some((seconds * 1_000.0).round() as i64)
+}
+
 /// A line of a request's trace.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Step {
--- a/crates/ctl/src/verbs/audit.rs
+++ b/crates/ctl/src/verbs/audit.rs
@@ -9,7 +9,7 @@
 use crate::audit::{Rejection, Verdict};
 use crate::cli::Audit;
 use crate::error::{Error, Result};
-use crate::logs::Line;
+use crate::logs::{Clock, Line};
 
 /// Components whose lines an audit needs.
 const COMPONENTS: [&str; 2] = ["policy", "callers"];
@@ -20,8 +20,9 @@
 /// the routes of a policy are not known.
 pub fn run(audit: &Audit) -> Result<String> {
     let mut lines = Vec::new();
+    let mut clock = Clock::default();
     for file in &audit.files {
-        read(file, &mut lines).map_err(|source| {
+        read(file, &mut clock, &mut lines).map_err(|source| {
             Error::Failed(format!("{}: {source}; name a readable file of log lines", file.display()))
         })?;
     }
@@ -39,10 +40,10 @@
 }
 
 /// Appends the lines of a file that an audit needs; those that are not UTF-8 are read as far as they are.
-fn read(path: &Path, lines: &mut Vec<Line>) -> std::io::Result<()> {
+fn read(path: &Path, clock: &mut Clock, lines: &mut Vec<Line>) -> std::io::Result<()> {
     let source: Box<dyn Read> = if path == Path::new("-") { Box::new(stdin()) } else { Box::new(File::open(path)?) };
     for line in BufReader::new(source).split(b'\n') {
-        let line = Line::parse(&String::from_utf8_lossy(&line?));
+        let line = clock.parse(&String::from_utf8_lossy(&line?));
         lines.extend(
             line.filter(|line| COMPONENTS.contains(&line.component()) || line.field("lines_left_out").is_some()),
         );
--- a/crates/ctl/tests/audit.rs
+++ b/crates/ctl/tests/audit.rs
@@ -4,7 +4,7 @@
 
 use ctl::audit::Verdict;
 use ctl::audit::report::Report;
-use ctl::logs::Line;
+use ctl::logs::{Clock, Line};
 use rstest::rstest;
 
 /// Time in which every instance learns of a new policy.
@@ -131,3 +131,17 @@
     assert_eq!(report.incomplete.len(), 1);
     assert_eq!(report.versions, 2);
 }
+
+/// Guards against a machine whose clock is wrong, and whose right refusals are reported as faults, or faults as right.
+#[rstest]
+#[case::clocks_agree("-4.5000 e1 ", "5.500", 5_500)]
+#[case::clock_ahead("-4.5000 e1 ", "15.500", 5_500)]
+#[case::clock_behind("2.2500 e1 ", "5.500", 12_250)]
+#[case::no_time_of_a_collector("e1 | ", "15.500", 15_500)]
+#[case::no_collector("", "15.500", 15_500)]
+fn a_line_has_the_time_of_the_collector_if_it_has_one(#[case] head: &str, #[case] own: &str, #[case] expected: u64) {
+    let mut clock = Clock::default();
+    let first = clock.parse("-9.0000 e1 1.000 INFO  instance=e1 life: started").expect("it is a line of a daemon");
+    let line = clock.parse(&format!("{head}{own} INFO  instance=e1 life: ready")).expect("it is a line of a daemon");
+    assert_eq!((first.at_ms, line.at_ms), (1_000, expected));
+}
