The audit reports versions that instances read differently, lost lines, and no refusals between instances

From the review of the audit: the first reading of a version decided, so an instance that had lost a route explained its own refusals; one lost line about an added route beside one about a removed route left the number of routes right; a refusal that only another instance gets was reported as a caller's. Three tests, which fail before; policy: in force names how many lines belong to it (added, removed).

--- a/crates/ctl/src/audit.rs
+++ b/crates/ctl/src/audit.rs
@@ -19,6 +19,10 @@
 /// Statuses that promise that the request did not run: its caller may send it again.
 const RETRIED_STATUSES: [u16; 3] = [408, 421, 429];
 
+/// The address at which an instance takes requests that others pass on. It tells them whether a request ran, and a refusal there never
+/// reaches a caller.
+const RELAYED: &str = "relayed";
+
 /// Order of policies: the operators' number, the store's era and its revision.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct Version(pub u64, pub u64, pub u64);
@@ -70,7 +74,7 @@
 pub enum Verdict {
     /// A policy that may be in force has no route for the request, or a server has signed the answer.
     Right,
-    /// Its status promises that the request did not run.
+    /// Its status promises that the request did not run, or another instance was told so, which sends it elsewhere.
     Retried,
     /// Keys of client accounts are in no log.
     Unknown,
@@ -139,13 +143,16 @@
     }
 
     /// Records that a version with these routes was in force, or was accepted by the store, at `at_ms`.
-    pub fn record(&mut self, version: Version, places: &BTreeSet<Place>, has_accounts: bool, at_ms: u64) {
+    /// Returns whether it is the same as recorded before: instances that read one version differently refuse differently.
+    pub fn record(&mut self, version: Version, places: &BTreeSet<Place>, has_accounts: bool, at_ms: u64) -> bool {
+        let policy = policy_of(places);
         let known = self.versions.entry(version).or_insert_with(|| Known {
             since_ms: at_ms,
-            policy: policy_of(places),
+            policy: policy.clone(),
             has_accounts,
         });
         known.since_ms = known.since_ms.min(at_ms);
+        known.policy == policy && known.has_accounts == has_accounts
     }
 
     /// Returns the number of versions.
@@ -160,7 +167,8 @@
 
     /// Judges a rejection.
     pub fn judge(&self, rejection: &Rejection) -> Verdict {
-        if RETRIED_STATUSES.contains(&rejection.status) {
+        let is_refusal_to_a_peer = rejection.address == RELAYED && rejection.kind != "-";
+        if is_refusal_to_a_peer || RETRIED_STATUSES.contains(&rejection.status) {
             return Verdict::Retried;
         }
         match rejection.kind.as_str() {
--- a/crates/ctl/src/audit/report.rs
+++ b/crates/ctl/src/audit/report.rs
@@ -12,6 +12,8 @@
     places: BTreeSet<Place>,
     /// The routes that were added since a policy last came into force: all of them, if it is the first of a process.
     added: BTreeSet<Place>,
+    /// The number of those that were removed.
+    removed: usize,
 }
 
 /// The rejections in the logs of a deployment, each with its verdict.
@@ -23,6 +25,8 @@
     pub versions: usize,
     /// Versions whose routes are not known, since lines were left out of every log that names them.
     pub incomplete: BTreeSet<Version>,
+    /// Versions that two instances read with different routes.
+    pub differing: BTreeSet<Version>,
     /// Lines that could not be written; rejections may be among them.
     pub left_out: u64,
 }
@@ -46,7 +50,9 @@
                     let Some(version) = line.field("version").and_then(Version::parse) else { continue };
                     if told.completes(line) {
                         let has_accounts = line.field("accounts").is_some_and(|accounts| accounts != "-");
-                        history.record(version, &told.places, has_accounts, line.at_ms);
+                        if !history.record(version, &told.places, has_accounts, line.at_ms) {
+                            report.differing.insert(version);
+                        }
                         complete.insert(version);
                     } else {
                         report.incomplete.insert(version);
@@ -92,19 +98,22 @@
     fn remove(&mut self, line: &Line) {
         if let Some(place) = place(line) {
             self.places.remove(&place);
+            self.removed += 1;
         }
     }
 
     /// Ends the lines about a policy with the one that it is in force; returns whether all its routes are known.
     fn completes(&mut self, line: &Line) -> bool {
-        let added = std::mem::take(&mut self.added);
-        let Some(routes) = line.field("routes").and_then(|text| text.parse::<usize>().ok()) else { return false };
+        let (added, removed) = (std::mem::take(&mut self.added), std::mem::take(&mut self.removed));
+        let number = |name: &str| line.field(name).and_then(|text| text.parse::<usize>().ok());
+        let Some(routes) = number("routes") else { return false };
+        let is_told = number("added") == Some(added.len()) && number("removed") == Some(removed);
         let replaced = line.field("replaces").and_then(Version::parse);
         if replaced == Some(Version::default()) && added.len() == routes {
             // The first policy of a process: what an earlier process told is past.
             self.places = added;
         }
-        self.places.len() == routes
+        is_told && self.places.len() == routes
     }
 }
 
--- a/crates/ctl/tests/audit.rs
+++ b/crates/ctl/tests/audit.rs
@@ -32,8 +32,11 @@
     };
     let mut lines: Vec<Line> = added.iter().map(|prefix| change("added", prefix)).collect();
     lines.extend(removed.iter().map(|prefix| change("removed", prefix)));
-    let text =
-        format!("policy: in force version={version} source=store replaces={replaces} routes={routes} accounts=-");
+    let text = format!(
+        "policy: in force version={version} source=store replaces={replaces} routes={routes} added={} removed={} accounts=-",
+        added.len(),
+        removed.len()
+    );
     lines.push(line(instance, at_ms, &text));
     lines
 }
@@ -122,6 +125,30 @@
     assert!(report.incomplete.is_empty());
 }
 
+/// Guards against one instance that has lost a route of a version, and whose refusals are explained by its own policy.
+#[test]
+fn a_version_that_two_instances_read_differently_is_reported() {
+    let other = policy("e3", 1_300, ["00000000.0.0", "00000001.0.1"], &["/a/"], &[], 1);
+    let report = Report::new([history(), other].concat().iter(), APPLY);
+    assert_eq!(report.differing.len(), 1);
+}
+
+/// Guards against refusals that only another instance gets, which sends the request elsewhere, and that are reported as a caller's.
+#[test]
+fn what_a_peer_is_told_reaches_no_caller() {
+    let fields = "address=relayed source=error kind=unknown-route status=404 signed=no host=h path=/a/x";
+    assert_eq!(verdict(rejected("e1", 5_000, fields)), Verdict::Retried);
+}
+
+/// Guards against a lost line about an added route beside a lost one about a removed route: the number of routes is right then.
+#[test]
+fn a_policy_with_as_many_routes_as_told_is_not_taken_for_complete() {
+    let mut lines = policy("e1", 20_000, ["00000002.0.5", "00000003.0.9"], &["/b/"], &["/a/"], 2);
+    lines.drain(..2);
+    let report = Report::new([history(), lines].concat().iter(), APPLY);
+    assert_eq!(report.incomplete.len(), 1);
+}
+
 /// Guards against a policy with missing lines that explains every refusal.
 #[test]
 fn a_policy_whose_routes_are_not_all_told_is_reported() {
--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -161,6 +161,7 @@
 pub fn policy_changed(before: &ActivePolicy, after: &ActivePolicy) {
     let (known, routes) = (routes(before), routes(after));
     let (version, replaces) = (after.version, before.version);
+    let (added, removed) = (routes.difference(&known).count(), known.difference(&routes).count());
     for (host, prefix) in routes.difference(&known) {
         log::info!(version:% = version, replaces:% = replaces, host, prefix; "policy: route added");
     }
@@ -169,7 +170,8 @@
     }
     let accounts = after.policy.accounts.as_ref().map_or_else(|| "-".to_owned(), |accounts| accounts.len().to_string());
     log::info!(
-        version:% = version, source = after.provenance.source.as_str(), replaces:% = replaces, routes = routes.len(), accounts;
+        version:% = version, source = after.provenance.source.as_str(), replaces:% = replaces, routes = routes.len(), added, removed,
+        accounts;
         "policy: in force"
     );
 }
