413 and 431 need a policy that was lately confirmed too, and a change that cannot be read counts as missed

From the review: limits were taken as known if they belonged to the policy in force, however old that was; a document that arrived and could not be read counted as applied, so 404 and 401 went on by the one before; limits that were read before a peer's text of the same policy under a later version counted as another policy's for good.

Change: too large is refused for good only with a confirmed policy (else 503 limits-unknown); the change count of the policy's keys is recorded only if they were read; limits are those of the policy if its own number is the same.

--- a/crates/daemon/src/callers/purpose.rs
+++ b/crates/daemon/src/callers/purpose.rs
@@ -15,7 +15,7 @@
 use super::relay::disposition::Disposition;
 use super::reply::{Reply, Source};
 use super::stop::Demand;
-use super::{forward, headers, lookup};
+use super::{forward, headers, lookup, refusal};
 use crate::Context;
 use crate::response;
 
@@ -94,10 +94,8 @@
     /// Returns why input of this `kind` is refused. Only who knows what operators allow can tell that a request is too large.
     pub fn reason(self, context: &Context, kind: Kind) -> Kind {
         match (self, kind) {
-            (Self::Requests | Self::Relayed, Kind::BodyTooLarge | Kind::HeadTooLarge)
-                if !context.knows_caller_limits() =>
-            {
-                Kind::LimitsUnknown
+            (Self::Requests | Self::Relayed, Kind::BodyTooLarge | Kind::HeadTooLarge) => {
+                refusal::of_too_large(context, kind)
             }
             _ => kind,
         }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -258,7 +258,11 @@
     /// long as this daemon has not read from the store what operators declare beside it.
     pub fn knows_caller_limits(&self) -> bool {
         let (_, version) = *self.caller_limits.read().unwrap_or_else(std::sync::PoisonError::into_inner);
-        self.catalog.is_none() || version.is_some_and(|version| version >= self.policy().version)
+        let in_force = self.policy().version;
+        // A change of other keys of the operators gives their document another version, and leaves its own number as it is.
+        let is_of =
+            |version: Version| version >= in_force || (version.declared > 0 && version.declared == in_force.declared);
+        self.catalog.is_none() || version.is_some_and(is_of)
     }
 
     /// Replaces the limits of what callers may send, and of how long they may take, by those beside the policy of `version`.
--- a/crates/daemon/src/mirror/publish.rs
+++ b/crates/daemon/src/mirror/publish.rs
@@ -20,10 +20,12 @@
 pub fn publish(context: &Arc<Context>, catalog: Catalog) {
     let _publishing = lock(&context.mirror_sync.publishing);
     let changes = policy_changes(&lock(&context.mirror), catalog);
+    let mut is_read = true;
     match read_policy(context, catalog, changes) {
         Ok(Some(update)) => apply_policy(context, update),
         Ok(None) => {}
         Err(reason) => {
+            is_read = false;
             if lock(&context.catalog_state).policy_error.replace(reason.clone()) != Some(reason.clone()) {
                 context.metrics.policy_refused.inc();
                 log::warn!("policy: refused source=store reason={reason:?}");
@@ -31,7 +33,7 @@
         }
     }
     let mut state = lock(&context.catalog_state);
-    state.policy_changes = Some(changes);
+    state.policy_changes = Some(changes).filter(|_| is_read);
     let (items, reasons) = state.entries.read(&lock(&context.mirror), catalog, &context.settings);
     let new_reasons = reasons.iter().filter(|reason| !state.entries_passed_over.contains(*reason));
     new_reasons.for_each(|reason| log::warn!("mirror: server entry ignored reason={reason:?}"));
