The audit reports a version whose routes are not the same on all instances

An instance that passes a route over and is the first to tell a version would explain its own refusals: the audit took the routes that were told first and did not compare them. New: a_version_that_instances_tell_differently_is_reported.

--- a/crates/ctl/src/audit/report.rs
+++ b/crates/ctl/src/audit/report.rs
@@ -23,6 +23,8 @@
     pub versions: usize,
     /// Versions whose routes are not known, since lines were left out of every log that names them.
     pub incomplete: BTreeSet<Version>,
+    /// Versions whose routes are not the same on all instances.
+    pub different: BTreeSet<Version>,
     /// Lines that could not be written; rejections may be among them.
     pub left_out: u64,
 }
@@ -35,7 +37,7 @@
         let mut history = History::new(apply);
         let mut told: BTreeMap<&str, Told> = BTreeMap::new();
         let mut rejections = Vec::new();
-        let mut complete = BTreeSet::new();
+        let mut complete: BTreeMap<Version, BTreeSet<Place>> = BTreeMap::new();
         for line in lines {
             report.left_out += line.field("lines_left_out").and_then(|text| text.parse().ok()).unwrap_or(0);
             let told = told.entry(&line.instance).or_default();
@@ -47,7 +49,9 @@
                     if told.completes(line) {
                         let has_accounts = line.field("accounts").is_some_and(|accounts| accounts != "-");
                         history.record(version, &told.places, has_accounts, line.at_ms);
-                        complete.insert(version);
+                        if complete.entry(version).or_insert_with(|| told.places.clone()) != &told.places {
+                            report.different.insert(version);
+                        }
                     } else {
                         report.incomplete.insert(version);
                     }
@@ -56,7 +60,7 @@
                 _ => {}
             }
         }
-        report.incomplete.retain(|version| !complete.contains(version));
+        report.incomplete.retain(|version| !complete.contains_key(version));
         report.versions = history.len();
         rejections.sort_by_key(|rejection| rejection.at_ms);
         let judge = |rejection: Rejection| {
--- a/crates/ctl/src/verbs/audit.rs
+++ b/crates/ctl/src/verbs/audit.rs
@@ -17,7 +17,7 @@
 const MAX_PRINTED: usize = 50;
 
 /// Reads the files and returns the number of rejections with each verdict, and the faults; an error if there is a fault, or if
-/// the routes of a policy are not known.
+/// the routes of a policy are not known or not the same everywhere.
 pub fn run(audit: &Audit) -> Result<String> {
     let mut lines = Vec::new();
     let mut clock = Clock::default();
@@ -36,7 +36,8 @@
     let is_fault = |(_, verdict): &&(Rejection, Verdict)| !(audit.any_callers && *verdict == Verdict::Form);
     let faults: Vec<&(Rejection, Verdict)> = report.faults().filter(is_fault).collect();
     let text = render(&report, &faults);
-    if faults.is_empty() && report.incomplete.is_empty() { Ok(text) } else { Err(Error::Warnings(text)) }
+    let is_clean = faults.is_empty() && report.incomplete.is_empty() && report.different.is_empty();
+    if is_clean { Ok(text) } else { Err(Error::Warnings(text)) }
 }
 
 /// Appends the lines of a file that an audit needs; those that are not UTF-8 are read as far as they are.
@@ -67,6 +68,9 @@
     for version in &report.incomplete {
         add(format!("version {version:?}: its routes are in no log"));
     }
+    for version in &report.different {
+        add(format!("version {version:?}: its routes are not the same on all instances"));
+    }
     for (rejection, verdict) in faults.iter().take(MAX_PRINTED) {
         let Rejection { at_ms, instance, request, address, status, kind, host, path, .. } = rejection;
         add(format!(
--- a/crates/ctl/tests/audit.rs
+++ b/crates/ctl/tests/audit.rs
@@ -132,6 +132,15 @@
     assert_eq!(report.versions, 2);
 }
 
+/// Guards against an instance that passes a route over, and whose policy then explains every refusal of that route.
+#[test]
+fn a_version_that_instances_tell_differently_is_reported() {
+    let lacking = policy("e3", 500, ["00000000.0.0", "00000001.0.1"], &["/a/"], &[], 1);
+    let report = Report::new([lacking, history()].concat().iter(), APPLY);
+    assert_eq!(report.different.len(), 1);
+    assert!(report.incomplete.is_empty());
+}
+
 /// Guards against a machine whose clock is wrong, and whose right refusals are reported as faults, or faults as right.
 #[rstest]
 #[case::clocks_agree("-4.5000 e1 ", "5.500", 5_500)]
