Followers get the changes, not all keys, after their source has listed all keys

Cause: `finish_full_sync` forgot all deletions at each full list, so each follower that was behind it, which is every one, had to be sent all keys, whatever it held.

Change: a list tells which of the keys that were known before are gone; they are recorded as deleted at its revision. What stays unknown are keys that were both written and deleted since: only a mirror between the two revisions may hold one, and it still gets all keys, as does one before an earlier such span, and any one if a list lacked keys.

Evidence: with 350 servers, a message of less than 300 bytes (test), all keys before.

--- a/crates/store/src/mirror/era.rs
+++ b/crates/store/src/mirror/era.rs
@@ -55,6 +55,7 @@
         self.latest_revisions.clear();
         self.tombstones.clear();
         self.tombstones_since = 0;
+        self.unseen = 0..0;
         self.withheld.clear();
         if self.records.is_empty() {
             return;
--- a/crates/store/src/mirror/mod.rs
+++ b/crates/store/src/mirror/mod.rs
@@ -7,6 +7,7 @@
 mod relay;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Range;
 use std::time::Duration;
 
 use base::time::Time;
@@ -78,8 +79,10 @@
     confirmed_at: Option<Time>,
     /// Keys deleted after the revision `tombstones_since`, in the order in which the deletions became known.
     tombstones: VecDeque<(String, u64)>,
-    /// Revision after which `tombstones` has all deletions.
+    /// Revision after which `tombstones` has all deletions, but for `unseen`.
     tombstones_since: u64,
+    /// Revisions between which a list replaced the changes: keys that were both written and deleted there are unknown.
+    unseen: Range<u64>,
 }
 
 impl Mirror {
@@ -202,8 +205,8 @@
                 changed |= self.put_listed(entry, now, now);
             }
         }
-        (self.gaps, self.listed_at) = (gaps, now);
-        self.finish_full_sync(revision);
+        self.finish_full_sync(revision, gaps);
+        self.listed_at = now;
         changed
     }
 
@@ -231,6 +234,9 @@
         let missing: Vec<String> = missing.map(|(key, _)| key.clone()).collect();
         let mut changed = false;
         for key in missing {
+            if revision > self.revision {
+                self.record_tombstone(&key, revision);
+            }
             changed |= self.remove(&key, revision, now);
         }
         changed
@@ -241,11 +247,20 @@
         entry.revision <= self.revision && self.deleted.contains_key(&entry.key)
     }
 
-    /// Completes a full synchronization: all keys as of `revision` are known, but not the deletions before it.
-    fn finish_full_sync(&mut self, revision: u64) {
-        if self.revision == 0 || revision > self.revision {
+    /// Completes a full synchronization: all keys as of `revision` are known, but those in `gaps`, and of the deletions since
+    /// the revision before it those of the keys that were known then.
+    ///
+    /// A mirror that is between the two revisions may hold other keys, and gets all. So does one that is before an earlier
+    /// such span, since only one is kept, and any one if a list said nothing of some keys.
+    fn finish_full_sync(&mut self, revision: u64, gaps: Vec<Gap>) {
+        let lacked_keys = !self.gaps.is_empty() || !gaps.is_empty();
+        self.gaps = gaps;
+        if self.revision == 0 || (revision > self.revision && lacked_keys) {
             self.tombstones_since = revision;
             self.tombstones.retain(|(_, deleted)| *deleted > revision);
+        } else if revision > self.revision {
+            self.tombstones_since = self.tombstones_since.max(self.unseen.end);
+            self.unseen = self.revision + 1..revision;
         }
         self.revision = self.revision.max(revision);
     }
--- a/crates/store/src/mirror/relay.rs
+++ b/crates/store/src/mirror/relay.rs
@@ -15,7 +15,7 @@
 
 impl Mirror {
     /// Returns the changes after the version `after`, for another mirror. Returns all keys after the key `from`, one
-    /// page of them, if the changes are too large for one message or the deletions since `after` are no longer known,
+    /// page of them, if the changes are too large for one message or the deletions since `after` are not known,
     /// as at the first request in a new era. Returns no keys to a mirror of a later era. `None` while this mirror is
     /// empty, or if all keys are needed and its own list lacks some, which the other mirror would remove.
     pub fn changes(&self, after: impl Into<Version>, from: &str, now: Time) -> Option<Changes> {
@@ -40,7 +40,7 @@
         if era > self.era {
             return Some(Changes { after: self.revision, ..empty });
         }
-        if era < self.era || after < self.tombstones_since {
+        if era < self.era || after < self.tombstones_since || self.unseen.contains(&after) {
             return self.page(empty, from, now);
         }
         let changed = self.records.iter().filter(|(_, record)| record.revision > after);
@@ -95,8 +95,7 @@
             let listed: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
             changed |= self.remove_unlisted(&listed, &[], received.revision, now);
             changed |= self.put_items(items, is_empty, transit, now);
-            self.gaps.clear();
-            self.finish_full_sync(received.revision);
+            self.finish_full_sync(received.revision, Vec::new());
         } else if applicable {
             changed |= self.put_items(items, is_empty, transit, now);
             changed |= self.apply(received.deletions().collect(), received.version(), now);
--- a/crates/store/tests/changes.rs
+++ b/crates/store/tests/changes.rs
@@ -92,6 +92,53 @@
     state.iter().map(|(key, (value, _))| (key, value)).collect()
 }
 
+/// Returns a mirror at revision 400 with 350 servers and a policy, and the list of its store at revision 403: one server was
+/// deleted and the policy changed.
+fn listed_again() -> (Mirror, Vec<Entry>) {
+    let server = |number: u64| entry(&format!("servers/{number:03}"), &"x".repeat(200), number + 1);
+    let mut mirror = Mirror::new();
+    let servers: Vec<Entry> = (0..350).map(server).collect();
+    let with_policy = |policy: Entry| servers.iter().cloned().chain([policy]).collect::<Vec<Entry>>();
+    mirror.replace(with_policy(entry("policy", "before", 400)), 400, START);
+    let mut list = with_policy(entry("policy", "after", 403));
+    list.remove(7);
+    (mirror, list)
+}
+
+/// Guards against followers that get all keys in place of the changes after their source has listed all keys, because the
+/// store no longer had its history: on a narrow link that took longer than a policy may be old.
+#[test]
+fn followers_get_changes_after_their_source_has_listed_all_keys() {
+    let (mut leader, list) = listed_again();
+    let mut follower = leader.clone();
+    leader.replace(list, 403, START);
+    let (changes, items) = pages(&leader, 400, START).expect("the leader has keys");
+    let bytes = serde_json::to_string(&changes).expect("it can be written").len();
+    assert!(!changes.full && bytes < 300, "full: {}, {bytes} bytes", changes.full);
+    assert!(follower.merge(&changes, items, START, START));
+    assert_eq!(keys(&follower), keys(&leader));
+    assert_eq!(follower.get("servers/007"), None);
+    assert_eq!(follower.revision(), 403);
+}
+
+/// Guards against a follower that keeps a key which was written and deleted while its source had no history, or one that its
+/// source never knew: both are told by a full list only.
+#[rstest]
+#[case::between_the_revisions(401, vec![], vec![])]
+#[case::before_the_first_list(399, vec![], vec![])]
+#[case::the_list_lacks_keys(400, vec![], vec![Gap { after: "t".to_owned(), to: None }])]
+#[case::the_list_before_lacked_keys(400, vec![Gap { after: "t".to_owned(), to: None }], vec![])]
+fn a_follower_that_may_hold_unknown_keys_gets_no_changes(
+    #[case] revision: u64,
+    #[case] gaps_before: Vec<Gap>,
+    #[case] gaps: Vec<Gap>,
+) {
+    let (mut leader, list) = listed_again();
+    leader.replace_except(list.clone(), gaps_before, 400, START);
+    leader.replace_except(list, gaps, 403, START);
+    assert!(leader.changes(revision, "", START).is_none_or(|changes| changes.full));
+}
+
 /// Fault: messages arrive late, twice or from a mirror that is behind, mirrors restart empty, and the store compacts
 /// its history. A mirror must always equal the store's state at some revision, never go back to an earlier one, and
 /// never confirm a time at which the store had changes that it does not hold.
