--- a/crates/ctl/src/audit/report.rs
+++ b/crates/ctl/src/audit/report.rs
@@ -39,7 +39,7 @@
         let mut history = History::new(apply);
         let mut told: BTreeMap<&str, Told> = BTreeMap::new();
         let mut rejections = Vec::new();
-        let mut complete: BTreeMap<Version, BTreeSet<Place>> = BTreeMap::new();
+        let mut complete = BTreeSet::new();
         for line in lines {
             report.left_out += line.field("lines_left_out").and_then(|text| text.parse().ok()).unwrap_or(0);
             let told = told.entry(&line.instance).or_default();
@@ -62,7 +62,7 @@
                 _ => {}
             }
         }
-        report.incomplete.retain(|version| !complete.contains_key(version));
+        report.incomplete.retain(|version| !complete.contains(version));
         report.versions = history.len();
         rejections.sort_by_key(|rejection| rejection.at_ms);
         let judge = |rejection: Rejection| {
