A request for work at the operators' and the peers' addresses is counted and logged

What callers saw: nothing that is traced. A caller that is led to a wrong address gets 404, 405 or 415 there. At the peers' address only the status is known there. A layer of tower, which the RPC server uses already, sees its replies.

--- a/crates/daemon/src/callers/headers.rs
+++ b/crates/daemon/src/callers/headers.rs
@@ -10,6 +10,7 @@
 
 use crate::Context;
 use crate::at_most_once::{self, KeyedRequest};
+use crate::rejection;
 
 /// Identifies a keyed request; the caller repeats it with each send of the request.
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
@@ -17,8 +18,6 @@
 const IDEMPOTENCY_SESSION: HeaderName = HeaderName::from_static("idempotency-session");
 /// Longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 255;
-/// Number of characters of a path that are logged.
-const MAX_LOGGED_PATH: usize = 100;
 
 /// Returns the id of a request in logs: the one that the caller gave to this send, or a new one.
 pub(super) fn request_id(context: &Context, headers: &HeaderMap) -> String {
@@ -31,8 +30,7 @@
 
 /// Returns the path of a request as it is logged. Paths of requests that no class covers are known from nowhere else.
 pub(super) fn logged_path(head: &head::Request) -> &str {
-    let path = head.path();
-    path.char_indices().nth(MAX_LOGGED_PATH).map_or(path, |(end, _)| &path[..end])
+    rejection::shortened(head.path())
 }
 
 /// Returns how long the caller waits from the time when its request arrived; `None` if it does not say.
--- a/crates/daemon/src/callers/job.rs
+++ b/crates/daemon/src/callers/job.rs
@@ -10,6 +10,7 @@
 use super::headers;
 use super::purpose::Purpose;
 use super::reply::Reply;
+use crate::rejection::Rejection;
 use crate::{Context, response};
 
 /// A reply that is ready to be written.
@@ -54,16 +55,19 @@
 
 /// Counts and logs a reply that tells the caller that its request is wrong, by who says so and for which request.
 fn record_rejection(context: &Context, purpose: Purpose, job: &Job, reply: &Reply) {
-    let signed = if response::is_signed(&context.dialect, &reply.headers) { "yes" } else { "no" };
-    let (address, source, kind) = (purpose.as_str(), reply.source.as_str(), reply.source.error_kind());
-    let status = reply.status.as_str();
-    context.metrics.rejections.with_label_values(&[address, source, signed, kind, status]).inc();
     let head = job.head();
     let request = head.map_or_else(|| "-".to_owned(), |head| headers::request_id(context, &head.headers));
-    let host = head.map_or("-", |head| headers::host(&head.headers));
-    let path = head.map_or("-", headers::logged_path);
-    let version = context.policy().version;
-    log::info!(request, address, source, kind, status, signed, host, path, version:%; "callers: rejected");
+    let rejection = Rejection {
+        address: purpose.as_str(),
+        source: reply.source.as_str(),
+        kind: reply.source.error_kind(),
+        status: reply.status.as_str(),
+        signed: response::is_signed(&context.dialect, &reply.headers),
+        request: &request,
+        host: head.map_or("-", |head| headers::host(&head.headers)),
+        path: head.map_or("-", head::Request::path),
+    };
+    rejection.record(context);
 }
 
 /// Returns the class of a status, as a metric's label.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod policy_poller;
 pub mod program;
 pub mod quotas;
+pub mod rejection;
 pub mod response;
 pub mod stall;
 pub mod view;
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -7,14 +7,18 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use base::error::Kind;
 use base::time::Time;
 use burn::report::{Line, Report};
+use config::policy;
 use fleet::replica::Version;
+use http::header::HOST;
 use serde::Serialize;
 use tiny_http::{Header, Request, Response, Server};
 
 use crate::context::lock;
 use crate::plugin::Plugin;
+use crate::rejection::Rejection;
 use crate::{Context, accounts, logs};
 
 /// Largest request body that is read and discarded, in bytes.
@@ -51,23 +55,31 @@
 
 fn start(context: &Arc<Context>) -> kernel::StartResult {
     let settings = &context.settings.operators;
-    let addresses =
-        [("operators.address", &settings.address), ("operators.metrics_address", &settings.metrics_address)];
-    let used = addresses.into_iter().filter(|(_, address)| !address.is_empty());
-    let servers = used.map(|(key, address)| serve(context, key, address)).collect::<Result<Vec<_>, String>>()?;
+    let addresses = [
+        ("operators.address", "operators", &settings.address),
+        ("operators.metrics_address", "metrics", &settings.metrics_address),
+    ];
+    let used = addresses.into_iter().filter(|(_, _, address)| !address.is_empty());
+    let servers = used.map(|(key, purpose, address)| serve(context, key, purpose, address));
+    let servers = servers.collect::<Result<Vec<_>, String>>()?;
     Ok(Box::new(Port(servers)))
 }
 
-/// Serves operators at `address` on a thread of its own; `key` is the setting that names the address. Returns the address and
-/// the server.
-fn serve(context: &Arc<Context>, key: &str, address: &str) -> Result<(String, Arc<Server>), String> {
+/// Serves operators at `address` on a thread of its own; `key` is the setting that names the address, and `purpose` what the address is
+/// for, in logs and metrics. Returns the address and the server.
+fn serve(
+    context: &Arc<Context>,
+    key: &str,
+    purpose: &'static str,
+    address: &str,
+) -> Result<(String, Arc<Server>), String> {
     let server = Server::http(address)
         .map_err(|error| format!("key `{key}`: cannot listen at {address}: {error}; choose a free address"))?;
     let server = Arc::new(server);
     let (shared, port) = (Arc::clone(context), Arc::clone(&server));
     let body = move || {
         while let Ok(request) = port.recv() {
-            answer(&shared, request);
+            answer(&shared, purpose, request);
         }
     };
     std::thread::Builder::new().name("operators".to_owned()).spawn(body).map_err(|error| error.to_string())?;
@@ -106,7 +118,18 @@
     Readiness { ready, reasons }
 }
 
-fn answer(context: &Arc<Context>, mut request: Request) {
+/// Counts and logs that `request` is for nothing that the address serves, as a request for work that was led here would be.
+fn record_rejection(context: &Context, address: &str, request: &Request, path: &str) {
+    let header = |name: &str| {
+        let found = request.headers().iter().find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name));
+        found.map_or("-", |header| header.value.as_str())
+    };
+    let (source, kind) = ("error", Kind::UnknownPath.as_str());
+    let (id, host) = (header(context.dialect.request_id.as_str()), policy::host_name(header(HOST.as_str())));
+    Rejection { address, source, kind, status: "404", signed: false, request: id, host, path }.record(context);
+}
+
+fn answer(context: &Arc<Context>, address: &str, mut request: Request) {
     let mut body = Vec::new();
     if request.as_reader().take(MAX_BODY_BYTES).read_to_end(&mut body).is_err() {
         log::debug!("operators: body not read");
@@ -125,7 +148,10 @@
         "/decisions" => json(200, &decisions(context)),
         "/burn" => json(200, &burn_report(context)),
         "/accounts" => json(200, &accounts::lines(context)),
-        _ => text(404, b"try /health /ready /metrics /decisions /burn /accounts\n".to_vec(), "text/plain"),
+        _ => {
+            record_rejection(context, address, &request, &path);
+            text(404, b"try /health /ready /metrics /decisions /burn /accounts\n".to_vec(), "text/plain")
+        }
     };
     if let Err(error) = request.respond(response) {
         log::debug!("operators: answer not sent reason={:?}", error.to_string());
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::error::Kind;
 use fleet::Document;
 use fleet::message::{self, Message, Snapshot};
 use fleet::replica::Version;
+use http::StatusCode;
 use jsonrpsee::core::async_trait;
-use jsonrpsee::server::{ServerConfig, ServerHandle};
+use jsonrpsee::server::{HttpResponse, ServerConfig, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
 use quota::message::{Ask, Grant};
 use store::Changes;
@@ -19,6 +21,7 @@
 use crate::context::lock;
 use crate::mirror;
 use crate::plugin::Plugin;
+use crate::rejection::Rejection;
 
 /// Maximum number of connections of peers.
 const MAX_CONNECTIONS: u32 = 256;
@@ -98,6 +101,17 @@
     }
 }
 
+/// Counts and logs a reply to a request that is no call of a peer, such as one for work that was led here.
+fn record_rejection(context: &Context, status: StatusCode) {
+    if !status.is_redirection() && !status.is_client_error() {
+        return;
+    }
+    let kind = if status == StatusCode::METHOD_NOT_ALLOWED { Kind::UnknownMethod } else { Kind::UnknownPath };
+    let (address, source, none) = ("peers", "error", "-");
+    let (kind, status) = (kind.as_str(), status.as_str());
+    Rejection { address, source, kind, status, signed: false, request: none, host: none, path: none }.record(context);
+}
+
 fn start(context: &Arc<Context>) -> kernel::StartResult {
     let address = context.settings.fleet.address.clone();
     let config = ServerConfig::builder()
@@ -109,9 +123,14 @@
     let handler = Handler { context: Arc::clone(context) };
     let _guard = context.runtime.enter();
     let listener = std::net::TcpListener::bind(&address);
+    let recorder = Arc::clone(context);
+    let middleware = tower::ServiceBuilder::new().map_response(move |response: HttpResponse| {
+        record_rejection(&recorder, response.status());
+        response
+    });
     let server = listener.and_then(|listener| {
         listener.set_nonblocking(true)?;
-        jsonrpsee::server::Server::builder().set_config(config).build_from_tcp(listener)
+        jsonrpsee::server::Server::builder().set_config(config).set_http_middleware(middleware).build_from_tcp(listener)
     });
     let server = server
         .map_err(|error| format!("key `fleet.address`: cannot listen at {address}: {error}; choose a free address"))?;
