--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -94,13 +94,7 @@
         Ok(answer) => {
             context.metrics.exchanges.with_label_values(&["ok"]).inc();
             context.peer_answered_at.store(context.now().as_micros(), Ordering::Relaxed);
-            if answer.from.name != name {
-                log::info!(
-                    "peers: another instance answered peer={name} address={address} answered={}",
-                    answer.from.name
-                );
-                lock(&context.roster).record_failure(name, context.now());
-            }
+            record_sender(context, name, &answer);
             apply_message(context, &answer);
         }
         Err(error) => {
@@ -112,6 +106,16 @@
     }
 }
 
+/// Records a failure of the member `name` if another instance has sent the answer. A seed is asked by its address, and is no member then.
+fn record_sender(context: &Context, name: &str, answer: &Message) {
+    let now = context.now();
+    let mut roster = lock(&context.roster);
+    if answer.from.name != name && roster.address(name).is_some() {
+        log::info!("peers: another instance answered peer={name} answered={}", answer.from.name);
+        roster.record_failure(name, now);
+    }
+}
+
 async fn fetch_policy(context: &Arc<Context>, address: &str) {
     let after = lock(&context.policy_replica).version();
     let Some(client) = client::client(context, address) else {
