--- a/crates/ctl/src/audit.rs
+++ b/crates/ctl/src/audit.rs
@@ -57,7 +57,7 @@
     pub request: String,
     /// What the address is for at which the request arrived, as in metrics.
     pub address: String,
-    /// The status.
+    /// The HTTP status of the reply.
     pub status: u16,
     /// The kind of error; a dash for a server's answer.
     pub kind: String,
--- a/crates/daemon/src/rejection.rs
+++ b/crates/daemon/src/rejection.rs
@@ -12,9 +12,9 @@
     pub address: &'a str,
     /// Who made the reply.
     pub source: &'a str,
-    /// The kind of error.
+    /// The kind of error, as logs and metrics name it; a dash for a server's answer.
     pub kind: &'a str,
-    /// The status.
+    /// The HTTP status of the reply.
     pub status: &'a str,
     /// Whether a backend server signed the reply.
     pub signed: bool,
