Logs tell where a request may run, and what look-ups name

Added, with no change of behaviour: 'policy: class regions' and 'policy: account regions' for each version; region, class, account, version and what that version allows in 'dispatch: sent' and 'relay: passed on'; 'callers: look-up names other regions' with the standing of the caller's own instances, and hemlock_lookups_elsewhere_total. config::policy::Allowed is the set of regions that class and account both allow.

--- a/crates/config/src/policy/mod.rs
+++ b/crates/config/src/policy/mod.rs
@@ -3,6 +3,7 @@
 //! A policy is stored as TOML. Its revision is assigned by the store and is sent beside the text, never in it.
 
 mod account;
+mod allowed;
 mod block;
 mod class;
 mod drain;
@@ -17,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::account::Account;
+pub use self::allowed::Allowed;
 pub use self::block::Block;
 pub use self::class::{Class, host_name};
 pub use self::drain::{Drain, Scope};
--- a/crates/daemon/src/callers/lookup.rs
+++ b/crates/daemon/src/callers/lookup.rs
@@ -12,7 +12,7 @@
 use super::connection::Incoming;
 use super::headers::logged_path;
 use super::reply::Reply;
-use crate::Context;
+use crate::{Context, decision_log};
 
 /// The request path of look-ups.
 const PATH: &str = "/lookup";
@@ -108,12 +108,15 @@
 /// Answers a look-up by region: returns the addresses of entry instances for callers in `region`.
 fn answer_by_region(context: &Context, region: &str, caller: IpAddr) -> Result<Reply, Kind> {
     let steering = context.steering();
-    let region = context.policy().region_position(region);
+    let position = context.policy().region_position(region);
     let limit = context.settings.callers.answer_entries as usize;
     let caller = hash::bytes(caller.to_string().as_bytes());
-    let found = steer::by_region::look_up(&steering.view, region, caller, limit);
-    let addresses: Vec<&str> =
-        found.iter().filter_map(|position| Some(steering.view.entry(*position)?.address.as_str())).collect();
+    let found = steer::by_region::look_up(&steering.view, position, caller, limit);
+    let named: Vec<&steer::view::Entry> = found.iter().filter_map(|place| steering.view.entry(*place)).collect();
+    if let Some(position) = position.filter(|position| named.iter().all(|entry| entry.region != *position)) {
+        decision_log::lookup_elsewhere(context, region, position, named.len());
+    }
+    let addresses: Vec<&str> = named.iter().map(|entry| entry.address.as_str()).collect();
     if addresses.is_empty() {
         return Err(Kind::NoBackend);
     }
--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -28,7 +28,7 @@
 use crate::Context;
 use crate::backends::attempt::{self, UNACKED_TIMEOUT};
 use crate::driver::{Outcome, Outgoing, Refusal};
-use crate::response;
+use crate::{decision_log, response};
 
 /// Marks a request that is passed on to an instance of a build up to 4e2e901.
 const EARLIER_MARK: HeaderName = HeaderName::from_static("hemlock-relayed");
@@ -84,8 +84,14 @@
     };
     let ms = context.now().since(started).as_millis();
     context.metrics.relayed.with_label_values(&[label]).inc();
-    let (id, name) = (&outgoing.id, &peer.name);
-    log::info!("relay: passed on request={id} peer={name} result={label} status={status} ms={ms}");
+    let active = context.policy();
+    log::info!(
+        request = outgoing.id.as_str(), peer = peer.name.as_str(), result = label, status, ms:%,
+        region = peer.region.as_str(), class = outgoing.class.as_str(),
+        account = outgoing.account.as_deref().unwrap_or("-"), version:% = active.version,
+        allowed:% = decision_log::allowed(&active, outgoing);
+        "relay: passed on"
+    );
 }
 
 /// Why there is no answer of a backend server.
--- a/crates/daemon/src/callers/relay/peer.rs
+++ b/crates/daemon/src/callers/relay/peer.rs
@@ -12,6 +12,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Peer {
     pub(super) name: String,
+    pub(super) region: String,
     pub(super) interface: Interface,
 }
 
@@ -66,7 +67,8 @@
             (false, false) => Distance::Elsewhere,
         };
         let Some(interface) = interface(context, entry) else { continue };
-        nearest.entry(distance).or_default().push(Peer { name: entry.name.clone(), interface });
+        let region = active.regions.get(usize::from(entry.region)).cloned().unwrap_or_default();
+        nearest.entry(distance).or_default().push(Peer { name: entry.name.clone(), region, interface });
     }
     nearest.into_values().filter_map(fastrand::choice).collect()
 }
--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -5,9 +5,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use config::policy::Allowed;
 use dispatch::Ending;
 use dispatch::backend::BackendId;
 use dispatch::engine::{Basis, Candidate, Decision};
+use steer::table::RegionId;
+use steer::view::Standing;
 
 use crate::Context;
 use crate::backends::attempt::Attempt;
@@ -18,23 +21,48 @@
 /// Maximum number of server names in one line about changes of the list.
 const MAX_NAMES: usize = 8;
 
-/// Logs where a request is sent and on what basis; `waited` is the time since it arrived.
+/// Logs where a request is sent and on what basis; `waited` is the time since it arrived. `allowed` are the regions that the
+/// version in force at this moment allows.
 pub fn attempt_sent(context: &Context, outgoing: &Outgoing, attempt: Attempt, waited: Duration, basis: Basis) {
     let steering = context.steering();
     let target = steering.backends.get(&attempt.backend);
     let (server, domain) = target.map_or(("gone", ""), |instance| (&instance.name, &instance.domain));
+    let region = target.map_or("-", |instance| instance.region.as_str());
     let now = context.now();
+    let active = context.policy();
     let warm = warm_label(basis);
     log::info!(
         request = outgoing.id.as_str(), object = outgoing.object.as_str(), attempt = attempt.number, server, domain,
         again = attempt.retry, warm, own = basis.own_in_flight, load:% = format_args!("{:.2}", basis.load),
         pace:% = format_args!("{:.2}", basis.pace),
         told_ms:% = basis.reported_at.map_or(-1, |reported_at| now.since(reported_at).as_millis() as i64),
-        waited_ms:% = waited.as_millis(), left_ms:% = attempt.deadline.since(now).as_millis();
+        waited_ms:% = waited.as_millis(), left_ms:% = attempt.deadline.since(now).as_millis(), region,
+        class = outgoing.class.as_str(), account = outgoing.account.as_deref().unwrap_or("-"), version:% = active.version,
+        allowed:% = allowed(&active, outgoing);
         "dispatch: sent"
     );
 }
 
+/// Returns the regions in which a policy lets a request run, as a field of a log line.
+pub fn allowed(active: &ActivePolicy, outgoing: &Outgoing) -> String {
+    let allowed = active.allowed(&outgoing.class, outgoing.account.as_deref());
+    allowed.map_or_else(|| "removed".to_owned(), |allowed| allowed.to_string())
+}
+
+/// Logs that a look-up names no entry instance of the caller's `region`, with the standing of those that it has.
+pub fn lookup_elsewhere(context: &Context, region: &str, position: RegionId, named: usize) {
+    context.metrics.lookups_elsewhere.inc();
+    let steering = context.steering();
+    let own = steering.view.entries().iter().filter(|entry| entry.region == position);
+    let count = |standing: Standing| own.clone().filter(|entry| entry.standing == standing).count();
+    let (good, doubtful, out) = (count(Standing::Good), count(Standing::Doubtful), count(Standing::Out));
+    let (version, uptime) = (context.policy().version, context.uptime());
+    log::info!(
+        region, good, doubtful, out, named, stopping = context.stopping(), up_ms:% = uptime.as_millis(), version:% = version;
+        "callers: look-up names other regions"
+    );
+}
+
 /// Logs the end of an attempt; `status` is the HTTP status of its answer, zero if it has none.
 pub fn attempt_ended(outgoing: &Outgoing, attempt: u64, ending: Ending, status: u16, took: Duration) {
     log::info!(
@@ -168,14 +196,52 @@
     for (host, prefix) in known.difference(&routes) {
         log::info!(version:% = version, replaces:% = replaces, host, prefix; "policy: route removed");
     }
+    let moved = regions_changed(before, after);
     let accounts = after.policy.accounts.as_ref().map_or_else(|| "-".to_owned(), |accounts| accounts.len().to_string());
     log::info!(
         version:% = version, source = after.provenance.source.as_str(), replaces:% = replaces, routes = routes.len(), added, removed,
-        accounts;
+        accounts, moved;
         "policy: in force"
     );
 }
 
+/// Logs the regions of each class and account whose regions differ between two policies; returns how many there are. A class or an
+/// account that a policy does not have allows all regions, so only those with regions have a line at first.
+fn regions_changed(before: &ActivePolicy, after: &ActivePolicy) -> usize {
+    let (version, replaces) = (after.version, before.version);
+    let (earlier, later) = (regions_of_classes(before), regions_of_classes(after));
+    let classes = differing(&earlier, &later);
+    for (class, allowed) in &classes {
+        log::info!(version:% = version, replaces:% = replaces, class, allowed:% = allowed; "policy: class regions");
+    }
+    let (earlier, later) = (regions_of_accounts(before), regions_of_accounts(after));
+    let accounts = differing(&earlier, &later);
+    for (account, allowed) in &accounts {
+        log::info!(version:% = version, replaces:% = replaces, account, allowed:% = allowed; "policy: account regions");
+    }
+    classes.len() + accounts.len()
+}
+
+fn regions_of_classes(active: &ActivePolicy) -> BTreeMap<&str, Allowed> {
+    active.policy.classes.iter().map(|(name, class)| (name.as_str(), Allowed::by_class(class))).collect()
+}
+
+fn regions_of_accounts(active: &ActivePolicy) -> BTreeMap<&str, Allowed> {
+    let accounts = active.policy.accounts.iter().flatten();
+    accounts.map(|(name, account)| (name.as_str(), Allowed::by_account(account))).collect()
+}
+
+/// Returns what `later` allows each of those that it allows other regions than `earlier` does.
+fn differing<'a>(
+    earlier: &BTreeMap<&'a str, Allowed>,
+    later: &BTreeMap<&'a str, Allowed>,
+) -> BTreeMap<&'a str, Allowed> {
+    let of = |regions: &BTreeMap<&'a str, Allowed>, name: &str| regions.get(name).cloned().unwrap_or(Allowed::All);
+    let names: BTreeSet<&'a str> = earlier.keys().chain(later.keys()).copied().collect();
+    let changed = names.into_iter().filter(|name| of(earlier, name) != of(later, name));
+    changed.map(|name| (name, of(later, name))).collect()
+}
+
 /// Returns host and prefix of each route of a policy.
 fn routes(active: &ActivePolicy) -> BTreeSet<(&str, &str)> {
     let classes = active.policy.classes.values();
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -42,6 +42,10 @@
     pub id: String,
     /// The object that the request is about, as the caller names it; a dash for none.
     pub object: String,
+    /// Name of the request's class.
+    pub class: String,
+    /// Name of its client account; `None` without one.
+    pub account: Option<String>,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -14,6 +14,8 @@
     registry: Registry,
     /// Look-ups answered.
     pub lookups: IntCounter,
+    /// Look-ups whose answers name no entry instance of the caller's region.
+    pub lookups_elsewhere: IntCounter,
     /// Replies on connections of callers, by what the address is for, who made the reply, and the class of its status.
     pub replies: IntCounterVec,
     /// Replies with a status 3xx or 4xx, by what the address is for, who made the reply, whether a backend server signed it, the
@@ -111,6 +113,11 @@
         let registry = Registry::new();
         Self {
             lookups: counter(&registry, "hemlock_lookups_total", "Look-ups answered"),
+            lookups_elsewhere: counter(
+                &registry,
+                "hemlock_lookups_elsewhere_total",
+                "Look-ups whose answers name no entry instance of the caller's region",
+            ),
             replies: counters(
                 &registry,
                 "hemlock_replies_total",
--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -7,7 +7,7 @@
 use accounts::Directory;
 use base::hash;
 use base::time::Time;
-use config::policy::{Class, Policy};
+use config::policy::{Allowed, Class, Policy};
 use dispatch::split::Share;
 use dispatch::{class, regions};
 use fleet::Document;
@@ -87,6 +87,12 @@
         self.classes.iter().position(|class| class == name)
     }
 
+    /// Returns the regions in which this policy lets a request of a class and an account run; `None` if it does not have the class.
+    pub fn allowed(&self, class: &str, account: Option<&str>) -> Option<Allowed> {
+        let class = self.policy.classes.get(class)?;
+        Some(Allowed::of(class, account.and_then(|name| self.policy.account(name))))
+    }
+
     /// Returns the engine's specification of each class, by position.
     pub fn class_specs(&self) -> Vec<class::Spec> {
         self.classes.iter().map(|name| self.spec(name)).collect()
