--- a/crates/daemon/src/callers/identity.rs
+++ b/crates/daemon/src/callers/identity.rs
@@ -6,7 +6,7 @@
 use base::error::Kind;
 use base::time::Time;
 use config::policy::{Account, Class};
-use dispatch::{engine, regions};
+use dispatch::engine;
 use http::header::{AUTHORIZATION, HeaderMap, HeaderValue, PROXY_AUTHORIZATION};
 
 use super::forward::Sender;
@@ -94,18 +94,7 @@
 
     /// Returns what the dispatch engine needs of the account.
     pub fn for_engine(&self, active: &ActivePolicy) -> engine::Account {
-        let Some(name) = self.name() else { return engine::Account::NONE };
-        let account = self.account(active);
-        let positions: Vec<u16> = account
-            .iter()
-            .flat_map(|account| &account.regions)
-            .filter_map(|name| active.region_position(name))
-            .collect();
-        engine::Account {
-            id: base::hash::bytes(name.as_bytes()),
-            rank: account.and_then(|account| account.rank),
-            regions: regions::Set::of(&positions),
-        }
+        self.name().map_or(engine::Account::NONE, |name| active.engine_account(name))
     }
 }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -113,11 +113,7 @@
         let registry = Registry::new();
         Self {
             lookups: counter(&registry, "hemlock_lookups_total", "Look-ups answered"),
-            lookups_elsewhere: counter(
-                &registry,
-                "hemlock_lookups_elsewhere_total",
-                "Look-ups whose answers name no entry instance of the caller's region",
-            ),
+            lookups_elsewhere: counter(&registry, "hemlock_lookups_elsewhere_total", "Naming other regions"),
             replies: counters(
                 &registry,
                 "hemlock_replies_total",
--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -1,5 +1,6 @@
 //! Applies policies: from the store, from peers and from the settings.
 
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +10,7 @@
 use base::time::Time;
 use config::policy::{Allowed, Class, Policy};
 use dispatch::split::Share;
-use dispatch::{class, regions};
+use dispatch::{class, engine, regions};
 use fleet::Document;
 use fleet::replica::{Origin, Version};
 
@@ -98,16 +99,38 @@
         self.classes.iter().map(|name| self.spec(name)).collect()
     }
 
+    /// Returns what the dispatch engine needs of each client account, by the account's number.
+    pub fn engine_accounts(&self) -> BTreeMap<u64, engine::Account> {
+        let names = self.policy.accounts.iter().flat_map(BTreeMap::keys);
+        names.map(|name| self.engine_account(name)).map(|account| (account.id, account)).collect()
+    }
+
+    /// Returns what the dispatch engine needs of the client account `name`. One that this policy does not have may run nowhere.
+    pub fn engine_account(&self, name: &str) -> engine::Account {
+        let account = self.policy.account(name);
+        engine::Account {
+            id: hash::bytes(name.as_bytes()),
+            rank: account.and_then(|account| account.rank),
+            regions: account.map_or(regions::Set::NONE, |account| self.region_set(&Allowed::by_account(account))),
+        }
+    }
+
+    /// Returns the positions of regions; of unknown ones there are none.
+    fn region_set(&self, allowed: &Allowed) -> regions::Set {
+        let Allowed::Only(names) = allowed else { return regions::Set::ALL };
+        let positions: Vec<u16> = names.iter().filter_map(|name| self.region_position(name)).collect();
+        if positions.is_empty() { regions::Set::NONE } else { regions::Set::of(&positions) }
+    }
+
     /// Returns the engine's specification of a class. A class that the policy no longer has keeps its position and gets
     /// no work.
     fn spec(&self, name: &str) -> class::Spec {
         let Some(class) = self.policy.classes.get(name) else {
             let defaults = class::Spec::new(0, Duration::from_secs(1));
-            return class::Spec { idempotent: false, rank: u8::MAX, may_wait: true, ..defaults };
+            return class::Spec { idempotent: false, rank: u8::MAX, may_wait: true, retired: true, ..defaults };
         };
         let service = self.service_position(&class.service).unwrap_or_default();
         let defaults = class::Spec::new(service, Duration::from_millis(class.deadline_ms));
-        let regions: Vec<u16> = class.regions.iter().filter_map(|name| self.region_position(name)).collect();
         let split = class.split.iter().filter_map(|(name, weight)| Some((self.service_position(name)?, *weight)));
         class::Spec {
             key: hash::bytes(name.as_bytes()),
@@ -117,7 +140,7 @@
             may_wait: class.may_wait,
             max_attempts: if class.max_attempts == 0 { defaults.max_attempts } else { class.max_attempts as usize },
             affinity: class.affinity,
-            regions: regions::Set::of(&regions),
+            regions: self.region_set(&Allowed::by_class(class)),
             split: split.map(|(service, weight)| Share { service, weight }).collect(),
             ..defaults
         }
--- a/crates/daemon/src/view/mod.rs
+++ b/crates/daemon/src/view/mod.rs
@@ -91,8 +91,8 @@
 }
 
 /// Makes `next` the active policy. The routing state is rebuilt for it first, so that a request that is handled by the
-/// new policy finds its servers. The engine's classes and the policy in force change together: positions of classes are
-/// looked up in the one and used in the other.
+/// new policy finds its servers. What the engine knows of the policy and the policy in force change together: positions of
+/// classes are looked up in the one and used in the other.
 pub fn activate(context: &Arc<Context>, next: Arc<ActivePolicy>) {
     let mut state = lock(&context.refresh_state);
     if next.regions != context.policy().regions {
@@ -102,7 +102,8 @@
     state.versions = None;
     let changes = update(context, &next, &mut state);
     context.driver.with_engine_mut(context, |engine| {
-        engine.set_classes(next.class_specs());
+        // Before the servers, whose change sends what waits.
+        engine.set_policy(next.class_specs(), &next.engine_accounts());
         changes.apply(engine);
         *context.active_policy.write().unwrap_or_else(PoisonError::into_inner) = next;
     });
--- a/crates/dispatch/src/class.rs
+++ b/crates/dispatch/src/class.rs
@@ -54,6 +54,8 @@
     pub regions: regions::Set,
     /// Services that share the work in place of `service`; empty for none.
     pub split: Vec<Share>,
+    /// Whether operators no longer declare the class: it gets no new work.
+    pub retired: bool,
 }
 
 impl Spec {
@@ -71,8 +73,15 @@
             affinity: false,
             regions: regions::Set::ALL,
             split: Vec::new(),
+            retired: false,
         }
     }
+
+    /// Whether `service` runs the work or a part of it.
+    pub fn has_service(&self, service: u16) -> bool {
+        let mut shares = self.split.iter().filter(|share| share.weight > 0).peekable();
+        if shares.peek().is_none() { service == self.service } else { shares.any(|share| share.service == service) }
+    }
 }
 
 /// A class with its queue and its statistics.
--- a/crates/dispatch/src/engine/answer.rs
+++ b/crates/dispatch/src/engine/answer.rs
@@ -44,12 +44,12 @@
         let closed = matches!(kind, Kind::Paused | Kind::RateLimited);
         let pause_end = closed.then(|| self.pause_end(&state, now)).flatten();
         let retry_after = self.retry_after(kind, state.shed_with_free_slot, pause_end, now);
-        if state.account != 0 && matches!(kind, Kind::WontFinish | Kind::QueueFull) {
+        if state.account.id != 0 && matches!(kind, Kind::WontFinish | Kind::QueueFull) {
             self.usage.record_outcome(state.target_fraction, true);
         }
         // One that comes back early keeps the time that its caller was told at first.
-        if let Some(after) = retry_after.filter(|_| state.account != 0 && state.returning != Return::Early) {
-            self.refused.record(state.account, state.fingerprint, now + after, now);
+        if let Some(after) = retry_after.filter(|_| state.account.id != 0 && state.returning != Return::Early) {
+            self.refused.record(state.account.id, state.fingerprint, now + after, now);
         }
         self.answer_error(request, kind, retry_after);
     }
--- a/crates/dispatch/src/engine/ending.rs
+++ b/crates/dispatch/src/engine/ending.rs
@@ -139,12 +139,11 @@
         if !state.live.is_empty() {
             return;
         }
-        let idempotent = self.classes[state.class].spec.idempotent;
-        let safe = idempotent || state.may_have_run.is_none();
-        let attempts_left = state.attempts < self.classes[state.class].spec.max_attempts;
+        let safe = state.terms.idempotent || state.may_have_run.is_none();
+        let attempts_left = state.attempts < state.terms.max_attempts;
         let quarantined = self.quarantine.is_quarantined(state.fingerprint, now);
         let expired = now >= state.deadline;
-        let service = state.service;
+        let service = state.terms.service;
         if !safe || !attempts_left || quarantined || expired || !(self.retries.spend() && self.repeats(service).spend())
         {
             return self.refuse(request, kind, now);
--- a/crates/dispatch/src/engine/held.rs
+++ b/crates/dispatch/src/engine/held.rs
@@ -10,7 +10,7 @@
 use base::error::Kind;
 use base::time::Time;
 
-use super::state::Precedence;
+use super::terms::Precedence;
 use super::{Engine, Request};
 use crate::backend::BackendId;
 use crate::fairness::Arrival as Return;
@@ -51,7 +51,7 @@
         if let Some(kind) = self.unplaceable(request, now) {
             return self.refuse(request, kind, now);
         }
-        let Some(service) = self.requests.get(&request).map(|state| state.service) else {
+        let Some(service) = self.requests.get(&request).map(|state| state.terms.service) else {
             return;
         };
         if self.has_no_prospect(request, now) {
@@ -109,6 +109,12 @@
             self.refuse(request, Kind::WontFinish, now);
             return false;
         }
+        if self.requests.get_mut(&request).is_some_and(|state| std::mem::take(&mut state.revised))
+            && let Some(kind) = self.unplaceable(request, now)
+        {
+            self.refuse(request, kind, now);
+            return false;
+        }
         if now < self.last_pause_end.max(self.limits_end_at)
             && let Some(kind @ (Kind::Paused | Kind::RateLimited)) = self.unplaceable(request, now)
         {
@@ -123,8 +129,8 @@
     fn held_order(&self, request: u64, now: Time) -> Order {
         let state = self.requests.get(&request);
         state.map_or(LAST, |state| {
-            let place = if state.account == 0 { 0 } else { self.usage.place(state.account, now) };
-            (state.precedence, place, state.returning != Return::AsTold, state.arrived)
+            let place = if state.account.id == 0 { 0 } else { self.usage.place(state.account.id, now) };
+            (state.terms.precedence, place, state.returning != Return::AsTold, state.arrived)
         })
     }
 
@@ -137,17 +143,17 @@
     /// nothing by it.
     fn is_early(&self, request: u64) -> bool {
         let early = self.requests.get(&request).filter(|state| state.returning == Return::Early && state.attempts == 0);
-        early.is_some_and(|state| self.held.get(&state.service).is_some_and(|held| !held.is_empty()))
+        early.is_some_and(|state| self.held.get(&state.terms.service).is_some_and(|held| !held.is_empty()))
     }
 
     /// Returns whether a request of a client account would wait in vain: those that wait for its homes and go before it take
     /// longer than its target leaves.
     fn has_no_prospect(&self, request: u64, now: Time) -> bool {
-        let Some(state) = self.requests.get(&request).filter(|state| state.account != 0) else { return false };
+        let Some(state) = self.requests.get(&request).filter(|state| state.account.id != 0) else { return false };
         let order = self.held_order(request, now);
         let class = &self.classes[state.class];
         let waits = |home: BackendId| {
-            let held = self.held.get(&state.service).into_iter().flatten();
+            let held = self.held.get(&state.terms.service).into_iter().flatten();
             let ahead = held.filter(|other| self.waits_for(**other, home) && self.held_order(**other, now) < order);
             let slots = self.backends.get(&home).map_or(1, |server| server.spec.slots.max(1));
             class.work.warm() * (ahead.count() as u32) / slots
@@ -159,7 +165,7 @@
 
     /// Records the work of a request that starts for its client account.
     pub(super) fn record_usage(&mut self, request: u64, warm: Option<bool>, pace: f64, now: Time) {
-        let Some(state) = self.requests.get(&request).filter(|state| state.account != 0) else { return };
+        let Some(state) = self.requests.get(&request).filter(|state| state.account.id != 0) else { return };
         let class = &self.classes[state.class];
         let work = match warm {
             Some(true) => class.work.warm(),
@@ -167,7 +173,7 @@
             None => class.typical_latency(),
         };
         self.usage.record_outcome(state.target_fraction, false);
-        self.usage.record(state.account, work.mul_f64(pace), now);
+        self.usage.record(state.account.id, work.mul_f64(pace), now);
     }
 
     /// Sets how many requests of a client account there are at all daemons for each one at this daemon.
@@ -186,9 +192,9 @@
 
     /// Returns the earliest time at which one of the servers that may run the work of `state` accepts work again.
     pub(super) fn pause_end(&self, state: &Request, now: Time) -> Option<Time> {
-        let servers = self.tiers.get(usize::from(state.service)).into_iter().flatten().flatten();
+        let servers = self.tiers.get(usize::from(state.terms.service)).into_iter().flatten().flatten();
         let serving = servers.filter_map(|id| self.backends.get(id)).filter(|server| !server.leaving());
-        serving.filter(|server| state.regions.contains(server.spec.region)).map(|server| server.available_at(now)).min()
+        serving.filter(|server| state.terms.allow(&server.spec)).map(|server| server.available_at(now)).min()
     }
 
     /// Returns when a caller refused for `kind` should retry; `None` for the usual time of the kind. `free_slot` is
--- a/crates/dispatch/src/engine/keyed.rs
+++ b/crates/dispatch/src/engine/keyed.rs
@@ -83,7 +83,7 @@
     /// a server has requests about only few of its objects, so most of the allowed rate would be unused.
     fn pick_rate_limited(&self, state: &Request, now: Time) -> Option<BackendId> {
         let accepts = |server: &&Backend| {
-            let serves = server.spec.service == state.service && Self::available(server, state, now);
+            let serves = Self::available(server, state, now);
             let latency = self.expected_latency(server, state, 0.0, now);
             serves && now + latency <= state.deadline && self.accepts(server, state, latency, false, now)
         };
@@ -94,7 +94,7 @@
     /// Returns whether `server` may get the request at all now, however long it would take there.
     fn available(server: &Backend, state: &Request, now: Time) -> bool {
         let in_use = !server.leaving() && !server.unavailable(now) && !state.excluded.contains(&server.spec.id);
-        in_use && state.regions.contains(server.spec.region)
+        in_use && state.terms.allow(&server.spec)
     }
 
     /// Returns the load and the expected latency of both home servers, for logs.
@@ -118,7 +118,7 @@
 
     /// Returns the home servers of the object, near and far, whether or not they can take a request now.
     fn homes(&self, state: &Request, object: u64, now: Time) -> [Option<Home>; 2] {
-        let service = usize::from(state.service);
+        let service = usize::from(state.terms.service);
         let Some([near, far]) = self.tiers.get(service) else {
             return [None, None];
         };
@@ -155,7 +155,7 @@
     /// its place the object would be cold.
     fn is_home(server: &Backend, state: &Request, now: Time) -> bool {
         let in_use = !server.leaving() && !server.out_of_use(now) && !state.excluded.contains(&server.spec.id);
-        in_use && state.regions.contains(server.spec.region)
+        in_use && state.terms.allow(&server.spec)
     }
 
     /// Returns the share of a service's objects whose primary home is near: all of them, or fewer where the region has
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -13,6 +13,7 @@
 pub mod policy;
 mod queue;
 mod state;
+mod terms;
 mod update;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,6 +24,7 @@
 pub use self::decision::{Candidate, Decision};
 pub use self::event::{Account, Action, Arrival, Basis, Budgets, Ending, Limits, Remote, Verdict};
 use self::state::{Attempt, Link, Request, Timer};
+use self::terms::Terms;
 use crate::announcements::Announcements;
 use crate::backend::{Backend, BackendId};
 use crate::budget::Budget;
@@ -178,7 +180,8 @@
     /// Submits a new request; its answer follows as an [`Action::Answer`].
     pub fn submit(&mut self, arrival: Arrival, now: Time) {
         let Arrival { request, class, fingerprint, bytes, timeout, object, account } = arrival;
-        let service = self.classes[class].next_service();
+        let terms = Terms::new(&mut self.classes[class], account);
+        let service = terms.service;
         self.hedges.earn();
         self.retries.earn();
         self.repeats(service).earn();
@@ -206,12 +209,11 @@
         let deadline = now + timeout.map_or(spec.deadline, |timeout| timeout.min(spec.deadline));
         let state = Request {
             class,
-            service,
+            terms,
+            revised: false,
             object,
             homes: [None, None],
-            regions: spec.regions.and(account.regions),
-            account: account.id,
-            precedence: (account.rank.unwrap_or(spec.rank), spec.rank),
+            account,
             target_fraction: if account.id == 0 { 1.0 } else { self.usage.target_fraction(account.id, now) },
             returning,
             fingerprint,
@@ -246,7 +248,7 @@
     pub fn abandon(&mut self, request: u64, now: Time) {
         if let Some(state) = self.remove_request(request) {
             // Work that must not run twice continues: after a cancellation its outcome would be unknown.
-            if self.classes[state.class].spec.idempotent {
+            if state.terms.idempotent {
                 self.cancel_all(&state.live);
             }
         }
--- a/crates/dispatch/src/engine/obstacle.rs
+++ b/crates/dispatch/src/engine/obstacle.rs
@@ -39,7 +39,7 @@
     /// the least far from taking it decides.
     pub(super) fn unplaceable(&self, request: u64, now: Time) -> Option<Kind> {
         let state = self.requests.get(&request)?;
-        let Some(tiers) = self.tiers.get(usize::from(state.service)) else {
+        let Some(tiers) = self.tiers.get(usize::from(state.terms.service)) else {
             return Some(Kind::NoBackend);
         };
         let mut least = Obstacle::NoBackend;
@@ -52,7 +52,7 @@
     /// Returns what keeps `server` from taking the request before its deadline; `None` if nothing does.
     fn obstacle(&self, server: &Backend, state: &Request, now: Time) -> Option<Obstacle> {
         let wait_deadline = self.wait_deadline(state);
-        if server.leaving() || state.excluded.contains(&server.spec.id) || !state.regions.contains(server.spec.region) {
+        if server.leaving() || state.excluded.contains(&server.spec.id) || !state.terms.allow(&server.spec) {
             Some(Obstacle::NoBackend)
         } else if server.ejected(state.deadline) {
             Some(Obstacle::Unreachable)
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -45,7 +45,7 @@
             }
             return backend;
         }
-        let service = usize::from(state.service);
+        let service = usize::from(state.terms.service);
         let local = self.pick_tier(service, 0, &state, now);
         let slow =
             local.and_then(|id| self.backends.get(&id)).is_some_and(|server| server.latency_ratio() >= SLOW_RATIO);
@@ -131,13 +131,13 @@
         let Some(state) = self.requests.get(&request) else {
             return;
         };
-        if state.attempts >= spec.max_attempts {
+        if state.attempts >= state.terms.max_attempts {
             return;
         }
-        if !spec.idempotent || spec.may_wait || state.hedged || state.live.len() != 1 || state.queued {
+        if !state.terms.idempotent || spec.may_wait || state.hedged || state.live.len() != 1 || state.queued {
             return;
         }
-        let service = state.service;
+        let service = state.terms.service;
         let Some(second) = self.pick(request, now) else { return };
         if !(self.hedges.spend() && self.repeats(service).spend()) {
             return;
@@ -167,15 +167,15 @@
     /// are better than none. Returns whether it reinstated any.
     pub(super) fn reinstate_slow(&mut self, request: u64, now: Time) -> bool {
         let Some(state) = self.requests.get(&request) else { return false };
-        let service = usize::from(state.service);
+        let service = usize::from(state.terms.service);
         let wait_deadline = self.wait_deadline(state);
         let Some(tiers) = self.tiers.get(service) else { return false };
         let serving: Vec<BackendId> = tiers.iter().flatten().copied().collect();
-        let regions = state.regions;
+        let terms = state.terms;
         let available = |id: &BackendId| {
             let server = self.backends.get(id);
             server.is_some_and(|server| {
-                let in_use = !server.leaving() && !server.ejected(now) && regions.contains(server.spec.region);
+                let in_use = !server.leaving() && !server.ejected(now) && terms.allow(&server.spec);
                 in_use && server.rate_room_at(now) <= wait_deadline
             })
         };
@@ -183,7 +183,7 @@
             return false;
         }
         let reinstated = serving.iter().filter(|id| {
-            let allowed = self.backends.get(id).is_some_and(|server| regions.contains(server.spec.region));
+            let allowed = self.backends.get(id).is_some_and(|server| terms.allow(&server.spec));
             allowed && self.backends.get_mut(id).is_some_and(|server| server.reinstate(now))
         });
         reinstated.count() > 0
@@ -250,11 +250,11 @@
             return false;
         }
         let spec = &self.classes[state.class].spec;
-        if !state.regions.contains(server.spec.region) {
+        if !state.terms.allow(&server.spec) {
             return false;
         }
         // A server on probation gets no work that must not run twice while a healthy server remains.
-        if server.suspect() && !spec.idempotent && self.has_healthy_alternative(server, now) {
+        if server.suspect() && !state.terms.idempotent && self.has_healthy_alternative(server, now) {
             return false;
         }
         if !self.link_has_capacity(server.spec.place, state, now) {
--- a/crates/dispatch/src/engine/policy.rs
+++ b/crates/dispatch/src/engine/policy.rs
@@ -28,7 +28,7 @@
 
     pub(super) fn pick_plain(&mut self, request: u64) -> Option<BackendId> {
         let state = self.requests.get(&request)?;
-        let service = usize::from(state.service);
+        let service = usize::from(state.terms.service);
         let [local, remote] = self.tiers.get(service)?;
         let usable = |ids: &[BackendId]| -> Vec<BackendId> {
             let in_service = ids.iter().filter(|id| self.backends.get(id).is_some_and(|server| !server.spec.leaving));
--- a/crates/dispatch/src/engine/state.rs
+++ b/crates/dispatch/src/engine/state.rs
@@ -4,27 +4,24 @@
 use base::rate;
 use base::time::Time;
 
+use super::event::Account;
 use super::keyed::Homes;
+use super::terms::Terms;
 use crate::backend::BackendId;
 use crate::fairness::Arrival as Return;
-use crate::regions;
-
-/// Priority of a request: that of its account, and that of its class; the lowest is served first.
-pub(super) type Precedence = (u8, u8);
 
 #[derive(Debug, Clone)]
 pub(super) struct Request {
     pub(super) class: usize,
-    pub(super) service: u16,
+    /// What the policy in force says of it.
+    pub(super) terms: Terms,
+    /// Whether its terms have changed since a server was last searched for it while it was held.
+    pub(super) revised: bool,
     pub(super) object: Option<u64>,
     /// The object's home servers when a server was last picked.
     pub(super) homes: Homes,
-    /// Regions that may run it: those of its class and of its account.
-    pub(super) regions: regions::Set,
-    /// Hash of the name of its account; zero without one.
-    pub(super) account: u64,
-    /// Priority: the account's, then the class's.
-    pub(super) precedence: Precedence,
+    /// Its client account, as last declared.
+    pub(super) account: Account,
     /// Fraction of its target that it may be expected to take when it is sent.
     pub(super) target_fraction: f64,
     /// Whether it was refused before, and its caller came back when it was told to.
--- a/crates/dispatch/src/engine/update.rs
+++ b/crates/dispatch/src/engine/update.rs
@@ -213,17 +213,19 @@
         self.dispatch_waiting(now);
     }
 
-    /// Returns whether `attempt` may still be sent to `backend`: the state may have changed since the choice was made, and the
-    /// caller may have left.
+    /// Returns whether `attempt` may still be sent to `backend`: the state and the policy may have changed since the choice was made,
+    /// and the caller may have left.
     pub fn may_send(&self, attempt: u64, backend: BackendId, now: Time) -> bool {
         let accepts = |server: &Backend| {
             let within_limit = !server.rate_limited(now) || self.counted_lately(attempt, now);
             !server.leaving() && !server.paused(now) && within_limit
         };
-        let is_awaited = |attempt: &Attempt| self.requests.contains_key(&attempt.request);
-        now >= self.suspended_until
-            && self.attempts.get(&attempt).is_none_or(is_awaited)
-            && self.backends.get(&backend).is_some_and(accepts)
+        let Some(server) = self.backends.get(&backend) else { return false };
+        let is_allowed = |attempt: &Attempt| {
+            let request = self.requests.get(&attempt.request);
+            request.is_some_and(|request| request.terms.allow(&server.spec))
+        };
+        now >= self.suspended_until && self.attempts.get(&attempt).is_none_or(is_allowed) && accepts(server)
     }
 
     /// Returns whether an attempt was counted towards its server's rate limit, so lately that it still belongs to the
--- a/crates/dispatch/src/regions.rs
+++ b/crates/dispatch/src/regions.rs
@@ -8,6 +8,9 @@
     /// Every region, those from position 64 on included.
     pub const ALL: Self = Self(u64::MAX);
 
+    /// No region.
+    pub const NONE: Self = Self(0);
+
     /// Returns the set of `regions`; an empty list stands for all.
     pub fn of(regions: &[u16]) -> Self {
         if regions.is_empty() {
@@ -16,17 +19,6 @@
         Self(regions.iter().filter_map(|region| 1_u64.checked_shl(u32::from(*region))).fold(0, |set, one| set | one))
     }
 
-    /// Returns the regions that are in both sets.
-    #[must_use]
-    pub const fn and(self, other: Self) -> Self {
-        Self(self.0 & other.0)
-    }
-
-    /// Whether no region is in the set.
-    pub const fn is_empty(self) -> bool {
-        self.0 == 0
-    }
-
     /// Whether `region` is in the set.
     pub fn contains(self, region: u16) -> bool {
         self == Self::ALL || 1_u64.checked_shl(u32::from(region)).is_some_and(|one| self.0 & one != 0)
--- /dev/null
+++ b/crates/dispatch/tests/terms.rs
@@ -0,0 +1,216 @@
+//! Requests that are open while a policy comes into force: what they may do then.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::error::Kind;
+use base::time::Time;
+use common::{LIMITS, LOOKUP, backend, classes, started};
+use dispatch::backend::{BackendId, Place, Spec};
+use dispatch::engine::{Account, Arrival, Remote};
+use dispatch::regions::Set;
+use dispatch::{Action, Ending, Engine, Verdict, class};
+use rstest::rstest;
+
+const START: Time = Time::from_millis(1_000);
+/// The request that is open when the policy changes.
+const REQUEST: u64 = 1_000;
+/// Servers of regions 0 and 1, and one of another service in region 0.
+const HERE: BackendId = 1;
+const THERE: BackendId = 7;
+const OTHER_SERVICE: BackendId = 9;
+/// An object whose requests are held while their servers are full.
+const OBJECT: Option<u64> = Some(5);
+
+/// How far the request has come when the policy changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Moment {
+    Queued,
+    Held,
+    Sent,
+    SentOfObject,
+}
+
+/// What the policy that comes into force says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Change {
+    ClassMoves,
+    AccountMoves,
+    ServiceMoves,
+    None,
+}
+
+fn spec() -> class::Spec {
+    class::Spec { affinity: true, regions: Set::of(&[0]), ..classes()[LOOKUP].clone() }
+}
+
+fn account(regions: &[u16]) -> Account {
+    Account { id: 3, rank: None, regions: Set::of(regions) }
+}
+
+/// An engine whose servers of region 0 are full where the request is to wait, and which has the request.
+fn engine(moment: Moment) -> Engine {
+    let mut engine = Engine::new(vec![spec()], LIMITS, 7);
+    engine.set_remote(1, Remote::UNLIMITED, START);
+    let there = Spec { region: 1, ..backend(THERE, Place::Remote(1)) };
+    let other = Spec { service: 1, ..backend(OTHER_SERVICE, Place::Region) };
+    engine.set_backends(vec![backend(HERE, Place::Region), there, other], START);
+    let object = if matches!(moment, Moment::Held | Moment::SentOfObject) { OBJECT } else { None };
+    // A new server gets one request at first; about objects, as many as it can answer in time.
+    let others = match moment {
+        Moment::Queued => 1,
+        Moment::Held => 40,
+        Moment::Sent | Moment::SentOfObject => 0,
+    };
+    for request in 1..=others {
+        engine.submit(Arrival { object, ..Arrival::new(request, 0, request, 10) }, START);
+    }
+    started(&mut engine);
+    engine.submit(Arrival { object, account: account(&[]), ..Arrival::new(REQUEST, 0, REQUEST, 10) }, START);
+    engine
+}
+
+fn change(engine: &mut Engine, change: Change) {
+    let everywhere = class::Spec { regions: Set::ALL, ..spec() };
+    let (spec, account) = match change {
+        Change::ClassMoves => (class::Spec { regions: Set::of(&[1]), ..spec() }, account(&[])),
+        Change::AccountMoves => (everywhere, account(&[1])),
+        Change::ServiceMoves => (class::Spec { service: 1, ..spec() }, account(&[])),
+        Change::None => (spec(), account(&[])),
+    };
+    engine.set_policy(vec![spec], &BTreeMap::from([(account.id, account)]));
+}
+
+/// Returns where the request is sent from now on, if anywhere.
+fn sent(engine: &mut Engine) -> Vec<BackendId> {
+    let start = |action: Action| match action {
+        Action::Start { request: REQUEST, backend, .. } => Some(backend),
+        _ => None,
+    };
+    engine.take_actions().into_iter().filter_map(start).collect()
+}
+
+/// Guards against requests that are sent by the regions or the service that they had on arrival, though a later policy is in force
+/// (HOME): after a wait, or after an attempt that failed.
+#[rstest]
+#[case::waiting(Moment::Queued, Change::ClassMoves, THERE)]
+#[case::waiting_account(Moment::Queued, Change::AccountMoves, THERE)]
+#[case::waiting_service(Moment::Queued, Change::ServiceMoves, OTHER_SERVICE)]
+#[case::held(Moment::Held, Change::ClassMoves, THERE)]
+#[case::held_account(Moment::Held, Change::AccountMoves, THERE)]
+#[case::held_service(Moment::Held, Change::ServiceMoves, OTHER_SERVICE)]
+#[case::retried(Moment::Sent, Change::ClassMoves, THERE)]
+#[case::retried_account(Moment::Sent, Change::AccountMoves, THERE)]
+#[case::retried_service(Moment::Sent, Change::ServiceMoves, OTHER_SERVICE)]
+#[case::retried_of_object(Moment::SentOfObject, Change::ClassMoves, THERE)]
+#[case::retried_of_object_service(Moment::SentOfObject, Change::ServiceMoves, OTHER_SERVICE)]
+fn an_open_request_goes_by_the_policy_in_force(
+    #[case] moment: Moment,
+    #[case] changed: Change,
+    #[case] expected: BackendId,
+) {
+    let mut engine = engine(moment);
+    let now = START + Duration::from_millis(35);
+    let first = started(&mut engine);
+    assert_eq!(first.is_empty(), matches!(moment, Moment::Queued | Moment::Held), "{first:?}");
+    change(&mut engine, changed);
+    for (attempt, backend) in first {
+        assert_eq!(backend, HERE);
+        engine.finish(attempt, Ending::Lost, now);
+    }
+    engine.tick(now);
+    assert_eq!(sent(&mut engine), vec![expected]);
+}
+
+/// Guards against a second attempt beside a slow one that goes by the regions of the request's arrival (HOME).
+#[rstest]
+#[case::class(Change::ClassMoves)]
+#[case::account(Change::AccountMoves)]
+fn a_hedge_goes_by_the_policy_in_force(#[case] changed: Change) {
+    let mut engine = engine(Moment::Sent);
+    engine.set_backends(vec![backend(HERE, Place::Region), backend(HERE + 1, Place::Region)], START);
+    assert_eq!(started(&mut engine).len(), 1);
+    change(&mut engine, changed);
+    let mut now = START;
+    while now < START + Duration::from_millis(900) {
+        now = now + Duration::from_millis(50);
+        engine.tick(now);
+    }
+    assert_eq!(sent(&mut engine), [], "the only other server is in the former region");
+}
+
+/// Guards against an attempt that is written to a server which the policy in force no longer allows, because it was decided on
+/// before (HOME): while it waited for a connection or a claim.
+#[rstest]
+#[case::unchanged(Change::None, true)]
+#[case::class(Change::ClassMoves, false)]
+#[case::account(Change::AccountMoves, false)]
+#[case::service(Change::ServiceMoves, false)]
+fn an_attempt_is_sent_only_where_the_policy_in_force_allows(#[case] changed: Change, #[case] may_send: bool) {
+    let mut engine = engine(Moment::Sent);
+    let (attempt, backend) = started(&mut engine)[0];
+    change(&mut engine, changed);
+    assert_eq!(engine.may_send(attempt, backend, START), may_send);
+    if !may_send {
+        engine.finish(attempt, Ending::Recalled, START);
+        assert_ne!(sent(&mut engine), [HERE], "it goes elsewhere");
+    }
+}
+
+/// Guards against requests that wait for servers in vain, or are sent anywhere, once their class or their account may run nowhere.
+#[rstest]
+#[case::class(Moment::Queued, Set::NONE, Set::ALL)]
+#[case::account(Moment::Queued, Set::ALL, Set::NONE)]
+#[case::held(Moment::Held, Set::NONE, Set::ALL)]
+#[case::nothing_in_common(Moment::Queued, Set::of(&[0]), Set::of(&[1]))]
+fn a_waiting_request_that_may_run_nowhere_is_refused_at_once(
+    #[case] moment: Moment,
+    #[case] class: Set,
+    #[case] account_regions: Set,
+) {
+    let mut engine = engine(moment);
+    let account = Account { regions: account_regions, ..account(&[]) };
+    engine.take_actions();
+    engine.set_policy(vec![class::Spec { regions: class, ..spec() }], &BTreeMap::from([(account.id, account)]));
+    engine.tick(START + Duration::from_millis(35));
+    let refused = |action: &Action| {
+        matches!(action, Action::Answer { request: REQUEST, verdict: Verdict::Refuse(Kind::NoBackend), .. })
+    };
+    assert_eq!(engine.take_actions().iter().filter(|action| refused(action)).count(), 1);
+}
+
+/// Guards against requests that run nowhere, or in every region, once their class or their account is gone: what it last said holds.
+#[rstest]
+#[case::waiting(Moment::Queued)]
+#[case::sent(Moment::Sent)]
+fn a_request_outlives_its_class_and_its_account(#[case] moment: Moment) {
+    let mut engine = engine(moment);
+    let first = started(&mut engine);
+    let retired = class::Spec { retired: true, regions: Set::ALL, service: 1, ..spec() };
+    engine.set_policy(vec![retired], &BTreeMap::new());
+    let now = START + Duration::from_millis(35);
+    engine.set_backends(vec![backend(HERE, Place::Region), backend(HERE + 1, Place::Region)], now);
+    first.into_iter().for_each(|(attempt, _)| engine.finish(attempt, Ending::Lost, now));
+    engine.tick(now);
+    assert_eq!(sent(&mut engine), [HERE + 1]);
+}
+
+/// Guards against work that runs twice because a later policy lets its class be repeated, or that is sent more often than the policy
+/// on its arrival allowed: its caller may go by either.
+#[rstest]
+#[case::idempotent_by_now(class::Spec { idempotent: false, ..spec() }, spec())]
+#[case::no_longer_idempotent(spec(), class::Spec { idempotent: false, ..spec() })]
+#[case::more_attempts_by_now(class::Spec { max_attempts: 1, ..spec() }, spec())]
+#[case::fewer_attempts_by_now(spec(), class::Spec { max_attempts: 1, ..spec() })]
+fn a_request_is_repeated_only_if_both_policies_let_it(#[case] before: class::Spec, #[case] after: class::Spec) {
+    let mut engine = Engine::new(vec![before], LIMITS, 7);
+    engine.set_backends(vec![backend(HERE, Place::Region), backend(HERE + 1, Place::Region)], START);
+    engine.submit(Arrival::new(REQUEST, 0, REQUEST, 10), START);
+    let (attempt, _) = started(&mut engine)[0];
+    engine.set_policy(vec![after], &BTreeMap::new());
+    engine.finish(attempt, Ending::Lost, START);
+    engine.tick(START + Duration::from_millis(35));
+    assert_eq!(sent(&mut engine), []);
+}
