--- a/crates/dispatch/src/class.rs
+++ b/crates/dispatch/src/class.rs
@@ -31,6 +31,7 @@
 
 /// What operators declare of a class, as far as dispatch needs it.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[expect(clippy::struct_excessive_bools, reason = "each is declared on its own")]
 pub struct Spec {
     /// Hash of the class's name, equal in all daemons in whatever order they learn of classes.
     pub key: u64,
--- a/crates/dispatch/src/engine/state.rs
+++ b/crates/dispatch/src/engine/state.rs
@@ -11,6 +11,7 @@
 use crate::fairness::Arrival as Return;
 
 #[derive(Debug, Clone)]
+#[expect(clippy::struct_excessive_bools, reason = "each changes on its own")]
 pub(super) struct Request {
     pub(super) class: usize,
     /// What the policy in force says of it.
--- a/crates/dispatch/src/engine/terms.rs
+++ b/crates/dispatch/src/engine/terms.rs
@@ -83,7 +83,7 @@
 impl Engine {
     /// Applies a policy that comes into force: the classes, and the client accounts by their numbers. Open requests go by it from
     /// now on. One that belongs to an account that is gone keeps what was last declared of it.
-    pub fn set_policy(&mut self, specs: Vec<class::Spec>, accounts: &BTreeMap<u64, Account>) {
+    pub fn apply_policy(&mut self, specs: Vec<class::Spec>, accounts: &BTreeMap<u64, Account>) {
         self.set_classes(specs);
         for request in self.requests.values_mut() {
             request.account = accounts.get(&request.account.id).copied().unwrap_or(request.account);
--- a/crates/dispatch/tests/terms.rs
+++ b/crates/dispatch/tests/terms.rs
@@ -80,7 +80,7 @@
         Change::ServiceMoves => (class::Spec { service: 1, ..spec() }, account(&[])),
         Change::None => (spec(), account(&[])),
     };
-    engine.set_policy(vec![spec], &BTreeMap::from([(account.id, account)]));
+    engine.apply_policy(vec![spec], &BTreeMap::from([(account.id, account)]));
 }
 
 /// Returns where the request is sent from now on, if anywhere.
@@ -173,7 +173,7 @@
     let mut engine = engine(moment);
     let account = Account { regions: account_regions, ..account(&[]) };
     engine.take_actions();
-    engine.set_policy(vec![class::Spec { regions: class, ..spec() }], &BTreeMap::from([(account.id, account)]));
+    engine.apply_policy(vec![class::Spec { regions: class, ..spec() }], &BTreeMap::from([(account.id, account)]));
     engine.tick(START + Duration::from_millis(35));
     let refused = |action: &Action| {
         matches!(action, Action::Answer { request: REQUEST, verdict: Verdict::Refuse(Kind::NoBackend), .. })
@@ -189,7 +189,7 @@
     let mut engine = engine(moment);
     let first = started(&mut engine);
     let retired = class::Spec { retired: true, regions: Set::ALL, service: 1, ..spec() };
-    engine.set_policy(vec![retired], &BTreeMap::new());
+    engine.apply_policy(vec![retired], &BTreeMap::new());
     let now = START + Duration::from_millis(35);
     engine.set_backends(vec![backend(HERE, Place::Region), backend(HERE + 1, Place::Region)], now);
     first.into_iter().for_each(|(attempt, _)| engine.finish(attempt, Ending::Lost, now));
@@ -209,7 +209,7 @@
     engine.set_backends(vec![backend(HERE, Place::Region), backend(HERE + 1, Place::Region)], START);
     engine.submit(Arrival::new(REQUEST, 0, REQUEST, 10), START);
     let (attempt, _) = started(&mut engine)[0];
-    engine.set_policy(vec![after], &BTreeMap::new());
+    engine.apply_policy(vec![after], &BTreeMap::new());
     engine.finish(attempt, Ending::Lost, START);
     engine.tick(START + Duration::from_millis(35));
     assert_eq!(sent(&mut engine), []);
