Requests that no near server may run do not wait for one

What callers saw: at an instance of another region, requests of a class or an account with regions wait up to 30 ms for servers that may not run them as soon as two or more of their class are in flight.

Cause: whether a request may leave the region was decided by the servers that serve here, not by those that may run it. Evidence: requests_bound_to_another_region_are_sent_there_at_once sends 2 of 4 before, 4 of 4 now. Change: only servers that the request's terms allow count.

--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -294,14 +294,17 @@
         tiers.iter().flatten().any(healthy)
     }
 
-    /// Returns whether a request may leave the region: no server here serves it, or it would wait too long.
+    /// Returns whether a request may leave the region: no server here may run it, or it would wait too long.
     fn remote_allowed(&self, service: usize, state: &Request, now: Time) -> bool {
         let Some(tiers) = self.tiers.get(service) else {
             return false;
         };
         let serves = |id: &BackendId| {
             let server = self.backends.get(id);
-            server.is_some_and(|server| !(server.leaving() || server.suspect() && server.unavailable(now)))
+            server.is_some_and(|server| {
+                let is_out = server.leaving() || server.suspect() && server.unavailable(now);
+                !is_out && state.terms.allow(&server.spec)
+            })
         };
         if !tiers[0].iter().any(serves) {
             return true;
--- a/crates/dispatch/tests/terms.rs
+++ b/crates/dispatch/tests/terms.rs
@@ -214,3 +214,17 @@
     engine.tick(START + Duration::from_millis(35));
     assert_eq!(sent(&mut engine), []);
 }
+
+/// Guards against requests that wait for servers of this region which may not run them, while those that may are free.
+#[test]
+fn requests_bound_to_another_region_are_sent_there_at_once() {
+    const SERVERS: u32 = 4;
+    let mut engine = Engine::new(vec![class::Spec { regions: Set::of(&[1]), ..spec() }], LIMITS, 7);
+    engine.set_remote(1, Remote::UNLIMITED, START);
+    let there = |id| Spec { region: 1, ..backend(THERE + id, Place::Remote(1)) };
+    engine.set_backends((0..SERVERS).map(there).chain([backend(HERE, Place::Region)]).collect(), START);
+    for request in 1..=u64::from(SERVERS) {
+        engine.submit(Arrival::new(request, 0, request, 10), START);
+    }
+    assert_eq!(started(&mut engine).len(), SERVERS as usize);
+}
