Lines about attempts name host and path, those about routes the class

The lines of attempts name the class that the instance chose; an instance that takes a request for one of a shorter prefix, without regions, can't be told from one that is right.

Changed, in logs only: 'dispatch: sent' and 'relay: passed on' have 'host' and 'path', 'policy: route added' has 'class' and is also written if a route moves to another class. 'callers: look-up names other regions' counts standings in the view that the answer was made from; it took a second one, which may be newer.

--- a/crates/daemon/src/callers/lookup.rs
+++ b/crates/daemon/src/callers/lookup.rs
@@ -114,7 +114,7 @@
     let found = steer::by_region::look_up(&steering.view, position, caller, limit);
     let named: Vec<&steer::view::Entry> = found.iter().filter_map(|place| steering.view.entry(*place)).collect();
     if let Some(position) = position.filter(|position| named.iter().all(|entry| entry.region != *position)) {
-        decision_log::lookup_elsewhere(context, region, position, named.len());
+        decision_log::lookup_elsewhere(context, &steering, region, position, named.len());
     }
     let addresses: Vec<&str> = named.iter().map(|entry| entry.address.as_str()).collect();
     if addresses.is_empty() {
--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -85,11 +85,12 @@
     let ms = context.now().since(started).as_millis();
     context.metrics.relayed.with_label_values(&[label]).inc();
     let active = context.policy();
+    let (host, path) = decision_log::place(outgoing);
     log::info!(
         request = outgoing.id.as_str(), peer = peer.name.as_str(), result = label, status, ms:%,
         region = peer.region.as_str(), class = outgoing.class.as_str(),
         account = outgoing.account.as_deref().unwrap_or("-"), version:% = active.version,
-        allowed:% = decision_log::allowed(&active, outgoing);
+        allowed:% = decision_log::allowed(&active, outgoing), host, path;
         "relay: passed on"
     );
 }
--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -5,18 +5,20 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use config::policy::Allowed;
+use config::policy::{self, Allowed};
 use dispatch::Ending;
 use dispatch::backend::BackendId;
 use dispatch::engine::{Basis, Candidate, Decision};
+use h1::head;
+use http::header::HOST;
 use steer::table::RegionId;
 use steer::view::Standing;
 
-use crate::Context;
 use crate::backends::attempt::Attempt;
 use crate::driver::Outgoing;
 use crate::policies::ActivePolicy;
 use crate::view::Steering;
+use crate::{Context, rejection};
 
 /// Maximum number of server names in one line about changes of the list.
 const MAX_NAMES: usize = 8;
@@ -31,6 +33,7 @@
     let now = context.now();
     let active = context.policy();
     let warm = warm_label(basis);
+    let (host, path) = place(outgoing);
     log::info!(
         request = outgoing.id.as_str(), object = outgoing.object.as_str(), attempt = attempt.number, server, domain,
         again = attempt.retry, warm, own = basis.own_in_flight, load:% = format_args!("{:.2}", basis.load),
@@ -38,7 +41,7 @@
         told_ms:% = basis.reported_at.map_or(-1, |reported_at| now.since(reported_at).as_millis() as i64),
         waited_ms:% = waited.as_millis(), left_ms:% = attempt.deadline.since(now).as_millis(), region,
         class = outgoing.class.as_str(), account = outgoing.account.as_deref().unwrap_or("-"), version:% = active.version,
-        allowed:% = allowed(&active, outgoing);
+        allowed:% = allowed(&active, outgoing), host, path;
         "dispatch: sent"
     );
 }
@@ -49,10 +52,15 @@
     allowed.map_or_else(|| "removed".to_owned(), |allowed| allowed.to_string())
 }
 
+/// Returns host and path of a request as they are logged: what the policies' routes are matched with.
+pub fn place(outgoing: &Outgoing) -> (&str, &str) {
+    let host = policy::host_name(head::text(&outgoing.headers, &HOST).unwrap_or_default());
+    (host, rejection::shortened(outgoing.target.split('?').next().unwrap_or_default()))
+}
+
 /// Logs that a look-up names no entry instance of the caller's `region`, with the standing of those that it has.
-pub fn lookup_elsewhere(context: &Context, region: &str, position: RegionId, named: usize) {
+pub fn lookup_elsewhere(context: &Context, steering: &Steering, region: &str, position: RegionId, named: usize) {
     context.metrics.lookups_elsewhere.inc();
-    let steering = context.steering();
     let own = steering.view.entries().iter().filter(|entry| entry.region == position);
     let count = |standing: Standing| own.clone().filter(|entry| entry.standing == standing).count();
     let (good, doubtful, out) = (count(Standing::Good), count(Standing::Doubtful), count(Standing::Out));
@@ -184,16 +192,18 @@
     }
 }
 
-/// Logs which routes a policy has that the one before it lacked, which it lacks, and that it is in force. From these lines of any
+/// Logs which routes a policy has that the one before it lacked or had for another class, which it lacks, and that it is in force. From these lines of any
 /// instance it is known which requests a version of the policy refuses.
 pub fn policy_changed(before: &ActivePolicy, after: &ActivePolicy) {
     let (known, routes) = (routes(before), routes(after));
     let (version, replaces) = (after.version, before.version);
-    let (added, removed) = (routes.difference(&known).count(), known.difference(&routes).count());
-    for (host, prefix) in routes.difference(&known) {
-        log::info!(version:% = version, replaces:% = replaces, host, prefix; "policy: route added");
+    let (mut added, mut removed) = (0, 0);
+    for ((host, prefix), class) in routes.iter().filter(|(place, class)| known.get(*place) != Some(class)) {
+        added += 1;
+        log::info!(version:% = version, replaces:% = replaces, host, prefix, class; "policy: route added");
     }
-    for (host, prefix) in known.difference(&routes) {
+    for (host, prefix) in known.keys().filter(|place| !routes.contains_key(*place)) {
+        removed += 1;
         log::info!(version:% = version, replaces:% = replaces, host, prefix; "policy: route removed");
     }
     let moved = regions_changed(before, after);
@@ -242,10 +252,11 @@
     changed.map(|name| (name, of(later, name))).collect()
 }
 
-/// Returns host and prefix of each route of a policy.
-fn routes(active: &ActivePolicy) -> BTreeSet<(&str, &str)> {
-    let classes = active.policy.classes.values();
-    classes.flat_map(|class| class.paths.iter().map(|path| (class.host.as_str(), path.as_str()))).collect()
+/// Returns host and prefix of each route of a policy, with the name of its class.
+fn routes(active: &ActivePolicy) -> BTreeMap<(&str, &str), &str> {
+    let classes = active.policy.classes.iter();
+    let places = classes.flat_map(|(name, class)| class.paths.iter().map(move |path| (name, &class.host, path)));
+    places.map(|(name, host, path)| ((host.as_str(), path.as_str()), name.as_str())).collect()
 }
 
 /// Joins the first [`MAX_NAMES`] names by commas; `,...` stands for any further ones.
