Lines that tell where a request is sent have a budget of their own

Changed: 'dispatch: sent' and 'relay: passed on' have a budget of log_lines of their own, as 'callers: rejected' has. Test: lines_about_requests_displace_no_others, which has both lines now.

--- a/crates/daemon/src/logs/writer.rs
+++ b/crates/daemon/src/logs/writer.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: thousands of requests a second, each with several lines, beside a change of the policy with a few, and some refusals
 //! that tell a caller that its request is wrong. Lines about single requests have a budget of their own, and so have those
-//! refusals, so that they displace no others and are not displaced.
+//! refusals and the lines that tell where a request is sent, so that they displace no others and are not displaced.
 
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -20,6 +20,8 @@
 
 /// Text of the lines about requests that are refused as wrong.
 const REJECTION: &[u8] = b" callers: rejected ";
+/// Text of the lines that tell where a request is sent.
+const ATTEMPTS: [&[u8]; 2] = [b" dispatch: sent ", b" relay: passed on "];
 /// Field of the lines that concern a single request.
 const REQUEST_FIELD: &[u8] = b" request=";
 
@@ -37,6 +39,8 @@
     lines: SyncSender<Vec<u8>>,
     /// Budget of the lines about requests that are refused as wrong.
     rejection_budget: Budget,
+    /// Budget of the lines that tell where a request is sent.
+    attempt_budget: Budget,
     /// Budget of the other lines about single requests.
     request_budget: Budget,
     /// Budget of all other lines.
@@ -46,7 +50,7 @@
 
 impl Buffer {
     /// Starts a thread that writes up to `per_second` lines a second about single requests to `out`, as many about those that are
-    /// refused as wrong, and as many others.
+    /// refused as wrong, as many that tell where a request is sent, and as many others.
     pub fn start<W: Write + Send + 'static>(per_second: u32, out: W) -> Self {
         let (lines, waiting) = sync_channel(MAX_WAITING);
         let clock = Clock::new();
@@ -56,7 +60,8 @@
             eprintln!("logs: no lines are written reason={:?}", error.to_string());
         }
         let budget = Budget::new(per_second, clock.now());
-        Self { lines, rejection_budget: budget.clone(), request_budget: budget.clone(), budget, clock }
+        let [rejection_budget, attempt_budget, request_budget] = std::array::from_fn(|_| budget.clone());
+        Self { lines, rejection_budget, attempt_budget, request_budget, budget, clock }
     }
 }
 
@@ -65,6 +70,8 @@
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         let budget = if contains(buf, REJECTION) {
             &mut self.rejection_budget
+        } else if ATTEMPTS.iter().any(|text| contains(buf, text)) {
+            &mut self.attempt_budget
         } else if contains(buf, REQUEST_FIELD) {
             &mut self.request_budget
         } else {
--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -142,18 +142,21 @@
     assert_eq!(missing + lines.len() as u64, 101, "{lines:?}");
 }
 
-/// Guards against a policy that comes into force without a line in the log, because lines about requests use up the budget.
+/// Guards against a policy that comes into force, or a request that is sent somewhere, without a line in the log, because other
+/// lines about requests use up the budget.
 #[test]
 fn lines_about_requests_displace_no_others() {
     let (lines, written) = channel();
     let mut buffer = Buffer::start(10, Recorder(lines));
     let mut write = |line: &str| buffer.write_all(line.as_bytes()).expect("it is taken");
     (0..1_000).for_each(|_| write("1.0 INFO instance=e callers: answered request=r class=c\n"));
-    write("1.0 INFO instance=e policy: in force version=00000007\n");
+    let others = ["policy: in force version=00000007", "dispatch: sent request=r", "relay: passed on request=r"];
+    others.iter().for_each(|line| write(&format!("1.0 INFO instance=e {line}\n")));
     drop(buffer);
     let lines: Vec<String> = written.iter().map(|line| String::from_utf8_lossy(&line).into_owned()).collect();
     assert!(lines.len() < 1_000, "lines about requests are bounded: {}", lines.len());
-    assert!(lines.iter().any(|line| line.contains("policy: in force")), "{} lines", lines.len());
+    let is_written = |text: &&str| lines.iter().any(|line| line.contains(text));
+    assert!(others.iter().all(is_written), "{} lines", lines.len());
 }
 
 /// A logger that records the lines about panics.
