The audit asks where requests were sent and what look-ups name

Changed: 'hemlockctl audit' judges each attempt and each request that is passed on by the regions of class and account, both of which bind, of every version that may be in force: 'foreign' if none allows the region, 'outdated-regions' if the sender's own version doesn't. It builds the regions of each version from the 'policy:' lines (their number is in 'moved', so a line that was left out is noticed) and finds the class from host and path, not from what the instance chose. A request that is passed on is judged as of its start. A look-up that names other regions is a fault if an own instance is good; the others are counted by reason.

Tests: crates/ctl/tests/audit.rs, with planted faults; mutants foreign, outdated-regions and own-good.

--- a/crates/ctl/src/audit.rs
+++ b/crates/ctl/src/audit.rs
@@ -1,18 +1,21 @@
-//! Judges the refusals that tell callers that their requests are wrong: whether any policy that may have been in force when
-//! a request was refused has no route for it.
+//! Judges what daemons did with requests by the policies that may have been in force: whether one of them has no route for a
+//! request that was refused as wrong, and whether one of them allows the region that a request was sent to ([`regions`]).
 //!
 //! A refusal with status 404 is right if the caller's route is missing in a policy that may be in force: the newest one, and
 //! the one before it while instances may still learn of the newest. What else an instance refuses with a status from 300 to
 //! 499 says something of the request alone, and is judged by who has sent it.
 
+pub mod regions;
 pub mod report;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
 
 use config::policy::{Class, Policy, host_name};
 
+use self::regions::Regions;
+
 /// Differences between the clocks of the machines whose logs are compared, and time between a policy's coming into force
 /// and its log line.
 const CLOCK_TOLERANCE_MS: u64 = 250;
@@ -117,6 +120,27 @@
     }
 }
 
+/// What a version of the policy says, as far as an audit asks.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Contents {
+    /// The routes, each with the name of its class; empty names if they are not told.
+    pub places: BTreeMap<Place, String>,
+    /// Whether requests need the key of a client account.
+    pub has_accounts: bool,
+    /// Where requests may run; `None` if it is not told.
+    pub regions: Option<Regions>,
+}
+
+impl Contents {
+    /// Whether both may be contents of one version; builds up to d456f2e do not tell of regions and classes.
+    fn agrees_with(&self, other: &Self) -> bool {
+        let tells_regions = self.regions.is_some() && other.regions.is_some();
+        self.places.keys().eq(other.places.keys())
+            && self.has_accounts == other.has_accounts
+            && (!tells_regions || self == other)
+    }
+}
+
 /// A version of the policy.
 #[derive(Debug, Clone)]
 struct Known {
@@ -124,8 +148,8 @@
     since_ms: u64,
     /// Its routes, as classes.
     policy: Policy,
-    /// Whether requests need the key of a client account.
-    has_accounts: bool,
+    /// What it says.
+    contents: Contents,
 }
 
 /// All versions of the policy, and when each came into force first.
@@ -142,17 +166,20 @@
         Self { versions: BTreeMap::new(), apply_ms: apply.as_millis() as u64 }
     }
 
-    /// Records that a version with these routes was in force, or was accepted by the store, at `at_ms`.
-    /// Returns whether it is the same as recorded before: instances that read one version differently refuse differently.
-    pub fn record(&mut self, version: Version, places: &BTreeSet<Place>, has_accounts: bool, at_ms: u64) -> bool {
-        let policy = policy_of(places);
+    /// Records that a version with these contents was in force, or was accepted by the store, at `at_ms`.
+    /// Returns whether it is the same as recorded before: instances that read one version differently decide differently.
+    pub fn record(&mut self, version: Version, contents: &Contents, at_ms: u64) -> bool {
         let known = self.versions.entry(version).or_insert_with(|| Known {
             since_ms: at_ms,
-            policy: policy.clone(),
-            has_accounts,
+            policy: policy_of(contents.places.keys()),
+            contents: contents.clone(),
         });
         known.since_ms = known.since_ms.min(at_ms);
-        known.policy == policy && known.has_accounts == has_accounts
+        let agrees = known.contents.agrees_with(contents);
+        if agrees && known.contents.regions.is_none() {
+            known.contents = contents.clone();
+        }
+        agrees
     }
 
     /// Returns the number of versions.
@@ -176,7 +203,7 @@
             "-" => Verdict::Unsigned,
             "unknown-route" => self.judge_route(rejection),
             "unknown-path" | "unknown-method" => Verdict::WrongAddress,
-            "unknown-key" if self.versions.values().any(|known| known.has_accounts) => Verdict::Unknown,
+            "unknown-key" if self.versions.values().any(|known| known.contents.has_accounts) => Verdict::Unknown,
             "unknown-key" => Verdict::Unfounded,
             _ => Verdict::Form,
         }
@@ -202,9 +229,9 @@
 }
 
 /// Returns a policy that matches requests as one with these routes does.
-fn policy_of(places: &BTreeSet<Place>) -> Policy {
+fn policy_of<'a>(places: impl Iterator<Item = &'a Place>) -> Policy {
     let class =
         |place: &Place| Class { host: place.host.clone(), paths: vec![place.prefix.clone()], ..Class::default() };
-    let classes = places.iter().map(|place| (format!("{} {}", place.host, place.prefix), class(place))).collect();
+    let classes = places.map(|place| (format!("{} {}", place.host, place.prefix), class(place))).collect();
     Policy { classes, ..Policy::default() }
 }
--- a/crates/ctl/src/verbs/audit.rs
+++ b/crates/ctl/src/verbs/audit.rs
@@ -1,23 +1,26 @@
-//! `audit`: judges the refusals in the daemons' logs that tell callers that their requests are wrong.
+//! `audit`: judges the refusals in the daemons' logs that tell callers that their requests are wrong, the regions that requests
+//! were sent to, and look-ups that name other regions.
 
-use std::fmt::Write as _;
+use std::collections::BTreeMap;
+use std::fmt::{Display, Write as _};
 use std::fs::File;
 use std::io::{BufRead as _, BufReader, Read, stdin};
 use std::path::Path;
 
-use crate::audit::report::Report;
+use crate::audit::regions::{LookUp, Receiver};
+use crate::audit::report::{Misplaced, Report};
 use crate::audit::{Rejection, Verdict};
 use crate::cli::Audit;
 use crate::error::{Error, Result};
 use crate::logs::{Clock, Line};
 
-/// Components whose lines an audit needs.
-const COMPONENTS: [&str; 2] = ["policy", "callers"];
-/// Maximum number of faults that are printed.
+/// The starts of the lines that an audit needs.
+const SENTENCES: [&str; 4] = ["policy: ", "callers: ", "dispatch: sent", "relay: passed on"];
+/// Maximum number of faults of each kind that are printed.
 const MAX_PRINTED: usize = 50;
 
-/// Reads the files and returns the number of rejections with each verdict, and the faults; an error if there is a fault, or if
-/// the routes of a policy are not known or not the same everywhere.
+/// Reads the files and returns the numbers of rejections, requests and look-ups with each verdict, and the faults; an error if
+/// there is a fault, or if the routes or the regions of a policy are not known or not the same everywhere.
 pub fn run(audit: &Audit) -> Result<String> {
     let mut lines = Vec::new();
     let mut clock = Clock::default();
@@ -36,7 +39,11 @@
     let is_fault = |(_, verdict): &&(Rejection, Verdict)| !(audit.any_callers && *verdict == Verdict::Form);
     let faults: Vec<&(Rejection, Verdict)> = report.faults().filter(is_fault).collect();
     let text = render(&report, &faults);
-    let is_clean = faults.is_empty() && report.incomplete.is_empty() && report.different.is_empty();
+    let is_clean = faults.is_empty()
+        && report.misplaced.is_empty()
+        && !report.look_ups.iter().any(LookUp::is_fault)
+        && report.incomplete.is_empty()
+        && report.different.is_empty();
     if is_clean { Ok(text) } else { Err(Error::Warnings(text)) }
 }
 
@@ -45,40 +52,93 @@
     let source: Box<dyn Read> = if path == Path::new("-") { Box::new(stdin()) } else { Box::new(File::open(path)?) };
     for line in BufReader::new(source).split(b'\n') {
         let line = clock.parse(&String::from_utf8_lossy(&line?));
-        lines.extend(
-            line.filter(|line| COMPONENTS.contains(&line.component()) || line.field("lines_left_out").is_some()),
-        );
+        let is_needed = |line: &Line| {
+            SENTENCES.iter().any(|start| line.sentence().starts_with(start)) || line.field("lines_left_out").is_some()
+        };
+        lines.extend(line.filter(is_needed));
     }
     Ok(())
 }
 
 fn render(report: &Report, faults: &[&(Rejection, Verdict)]) -> String {
-    let counts: Vec<String> = report.counts().iter().map(|(verdict, count)| format!("{verdict}={count}")).collect();
     let mut text = format!(
-        "{} versions of the policy, {} rejections: {}; {} log lines left out\n",
+        "{} versions of the policy, {} rejections: {}; {}; {}; {}; {} log lines left out\n",
         report.versions,
         report.judged.len(),
-        counts.join(" "),
+        joined(report.counts()),
+        sent(report, Receiver::Server, &format!("attempts and {} that are in no log", report.unseen)),
+        sent(report, Receiver::Instance, "passed on"),
+        look_ups(report),
         report.left_out
     );
-    let mut add = |line: String| {
+    let incomplete =
+        report.incomplete.iter().map(|version| format!("version {version:?}: its routes or regions are in no log"));
+    let different =
+        report.different.iter().map(|version| format!("version {version:?}: two instances read it differently"));
+    add(&mut text, &incomplete.chain(different).collect::<Vec<_>>());
+    add(&mut text, &faults.iter().map(|fault| rejected(fault)).collect::<Vec<_>>());
+    add(&mut text, &report.misplaced.iter().map(misplaced).collect::<Vec<_>>());
+    add(&mut text, &report.look_ups.iter().filter(|look_up| look_up.is_fault()).map(look_up).collect::<Vec<_>>());
+    text
+}
+
+/// Appends lines, the first [`MAX_PRINTED`] of them.
+fn add(text: &mut String, lines: &[String]) {
+    let more = (lines.len() > MAX_PRINTED).then(|| format!("and {} more", lines.len() - MAX_PRINTED));
+    for line in lines.iter().take(MAX_PRINTED).chain(&more) {
         let written = writeln!(text, "{line}");
         debug_assert!(written.is_ok(), "writing to a string does not fail");
-    };
-    for version in &report.incomplete {
-        add(format!("version {version:?}: its routes are in no log"));
-    }
-    for version in &report.different {
-        add(format!("version {version:?}: two instances read it with different routes"));
-    }
-    for (rejection, verdict) in faults.iter().take(MAX_PRINTED) {
-        let Rejection { at_ms, instance, request, address, status, kind, host, path, .. } = rejection;
-        add(format!(
-            "{verdict}: {at_ms} {instance} request={request} address={address} status={status} kind={kind} host={host} path={path}"
-        ));
     }
-    if faults.len() > MAX_PRINTED {
-        add(format!("and {} more", faults.len() - MAX_PRINTED));
+}
+
+/// Formats numbers with their names.
+fn joined<T: Display>(counts: impl IntoIterator<Item = (T, usize)>) -> String {
+    counts.into_iter().map(|(name, count)| format!("{name}={count}")).collect::<Vec<_>>().join(" ")
+}
+
+/// Formats the numbers of requests that were sent to servers or to instances, with the latest that was misplaced.
+fn sent(report: &Report, receiver: Receiver, name: &str) -> String {
+    let counts: Vec<_> = report.sent.iter().filter(|((other, _), _)| *other == receiver).collect();
+    let total: usize = counts.iter().map(|(_, count)| **count).sum();
+    let of_receiver = report.misplaced.iter().filter(|misplaced| misplaced.attempt.receiver == receiver);
+    let latest = of_receiver.map(|misplaced| misplaced.late_ms).max();
+    let latest = latest.map(|late_ms| format!(" latest_ms={late_ms}")).unwrap_or_default();
+    format!("{total} {name}: {}{latest}", joined(counts.into_iter().map(|((_, verdict), count)| (verdict, *count))))
+}
+
+/// Formats the numbers of look-ups that name other regions.
+fn look_ups(report: &Report) -> String {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for look_up in &report.look_ups {
+        *counts.entry(look_up.reason()).or_default() += 1;
     }
-    text
+    format!("{} look-ups that name other regions: {}", report.look_ups.len(), joined(counts))
+}
+
+fn rejected((rejection, verdict): &(Rejection, Verdict)) -> String {
+    let Rejection { at_ms, instance, request, address, status, kind, host, path, .. } = rejection;
+    format!(
+        "{verdict}: {at_ms} {instance} request={request} address={address} status={status} kind={kind} host={host} path={path}"
+    )
+}
+
+fn misplaced(misplaced: &Misplaced) -> String {
+    let Misplaced { attempt, verdict, late_ms, late_anywhere_ms } = misplaced;
+    let receiver = if attempt.receiver == Receiver::Server { "sent" } else { "passed-on" };
+    let allowed = attempt.allowed.as_ref().map_or_else(|| "?".to_owned(), ToString::to_string);
+    format!(
+        "{verdict}: {} {} {receiver} request={} region={} class={} account={} version={:?} allowed={allowed} late_ms={late_ms} late_anywhere_ms={late_anywhere_ms}",
+        attempt.at_ms,
+        attempt.instance,
+        attempt.request,
+        attempt.region,
+        attempt.class,
+        attempt.account,
+        attempt.version,
+    )
+}
+
+fn look_up(look_up: &LookUp) -> String {
+    let LookUp { at_ms, instance, region, standing: [good, doubtful, out], .. } = look_up;
+    format!("look-up: {at_ms} {instance} region={region} good={good} doubtful={doubtful} out={out}")
 }
--- a/crates/ctl/tests/audit.rs
+++ b/crates/ctl/tests/audit.rs
@@ -1,9 +1,10 @@
-//! The audit of refusals that tell callers that their requests are wrong.
+//! The audit of refusals that tell callers that their requests are wrong, and of the regions that requests are sent to.
 
 use std::time::Duration;
 
-use ctl::audit::Verdict;
+use ctl::audit::regions::{Receiver, Verdict as RegionVerdict};
 use ctl::audit::report::Report;
+use ctl::audit::{Verdict, Version};
 use ctl::logs::{Clock, Line};
 use rstest::rstest;
 
@@ -27,7 +28,8 @@
 ) -> Vec<Line> {
     let [replaces, version] = version;
     let change = |kind: &str, prefix: &&str| {
-        let text = format!("policy: route {kind} version={version} replaces={replaces} host=h prefix={prefix}");
+        let class = if kind == "added" { format!(" class={}", prefix.replace('/', "")) } else { String::new() };
+        let text = format!("policy: route {kind} version={version} replaces={replaces} host=h prefix={prefix}{class}");
         line(instance, at_ms, &text)
     };
     let mut lines: Vec<Line> = added.iter().map(|prefix| change("added", prefix)).collect();
@@ -173,3 +175,124 @@
     let line = clock.parse(&format!("{head}{own} INFO  instance=e1 life: ready")).expect("it is a line of a daemon");
     assert_eq!((first.at_ms, line.at_ms), (1_000, expected));
 }
+
+const ZERO: &str = "00000000.0.0";
+const ONE: &str = "00000001.0.1";
+const TWO: &str = "00000002.0.5";
+
+/// The lines of a policy that comes into force with the routes `/a/` and `/a/b/` and changes `regions`.
+fn with_regions(instance: &str, at_ms: u64, version: [&str; 2], regions: &[&str]) -> Vec<Line> {
+    let added: &[&str] = if version[0] == ZERO { &["/a/", "/a/b/"] } else { &[] };
+    let mut lines = policy(instance, at_ms, version, added, &[], 2);
+    let in_force = lines.pop().expect("the last line says that it is in force");
+    let [replaces, version] = version;
+    lines.extend(regions.iter().map(|regions| {
+        let kind = regions.split('=').next().expect("it has a name");
+        line(instance, at_ms, &format!("policy: {kind} regions version={version} replaces={replaces} {regions}"))
+    }));
+    lines.push(Line { text: format!("{} moved={}", in_force.text, regions.len()), ..in_force });
+    lines
+}
+
+/// Two instances: class `a` moves from `k` to `v` with version 2, at second 10 and, at `e2`, a second later; class `ab` stays in
+/// `l`, and the account `acc` in `k` and `v`.
+fn moving() -> Vec<Line> {
+    let first = ["class=a allowed=k", "class=ab allowed=l", "account=acc allowed=k,v"];
+    [
+        with_regions("e1", 1_000, [ZERO, ONE], &first),
+        with_regions("e2", 1_200, [ZERO, ONE], &first),
+        with_regions("e1", 10_000, [ONE, TWO], &["class=a allowed=v"]),
+        with_regions("e2", 11_000, [ONE, TWO], &["class=a allowed=v"]),
+    ]
+    .concat()
+}
+
+/// A request that `instance` sends to a server in `region`.
+fn sent(instance: &str, at_ms: u64, region: &str, version: &str, request: &str) -> Line {
+    let text =
+        format!("dispatch: sent request=r1 server=s region={region} version={version} allowed=- host=h {request}");
+    line(instance, at_ms, &text)
+}
+
+fn report(lines: Vec<Line>) -> Report {
+    Report::new([moving(), lines].concat().iter(), APPLY)
+}
+
+/// Guards against requests that run where no policy that may be in force allows it, or where the instance's own does not (HOME),
+/// and against an audit that reports those that run where they may.
+#[rstest]
+#[case::where_it_may(5_000, "k", ONE, "class=a account=- path=/a/x", RegionVerdict::Allowed)]
+#[case::elsewhere(5_000, "l", ONE, "class=a account=- path=/a/x", RegionVerdict::Foreign)]
+#[case::where_it_will_be_allowed(5_000, "v", ONE, "class=a account=- path=/a/x", RegionVerdict::Foreign)]
+#[case::the_newer_version_is_elsewhere(10_500, "k", ONE, "class=a account=- path=/a/x", RegionVerdict::Allowed)]
+#[case::the_newer_version_is_here(10_500, "k", TWO, "class=a account=- path=/a/x", RegionVerdict::OutdatedRegions)]
+#[case::the_newer_version_is_everywhere(13_400, "k", TWO, "class=a account=- path=/a/x", RegionVerdict::Foreign)]
+#[case::an_instance_that_missed_it(13_400, "k", ONE, "class=a account=- path=/a/x", RegionVerdict::Foreign)]
+#[case::the_account_binds_too(5_000, "l", ONE, "class=ab account=acc path=/a/b/x", RegionVerdict::Foreign)]
+#[case::account_without_regions(5_000, "l", ONE, "class=ab account=other path=/a/b/x", RegionVerdict::Allowed)]
+#[case::taken_for_a_shorter_prefix(5_000, "k", ONE, "class=a account=- path=/a/b/x", RegionVerdict::Foreign)]
+#[case::class_without_a_path(5_000, "l", ONE, "class=a account=-", RegionVerdict::Foreign)]
+#[case::no_route(5_000, "l", ONE, "class=a account=- path=/other/", RegionVerdict::NoRoute)]
+fn the_region_of_an_attempt_is_judged_by_the_policies_that_may_be_in_force(
+    #[case] at_ms: u64,
+    #[case] region: &str,
+    #[case] version: &str,
+    #[case] request: &str,
+    #[case] expected: RegionVerdict,
+) {
+    let report = report(vec![sent("e1", at_ms, region, version, request)]);
+    assert_eq!(report.sent.into_iter().collect::<Vec<_>>(), [((Receiver::Server, expected), 1)]);
+    assert_eq!(report.misplaced.len(), usize::from(expected.is_fault()));
+}
+
+/// Guards against an age of the older version that is counted from its own start, or from another instance's change.
+#[test]
+fn an_attempt_is_late_from_the_version_that_forbids_it() {
+    let report = report(vec![sent("e2", 11_700, "k", TWO, "class=a account=- path=/a/x")]);
+    assert_eq!((report.misplaced[0].late_ms, report.misplaced[0].late_anywhere_ms), (700, 1_700));
+}
+
+/// Guards against a request that was passed on before a version came into force and is judged by it, as its line comes last.
+#[rstest]
+#[case::before(10_100, 300, RegionVerdict::Allowed)]
+#[case::after(10_500, 300, RegionVerdict::OutdatedRegions)]
+fn a_request_that_is_passed_on_is_judged_as_of_its_start(
+    #[case] at_ms: u64,
+    #[case] took_ms: u64,
+    #[case] expected: RegionVerdict,
+) {
+    let fields = "result=answered region=k class=a account=- allowed=v host=h path=/a/x";
+    let text = format!("relay: passed on request=r1 peer=e3 ms={took_ms} version={TWO} {fields}");
+    let report = report(vec![line("e1", at_ms, &text)]);
+    assert_eq!(report.sent.into_iter().collect::<Vec<_>>(), [((Receiver::Instance, expected), 1)]);
+}
+
+/// Guards against a version that allows more than it does, as a line about its regions was left out or an instance read others.
+#[test]
+fn a_version_whose_regions_are_not_known_is_reported() {
+    let three = "00000003.0.9";
+    let mut lacking = with_regions("e1", 20_000, [TWO, three], &["class=a allowed=l"]);
+    lacking.remove(0);
+    let other = with_regions("e3", 900, [ZERO, ONE], &["class=a allowed=k"]);
+    let report = report([lacking, other].concat());
+    assert_eq!(report.incomplete.into_iter().collect::<Vec<_>>(), [Version(3, 0, 9)]);
+    assert_eq!(report.different.into_iter().collect::<Vec<_>>(), [Version(1, 0, 1)]);
+}
+
+/// Guards against look-ups that lead callers to another region while instances of their own one serve.
+#[rstest]
+#[case::own_instances_serve("good=1 doubtful=0 out=2", "false", "own-good", true)]
+#[case::an_instance_that_stops("good=0 doubtful=1 out=2", "true", "stopping", false)]
+#[case::own_instances_may_be_dead("good=0 doubtful=1 out=2", "false", "doubtful", false)]
+#[case::own_instances_are_out("good=0 doubtful=0 out=2", "false", "out", false)]
+#[case::no_own_instance("good=0 doubtful=0 out=0", "false", "none", false)]
+fn a_look_up_that_names_other_regions_is_judged(
+    #[case] standing: &str,
+    #[case] stopping: &str,
+    #[case] reason: &str,
+    #[case] is_fault: bool,
+) {
+    let text = format!("callers: look-up names other regions region=k {standing} named=3 stopping={stopping}");
+    let look_ups = report(vec![line("e1", 5_000, &text)]).look_ups;
+    assert_eq!((look_ups.len(), look_ups[0].reason(), look_ups[0].is_fault()), (1, reason, is_fault));
+}
