Dispatch tests: one refusal at once, one server's spec, no list of empty fields

Asking the engine for a refusal at once stood in announcements.rs and rate_limit.rs, the search for started attempts in shed.rs and common, the spec of a server and the limits in common and cluster.rs. Cluster and its servers list only the fields that do not begin empty.

--- a/crates/dispatch/tests/announcements.rs
+++ b/crates/dispatch/tests/announcements.rs
@@ -11,7 +11,7 @@
 use dispatch::announcements::Announcements;
 use dispatch::backend::{BackendId, Place};
 use dispatch::engine::Arrival;
-use dispatch::{Action, Ending, Engine, Verdict, class};
+use dispatch::{Ending, Engine, Verdict, class};
 use rstest::rstest;
 
 const HOUR: Duration = Duration::from_hours(1);
@@ -121,14 +121,7 @@
     let mut world = world(3);
     let pause = Duration::from_secs(10);
     (1..=3).for_each(|server| world.engine.record_pause(server, pause, world.now));
-    let now = world.now;
-    let request = 900;
-    world.engine.submit(Arrival::new(request, class, request, 10), now);
-    let answer = world.engine.take_actions().into_iter().find_map(|action| match action {
-        Action::Answer { verdict, retry_after, .. } => Some((verdict, retry_after)),
-        _ => None,
-    });
-    let (verdict, retry_after) = answer.expect("it is refused at once");
+    let (verdict, retry_after) = world.send_refused(class);
     assert_eq!(verdict, Verdict::Refuse(Kind::Paused));
     assert!(retry_after.is_some_and(|after| after >= pause), "{retry_after:?}");
 }
--- a/crates/dispatch/tests/common/cluster.rs
+++ b/crates/dispatch/tests/common/cluster.rs
@@ -8,12 +8,13 @@
 use std::time::Duration;
 
 use base::time::Time;
-use dispatch::backend::{BackendId, Place, Position, Report, Spec};
+use dispatch::backend::{BackendId, Place, Report, Spec};
 use dispatch::class;
-use dispatch::engine::{Arrival, Budgets, Limits, Remote};
+use dispatch::engine::{Arrival, Limits, Remote};
 use dispatch::{Action, Ending, Engine, Verdict};
 
 use self::outcome::Outcome;
+use super::{LIMITS, backend};
 
 /// Number of objects that a server keeps warm.
 const WARM_OBJECTS: usize = 40;
@@ -26,6 +27,7 @@
 /// Maximum number of requests that wait at a server; it sheds further ones.
 const MAX_QUEUE: usize = 9;
 
+#[derive(Default)]
 struct Server {
     region: u16,
     /// Engine and attempt of each running request, by number.
@@ -56,6 +58,7 @@
 }
 
 /// Simulated engines, servers and callers, with two engines in each region.
+#[derive(Default)]
 pub struct Cluster {
     pub now: Time,
     /// Requests run in each region, by second and caller's region.
@@ -97,42 +100,17 @@
 impl Cluster {
     /// Creates two engines in each region, and the given number of servers.
     pub fn new(servers: &[u32], seed: u64) -> Self {
-        let target = Duration::from_millis(300);
-        let now = Time::from_millis(1_000);
         let mut cluster = Self {
-            now,
-            ran: BTreeMap::new(),
-            outcomes: BTreeMap::new(),
-            by_account: BTreeMap::new(),
-            repeated: Vec::new(),
-            engines: Vec::new(),
-            servers: BTreeMap::new(),
-            events: BTreeSet::new(),
-            requests: BTreeMap::new(),
-            attempts: BTreeMap::new(),
-            target,
-            rounds: [Vec::new(), Vec::new(), Vec::new()],
-            next: 0,
-            loss_ratio: 0.0,
-            paused: BTreeMap::new(),
-            announced_at: BTreeMap::new(),
-            sent_while_paused: 0,
-            max_refusal_delay: Duration::ZERO,
-            retry_times: Vec::new(),
-            max_load: BTreeMap::new(),
+            now: Time::from_millis(1_000),
+            target: Duration::from_millis(300),
             rng: fastrand::Rng::with_seed(seed),
+            ..Self::default()
         };
         let mut id = 0;
         for (region, count) in servers.iter().enumerate() {
             for _ in 0..*count {
                 id += 7;
-                let server = Server {
-                    region: region as u16,
-                    running: BTreeMap::new(),
-                    waiting: VecDeque::new(),
-                    warm: VecDeque::new(),
-                };
-                cluster.servers.insert(id, server);
+                cluster.servers.insert(id, Server { region: region as u16, ..Server::default() });
             }
         }
         for region in 0..servers.len() as u16 {
@@ -151,25 +129,13 @@
             max_attempts: 2,
             ..class::Spec::new(0, self.target * 4)
         };
-        let limits = Limits {
-            max_queued: 512,
-            max_in_flight: 512,
-            quarantine: Duration::from_mins(10),
-            budgets: Budgets::DEFAULT,
-        };
+        let limits = Limits { max_in_flight: 512, ..LIMITS };
         let mut engine = Engine::new(vec![class], limits, seed);
         let remote = Remote { max_in_flight: u32::MAX, bytes_per_second: 1e9 };
         (0..3).for_each(|other| engine.set_remote(other, remote, self.now));
-        let spec = |(id, server): (&BackendId, &Server)| Spec {
-            id: *id,
-            service: 0,
-            place: if server.region == region { Place::Region } else { Place::Remote(server.region) },
-            slots: 3,
-            leaving: false,
-            hosts: true,
-            region: server.region,
-            slow_start: None,
-            position: Position::ALONE,
+        let spec = |(id, server): (&BackendId, &Server)| {
+            let place = if server.region == region { Place::Region } else { Place::Remote(server.region) };
+            Spec { region: server.region, ..backend(*id, place) }
         };
         engine.set_backends(self.servers.iter().map(spec).collect(), self.now);
         engine
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -118,6 +118,17 @@
         self.submit(class, fingerprint, None)
     }
 
+    /// Sends a request that is refused at once; returns why, and when its caller should retry.
+    pub fn send_refused(&mut self, class: usize) -> (Verdict, Option<Duration>) {
+        self.next += 1;
+        self.engine.submit(Arrival::new(self.next, class, self.next, 10), self.now);
+        let answer = |action| match action {
+            Action::Answer { verdict, retry_after, .. } => Some((verdict, retry_after)),
+            _ => None,
+        };
+        self.engine.take_actions().into_iter().find_map(answer).expect("it is refused at once")
+    }
+
     /// Sends a request whose caller waits for `limit`.
     pub fn send_within(&mut self, class: usize, limit: Duration) -> u64 {
         self.next += 1;
@@ -161,17 +172,14 @@
 
     /// Answers everything in flight and lets the rest expire.
     pub fn finish(&mut self) {
-        for _ in 0..100 {
-            let attempts: Vec<u64> = self.live.keys().copied().collect();
-            for attempt in attempts {
-                self.end(attempt, Ending::Answered(100));
-            }
-        }
+        (0..100).for_each(|_| self.answer_all());
         self.pass(Duration::from_mins(2));
+        self.answer_all();
+    }
+
+    fn answer_all(&mut self) {
         let attempts: Vec<u64> = self.live.keys().copied().collect();
-        for attempt in attempts {
-            self.end(attempt, Ending::Answered(100));
-        }
+        attempts.into_iter().for_each(|attempt| self.end(attempt, Ending::Answered(100)));
     }
 
     pub fn attempts_of(&self, request: u64) -> Vec<u64> {
--- a/crates/dispatch/tests/rate_limit.rs
+++ b/crates/dispatch/tests/rate_limit.rs
@@ -109,13 +109,7 @@
     for server in 1..=3 {
         limit(&mut world, server, Some(per_second));
     }
-    let (now, request) = (world.now, 900);
-    world.engine.submit(Arrival::new(request, class, request, 10), now);
-    let answer = world.engine.take_actions().into_iter().find_map(|action| match action {
-        Action::Answer { verdict, retry_after, .. } => Some((verdict, retry_after)),
-        _ => None,
-    });
-    let (verdict, retry_after) = answer.expect("it is refused at once");
+    let (verdict, retry_after) = world.send_refused(class);
     assert_eq!(verdict, Verdict::Refuse(Kind::RateLimited));
     let room_after = Duration::from_millis(room_after_ms);
     assert!(retry_after.is_some_and(|after| after >= room_after), "when a server has room: {retry_after:?}");
--- a/crates/dispatch/tests/shed.rs
+++ b/crates/dispatch/tests/shed.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use base::time::Time;
-use common::{LIMITS, LOOKUP, backend, classes};
+use common::{LIMITS, LOOKUP, backend, classes, started};
 use dispatch::backend::{BackendId, Place, Report};
 use dispatch::engine::{Arrival, Budgets, Limits};
 use dispatch::{Action, Ending, Engine, class};
@@ -25,11 +25,7 @@
 /// Sends a request about an object; returns the attempt and its server.
 fn send(engine: &mut Engine, request: u64) -> (u64, BackendId) {
     engine.submit(Arrival { object: Some(5), ..Arrival::new(request, LOOKUP, request, 10) }, NOW);
-    let start = |action| match action {
-        Action::Start { attempt, backend, .. } => Some((attempt, backend)),
-        _ => None,
-    };
-    engine.take_actions().into_iter().find_map(start).expect("the request is sent at once")
+    *started(engine).first().expect("the request is sent at once")
 }
 
 /// Sheds an attempt at its server, with a report of its load if there is one; returns when the caller should retry.
