Tests of h1, fleet and store: a setup stands once

Three tests of h1/memory.rs set up the same connection that must give way; its three checks stand in one function that all of them call. The fleets of roster.rs and the store of eras.rs list only the fields that do not begin empty.

--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -19,6 +19,7 @@
 }
 
 /// Daemons that exchange messages once a second, each with the partner that its roster selects.
+#[derive(Default)]
 struct Fleet {
     rosters: BTreeMap<String, Roster>,
     dead: Vec<String>,
@@ -43,14 +44,7 @@
             }
             rosters.insert(name, roster);
         }
-        Self {
-            rosters,
-            dead: Vec::new(),
-            isolated: Vec::new(),
-            now: Time::from_millis(1),
-            received: BTreeMap::new(),
-            sent: 0,
-        }
+        Self { rosters, now: Time::from_millis(1), ..Self::default() }
     }
 
     fn run_seconds(&mut self, seconds: u64) {
--- a/crates/h1/tests/memory.rs
+++ b/crates/h1/tests/memory.rs
@@ -92,15 +92,21 @@
     assert_eq!(memory.used(), 0);
 }
 
+/// Returns a connection that must give way, and the one that it must give way to.
+fn one_gives_way(memory: &Arc<Memory>) -> (Hold, Hold) {
+    let (one, other) = (memory.open(NOW), memory.open(NOW));
+    assert!(one.set(partial(BYTES * 6 / 10), NOW));
+    assert!(other.set(partial(BYTES / 2), later(1_000)));
+    assert!(one.must_give_way());
+    (one, other)
+}
+
 /// Guards against a connection whose request completes just as it is told to give way: it must not be refused, and what it holds must
 /// count again, or its later requests would be free.
 #[test]
 fn a_request_that_completes_in_time_does_not_give_way() {
     let memory = Arc::new(Memory::new(BYTES));
-    let (one, other) = (memory.open(NOW), memory.open(NOW));
-    assert!(one.set(partial(BYTES * 6 / 10), NOW));
-    assert!(other.set(partial(BYTES / 2), later(1_000)));
-    assert!(one.must_give_way());
+    let (one, other) = one_gives_way(&memory);
     assert!(one.set(complete(BYTES * 6 / 10), later(1_001)));
     assert!(!one.must_give_way());
     assert!(!one.set(partial(BYTES * 7 / 10), later(1_002)), "there is no room for more");
@@ -117,10 +123,7 @@
 #[test]
 fn an_answer_of_a_connection_that_was_to_give_way_has_room() {
     let memory = Arc::new(Memory::new(BYTES));
-    let (one, other) = (memory.open(NOW), memory.open(NOW));
-    assert!(one.set(partial(BYTES * 6 / 10), NOW));
-    assert!(other.set(partial(BYTES / 2), later(1_000)));
-    assert!(one.must_give_way());
+    let (one, other) = one_gives_way(&memory);
     assert!(one.set(complete(BYTES * 6 / 10), later(1_001)));
     drop(other);
     let unread = Usage { answers: BYTES / 10, unfinished: true, ..complete(BYTES / 10) };
@@ -154,10 +157,7 @@
 #[test]
 fn a_body_that_is_handed_on_while_its_connection_gives_way_counts_once() {
     let memory = Arc::new(Memory::new(BYTES));
-    let (one, other) = (memory.open(NOW), memory.open(NOW));
-    assert!(one.set(partial(BYTES * 6 / 10), NOW));
-    assert!(other.set(partial(BYTES / 2), later(1_000)));
-    assert!(one.must_give_way());
+    let (one, other) = one_gives_way(&memory);
     let place = one.hand_on(BYTES * 7 / 10);
     assert_eq!(memory.used(), BYTES * 12 / 10, "what is in memory counts, whether there is room or not");
     assert!(one.set(complete(0), later(1_001)));
--- a/crates/store/tests/eras.rs
+++ b/crates/store/tests/eras.rs
@@ -123,6 +123,7 @@
 }
 
 /// A store with numbered values that can be restored, as its writers use it.
+#[derive(Default)]
 struct Store {
     era: u64,
     revision: u64,
@@ -137,8 +138,7 @@
 
 impl Store {
     fn new() -> Self {
-        let (keys, copies) = (BTreeMap::new(), vec![BTreeMap::new()]);
-        Self { era: 1, revision: 0, keys, copies, written: BTreeMap::new(), latest: BTreeMap::new() }
+        Self { era: 1, copies: vec![BTreeMap::new()], ..Self::default() }
     }
 
     fn commit(&mut self, key: &str, number: Option<u64>) {
