Servers on plain sockets stand once, in crates/fakes

The store's client tests make their client in one function. No check is lost: names, cases and asserts are unchanged.

--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -1,9 +1,9 @@
 //! The era of a restored store in the answers to the client's calls.
 
-use std::io::{BufRead as _, BufReader, Write as _};
-use std::net::TcpListener;
+use std::io::Write as _;
 use std::time::Duration;
 
+use fakes::script;
 use rstest::rstest;
 use store::{Call, Client, Codec, Error, Message, Reply, Result};
 
@@ -25,32 +25,21 @@
 
 /// Starts a store whose answers are named by the path: `/STATUS/ERA/DELAY_MS`; an empty era is left out.
 fn start() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let address = listener.local_addr().expect("it is bound").to_string();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            std::thread::spawn(move || {
-                let mut reader = BufReader::new(stream.try_clone().expect("a socket can be cloned"));
-                let (mut stream, mut line) = (stream, String::new());
-                while reader.read_line(&mut line).is_ok_and(|bytes| bytes > 0) {
-                    let target = line.split(' ').nth(1).unwrap_or_default().to_owned();
-                    while reader.read_line(&mut line).is_ok_and(|bytes| bytes > 2) {}
-                    line.clear();
-                    let mut parts = target.trim_start_matches('/').split('/');
-                    let (status, era, delay) = (parts.next(), parts.next(), parts.next());
-                    let delay = delay.and_then(|text| text.parse().ok()).unwrap_or(0);
-                    std::thread::sleep(Duration::from_millis(delay));
-                    let era =
-                        era.filter(|era| !era.is_empty()).map(|era| format!("X-Era: {era}\r\n")).unwrap_or_default();
-                    let status = status.unwrap_or("200");
-                    if write!(stream, "HTTP/1.1 {status} X\r\n{era}Content-Length: 0\r\n\r\n").is_err() {
-                        return;
-                    }
-                }
-            });
-        }
-    });
-    address
+    script::listen_for_heads("127.0.0.1:0", |request, _, stream| {
+        let target = request.line.split(' ').nth(1).unwrap_or_default();
+        let mut parts = target.trim_start_matches('/').split('/');
+        let (status, era, delay) = (parts.next(), parts.next(), parts.next());
+        let delay = delay.and_then(|text| text.parse().ok()).unwrap_or(0);
+        std::thread::sleep(Duration::from_millis(delay));
+        let era = era.filter(|era| !era.is_empty()).map(|era| format!("X-Era: {era}\r\n")).unwrap_or_default();
+        let status = status.unwrap_or("200");
+        write!(stream, "HTTP/1.1 {status} X\r\n{era}Content-Length: 0\r\n\r\n").is_ok()
+    })
+}
+
+/// Returns a client of such a store.
+fn client(runtime: &tokio::runtime::Runtime) -> Client {
+    Client::with_runtime(CODEC, &start(), Duration::from_secs(5), runtime.handle().clone())
 }
 
 fn runtime() -> tokio::runtime::Runtime {
@@ -66,7 +55,7 @@
 #[case("503")]
 fn every_answer_tells_the_era(#[case] status: &str) {
     let runtime = runtime();
-    let client = Client::with_runtime(CODEC, &start(), Duration::from_secs(5), runtime.handle().clone());
+    let client = client(&runtime);
     let result = runtime.block_on(client.call(&read(&format!("{status}/7"))));
     assert_eq!(result.is_ok(), status == "200");
     assert_eq!(client.era(), 7);
@@ -83,7 +72,7 @@
 #[case("20")]
 fn an_answer_with_an_invalid_status_is_none(#[case] status: &str) {
     let runtime = runtime();
-    let client = Client::with_runtime(CODEC, &start(), Duration::from_secs(5), runtime.handle().clone());
+    let client = client(&runtime);
     let result = runtime.block_on(client.call(&read(&format!("{status}/7"))));
     assert!(matches!(result, Err(Error::Ambiguous(_))), "{result:?}");
     assert_eq!(client.era(), 0);
@@ -95,7 +84,7 @@
 #[case::without_an_era("200//300")]
 fn a_late_answer_of_an_earlier_era_is_an_error(#[case] late: &str) {
     let runtime = runtime();
-    let client = Client::with_runtime(CODEC, &start(), Duration::from_secs(5), runtime.handle().clone());
+    let client = client(&runtime);
     runtime.block_on(async {
         assert_eq!(client.call(&read("200/1")).await.map(|answer| answer.era), Ok(1));
         let (late, early) = (read(late), read("200/2"));
