A request is passed on by the regions in force at each hand-over

Callers of an instance that reaches no server: their requests are passed on to up to three other instances, one after the other, until the deadline (20 s on one route). The regions of route and account, and the list of instances, were taken once, before the first of them. One that takes its time to refuse holds a request for as long as it likes; the next one then got it in a region that route or account had left, or although either was closed by then.

Evidence: an instance in the own region holds an order until the next version is in force and refuses it as not run. On the code before, the instance in the other region gets the order although route or account had moved away or were closed (4 cases, answered 200), and does not get it although the route had moved there (503).

relay::send now takes the policy that the request was matched with. Before each hand-over, and again once the connection is open, another policy in force means Outdated: nothing has run, so run() matches the request again with class, account, regions and limit. Each instance is chosen from the view of that moment among the distances not tried yet. config::policy::Allowed takes the place of a list whose emptiness meant every region (Match, Passage, common_regions).

--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -219,7 +219,7 @@
     if outgoing.keyed.is_some() {
         return run_keyed(context, active, outgoing, submission).await;
     }
-    let passage = relay::Passage { regions: found.regions.clone(), account: identity.for_instance(), deadline };
+    let passage = relay::Passage { allowed: &found.allowed, account: identity.for_instance(), deadline };
     if context.reach.is_lost() {
         return send_through_peer(context, active, &outgoing, &passage, sender).await;
     }
@@ -239,16 +239,16 @@
     context: &Arc<Context>,
     active: &Arc<ActivePolicy>,
     outgoing: &Outgoing,
-    passage: &relay::Passage,
+    passage: &relay::Passage<'_>,
     sender: Sender,
 ) -> Result<Outcome, Outdated> {
+    if sender == Sender::Caller {
+        return relay::send(context, active, outgoing, passage).await;
+    }
     if !context.is_in_force(active) {
         return Err(Outdated);
     }
-    if sender == Sender::Peer {
-        return Ok(Err(Kind::Unreachable.into()));
-    }
-    Ok(relay::send(context, outgoing, passage).await)
+    Ok(Err(Kind::Unreachable.into()))
 }
 
 /// Runs a keyed request to completion even if its caller disconnects: the answer is kept in case the caller sends the
--- a/crates/daemon/src/callers/identity.rs
+++ b/crates/daemon/src/callers/identity.rs
@@ -1,6 +1,5 @@
 //! Which client account a request belongs to.
 
-use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 
 use base::error::Kind;
@@ -109,18 +108,6 @@
     }
 }
 
-/// Returns the regions that both a class and an account allow, all if the list is empty; `None` if they have none in
-/// common.
-pub fn common_regions(class: &Class, account: Option<&Account>) -> Option<Vec<String>> {
-    let of_account = account.map(|account| account.regions.as_slice()).unwrap_or_default();
-    if class.regions.is_empty() || of_account.is_empty() {
-        return Some([class.regions.as_slice(), of_account].concat());
-    }
-    let of_account: BTreeSet<&String> = of_account.iter().collect();
-    let common: Vec<String> = class.regions.iter().filter(|region| of_account.contains(region)).cloned().collect();
-    (!common.is_empty()).then_some(common)
-}
-
 /// Whether keys may have been taken away without this daemon's knowledge for longer than the settings allow.
 fn keys_unconfirmed(context: &Context) -> bool {
     let settings = &context.settings.callers;
--- a/crates/daemon/src/callers/matching.rs
+++ b/crates/daemon/src/callers/matching.rs
@@ -4,11 +4,12 @@
 
 use base::error::Kind;
 use base::time::Time;
+use config::policy::Allowed;
 
 use super::connection::Incoming;
 use super::forward::Sender;
 use super::headers;
-use super::identity::{self, Identity};
+use super::identity::Identity;
 use super::refusal;
 use crate::Context;
 use crate::driver::{Outcome, Refusal};
@@ -21,8 +22,8 @@
     /// Position of the class in the policy.
     pub(super) position: usize,
     pub(super) idempotent: bool,
-    /// Regions that may run the request; all if there are none.
-    pub(super) regions: Vec<String>,
+    /// Regions that may run the request.
+    pub(super) allowed: Allowed,
     /// When the request is given up, whatever its caller's deadline.
     pub(super) limit: Time,
     pub(super) identity: Identity,
@@ -69,13 +70,11 @@
         Ok(identity) => identity,
         Err(kind) => return Err(Handled::refused(Some(name.to_owned()), kind.into())),
     };
-    let account = identity.account(active);
-    let closed = class.closed || account.is_some_and(|account| account.closed);
-    let regions = identity::common_regions(class, account).filter(|_| !closed);
+    let allowed = Allowed::of(class, identity.account(active));
     let limit = incoming.arrived_at + Duration::from_millis(class.deadline_ms);
-    let mut found =
-        Match { class: name.to_owned(), position, idempotent: class.idempotent, regions: Vec::new(), limit, identity };
-    let Some(regions) = regions else { return Err(found.handled(Err(Kind::NoBackend.into()))) };
-    found.regions = regions;
+    let found = Match { class: name.to_owned(), position, idempotent: class.idempotent, allowed, limit, identity };
+    if found.allowed.is_empty() {
+        return Err(found.handled(Err(Kind::NoBackend.into())));
+    }
     Ok(found)
 }
--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -11,6 +11,7 @@
 pub mod disposition;
 mod peer;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,16 +19,18 @@
 use base::error::Kind;
 use base::hash;
 use base::time::Time;
+use config::policy::Allowed;
 use dispatch::backend::BackendId;
 use h1::client::{Answer, Connection, Fault};
 use http::StatusCode;
 use http::header::{HeaderMap, HeaderName, HeaderValue, PROXY_AUTHORIZATION, RETRY_AFTER};
 
 use self::disposition::Disposition;
-use self::peer::{Interface, Peer};
+use self::peer::{Distance, Interface, Peer};
 use crate::Context;
 use crate::backends::attempt::{self, UNACKED_TIMEOUT};
-use crate::driver::{Outcome, Outgoing, Refusal};
+use crate::driver::{Outcome, Outdated, Outgoing, Refusal};
+use crate::policies::ActivePolicy;
 use crate::{decision_log, response};
 
 /// Marks a request that is passed on to an instance of a build up to 4e2e901.
@@ -41,38 +44,49 @@
 
 /// What an instance that gets a request passed on must keep to.
 #[derive(Debug)]
-pub struct Passage {
-    /// Regions that may run the request; all if there are none.
-    pub regions: Vec<String>,
+pub struct Passage<'a> {
+    /// Regions that may run the request.
+    pub allowed: &'a Allowed,
     /// Value of `Proxy-Authorization` that names the request's client account; `None` if it has none.
     pub account: Option<HeaderValue>,
     /// When the request is given up.
     pub deadline: Time,
 }
 
-/// Passes a request on.
-pub async fn send(context: &Arc<Context>, outgoing: &Outgoing, passage: &Passage) -> Outcome {
+/// Passes on a request that was matched with the policy `active`, to one instance after the other until one may have run it. An
+/// instance may take until the deadline to refuse it, so each is chosen by what is known then; an error if another policy is in
+/// force by then, since the request may have to run elsewhere.
+pub async fn send(
+    context: &Arc<Context>,
+    active: &Arc<ActivePolicy>,
+    outgoing: &Outgoing,
+    passage: &Passage<'_>,
+) -> Result<Outcome, Outdated> {
     let mut retry_after = None;
-    for peer in peer::choose(context, &passage.regions) {
-        let left = passage.deadline.since(context.now());
-        if left.is_zero() {
-            break;
+    let mut tried: BTreeSet<Distance> = BTreeSet::new();
+    loop {
+        if !context.is_in_force(active) {
+            return Err(Outdated);
         }
+        let left = passage.deadline.since(context.now());
+        let Some(peer) = peer::choose(context, active, passage.allowed, &tried).filter(|_| !left.is_zero()) else {
+            return Ok(Err(Refusal { kind: Kind::Unreachable, retry_after }));
+        };
+        tried.insert(peer.distance);
         let started = context.now();
-        let result = match tokio::time::timeout(left, exchange(context, outgoing, &peer, passage)).await {
+        let result = match tokio::time::timeout(left, exchange(context, active, outgoing, &peer, passage)).await {
             Ok(result) => result,
             Err(_) => Err(Failure::Answer(Kind::BackendTimeout)),
         };
         log_result(context, outgoing, &peer, &result, started);
         match result {
-            Ok(answer) => return Ok(Arc::new(attempt::to_response(context, answer))),
-            Err(Failure::Answer(kind)) => return Err(kind.into()),
+            Ok(answer) => return Ok(Ok(Arc::new(attempt::to_response(context, answer)))),
+            Err(Failure::Answer(kind)) => return Ok(Err(kind.into())),
             // What the last one says of the time after which the caller may come back.
             Err(Failure::Refused(after)) => retry_after = after,
             Err(Failure::Unsent) => {}
         }
     }
-    Err(Refusal { kind: Kind::Unreachable, retry_after })
 }
 
 fn log_result(context: &Context, outgoing: &Outgoing, peer: &Peer, result: &Result<Answer, Failure>, started: Time) {
@@ -115,11 +129,21 @@
     }
 }
 
-/// Sends the request to `peer` and reads its answer. A reusable connection is returned to the pool.
-async fn exchange(context: &Context, outgoing: &Outgoing, peer: &Peer, passage: &Passage) -> Result<Answer, Failure> {
+/// Sends the request to `peer` and reads its answer, unless another policy than `active` has come into force while connecting. A
+/// reusable connection is returned to the pool.
+async fn exchange(
+    context: &Context,
+    active: &Arc<ActivePolicy>,
+    outgoing: &Outgoing,
+    peer: &Peer,
+    passage: &Passage<'_>,
+) -> Result<Answer, Failure> {
     let address = peer.interface.address();
     let id = hash::bytes(address.to_string().as_bytes()) as BackendId;
     let mut connection = connect(context, id, address).await?;
+    if !context.is_in_force(active) {
+        return Err(Failure::Unsent);
+    }
     let headers = headers(context, outgoing, peer.interface, passage);
     let request_id = headers.get(&context.dialect.request_id).cloned();
     let is_ours = |head: &h1::head::Response| {
@@ -186,7 +210,7 @@
 }
 
 /// Returns the caller's headers with the time that is left and the client account.
-fn headers(context: &Context, outgoing: &Outgoing, interface: Interface, passage: &Passage) -> HeaderMap {
+fn headers(context: &Context, outgoing: &Outgoing, interface: Interface, passage: &Passage<'_>) -> HeaderMap {
     let mut headers = outgoing.headers.clone();
     let left = passage.deadline.since(context.now()).saturating_sub(ANSWER_MARGIN);
     let left_ms = left.as_millis().max(1) as u64;
--- a/crates/daemon/src/callers/relay/peer.rs
+++ b/crates/daemon/src/callers/relay/peer.rs
@@ -1,18 +1,21 @@
 //! The entry instances that a request may be passed on to.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use config::policy::Allowed;
 use steer::view::{Entry, Standing};
 
 use crate::Context;
 use crate::context::lock;
+use crate::policies::ActivePolicy;
 
 /// Another entry instance.
 #[derive(Debug, Clone)]
 pub(super) struct Peer {
     pub(super) name: String,
     pub(super) region: String,
+    pub(super) distance: Distance,
     pub(super) interface: Interface,
 }
 
@@ -35,7 +38,7 @@
 
 /// How far away another instance is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Distance {
+pub(super) enum Distance {
     /// In this failure domain.
     Domain,
     /// In another failure domain of this region.
@@ -44,17 +47,23 @@
     Elsewhere,
 }
 
-/// Returns the instances to try, random ones: one of this failure domain, one of another of this region, and one of another
-/// region. Instances that reach no server themselves, that are leaving or that may be dead are not among them.
-pub(super) fn choose(context: &Context, regions: &[String]) -> Vec<Peer> {
-    let (steering, active) = (context.steering(), context.policy());
+/// Returns the next instance to try for a request that the policy `active` allows to run in `allowed`: a random one of this
+/// failure domain, then one of another of this region, then one of another region; `None` once all `tried` leave none. Instances
+/// that reach no server themselves, that are leaving or that may be dead are passed over.
+pub(super) fn choose(
+    context: &Context,
+    active: &ActivePolicy,
+    allowed: &Allowed,
+    tried: &BTreeSet<Distance>,
+) -> Option<Peer> {
+    let steering = context.steering();
     let settings = &context.settings;
     let own_region = active.region_position(&settings.region);
     let own_domain = steering.view.entries().iter().find(|entry| entry.name == settings.instance);
     let own_domain = own_domain.map(|entry| entry.domain);
-    let allowed: Vec<Option<u16>> = regions.iter().map(|name| active.region_position(name)).collect();
     let usable = steering.view.entries().iter().filter(|entry| {
-        let in_allowed = allowed.is_empty() || allowed.contains(&Some(entry.region));
+        let region = active.regions.get(usize::from(entry.region));
+        let in_allowed = *allowed == Allowed::All || region.is_some_and(|region| allowed.contains(region));
         // Bytes over links to other regions are limited; without that limit, they are the last resort.
         let in_reach = settings.dispatch.open_links || Some(entry.region) == own_region;
         entry.standing == Standing::Good && entry.name != settings.instance && in_allowed && in_reach
@@ -66,11 +75,14 @@
             (false, true) => Distance::Region,
             (false, false) => Distance::Elsewhere,
         };
+        if tried.contains(&distance) {
+            continue;
+        }
         let Some(interface) = interface(context, entry) else { continue };
         let region = active.regions.get(usize::from(entry.region)).cloned().unwrap_or_default();
-        nearest.entry(distance).or_default().push(Peer { name: entry.name.clone(), region, interface });
+        nearest.entry(distance).or_default().push(Peer { name: entry.name.clone(), region, distance, interface });
     }
-    nearest.into_values().filter_map(fastrand::choice).collect()
+    nearest.into_values().find_map(fastrand::choice)
 }
 
 /// Returns where `entry` takes requests that are passed on; `None` as long as it has told nothing of itself.
