An instance that passes a request on names the regions in which it may run

Callers of an instance that reaches no server: the instance that gets their request passed on goes by its own version of the policy. If that one is older, it ran the request in a region that route or account had left, and the sender, which knew better, could not prevent it. A longer prefix with regions of its own that the other instance does not know yet is the same fault.

Cause: only the account's name went along, not what the sender knew of regions.

With a request that may not run everywhere goes a second value of Proxy-Authorization, `regions ["r1"]`. An instance whose own policy allows any other region refuses it as not run (policy-stale), and the sender tries the next one. A version in its place would refuse every request that crosses any change; this one refuses only where the two policies differ on regions.

--- a/crates/config/src/policy/allowed.rs
+++ b/crates/config/src/policy/allowed.rs
@@ -61,6 +61,15 @@
         }
     }
 
+    /// Whether every region of this set is in `other` too.
+    pub fn is_within(&self, other: &Self) -> bool {
+        match (self, other) {
+            (_, Self::All) => true,
+            (Self::All, Self::Only(_)) => false,
+            (Self::Only(regions), Self::Only(others)) => regions.is_subset(others),
+        }
+    }
+
     /// Whether no region is in the set.
     pub fn is_empty(&self) -> bool {
         matches!(self, Self::Only(regions) if regions.is_empty())
--- a/crates/daemon/src/callers/identity.rs
+++ b/crates/daemon/src/callers/identity.rs
@@ -130,7 +130,7 @@
 }
 
 /// Returns the credentials in the value of an authorization header; `None` if it is of another scheme than `scheme`.
-fn credentials<'a>(value: &'a HeaderValue, scheme: &str) -> Option<&'a [u8]> {
+pub fn credentials<'a>(value: &'a HeaderValue, scheme: &str) -> Option<&'a [u8]> {
     let (given, credentials) = value.as_bytes().split_at_checked(scheme.len())?;
     let credentials = credentials.strip_prefix(b" ")?.trim_ascii();
     (given.eq_ignore_ascii_case(scheme.as_bytes()) && !credentials.is_empty()).then_some(credentials)
--- a/crates/daemon/src/callers/matching.rs
+++ b/crates/daemon/src/callers/matching.rs
@@ -10,7 +10,7 @@
 use super::forward::Sender;
 use super::headers;
 use super::identity::Identity;
-use super::refusal;
+use super::{refusal, relay};
 use crate::Context;
 use crate::driver::{Outcome, Refusal};
 use crate::policies::ActivePolicy;
@@ -76,5 +76,9 @@
     if found.allowed.is_empty() {
         return Err(found.handled(Err(Kind::NoBackend.into())));
     }
+    if sender == Sender::Peer && !found.allowed.is_within(&relay::regions::named(&head.headers)) {
+        // One of the two policies is out of date, and it may be this daemon's.
+        return Err(found.handled(Err(Kind::PolicyStale.into())));
+    }
     Ok(found)
 }
--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod disposition;
 mod peer;
+pub mod regions;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -209,16 +210,18 @@
     }
 }
 
-/// Returns the caller's headers with the time that is left and the client account.
+/// Returns the caller's headers with the time that is left, the client account and the regions that may run the request.
 fn headers(context: &Context, outgoing: &Outgoing, interface: Interface, passage: &Passage<'_>) -> HeaderMap {
     let mut headers = outgoing.headers.clone();
     let left = passage.deadline.since(context.now()).saturating_sub(ANSWER_MARGIN);
     let left_ms = left.as_millis().max(1) as u64;
     headers.insert(&context.dialect.deadline_ms, HeaderValue::from(left_ms));
-    match (interface, &passage.account) {
-        (Interface::Callers(_), _) => drop(headers.insert(EARLIER_MARK, HeaderValue::from_static("1"))),
-        (Interface::Peers(_), Some(account)) => drop(headers.insert(PROXY_AUTHORIZATION, account.clone())),
-        (Interface::Peers(_), None) => {}
+    match interface {
+        Interface::Callers(_) => drop(headers.insert(EARLIER_MARK, HeaderValue::from_static("1"))),
+        Interface::Peers(_) => {
+            headers.extend(passage.account.clone().map(|account| (PROXY_AUTHORIZATION, account)));
+            regions::append(passage.allowed, &mut headers);
+        }
     }
     headers
 }
