--- a/crates/daemon/src/callers/identity.rs
+++ b/crates/daemon/src/callers/identity.rs
@@ -1,6 +1,5 @@
 //! Which client account a request belongs to.
 
-use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 
 use base::error::Kind;
@@ -98,18 +97,6 @@
     }
 }
 
-/// Returns the regions that both a class and an account allow, all if the list is empty; `None` if they have none in
-/// common.
-pub fn common_regions(class: &Class, account: Option<&Account>) -> Option<Vec<String>> {
-    let of_account = account.map(|account| account.regions.as_slice()).unwrap_or_default();
-    if class.regions.is_empty() || of_account.is_empty() {
-        return Some([class.regions.as_slice(), of_account].concat());
-    }
-    let of_account: BTreeSet<&String> = of_account.iter().collect();
-    let common: Vec<String> = class.regions.iter().filter(|region| of_account.contains(region)).cloned().collect();
-    (!common.is_empty()).then_some(common)
-}
-
 /// Whether keys may have been taken away without this daemon's knowledge for longer than the settings allow.
 fn keys_unconfirmed(context: &Context) -> bool {
     let settings = &context.settings.callers;
@@ -132,7 +119,7 @@
 }
 
 /// Returns the credentials in the value of an authorization header; `None` if it is of another scheme than `scheme`.
-fn credentials<'a>(value: &'a HeaderValue, scheme: &str) -> Option<&'a [u8]> {
+pub fn credentials<'a>(value: &'a HeaderValue, scheme: &str) -> Option<&'a [u8]> {
     let (given, credentials) = value.as_bytes().split_at_checked(scheme.len())?;
     let credentials = credentials.strip_prefix(b" ")?.trim_ascii();
     (given.eq_ignore_ascii_case(scheme.as_bytes()) && !credentials.is_empty()).then_some(credentials)
