Look-ups read regions and entry instances of the same policy

What callers saw: none reported. Cause: the position of the caller's region was looked up in the policy in force, the entry instances in the routing state, read one after the other; the routing state is replaced first. A region that the policy does not have stands for any region, so the first policy of a process could be read as one that does not know the caller's region. Change: the routing state keeps the policy that it was built for, instead of its table only; look-ups by region and by address and the log line on other regions go by that one.

--- a/crates/daemon/src/callers/lookup.rs
+++ b/crates/daemon/src/callers/lookup.rs
@@ -80,9 +80,9 @@
 fn answer_by_address(context: &Context, address: Option<u32>) -> Result<Reply, Kind> {
     let address = address.ok_or(Kind::Malformed)?;
     let steering = context.steering();
-    let active = context.policy();
+    let active = &steering.policy;
     let limit = context.settings.callers.answer_entries as usize;
-    let found = steer::answer::look_up(&steering.table, &steering.view, &steering.shares, address, limit);
+    let found = steer::answer::look_up(&active.table, &steering.view, &steering.shares, address, limit);
     let entries = found.positions().iter().filter_map(|position| steering.view.entry(*position));
     let entries: Vec<Entry<'_>> =
         entries.map(|entry| Entry { instance: &entry.name, address: &entry.address }).collect();
@@ -108,13 +108,13 @@
 /// Answers a look-up by region: returns the addresses of entry instances for callers in `region`.
 fn answer_by_region(context: &Context, region: &str, caller: IpAddr) -> Result<Reply, Kind> {
     let steering = context.steering();
-    let position = context.policy().region_position(region);
+    let position = steering.policy.region_position(region);
     let limit = context.settings.callers.answer_entries as usize;
     let caller = hash::bytes(caller.to_string().as_bytes());
     let found = steer::by_region::look_up(&steering.view, position, caller, limit);
     let named: Vec<&steer::view::Entry> = found.iter().filter_map(|place| steering.view.entry(*place)).collect();
     if let Some(position) = position.filter(|position| named.iter().all(|entry| entry.region != *position)) {
-        decision_log::lookup_elsewhere(context, region, position, named.len());
+        decision_log::lookup_elsewhere(context, &steering, region, position, named.len());
     }
     let addresses: Vec<&str> = named.iter().map(|entry| entry.address.as_str()).collect();
     if addresses.is_empty() {
--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -50,13 +50,12 @@
 }
 
 /// Logs that a look-up names no entry instance of the caller's `region`, with the standing of those that it has.
-pub fn lookup_elsewhere(context: &Context, region: &str, position: RegionId, named: usize) {
+pub fn lookup_elsewhere(context: &Context, steering: &Steering, region: &str, position: RegionId, named: usize) {
     context.metrics.lookups_elsewhere.inc();
-    let steering = context.steering();
     let own = steering.view.entries().iter().filter(|entry| entry.region == position);
     let count = |standing: Standing| own.clone().filter(|entry| entry.standing == standing).count();
     let (good, doubtful, out) = (count(Standing::Good), count(Standing::Doubtful), count(Standing::Out));
-    let (version, uptime) = (context.policy().version, context.uptime());
+    let (version, uptime) = (steering.policy.version, context.uptime());
     log::info!(
         region, good, doubtful, out, named, stopping = context.stopping(), up_ms:% = uptime.as_millis(), version:% = version;
         "callers: look-up names other regions"
--- a/crates/daemon/src/view/mod.rs
+++ b/crates/daemon/src/view/mod.rs
@@ -14,9 +14,9 @@
 use dispatch::backend::{BackendId, Spec};
 use dispatch::engine::{Budgets, Remote};
 use fleet::replica::Version;
+use steer::View;
 use steer::grant;
 use steer::shift::{Controller, Shares};
-use steer::{Table, View};
 
 use self::servers::Assignments;
 pub use self::servers::{known_daemons, settled};
@@ -33,8 +33,8 @@
 /// An immutable snapshot of the routing state.
 #[derive(Debug, Clone, Default)]
 pub struct Steering {
-    /// Home regions of callers.
-    pub table: Arc<Table>,
+    /// The policy that it was built for; positions of regions are those of this one.
+    pub policy: Arc<ActivePolicy>,
     /// Entry instances.
     pub view: Arc<View>,
     /// Shares of each region's callers that are shifted to other regions.
@@ -132,7 +132,7 @@
 
 /// Updates the routing state for the policy `active`; returns what changes in the engine. Goes through the list and the members
 /// only if they changed, since time alone changes little.
-fn update(context: &Context, active: &ActivePolicy, state: &mut RefreshState) -> Changes {
+fn update(context: &Context, active: &Arc<ActivePolicy>, state: &mut RefreshState) -> Changes {
     let now = context.now();
     let list = lock(&context.instance_list).clone();
     let roster = lock(&context.roster).digest();
@@ -150,7 +150,7 @@
 
 /// Rebuilds backend servers and entry instances from the list and the members; returns the specs of the used servers
 /// for the dispatch engine.
-fn rebuild(context: &Context, active: &ActivePolicy, items: &[Item], state: &mut RefreshState) -> Vec<Spec> {
+fn rebuild(context: &Context, active: &Arc<ActivePolicy>, items: &[Item], state: &mut RefreshState) -> Vec<Spec> {
     let roster = lock(&context.roster).clone();
     let members = if context.catalog.is_some() { entries::members(&roster, active) } else { Vec::new() };
     let instances: Vec<&Instance> = items.iter().map(|item| &*item.instance).chain(&members).collect();
@@ -167,8 +167,8 @@
         let slots = state.slots.entry(server.region.clone()).or_default();
         *slots = slots.saturating_add(server.slots);
     }
-    let table = Arc::clone(&active.table);
-    let steering = Steering { table, view, shares: before.shares.clone(), backends: Arc::new(backends) };
+    let policy = Arc::clone(active);
+    let steering = Steering { policy, view, shares: before.shares.clone(), backends: Arc::new(backends) };
     decision_log::steering_changed(&before, &steering);
     context.set_steering(steering);
     specs
--- a/crates/daemon/tests/view.rs
+++ b/crates/daemon/tests/view.rs
@@ -1,5 +1,6 @@
 //! The routing state built from instance list, membership and policy, while several of them change at once.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Barrier};
 use std::time::Duration;
 
@@ -8,6 +9,8 @@
 use config::configs::Settings;
 use config::policy::Policy;
 use daemon::adapter::Adapter;
+use daemon::callers::connection::Incoming;
+use daemon::callers::lookup;
 use daemon::context::{Context, lock};
 use daemon::instance_list::Item;
 use daemon::{policies, view};
@@ -16,6 +19,8 @@
 use fleet::Document;
 use fleet::message::{Record, Snapshot, State as Standing};
 use fleet::replica::Origin;
+use h1::{Payload, head};
+use http::{HeaderMap, Method};
 use rstest::rstest;
 
 /// Threads that refresh the routing state while a policy becomes active.
@@ -221,3 +226,64 @@
     let used: f64 = parts.iter().map(|live| *live as f64 * burst_of(*live)).sum();
     assert!(used <= total, "{used} of {total}");
 }
+
+/// Returns an entry instance of a region with one failure domain.
+fn entry(region: &str, number: usize) -> Instance {
+    let (region, domain) = (region.to_owned(), format!("{region}-d"));
+    Instance { name: format!("{region}{number}"), role: Role::Entry, region, domain, ..server(number, String::new()) }
+}
+
+/// Returns the policy of a revision with these regions and classes; each class has a host and the regions that it allows.
+fn regional_policy(revision: u64, regions: &[&str], classes: &[(&str, &str)]) -> Document {
+    let region = |name: &&str| format!("[regions.{name}]\ndomains = [\"{name}-d\"]\n");
+    let class = |(number, (host, regions)): (usize, &(&str, &str))| {
+        let regions: Vec<&str> = regions.split_whitespace().collect();
+        format!(
+            "[classes.c{number}]\nservice = \"s\"\nhost = \"{host}\"\npaths = [\"/{number}\"]\nregions = {regions:?}\n\
+            idempotent = true\nrank = 1\ntarget_ms = 100\ntarget_share = 0.99\ndeadline_ms = 2000\n"
+        )
+    };
+    let regions = regions.iter().map(region).collect::<String>();
+    Document::new(revision, regions + &classes.iter().enumerate().map(class).collect::<String>())
+}
+
+/// Returns what a look-up with this query answers.
+fn look_up(context: &Arc<Context>, query: &str) -> String {
+    let head = head::Request {
+        method: Method::GET,
+        target: format!("/lookup?{query}"),
+        headers: HeaderMap::new(),
+        keep_alive: true,
+    };
+    let (peer, arrived_at) = (std::net::Ipv4Addr::LOCALHOST.into(), context.now());
+    let reply = lookup::handle(context, &Incoming { head, body: Payload::default(), peer, arrived_at });
+    String::from_utf8_lossy(&reply.body).into_owned()
+}
+
+/// Guards against a look-up that takes a region's position from one policy and the entry instances from another, and names those of
+/// another region although the caller's own has good ones: a policy with one more region becomes active meanwhile.
+#[test]
+fn a_look_up_reads_regions_and_entry_instances_of_the_same_policy() {
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+    let context = context(&runtime, vec![entry("r", 1), entry("z", 2)]);
+    let apply = |revision: u64| {
+        let regions: &[&str] = if revision.is_multiple_of(2) { &["a", "r", "z"] } else { &["r", "z"] };
+        assert!(policies::apply(&context, regional_policy(revision, regions, &[("h", "")]), Origin::Peer, "test"));
+    };
+    apply(1);
+    let own = look_up(&context, "region=r");
+    let active = AtomicBool::new(true);
+    let wrong = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let mut wrong = Vec::new();
+            while active.load(Ordering::Relaxed) {
+                wrong.extend(Some(look_up(&context, "region=r")).filter(|answer| *answer != own));
+            }
+            wrong
+        });
+        (2..=ROUNDS).for_each(apply);
+        active.store(false, Ordering::Relaxed);
+        caller.join().expect("look-ups do not panic")
+    });
+    assert_eq!(wrong, [""; 0], "answers other than {own}");
+}
