Look-ups name, of other regions, first those where the host's requests may run

What callers saw: while all instances of a caller's region are replaced, look-ups name instances of every other region. Cause: look-ups by region did not read the host in the query (`name`), and knew only the caller's region and any other. Change: of other regions, those first that most classes of the host with regions of their own name. The own region's good instances come before all others as before, and good ones of other regions before doubtful own ones. Not done, on purpose: own instances that leave are named no more. The cases of of_other_regions_those_come_first_in_which_the_hosts_requests_may_run with homes elsewhere (own_leaves, home_of_all_classes, own_region_among_homes, class_of_any_host) failed before.

--- a/crates/config/src/policy/mod.rs
+++ b/crates/config/src/policy/mod.rs
@@ -146,6 +146,15 @@
         candidates.max_by_key(|(precedence, _, _)| *precedence).map(|(_, name, class)| (name, class))
     }
 
+    /// Returns the regions that most classes of `host` with regions of their own name; none if it has no such class.
+    pub fn home_regions(&self, host: &str) -> Vec<&str> {
+        let classes = self.classes.values().filter(|class| !class.closed && class.matches_host(host));
+        let mut named = BTreeMap::<&str, usize>::new();
+        classes.flat_map(|class| &class.regions).for_each(|region| *named.entry(region).or_default() += 1);
+        let most = named.values().max().copied().unwrap_or_default();
+        named.into_iter().filter(|(_, classes)| *classes == most).map(|(region, _)| region).collect()
+    }
+
     /// Whether the backend servers of `domain` are drained, by themselves or with the whole failure domain.
     pub fn servers_drained(&self, domain: &str) -> bool {
         self.has_drain(Scope::Servers, domain) || self.domain_drained(domain)
--- a/crates/daemon/src/callers/lookup.rs
+++ b/crates/daemon/src/callers/lookup.rs
@@ -5,9 +5,11 @@
 
 use base::error::Kind;
 use base::hash;
+use config::policy;
 use http::Method;
 use http::header::{ALLOW, HeaderValue};
 use serde::Serialize;
+use steer::table::RegionId;
 
 use super::connection::Incoming;
 use super::headers::logged_path;
@@ -38,7 +40,7 @@
 /// Answers a request at an address for look-ups.
 ///
 /// A look-up's query may give the caller's address as `client=` (by default that of the connected peer) or the caller's
-/// region as `region=`; a look-up by region returns only addresses.
+/// region as `region=`; a look-up by region returns only addresses, and may give the host of the caller's requests as `name=`.
 pub fn handle(context: &Arc<Context>, incoming: &Incoming) -> Reply {
     match answer(context, incoming) {
         Ok(reply) => {
@@ -71,7 +73,10 @@
     }
     let query = head.query();
     match query_parameter(query, "region") {
-        Some(region) => answer_by_region(context, region, incoming.peer),
+        Some(region) => {
+            let host = policy::host_name(query_parameter(query, "name").unwrap_or_default());
+            answer_by_region(context, region, host, incoming.peer)
+        }
         None => answer_by_address(context, caller_address(query, incoming.peer)),
     }
 }
@@ -105,16 +110,23 @@
     ttl_s: u64,
 }
 
-/// Answers a look-up by region: returns the addresses of entry instances for callers in `region`.
-fn answer_by_region(context: &Context, region: &str, caller: IpAddr) -> Result<Reply, Kind> {
+/// Answers a look-up by region: returns the addresses of entry instances for callers in `region` that send requests to `host`.
+fn answer_by_region(context: &Context, region: &str, host: &str, caller: IpAddr) -> Result<Reply, Kind> {
     let steering = context.steering();
-    let position = steering.policy.region_position(region);
+    let active = &steering.policy;
+    let position = active.region_position(region);
+    let homes = || -> Vec<RegionId> {
+        let names = active.policy.home_regions(host);
+        names.into_iter().filter_map(|name| active.region_position(name)).collect()
+    };
     let limit = context.settings.callers.answer_entries as usize;
     let caller = hash::bytes(caller.to_string().as_bytes());
-    let found = steer::by_region::look_up(&steering.view, position, caller, limit);
+    let found = steer::by_region::look_up(&steering.view, position, homes, caller, limit);
     let named: Vec<&steer::view::Entry> = found.iter().filter_map(|place| steering.view.entry(*place)).collect();
     if let Some(position) = position.filter(|position| named.iter().all(|entry| entry.region != *position)) {
-        decision_log::lookup_elsewhere(context, &steering, region, position, named.len());
+        let homes = homes();
+        let in_homes = named.iter().filter(|entry| homes.contains(&entry.region)).count();
+        decision_log::lookup_elsewhere(context, &steering, region, position, named.len(), in_homes);
     }
     let addresses: Vec<&str> = named.iter().map(|entry| entry.address.as_str()).collect();
     if addresses.is_empty() {
--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -49,15 +49,23 @@
     allowed.map_or_else(|| "removed".to_owned(), |allowed| allowed.to_string())
 }
 
-/// Logs that a look-up names no entry instance of the caller's `region`, with the standing of those that it has.
-pub fn lookup_elsewhere(context: &Context, steering: &Steering, region: &str, position: RegionId, named: usize) {
+/// Logs that a look-up names no entry instance of the caller's `region`, with the standing of those that it has; `in_homes` of the
+/// `named` ones are where the caller's requests may run.
+pub fn lookup_elsewhere(
+    context: &Context,
+    steering: &Steering,
+    region: &str,
+    position: RegionId,
+    named: usize,
+    in_homes: usize,
+) {
     context.metrics.lookups_elsewhere.inc();
     let own = steering.view.entries().iter().filter(|entry| entry.region == position);
     let count = |standing: Standing| own.clone().filter(|entry| entry.standing == standing).count();
     let (good, doubtful, out) = (count(Standing::Good), count(Standing::Doubtful), count(Standing::Out));
     let (version, uptime) = (steering.policy.version, context.uptime());
     log::info!(
-        region, good, doubtful, out, named, stopping = context.stopping(), up_ms:% = uptime.as_millis(), version:% = version;
+        region, good, doubtful, out, named, in_homes, stopping = context.stopping(), up_ms:% = uptime.as_millis(), version:% = version;
         "callers: look-up names other regions"
     );
 }
--- a/crates/daemon/tests/view.rs
+++ b/crates/daemon/tests/view.rs
@@ -287,3 +287,40 @@
     });
     assert_eq!(wrong, [""; 0], "answers other than {own}");
 }
+
+/// Guards against a look-up that sends callers whose region is being replaced to a region where none of their requests may run, though
+/// one has good instances where they may: their requests then cross a border once more than they must.
+#[rstest]
+#[case::own_serves(&[("h", "t")], "", "r")]
+#[case::own_leaves(&[("h", "t")], "r", "t")]
+#[case::own_and_home_leave(&[("h", "t")], "r t", "s")]
+#[case::all_leave_but_own(&[("h", "t")], "s t", "r")]
+#[case::home_of_all_classes(&[("h", "s t"), ("h", "t")], "r", "t")]
+#[case::no_home_of_all_classes(&[("h", "s"), ("h", "t")], "r", "s t")]
+#[case::own_region_among_homes(&[("h", "r s")], "r", "s")]
+#[case::no_homes(&[("h", "")], "r", "s t")]
+#[case::homes_of_another_host(&[("h", ""), ("other", "t")], "r", "s t")]
+#[case::class_of_any_host(&[("", "t")], "r", "t")]
+fn of_other_regions_those_come_first_in_which_the_hosts_requests_may_run(
+    #[case] classes: &[(&str, &str)],
+    #[case] leaving: &str,
+    #[case] expected: &str,
+) {
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+    let regions = ["r", "s", "t"];
+    let context = context(&runtime, (1..).zip(regions).map(|(number, region)| entry(region, number)).collect());
+    assert!(policies::apply(&context, regional_policy(1, &regions, classes), Origin::Peer, "test"));
+    let record = |(number, region): (u64, &str)| {
+        let record =
+            Record::new(&format!("{region}{number}"), 1, &format!("127.0.0.{number}:7200"), &format!("{region}-d"));
+        Record { state: Standing::Left, ..record }
+    };
+    let left = (1..).zip(regions).filter(|(_, region)| leaving.contains(region)).map(record).collect();
+    lock(&context.roster).merge_snapshot(&Snapshot { records: left, ..Snapshot::default() }, context.now());
+    view::refresh(&context);
+    let answer = look_up(&context, "name=H.&region=r&zone=r-d");
+    let is_named = |number: usize| answer.contains(&entry("", number).address);
+    let named: Vec<&str> =
+        (1..).zip(regions).filter(|(number, _)| is_named(*number)).map(|(_, region)| region).collect();
+    assert_eq!(named.join(" "), expected, "{answer}");
+}
--- a/crates/steer/src/by_region.rs
+++ b/crates/steer/src/by_region.rs
@@ -15,19 +15,33 @@
 
 /// Returns the positions in the view of up to `limit` entry instances for a caller in `region` with the hash `caller`.
 ///
-/// Entry instances of its own region are named, so that callers spread over them; those of other regions only if its own has
-/// none. Doubtful ones are named only if no good one is left. `None` stands for any region.
-pub fn look_up(view: &View, region: Option<RegionId>, caller: u64, limit: usize) -> Vec<u16> {
-    let matching = |worst: Standing, own_region: bool| {
+/// Entry instances of its own region are named, so that callers spread over them; those of other regions only if its own has no
+/// good one, and of these first the ones in its `homes`, regions in which its requests may run. Doubtful ones are named only if no
+/// good one is left. `None` stands for any region.
+pub fn look_up<F>(view: &View, region: Option<RegionId>, homes: F, caller: u64, limit: usize) -> Vec<u16>
+where
+    F: FnOnce() -> Vec<RegionId>,
+{
+    let matching = |worst: Standing, scope: &[RegionId]| {
         let entries = view.entries().iter().enumerate();
-        let allowed = entries.filter(|(_, entry)| {
-            entry.standing <= worst && (!own_region || region.is_none_or(|region| entry.region == region))
-        });
+        let allowed =
+            entries.filter(|(_, entry)| entry.standing <= worst && (scope.is_empty() || scope.contains(&entry.region)));
         allowed.map(|(position, entry)| (position as u16, entry)).collect::<Vec<_>>()
     };
-    let preferences =
-        [(Standing::Good, true), (Standing::Good, false), (Standing::Doubtful, true), (Standing::Doubtful, false)];
-    let found = preferences.into_iter().map(|(worst, own_region)| matching(worst, own_region));
+    let own: Vec<RegionId> = region.into_iter().collect();
+    let good = matching(Standing::Good, &own);
+    if !good.is_empty() {
+        return sample(good, caller, limit);
+    }
+    let homes = homes();
+    let preferences = [
+        (Standing::Good, homes.as_slice()),
+        (Standing::Good, &[]),
+        (Standing::Doubtful, &own),
+        (Standing::Doubtful, &homes),
+        (Standing::Doubtful, &[]),
+    ];
+    let found = preferences.into_iter().map(|(worst, scope)| matching(worst, scope));
     sample(found.into_iter().find(|found| !found.is_empty()).unwrap_or_default(), caller, limit)
 }
 
