Revert: a connection to the store that opens late serves the next call

What is left: 'no connection within 500 ms' stays the most frequent failure there, and no bound of the age is known for a machine at whose link packets wait.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -10,7 +10,6 @@
 use h1::{Budget, Payload};
 use http::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use tokio::runtime::{Builder, Handle, Runtime};
-use tokio::sync::oneshot;
 
 use crate::call::{Answer, Call, Reply};
 use crate::codec::{Codec, Message};
@@ -25,9 +24,6 @@
 const MAX_IDLE: Duration = Duration::from_secs(2);
 /// Maximum number of idle connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 4;
-/// Longest time for which a connection is being opened. On a link on which packets wait, that takes longer than a call may wait
-/// for it; the connection is then there for the next call.
-const MAX_OPENING: Duration = Duration::from_secs(3);
 
 /// The runtime that drives the sockets of blocking calls.
 #[derive(Debug)]
@@ -36,40 +32,6 @@
     Shared(Handle),
 }
 
-impl Runner {
-    fn handle(&self) -> &Handle {
-        match self {
-            Self::Own(runtime) => runtime.handle(),
-            Self::Shared(handle) => handle,
-        }
-    }
-}
-
-/// Idle connections, each with the time since when it is idle.
-#[derive(Debug, Clone, Default)]
-struct Idle(Arc<Mutex<Vec<(Connection, Instant)>>>);
-
-impl Idle {
-    /// Removes and returns the connection that was added last, if it is still usable.
-    fn take(&self) -> Option<Connection> {
-        let last = self.0.lock().unwrap_or_else(PoisonError::into_inner).pop();
-        let usable = last.filter(|(open, since)| since.elapsed() < MAX_IDLE && open.is_idle());
-        usable.map(|(connection, _)| connection)
-    }
-
-    /// Adds a connection, unless there are enough.
-    fn put(&self, connection: Connection) {
-        let mut idle = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push((connection, Instant::now()));
-        }
-    }
-
-    fn clear(&self) {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).clear();
-    }
-}
-
 /// A client of the store, which threads can share.
 #[derive(Debug)]
 pub struct Client {
@@ -77,7 +39,7 @@
     address: String,
     timeout: Duration,
     runner: Runner,
-    idle: Idle,
+    idle: Mutex<Vec<(Connection, Instant)>>,
     calls: AtomicU64,
     /// The latest era that an answer named.
     era: AtomicU64,
@@ -101,7 +63,7 @@
 
     fn with_runner(codec: Codec, address: &str, timeout: Duration, runner: Runner) -> Self {
         let address = address.to_owned();
-        let (idle, budget) = (Idle::default(), Budget::new(ANSWER_BUDGET_BYTES));
+        let (idle, budget) = (Mutex::new(Vec::new()), Budget::new(ANSWER_BUDGET_BYTES));
         let (calls, era) = (AtomicU64::new(0), AtomicU64::new(0));
         Self { codec, address, timeout, runner, idle, calls, era, budget }
     }
@@ -139,12 +101,16 @@
 
     /// Drops the idle connections, so that the next call opens a new one.
     pub fn reconnect(&self) {
-        self.idle.clear();
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
     }
 
     /// Makes a call and blocks this thread until it ends.
     fn call_blocking(&self, call: &Call) -> Result<Reply> {
-        self.runner.handle().block_on(self.call(call)).map(|answer| answer.reply)
+        match &self.runner {
+            Runner::Own(runtime) => runtime.block_on(self.call(call)),
+            Runner::Shared(handle) => handle.block_on(self.call(call)),
+        }
+        .map(|answer| answer.reply)
     }
 
     async fn exchange(&self, message: &Message) -> Result<(u16, Option<u64>, Bytes)> {
@@ -166,7 +132,10 @@
         };
         let answer = connection.exchange(call, |_| true).await.map_err(to_error)?;
         if answer.reusable {
-            self.idle.put(connection);
+            let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+            if idle.len() < MAX_IDLE_CONNECTIONS {
+                idle.push((connection, Instant::now()));
+            }
         }
         let era = self.observe_era(&answer.headers);
         Ok((answer.status.as_u16(), era, answer.body))
@@ -186,33 +155,19 @@
     }
 
     async fn connection(&self) -> Result<Connection> {
-        if let Some(idle) = self.idle.take() {
-            return Ok(idle);
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
+        if let Some((connection, _)) = idle.filter(|(open, since)| since.elapsed() < MAX_IDLE && open.is_idle()) {
+            return Ok(connection);
         }
         let unreachable = |reason: String| Error::Unreachable(reason);
         let address: SocketAddr =
             self.address.parse().map_err(|_e| unreachable("its address is not IP:PORT".to_owned()))?;
         let limit = self.timeout / 2;
-        match tokio::time::timeout(limit, self.open(address)).await {
-            Ok(Ok(opened)) => opened.map_err(|source| unreachable(source.to_string())),
-            Ok(Err(_)) => Err(unreachable("it was not opened".to_owned())),
+        match tokio::time::timeout(limit, Connection::open(address, self.timeout)).await {
+            Ok(opened) => opened.map_err(|source| unreachable(source.to_string())),
             Err(_) => Err(unreachable(format!("no connection within {} ms", limit.as_millis()))),
         }
     }
-
-    /// Opens a connection. If the call gives up meanwhile, it becomes an idle one.
-    fn open(&self, address: SocketAddr) -> oneshot::Receiver<std::io::Result<Connection>> {
-        let (sender, receiver) = oneshot::channel();
-        let (idle, user_timeout) = (self.idle.clone(), self.timeout);
-        self.runner.handle().spawn(async move {
-            let opening = tokio::time::timeout(MAX_OPENING, Connection::open(address, user_timeout));
-            let Ok(opened) = opening.await else { return };
-            if let Err(Ok(late)) = sender.send(opened) {
-                idle.put(late);
-            }
-        });
-        receiver
-    }
 }
 
 impl Store for Client {
