Logs and metrics tell a request that reached another server

What operators saw: an address that is given to another server answers 421, and the attempt ended as 'unreachable status=0', like one at a server that is away.

Added, with no change of behaviour: 'dispatch: another server answered' with server, region, address and what is allowed; hemlock_misdirected_total.

The test a_misdirected_order_is_not_run asks for the count; before, there was none, and it does not compile.

--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -118,7 +118,7 @@
     let exchange = exchange(context, outgoing, attempt, &target, connection);
     let limit = attempt.deadline.since(context.now());
     match tokio::time::timeout(limit, exchange).await {
-        Ok(Ok(answer)) => classify_answer(context, attempt, answer),
+        Ok(Ok(answer)) => classify_answer(context, outgoing, attempt, answer),
         Ok(Err(fault)) => {
             context.pool.clear(attempt.backend);
             let ending = ending_of(fault);
@@ -210,10 +210,16 @@
 /// A misdirected request (status 421) reached another server than it was meant for, so its server counts as
 /// unreachable. An answer counts as cut if the dialect requires framing that it lacks, or if it is not proven to be the
 /// server's whole answer.
-fn classify_answer(context: &Arc<Context>, attempt: Attempt, answer: Answer) -> (Ending, Option<Arc<Response>>) {
+fn classify_answer(
+    context: &Arc<Context>,
+    outgoing: &Outgoing,
+    attempt: Attempt,
+    answer: Answer,
+) -> (Ending, Option<Arc<Response>>) {
     let dialect = &context.dialect;
     load::record(context, attempt.backend, &answer.headers);
     if answer.status == StatusCode::MISDIRECTED_REQUEST {
+        decision_log::misdirected(context, outgoing, attempt);
         context.pool.clear(attempt.backend);
         return (Ending::Unreachable, None);
     }
--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -71,6 +71,21 @@
     );
 }
 
+/// Logs that a request reached another server than the one it was sent to, as with an address that was given to another one. The
+/// region is that of the intended server.
+pub fn misdirected(context: &Context, outgoing: &Outgoing, attempt: Attempt) {
+    context.metrics.misdirected.inc();
+    let steering = context.steering();
+    let target = steering.backends.get(&attempt.backend);
+    let (server, region) = target.map_or(("gone", "-"), |instance| (&instance.name, &instance.region));
+    let address = target.map_or("-", |instance| &instance.address);
+    log::info!(
+        request = outgoing.id.as_str(), attempt = attempt.number, server, region, address, class = outgoing.class.as_str(),
+        account = outgoing.account.as_deref().unwrap_or("-"), allowed:% = allowed(&context.policy(), outgoing);
+        "dispatch: another server answered"
+    );
+}
+
 /// Logs that a caller disconnected before it was answered; `waited` is the time since its request arrived.
 pub fn caller_disconnected(outgoing: &Outgoing, waited: Duration) {
     log::info!(request = outgoing.id.as_str(), ms:% = waited.as_millis(); "callers: gone");
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -16,6 +16,8 @@
     pub lookups: IntCounter,
     /// Look-ups whose answers name no entry instance of the caller's region.
     pub lookups_elsewhere: IntCounter,
+    /// Requests that reached another backend server than the one they were sent to.
+    pub misdirected: IntCounter,
     /// Replies on connections of callers, by what the address is for, who made the reply, and the class of its status.
     pub replies: IntCounterVec,
     /// Replies with a status 3xx or 4xx, by what the address is for, who made the reply, whether a backend server signed it, the
@@ -113,6 +115,11 @@
         let registry = Registry::new();
         Self {
             lookups: counter(&registry, "hemlock_lookups_total", "Look-ups answered"),
+            misdirected: counter(
+                &registry,
+                "hemlock_misdirected_total",
+                "Requests that reached another backend server than the one they were sent to",
+            ),
             lookups_elsewhere: counter(
                 &registry,
                 "hemlock_lookups_elsewhere_total",
--- a/crates/daemon/tests/port.rs
+++ b/crates/daemon/tests/port.rs
@@ -98,6 +98,8 @@
     let refused = harness.exchange(order);
     assert!(refused.starts_with("HTTP/1.1 503") && refused.contains("not-run"), "{refused:?}");
     assert_eq!(harness.backend.runs().get("k"), None);
+    let daemon = harness.daemon.as_ref().expect("the daemon runs");
+    assert!(daemon.context().metrics.misdirected.get() >= 1, "operators can tell it from a server that is away");
     harness.backend.set_faults(fakes::backend::Faults::default());
     // The order did not run: sent again, it runs as soon as the daemon uses the server again.
     let mut answers = (0..500).map(|_| {
