--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -115,16 +115,8 @@
         let registry = Registry::new();
         Self {
             lookups: counter(&registry, "hemlock_lookups_total", "Look-ups answered"),
-            misdirected: counter(
-                &registry,
-                "hemlock_misdirected_total",
-                "Requests that reached another backend server than the one they were sent to",
-            ),
-            lookups_elsewhere: counter(
-                &registry,
-                "hemlock_lookups_elsewhere_total",
-                "Look-ups whose answers name no entry instance of the caller's region",
-            ),
+            misdirected: counter(&registry, "hemlock_misdirected_total", "Requests that reached another server"),
+            lookups_elsewhere: counter(&registry, "hemlock_lookups_elsewhere_total", "Look-ups naming other regions"),
             replies: counters(
                 &registry,
                 "hemlock_replies_total",
@@ -179,11 +171,7 @@
             ),
             caller_memory: gauge(&registry, "hemlock_caller_memory_bytes", "Bytes held for callers"),
             callers_disconnected: counter(&registry, "hemlock_callers_gone_total", "Callers gone before their answer"),
-            backend_connects: counter(
-                &registry,
-                "hemlock_backend_connects_total",
-                "Connections made to backend servers",
-            ),
+            backend_connects: counter(&registry, "hemlock_backend_connects_total", "Connections to backend servers"),
             backend_connects_failed: counters(
                 &registry,
                 "hemlock_backend_connects_failed_total",
