--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -16,6 +16,8 @@
     pub lookups: IntCounter,
     /// Look-ups whose answers name no entry instance of the caller's region.
     pub lookups_elsewhere: IntCounter,
+    /// Requests that reached another backend server than the one they were sent to.
+    pub misdirected: IntCounter,
     /// Replies on connections of callers, by what the address is for, who made the reply, and the class of its status.
     pub replies: IntCounterVec,
     /// Replies with a status 3xx or 4xx, by what the address is for, who made the reply, whether a backend server signed it, the
@@ -114,6 +116,7 @@
         Self {
             lookups: counter(&registry, "hemlock_lookups_total", "Look-ups answered"),
             lookups_elsewhere: counter(&registry, "hemlock_lookups_elsewhere_total", "Naming other regions"),
+            misdirected: counter(&registry, "hemlock_misdirected_total", "Requests that reached another server"),
             replies: counters(
                 &registry,
                 "hemlock_replies_total",
@@ -168,11 +171,7 @@
             ),
             caller_memory: gauge(&registry, "hemlock_caller_memory_bytes", "Bytes held for callers"),
             callers_disconnected: counter(&registry, "hemlock_callers_gone_total", "Callers gone before their answer"),
-            backend_connects: counter(
-                &registry,
-                "hemlock_backend_connects_total",
-                "Connections made to backend servers",
-            ),
+            backend_connects: counter(&registry, "hemlock_backend_connects_total", "Connections to backend servers"),
             backend_connects_failed: counters(
                 &registry,
                 "hemlock_backend_connects_failed_total",
