Nothing is passed on while dispatch is suspended after a stall

Callers of an instance that reaches no server and whose process was stopped for seconds: the dispatch engine sends nothing until the store has answered (400 ms at most), but requests were passed on at once, by the policy and the view of before the stop, so to regions that route or account had left meanwhile.

Cause: the suspension is the engine's, and passing on goes around it.

stall::settled checks for a stall and waits while one is unconfirmed; it is called before an instance is chosen and before the request is written.

--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -32,7 +32,7 @@
 use crate::backends::attempt::{self, UNACKED_TIMEOUT};
 use crate::driver::{Outcome, Outdated, Outgoing, Refusal};
 use crate::policies::ActivePolicy;
-use crate::{decision_log, response};
+use crate::{decision_log, response, stall};
 
 /// Marks a request that is passed on to an instance of a build up to 4e2e901.
 const EARLIER_MARK: HeaderName = HeaderName::from_static("hemlock-relayed");
@@ -66,6 +66,7 @@
     let mut retry_after = None;
     let mut tried: BTreeSet<Distance> = BTreeSet::new();
     loop {
+        stall::settled(context).await;
         if !context.is_in_force(active) {
             return Err(Outdated);
         }
@@ -133,7 +134,7 @@
 /// Sends the request to `peer` and reads its answer, unless another policy than `active` has come into force while connecting. A
 /// reusable connection is returned to the pool.
 async fn exchange(
-    context: &Context,
+    context: &Arc<Context>,
     active: &Arc<ActivePolicy>,
     outgoing: &Outgoing,
     peer: &Peer,
@@ -142,6 +143,7 @@
     let address = peer.interface.address();
     let id = hash::bytes(address.to_string().as_bytes()) as BackendId;
     let mut connection = connect(context, id, address).await?;
+    stall::settled(context).await;
     if !context.is_in_force(active) {
         return Err(Failure::Unsent);
     }
--- a/crates/daemon/src/callers/relay/regions.rs
+++ b/crates/daemon/src/callers/relay/regions.rs
@@ -3,8 +3,6 @@
 //! They are a JSON list in a value of `Proxy-Authorization` with a scheme of its own, behind the one that names the account. No
 //! build passes on that header to backend servers. Builds up to f5d1856 read its first value only, and name no regions.
 
-use std::collections::BTreeSet;
-
 use config::policy::Allowed;
 use http::header::{HeaderMap, HeaderValue, PROXY_AUTHORIZATION};
 
@@ -29,6 +27,6 @@
     };
     headers.get_all(PROXY_AUTHORIZATION).iter().find(is_named).map_or(Allowed::All, |value| {
         let names = identity::credentials(value, SCHEME).and_then(|names| serde_json::from_slice(names).ok());
-        Allowed::Only(names.unwrap_or_else(BTreeSet::new))
+        Allowed::Only(names.unwrap_or_default())
     })
 }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -21,6 +21,7 @@
 use steer::grant::Manager;
 use steer::shift::Controller;
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::watch;
 
 use crate::accounts;
 use crate::adapter::{Adapter, Catalog};
@@ -71,6 +72,8 @@
     pub dialect: Arc<Dialect>,
     /// Detects that the process was suspended or did not run.
     pub stall_detector: Mutex<stall::Detector>,
+    /// Number of stalls after which dispatch is still suspended.
+    pub unconfirmed_stalls: watch::Sender<u32>,
     /// The clock of all times in this state.
     pub clock: Clock,
     started_at: Time,
@@ -180,6 +183,7 @@
             mirror_sync: SyncState::new(),
             catalog_state: Mutex::new(CatalogState::default()),
             stall_detector: Mutex::new(stall::Detector::new(now)),
+            unconfirmed_stalls: watch::Sender::new(0),
             clock,
             started_at: now,
             incarnation,
--- a/crates/daemon/src/stall.rs
+++ b/crates/daemon/src/stall.rs
@@ -48,6 +48,7 @@
     let Some(stalled) = lock(&context.stall_detector).observe(now) else { return };
     log::warn!("stall: process stalled, dispatch suspended until the store has answered ms={}", stalled.as_millis());
     context.metrics.stalls.inc();
+    context.unconfirmed_stalls.send_modify(|stalls| *stalls += 1);
     context.driver.with_engine_mut(context, |engine| engine.suspend(stalled, now + MAX_SUSPENSION));
     let shared = Arc::clone(context);
     context.runtime.spawn(async move {
@@ -55,10 +56,19 @@
         view::refresh(&shared);
         let now = shared.now();
         shared.driver.with_engine_mut(&shared, |engine| engine.resume(now));
+        shared.unconfirmed_stalls.send_modify(|stalls| *stalls -= 1);
         log::info!("stall: dispatch resumed confirmed={confirmed}");
     });
 }
 
+/// Checks whether the process has stalled, and waits while dispatch is suspended. Called before anything is sent that the dispatch
+/// engine does not send.
+pub async fn settled(context: &Arc<Context>) {
+    check(context);
+    let confirmed = context.unconfirmed_stalls.subscribe().wait_for(|stalls| *stalls == 0).await.is_ok();
+    debug_assert!(confirmed, "the context has the sender");
+}
+
 /// Waits until the state of backend servers is newer than `stall_end`.
 async fn confirm(context: &Context, stall_end: Time) {
     if context.catalog.is_some() {
