A daemon that knows no other one asks its seeds again

What callers saw: look-ups answered by one instance name only itself for as long as it runs, and none at all while it leaves. Cause: a starting daemon asks each seed once. If none answers, it has no member to exchange messages with, and no other daemon knows of it: it stays alone until it is restarted. Change: a daemon without any member asks its seeds again before each exchange, unless it is stopping; only the first failure is logged as a warning. Messages between daemons stay as they are. Such a daemon also went by its own share of all that daemons divide among them; that was not measured.

--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -40,7 +40,9 @@
 fn start(context: &Arc<Context>) -> kernel::StartResult {
     let shared = Arc::clone(context);
     let task = context.runtime.spawn(async move {
-        join(&shared).await;
+        if !join(&shared).await {
+            log::warn!("peers: no peer answered seeds={}", shared.settings.fleet.seeds.len());
+        }
         shared.mirror_sync.mark_joined();
         run(&shared).await;
     });
@@ -132,8 +134,8 @@
     }
 }
 
-/// Joins through the first seed that answers, trying them in random order; without any the daemon starts alone.
-async fn join(context: &Arc<Context>) {
+/// Joins through the first seed that answers, trying them in random order; returns whether one did.
+async fn join(context: &Arc<Context>) -> bool {
     let mut rng = fastrand::Rng::with_seed(context.incarnation);
     let mut seeds = context.settings.fleet.seeds.clone();
     seeds.retain(|seed| *seed != context.settings.fleet.address);
@@ -150,7 +152,7 @@
                 if seed_is_starting && context.catalog.is_some() {
                     rejoin(context, seed).await;
                 }
-                return;
+                return true;
             }
             Err(error) => log::debug!("peers: seed did not answer peer={seed} reason={:?}", error.to_string()),
         }
@@ -158,7 +160,7 @@
         let max_delay = base.saturating_mul(1 << attempts.min(6)).min(MAX_JOIN_BACKOFF);
         tokio::time::sleep(max_delay.mul_f64(rng.f64())).await;
     }
-    log::warn!("peers: no peer answered seeds={}", seeds.len());
+    false
 }
 
 /// Merges the snapshot of a peer: its members, leaving servers, rate limits and policy.
@@ -187,7 +189,8 @@
     }
 }
 
-/// Exchanges messages with one member after the other until the task is aborted.
+/// Exchanges messages with one member after the other until the task is aborted. A daemon that knows no other one asks its seeds again:
+/// they may have started later, and nobody else knows of it.
 async fn run(context: &Arc<Context>) {
     let base = context.settings.fleet.exchange_ms;
     let mut rng = fastrand::Rng::with_seed(context.incarnation ^ 1);
@@ -200,8 +203,10 @@
             roster.tick(now);
             roster.next_target(now)
         };
-        if let Some((name, address)) = target {
-            exchange_with(context, &name, &address, message(context)).await;
+        match target {
+            Some((name, address)) => exchange_with(context, &name, &address, message(context)).await,
+            None if context.stopping() || !lock(&context.roster).is_empty() => {}
+            None => _ = join(context).await,
         }
     }
 }
