Instances to pass a request on to are chosen by the regions of the view that names them

The review, by reading: positions of regions in a view are those of the policy that it was built for, which is replaced a moment before the policy in force. Latent on the platform, where regions come from the settings.

--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -71,7 +71,7 @@
             return Err(Outdated);
         }
         let left = passage.deadline.since(context.now());
-        let Some(peer) = peer::choose(context, active, passage.allowed, &tried).filter(|_| !left.is_zero()) else {
+        let Some(peer) = peer::choose(context, passage.allowed, &tried).filter(|_| !left.is_zero()) else {
             return Ok(Err(Refusal { kind: Kind::Unreachable, retry_after }));
         };
         tried.insert(peer.distance);
@@ -102,11 +102,11 @@
     context.metrics.relayed.with_label_values(&[label]).inc();
     let active = context.policy();
     let (host, path) = decision_log::place(outgoing);
+    let (class, allowed) = decision_log::allowed(&active, outgoing);
     log::info!(
         request = outgoing.id.as_str(), peer = peer.name.as_str(), result = label, status, ms:%,
-        region = peer.region.as_str(), class = outgoing.class.as_str(),
-        account = outgoing.account.as_deref().unwrap_or("-"), version:% = active.version,
-        allowed:% = decision_log::allowed(&active, outgoing), host, path;
+        region = peer.region.as_str(), class, account = outgoing.account.as_deref().unwrap_or("-"),
+        version:% = active.version, allowed, host, path;
         "relay: passed on"
     );
 }
--- a/crates/daemon/src/callers/relay/peer.rs
+++ b/crates/daemon/src/callers/relay/peer.rs
@@ -8,7 +8,6 @@
 
 use crate::Context;
 use crate::context::lock;
-use crate::policies::ActivePolicy;
 
 /// Another entry instance.
 #[derive(Debug, Clone)]
@@ -47,22 +46,19 @@
     Elsewhere,
 }
 
-/// Returns the next instance to try for a request that the policy `active` allows to run in `allowed`: a random one of this
+/// Returns the next instance to try for a request that may run in `allowed`: a random one of this
 /// failure domain, then one of another of this region, then one of another region; `None` once all `tried` leave none. Instances
 /// that reach no server themselves, that are leaving or that may be dead are passed over.
-pub(super) fn choose(
-    context: &Context,
-    active: &ActivePolicy,
-    allowed: &Allowed,
-    tried: &BTreeSet<Distance>,
-) -> Option<Peer> {
+pub(super) fn choose(context: &Context, allowed: &Allowed, tried: &BTreeSet<Distance>) -> Option<Peer> {
     let steering = context.steering();
     let settings = &context.settings;
-    let own_region = active.region_position(&settings.region);
+    // Positions of regions in the view are those of the policy that it was built for.
+    let regions = &steering.policy;
+    let own_region = regions.region_position(&settings.region);
     let own_domain = steering.view.entries().iter().find(|entry| entry.name == settings.instance);
     let own_domain = own_domain.map(|entry| entry.domain);
     let usable = steering.view.entries().iter().filter(|entry| {
-        let region = active.regions.get(usize::from(entry.region));
+        let region = regions.regions.get(usize::from(entry.region));
         let in_allowed = *allowed == Allowed::All || region.is_some_and(|region| allowed.contains(region));
         // Bytes over links to other regions are limited; without that limit, they are the last resort.
         let in_reach = settings.dispatch.open_links || Some(entry.region) == own_region;
@@ -79,7 +75,7 @@
             continue;
         }
         let Some(interface) = interface(context, entry) else { continue };
-        let region = active.regions.get(usize::from(entry.region)).cloned().unwrap_or_default();
+        let region = regions.regions.get(usize::from(entry.region)).cloned().unwrap_or_default();
         nearest.entry(distance).or_default().push(Peer { name: entry.name.clone(), region, distance, interface });
     }
     nearest.into_values().find_map(fastrand::choice)
