A host with a class that may run everywhere has no home regions for look-ups

Cause: of other regions, look-ups put those first that most classes of the host with regions name. On a host with one rarely used class with regions, all callers of a region that is being replaced would go to that one region. Change: the preference holds only if every class of the host has regions. The new case a_class_without_homes failed before.

--- a/crates/config/src/policy/mod.rs
+++ b/crates/config/src/policy/mod.rs
@@ -146,11 +146,16 @@
         candidates.max_by_key(|(precedence, _, _)| *precedence).map(|(_, name, class)| (name, class))
     }
 
-    /// Returns the regions that most classes of `host` with regions of their own name; none if it has no such class.
+    /// Returns the regions that most classes of `host` name; none if one of these classes may run everywhere, since its callers
+    /// would crowd into the regions of the others.
     pub fn home_regions(&self, host: &str) -> Vec<&str> {
-        let classes = self.classes.values().filter(|class| !class.closed && class.matches_host(host));
+        let classes: Vec<&Class> =
+            self.classes.values().filter(|class| !class.closed && class.matches_host(host)).collect();
+        if classes.iter().any(|class| class.regions.is_empty()) {
+            return Vec::new();
+        }
         let mut named = BTreeMap::<&str, usize>::new();
-        classes.flat_map(|class| &class.regions).for_each(|region| *named.entry(region).or_default() += 1);
+        classes.iter().flat_map(|class| &class.regions).for_each(|region| *named.entry(region).or_default() += 1);
         let most = named.values().max().copied().unwrap_or_default();
         named.into_iter().filter(|(_, classes)| *classes == most).map(|(region, _)| region).collect()
     }
--- a/crates/daemon/tests/view.rs
+++ b/crates/daemon/tests/view.rs
@@ -299,6 +299,7 @@
 #[case::no_home_of_all_classes(&[("h", "s"), ("h", "t")], "r", "s t")]
 #[case::own_region_among_homes(&[("h", "r s")], "r", "s")]
 #[case::no_homes(&[("h", "")], "r", "s t")]
+#[case::a_class_without_homes(&[("h", "t"), ("h", "")], "r", "s t")]
 #[case::homes_of_another_host(&[("h", ""), ("other", "t")], "r", "s t")]
 #[case::class_of_any_host(&[("", "t")], "r", "t")]
 fn of_other_regions_those_come_first_in_which_the_hosts_requests_may_run(
