An attempt that the engine has ended is not sent

An attempt that is cancelled just as it gets its connection asked may_send after its end and was told to go on: the one path to a server on which Terms::allow was not asked. Cause: an attempt that the engine does not know counted as one that may be sent. Change: it may not. The test leaving_and_paused_servers_may_not_be_sent_to asked with a number of no attempt; it has a real one now and asks as much.

--- a/crates/dispatch/src/engine/update.rs
+++ b/crates/dispatch/src/engine/update.rs
@@ -225,7 +225,7 @@
             let request = self.requests.get(&attempt.request);
             request.is_some_and(|request| request.terms.allow(&server.spec))
         };
-        now >= self.suspended_until && self.attempts.get(&attempt).is_none_or(is_allowed) && accepts(server)
+        now >= self.suspended_until && self.attempts.get(&attempt).is_some_and(is_allowed) && accepts(server)
     }
 
     /// Returns whether an attempt was counted towards its server's rate limit, so lately that it still belongs to the
--- a/crates/dispatch/tests/announcements.rs
+++ b/crates/dispatch/tests/announcements.rs
@@ -107,11 +107,13 @@
 #[test]
 fn leaving_and_paused_servers_may_not_be_sent_to() {
     let mut world = world(3);
-    assert!(world.engine.may_send(0, 1, world.now) && !world.engine.may_send(0, 4, world.now));
+    let request = world.send(LOOKUP);
+    let attempt = world.attempts_of(request)[0];
+    assert!(world.engine.may_send(attempt, 1, world.now) && !world.engine.may_send(attempt, 4, world.now));
     world.engine.record_leaving(1, world.now + HOUR, world.now);
     world.engine.record_pause(2, SECOND, world.now);
-    assert!(!world.engine.may_send(0, 1, world.now) && !world.engine.may_send(0, 2, world.now));
-    assert!(world.engine.may_send(0, 2, world.now + SECOND));
+    assert!(!world.engine.may_send(attempt, 1, world.now) && !world.engine.may_send(attempt, 2, world.now));
+    assert!(world.engine.may_send(attempt, 2, world.now + SECOND));
 }
 
 #[rstest]
