An open request goes by the class that covers it now, not by the name of its first one

A request that was open when a version came into force went by what that version says of the class of the same name. But a longer prefix may cover it by then, its route may be renamed, or its name stand for other work: it was sent by regions that no version which this instance went by allows for it, or withheld from servers that may run it.

Cause: the same class of fault, one level up: the match of host and path was kept from the arrival.

Change: when a policy comes into force, each open request is matched with it again by host and path, under the engine's lock; one that no class covers keeps what was last declared of its class. Held requests are refused only if no server may run them. A retired class keeps its last specification. 'dispatch: sent' names the class and the policy by which the attempt was decided, read under the same lock.

--- a/crates/daemon/src/callers/forward.rs
+++ b/crates/daemon/src/callers/forward.rs
@@ -207,7 +207,6 @@
         number: context.driver.next_request_number(),
         id: id.to_owned(),
         object: object.to_owned(),
-        class: found.class.clone(),
         account: identity.name().map(str::to_owned),
         method: head.method.clone(),
         target: head.target.clone(),
--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -5,12 +5,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use config::policy::{self, Allowed};
+use config::policy::Allowed;
 use dispatch::Ending;
 use dispatch::backend::BackendId;
 use dispatch::engine::{Basis, Candidate, Decision};
-use h1::head;
-use http::header::HOST;
 use steer::table::RegionId;
 use steer::view::Standing;
 
@@ -23,39 +21,47 @@
 /// Maximum number of server names in one line about changes of the list.
 const MAX_NAMES: usize = 8;
 
-/// Logs where a request is sent and on what basis; `waited` is the time since it arrived. `allowed` are the regions that the
-/// version in force at this moment allows.
-pub fn attempt_sent(context: &Context, outgoing: &Outgoing, attempt: Attempt, waited: Duration, basis: Basis) {
+/// Logs where a request is sent and on what basis; `waited` is the time since it arrived. `active` is the policy that was in force
+/// when that was decided.
+pub fn attempt_sent(
+    context: &Context,
+    active: &ActivePolicy,
+    outgoing: &Outgoing,
+    attempt: Attempt,
+    waited: Duration,
+    basis: Basis,
+) {
     let steering = context.steering();
     let target = steering.backends.get(&attempt.backend);
     let (server, domain) = target.map_or(("gone", ""), |instance| (&instance.name, &instance.domain));
     let region = target.map_or("-", |instance| instance.region.as_str());
     let now = context.now();
-    let active = context.policy();
     let warm = warm_label(basis);
     let (host, path) = place(outgoing);
+    let (class, allowed) = allowed(active, outgoing);
     log::info!(
         request = outgoing.id.as_str(), object = outgoing.object.as_str(), attempt = attempt.number, server, domain,
         again = attempt.retry, warm, own = basis.own_in_flight, load:% = format_args!("{:.2}", basis.load),
         pace:% = format_args!("{:.2}", basis.pace),
         told_ms:% = basis.reported_at.map_or(-1, |reported_at| now.since(reported_at).as_millis() as i64),
         waited_ms:% = waited.as_millis(), left_ms:% = attempt.deadline.since(now).as_millis(), region,
-        class = outgoing.class.as_str(), account = outgoing.account.as_deref().unwrap_or("-"), version:% = active.version,
-        allowed:% = allowed(&active, outgoing), host, path;
+        class, account = outgoing.account.as_deref().unwrap_or("-"), version:% = active.version, allowed, host, path;
         "dispatch: sent"
     );
 }
 
-/// Returns the regions in which a policy lets a request run, as a field of a log line.
-pub fn allowed(active: &ActivePolicy, outgoing: &Outgoing) -> String {
-    let allowed = active.allowed(&outgoing.class, outgoing.account.as_deref());
-    allowed.map_or_else(|| "removed".to_owned(), |allowed| allowed.to_string())
+/// Returns the class that covers a request in a policy and the regions in which it lets the request run, as fields of a log line.
+pub fn allowed<'a>(active: &'a ActivePolicy, outgoing: &Outgoing) -> (&'a str, String) {
+    let Some((class, _)) = active.policy.class_of(outgoing.host(), outgoing.path()) else {
+        return ("-", "removed".to_owned());
+    };
+    let allowed = active.allowed(class, outgoing.account.as_deref()).unwrap_or(Allowed::All);
+    (class, allowed.to_string())
 }
 
 /// Returns host and path of a request as they are logged: what the policies' routes are matched with.
 pub fn place(outgoing: &Outgoing) -> (&str, &str) {
-    let host = policy::host_name(head::text(&outgoing.headers, &HOST).unwrap_or_default());
-    (host, rejection::shortened(outgoing.target.split('?').next().unwrap_or_default()))
+    (outgoing.host(), rejection::shortened(outgoing.path()))
 }
 
 /// Logs that a look-up names no entry instance of the caller's `region`, with the standing of those that it has; `in_homes` of the
@@ -95,9 +101,11 @@
     let target = steering.backends.get(&attempt.backend);
     let (server, region) = target.map_or(("gone", "-"), |instance| (&instance.name, &instance.region));
     let address = target.map_or("-", |instance| &instance.address);
+    let active = context.policy();
+    let (class, allowed) = allowed(&active, outgoing);
     log::info!(
-        request = outgoing.id.as_str(), attempt = attempt.number, server, region, address, class = outgoing.class.as_str(),
-        account = outgoing.account.as_deref().unwrap_or("-"), allowed:% = allowed(&context.policy(), outgoing);
+        request = outgoing.id.as_str(), attempt = attempt.number, server, region, address, class,
+        account = outgoing.account.as_deref().unwrap_or("-"), allowed;
         "dispatch: another server answered"
     );
 }
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -7,11 +7,13 @@
 
 use base::error::Kind;
 use base::time::Time;
+use config::policy;
 use dispatch::backend::{BackendId, Report};
 use dispatch::engine::{Account, Arrival, Basis, Decision};
 use dispatch::{Action, Ending, Engine, Verdict};
-use h1::Payload;
 use h1::client::Call;
+use h1::{Payload, head};
+use http::header::HOST;
 use http::{HeaderMap, Method};
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
@@ -42,9 +44,7 @@
     pub id: String,
     /// The object that the request is about, as the caller names it; a dash for none.
     pub object: String,
-    /// Name of the request's class.
-    pub class: String,
-    /// Name of its client account; `None` without one.
+    /// Name of the request's client account; `None` without one.
     pub account: Option<String>,
     /// HTTP method.
     pub method: Method,
@@ -61,6 +61,16 @@
 }
 
 impl Outgoing {
+    /// Returns the host that the request names, without a port.
+    pub fn host(&self) -> &str {
+        policy::host_name(head::text(&self.headers, &HOST).unwrap_or_default())
+    }
+
+    /// Returns the path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
     /// Returns the call to a server or to another daemon with `headers`, within the limits on answers.
     pub fn call<'a>(&'a self, context: &'a Context, headers: &'a HeaderMap) -> Call<'a> {
         Call {
@@ -192,6 +202,16 @@
         Err(Outdated)
     }
 
+    /// Returns the position of the class that covers each open request in a policy; nothing for one that no class covers.
+    pub fn covering_classes(&self, active: &ActivePolicy) -> BTreeMap<u64, usize> {
+        let pending = lock(&self.pending);
+        let covering = pending.iter().filter_map(|(number, pending)| {
+            let (name, _) = active.policy.class_of(pending.outgoing.host(), pending.outgoing.path())?;
+            Some((*number, active.class_position(name)?))
+        });
+        covering.collect()
+    }
+
     /// Drops `request`, whose caller disconnected.
     pub fn abandon(&self, context: &Arc<Context>, request: u64) {
         let now = context.now();
@@ -230,10 +250,12 @@
         let losses = context.reach.pass_losses(engine.take_losses());
         context.metrics.queued.set(engine.queued() as i64);
         context.metrics.in_flight.set(engine.in_flight() as i64);
+        // The policy that the actions were decided by: it is replaced under the engine's lock only.
+        let active = context.policy();
         drop(engine);
         decisions.iter().for_each(|decision| self.log_decision(context, decision));
         for action in actions {
-            self.perform(context, action);
+            self.perform(context, &active, action);
         }
         if !losses.is_empty() {
             crate::peers::spread_losses(context, &losses);
@@ -248,11 +270,11 @@
         work(&lock(&self.engine))
     }
 
-    fn perform(&self, context: &Arc<Context>, action: Action) {
+    fn perform(&self, context: &Arc<Context>, active: &ActivePolicy, action: Action) {
         match action {
             Action::Start { request, attempt, backend, deadline, retry, basis } => {
                 let attempt = attempt::Attempt { number: attempt, backend, deadline, retry };
-                self.record_start(context, request, attempt, basis);
+                self.record_start(context, active, request, attempt, basis);
                 self.start(context, request, attempt);
             }
             Action::Cancel { attempt, backend } => {
@@ -275,7 +297,14 @@
     }
 
     /// Records in logs and metrics where a request is sent and on what basis.
-    fn record_start(&self, context: &Context, request: u64, attempt: attempt::Attempt, basis: Basis) {
+    fn record_start(
+        &self,
+        context: &Context,
+        active: &ActivePolicy,
+        request: u64,
+        attempt: attempt::Attempt,
+        basis: Basis,
+    ) {
         let pending =
             lock(&self.pending).get(&request).map(|pending| (Arc::clone(&pending.outgoing), pending.arrived_at));
         let Some((outgoing, arrived_at)) = pending else { return };
@@ -285,7 +314,7 @@
         if !attempt.retry {
             context.metrics.wait_time.observe(waited.as_secs_f64());
         }
-        decision_log::attempt_sent(context, &outgoing, attempt, waited, basis);
+        decision_log::attempt_sent(context, active, &outgoing, attempt, waited, basis);
     }
 
     /// Logs a decision; called before the request concerned is answered.
--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -127,7 +127,7 @@
     fn spec(&self, name: &str) -> class::Spec {
         let Some(class) = self.policy.classes.get(name) else {
             let defaults = class::Spec::new(0, Duration::from_secs(1));
-            return class::Spec { idempotent: false, rank: u8::MAX, may_wait: true, retired: true, ..defaults };
+            return class::Spec { retired: true, ..defaults };
         };
         let service = self.service_position(&class.service).unwrap_or_default();
         let defaults = class::Spec::new(service, Duration::from_millis(class.deadline_ms));
--- a/crates/daemon/src/view/mod.rs
+++ b/crates/daemon/src/view/mod.rs
@@ -103,7 +103,7 @@
     let changes = update(context, &next, &mut state);
     context.driver.with_engine_mut(context, |engine| {
         // Before the servers, whose change sends what waits.
-        engine.apply_policy(next.class_specs(), &next.engine_accounts());
+        engine.apply_policy(next.class_specs(), &next.engine_accounts(), &context.driver.covering_classes(&next));
         changes.apply(engine);
         *context.active_policy.write().unwrap_or_else(PoisonError::into_inner) = next;
     });
--- a/crates/dispatch/src/engine/held.rs
+++ b/crates/dispatch/src/engine/held.rs
@@ -109,10 +109,10 @@
             self.refuse(request, Kind::WontFinish, now);
             return false;
         }
-        if self.requests.get_mut(&request).is_some_and(|state| std::mem::take(&mut state.revised))
-            && let Some(kind) = self.unplaceable(request, now)
+        if self.requests.get_mut(&request).is_some_and(|state| std::mem::take(&mut state.moved))
+            && self.unplaceable(request, now) == Some(Kind::NoBackend)
         {
-            self.refuse(request, kind, now);
+            self.refuse(request, Kind::NoBackend, now);
             return false;
         }
         if now < self.last_pause_end.max(self.limits_end_at)
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -210,7 +210,7 @@
         let state = Request {
             class,
             terms,
-            revised: false,
+            moved: false,
             object,
             homes: [None, None],
             account,
--- a/crates/dispatch/src/engine/state.rs
+++ b/crates/dispatch/src/engine/state.rs
@@ -16,8 +16,8 @@
     pub(super) class: usize,
     /// What the policy in force says of it.
     pub(super) terms: Terms,
-    /// Whether its terms have changed since a server was last searched for it while it was held.
-    pub(super) revised: bool,
+    /// Whether other servers may run it than when one was last searched for it while it was held.
+    pub(super) moved: bool,
     pub(super) object: Option<u64>,
     /// The object's home servers when a server was last picked.
     pub(super) homes: Homes,
--- a/crates/dispatch/src/engine/terms.rs
+++ b/crates/dispatch/src/engine/terms.rs
@@ -1,8 +1,9 @@
 //! What an attempt of a request may do now.
 //!
 //! A request may wait, be sent again or be handed over long after it arrived, while operators move its class or its client
-//! account to other regions or services. So nothing that a policy says of a request is kept as it was on arrival: it is derived
-//! here, on arrival and whenever a policy comes into force, and each choice of a server and each send asks [`Terms::allow`].
+//! account to other regions or services, or let another class cover it. So what a policy says of a request is not kept as it was on
+//! arrival: it is derived here, on arrival and whenever a policy comes into force, and each choice of a server and each send asks
+//! [`Terms::allow`].
 
 use std::collections::BTreeMap;
 
@@ -45,26 +46,27 @@
         }
     }
 
-    /// Returns the terms of an open request after what is declared of its class or its account has changed. A class that is gone
-    /// changes nothing: the policy on arrival allowed the request, and no later one says otherwise.
+    /// Returns the terms of an open request by the class that now covers it.
     #[must_use]
     fn revised(self, class: &mut Class, account: Account) -> Self {
-        let revised = Self { account_regions: account.regions, ..self };
-        if class.spec.retired {
-            return revised;
-        }
         let service = if class.spec.has_service(self.service) { self.service } else { class.next_service() };
         let spec = &class.spec;
         Self {
             service,
             class_regions: spec.regions,
+            account_regions: account.regions,
             idempotent: self.idempotent && spec.idempotent,
             max_attempts: self.max_attempts.min(spec.max_attempts),
             precedence: precedence(spec, account),
-            ..revised
         }
     }
 
+    /// Whether another set of servers may run the request by these terms than by `other`.
+    fn moved_from(&self, other: &Self) -> bool {
+        let places = |terms: &Self| (terms.service, terms.class_regions, terms.account_regions);
+        places(self) != places(other)
+    }
+
     /// Whether a server of this specification may run the request.
     pub(super) fn allow(&self, server: &Spec) -> bool {
         server.service == self.service && self.allow_region(server.region)
@@ -81,19 +83,42 @@
 }
 
 impl Engine {
-    /// Applies a policy that comes into force: the classes, and the client accounts by their numbers. Open requests go by it from
-    /// now on. One that belongs to an account that is gone keeps what was last declared of it.
-    pub fn apply_policy(&mut self, specs: Vec<class::Spec>, accounts: &BTreeMap<u64, Account>) {
+    /// Applies a policy that comes into force: the classes, the client accounts by their numbers, and the class that now covers
+    /// each open request. Open requests go by it from now on. What is gone changes nothing: one that no class covers keeps what was
+    /// last declared of its class, whatever has that name now, and one of an account that is gone what was of the account.
+    pub fn apply_policy(
+        &mut self,
+        specs: Vec<class::Spec>,
+        accounts: &BTreeMap<u64, Account>,
+        covering: &BTreeMap<u64, usize>,
+    ) {
         self.set_classes(specs);
-        for request in self.requests.values_mut() {
-            request.account = accounts.get(&request.account.id).copied().unwrap_or(request.account);
-            let terms = request.terms.revised(&mut self.classes[request.class], request.account);
-            request.revised |= terms != request.terms;
-            request.terms = terms;
+        let open: Vec<u64> = self.requests.keys().copied().collect();
+        for request in open {
+            let class = covering.get(&request).copied();
+            class.into_iter().for_each(|class| self.change_class(request, class));
+            let Some(state) = self.requests.get_mut(&request) else { continue };
+            state.account = accounts.get(&state.account.id).copied().unwrap_or(state.account);
+            let terms = match class {
+                Some(class) => state.terms.revised(&mut self.classes[class], state.account),
+                None => Terms { account_regions: state.account.regions, ..state.terms },
+            };
+            state.moved |= terms.moved_from(&state.terms);
+            state.terms = terms;
         }
         self.sort_held();
     }
 
+    /// Makes a request one of another class; if it waits in the queue of its class, it goes to the end of the other's.
+    fn change_class(&mut self, request: u64, class: usize) {
+        let Some(state) = self.requests.get_mut(&request).filter(|state| state.class != class) else { return };
+        let earlier = std::mem::replace(&mut state.class, class);
+        if state.queued {
+            self.classes[earlier].queue.retain(|queued| *queued != request);
+            self.classes[class].queue.push_back(request);
+        }
+    }
+
     /// Puts each held request to those of its service.
     fn sort_held(&mut self) {
         let held: Vec<u64> = std::mem::take(&mut self.held).into_values().flatten().collect();
--- a/crates/dispatch/src/engine/update.rs
+++ b/crates/dispatch/src/engine/update.rs
@@ -17,10 +17,12 @@
 const MAX_SEND_DELAY: Duration = Duration::from_secs(1);
 
 impl Engine {
-    /// Sets the classes. Known classes keep their positions and statistics, new ones follow.
+    /// Sets the classes. Known classes keep their positions and statistics, new ones follow. One that is retired keeps what was
+    /// last declared of it, for its open requests.
     pub fn set_classes(&mut self, specs: Vec<class::Spec>) {
         for (index, spec) in specs.into_iter().enumerate() {
             match self.classes.get_mut(index) {
+                Some(class) if spec.retired => class.spec.retired = true,
                 Some(class) => class.update_spec(spec),
                 None => self.classes.push(Class::new(spec)),
             }
--- a/crates/dispatch/tests/terms.rs
+++ b/crates/dispatch/tests/terms.rs
@@ -21,6 +21,8 @@
 const HERE: BackendId = 1;
 const THERE: BackendId = 7;
 const OTHER_SERVICE: BackendId = 9;
+/// The request is still covered by its class.
+const COVERED: [(u64, usize); 1] = [(REQUEST, 0)];
 /// An object whose requests are held while their servers are full.
 const OBJECT: Option<u64> = Some(5);
 
@@ -39,6 +41,8 @@
     ClassMoves,
     AccountMoves,
     ServiceMoves,
+    /// A class that the policy adds covers the request, such as one with a longer prefix.
+    OtherClass,
     None,
 }
 
@@ -72,15 +76,17 @@
     engine
 }
 
-fn change(engine: &mut Engine, change: Change) {
+fn apply(engine: &mut Engine, change: Change) {
     let everywhere = class::Spec { regions: Set::ALL, ..spec() };
     let (spec, account) = match change {
         Change::ClassMoves => (class::Spec { regions: Set::of(&[1]), ..spec() }, account(&[])),
         Change::AccountMoves => (everywhere, account(&[1])),
         Change::ServiceMoves => (class::Spec { service: 1, ..spec() }, account(&[])),
-        Change::None => (spec(), account(&[])),
+        Change::OtherClass | Change::None => (spec(), account(&[])),
     };
-    engine.apply_policy(vec![spec], &BTreeMap::from([(account.id, account)]));
+    let added = class::Spec { regions: Set::of(&[1]), ..spec.clone() };
+    let covering = BTreeMap::from([(REQUEST, usize::from(change == Change::OtherClass))]);
+    engine.apply_policy(vec![spec, added], &BTreeMap::from([(account.id, account)]), &covering);
 }
 
 /// Returns where the request is sent from now on, if anywhere.
@@ -98,12 +104,15 @@
 #[case::waiting(Moment::Queued, Change::ClassMoves, THERE)]
 #[case::waiting_account(Moment::Queued, Change::AccountMoves, THERE)]
 #[case::waiting_service(Moment::Queued, Change::ServiceMoves, OTHER_SERVICE)]
+#[case::waiting_other_class(Moment::Queued, Change::OtherClass, THERE)]
 #[case::held(Moment::Held, Change::ClassMoves, THERE)]
 #[case::held_account(Moment::Held, Change::AccountMoves, THERE)]
 #[case::held_service(Moment::Held, Change::ServiceMoves, OTHER_SERVICE)]
+#[case::held_other_class(Moment::Held, Change::OtherClass, THERE)]
 #[case::retried(Moment::Sent, Change::ClassMoves, THERE)]
 #[case::retried_account(Moment::Sent, Change::AccountMoves, THERE)]
 #[case::retried_service(Moment::Sent, Change::ServiceMoves, OTHER_SERVICE)]
+#[case::retried_other_class(Moment::Sent, Change::OtherClass, THERE)]
 #[case::retried_of_object(Moment::SentOfObject, Change::ClassMoves, THERE)]
 #[case::retried_of_object_service(Moment::SentOfObject, Change::ServiceMoves, OTHER_SERVICE)]
 fn an_open_request_goes_by_the_policy_in_force(
@@ -115,7 +124,7 @@
     let now = START + Duration::from_millis(35);
     let first = started(&mut engine);
     assert_eq!(first.is_empty(), matches!(moment, Moment::Queued | Moment::Held), "{first:?}");
-    change(&mut engine, changed);
+    apply(&mut engine, changed);
     for (attempt, backend) in first {
         assert_eq!(backend, HERE);
         engine.finish(attempt, Ending::Lost, now);
@@ -132,7 +141,7 @@
     let mut engine = engine(Moment::Sent);
     engine.set_backends(vec![backend(HERE, Place::Region), backend(HERE + 1, Place::Region)], START);
     assert_eq!(started(&mut engine).len(), 1);
-    change(&mut engine, changed);
+    apply(&mut engine, changed);
     let mut now = START;
     while now < START + Duration::from_millis(900) {
         now = now + Duration::from_millis(50);
@@ -147,11 +156,12 @@
 #[case::unchanged(Change::None, true)]
 #[case::class(Change::ClassMoves, false)]
 #[case::account(Change::AccountMoves, false)]
+#[case::other_class(Change::OtherClass, false)]
 #[case::service(Change::ServiceMoves, false)]
 fn an_attempt_is_sent_only_where_the_policy_in_force_allows(#[case] changed: Change, #[case] may_send: bool) {
     let mut engine = engine(Moment::Sent);
     let (attempt, backend) = started(&mut engine)[0];
-    change(&mut engine, changed);
+    apply(&mut engine, changed);
     assert_eq!(engine.may_send(attempt, backend, START), may_send);
     if !may_send {
         engine.finish(attempt, Ending::Recalled, START);
@@ -173,7 +183,8 @@
     let mut engine = engine(moment);
     let account = Account { regions: account_regions, ..account(&[]) };
     engine.take_actions();
-    engine.apply_policy(vec![class::Spec { regions: class, ..spec() }], &BTreeMap::from([(account.id, account)]));
+    let accounts = BTreeMap::from([(account.id, account)]);
+    engine.apply_policy(vec![class::Spec { regions: class, ..spec() }], &accounts, &COVERED.into());
     engine.tick(START + Duration::from_millis(35));
     let refused = |action: &Action| {
         matches!(action, Action::Answer { request: REQUEST, verdict: Verdict::Refuse(Kind::NoBackend), .. })
@@ -183,13 +194,16 @@
 
 /// Guards against requests that run nowhere, or in every region, once their class or their account is gone: what it last said holds.
 #[rstest]
-#[case::waiting(Moment::Queued)]
-#[case::sent(Moment::Sent)]
-fn a_request_outlives_its_class_and_its_account(#[case] moment: Moment) {
+#[case::waiting(Moment::Queued, true)]
+#[case::sent(Moment::Sent, true)]
+#[case::waiting_name_used_again(Moment::Queued, false)]
+#[case::sent_name_used_again(Moment::Sent, false)]
+fn a_request_outlives_its_class_and_its_account(#[case] moment: Moment, #[case] retired: bool) {
     let mut engine = engine(moment);
     let first = started(&mut engine);
-    let retired = class::Spec { retired: true, regions: Set::ALL, service: 1, ..spec() };
-    engine.apply_policy(vec![retired], &BTreeMap::new());
+    // A class of the same name may stand for other work by now.
+    let other = class::Spec { retired, ..class::Spec::new(1, Duration::from_secs(1)) };
+    engine.apply_policy(vec![other], &BTreeMap::new(), &BTreeMap::new());
     let now = START + Duration::from_millis(35);
     engine.set_backends(vec![backend(HERE, Place::Region), backend(HERE + 1, Place::Region)], now);
     first.into_iter().for_each(|(attempt, _)| engine.finish(attempt, Ending::Lost, now));
@@ -209,7 +223,7 @@
     engine.set_backends(vec![backend(HERE, Place::Region), backend(HERE + 1, Place::Region)], START);
     engine.submit(Arrival::new(REQUEST, 0, REQUEST, 10), START);
     let (attempt, _) = started(&mut engine)[0];
-    engine.apply_policy(vec![after], &BTreeMap::new());
+    engine.apply_policy(vec![after], &BTreeMap::new(), &COVERED.into());
     engine.finish(attempt, Ending::Lost, START);
     engine.tick(START + Duration::from_millis(35));
     assert_eq!(sent(&mut engine), []);
@@ -228,3 +242,23 @@
     }
     assert_eq!(started(&mut engine).len(), SERVERS as usize);
 }
+
+/// Guards against held requests that are refused, though they would be sent soon, when a policy moves none of them: their only server
+/// is out of reach for a moment.
+#[test]
+fn a_change_of_rank_refuses_nothing_that_is_held() {
+    let mut engine = Engine::new(vec![spec()], LIMITS, 7);
+    let servers = vec![Spec { slots: 1, ..backend(HERE, Place::Region) }];
+    engine.set_backends(servers.clone(), START);
+    for request in 1..=60 {
+        engine.submit(Arrival { object: OBJECT, ..Arrival::new(request, 0, request, 10) }, START);
+    }
+    for (attempt, _) in started(&mut engine) {
+        engine.finish(attempt, Ending::Unreachable, START);
+    }
+    let held = engine.queued();
+    let covering = (1..=60).map(|request| (request, 0)).collect();
+    engine.apply_policy(vec![class::Spec { rank: 9, ..spec() }], &BTreeMap::new(), &covering);
+    engine.set_backends(servers, START);
+    assert!(engine.queued() == held && held > 0, "{held} before, {} after", engine.queued());
+}
