--- a/crates/dispatch/tests/terms.rs
+++ b/crates/dispatch/tests/terms.rs
@@ -54,13 +54,17 @@
     Account { id: 3, rank: None, regions: Set::of(regions) }
 }
 
+fn servers() -> Vec<Spec> {
+    let there = Spec { region: 1, ..backend(THERE, Place::Remote(1)) };
+    let other = Spec { service: 1, ..backend(OTHER_SERVICE, Place::Region) };
+    vec![backend(HERE, Place::Region), there, other]
+}
+
 /// An engine whose servers of region 0 are full where the request is to wait, and which has the request.
 fn engine(moment: Moment) -> Engine {
     let mut engine = Engine::new(vec![spec()], LIMITS, 7);
     engine.set_remote(1, Remote::UNLIMITED, START);
-    let there = Spec { region: 1, ..backend(THERE, Place::Remote(1)) };
-    let other = Spec { service: 1, ..backend(OTHER_SERVICE, Place::Region) };
-    engine.set_backends(vec![backend(HERE, Place::Region), there, other], START);
+    engine.set_backends(servers(), START);
     let object = if matches!(moment, Moment::Held | Moment::SentOfObject) { OBJECT } else { None };
     // A new server gets one request at first; about objects, as many as it can answer in time.
     let others = match moment {
@@ -129,8 +133,9 @@
         assert_eq!(backend, HERE);
         engine.finish(attempt, Ending::Lost, now);
     }
+    engine.set_backends(servers().into_iter().chain([backend(HERE + 1, Place::Region)]).collect(), now);
     engine.tick(now);
-    assert_eq!(sent(&mut engine), vec![expected]);
+    assert_eq!(sent(&mut engine), vec![expected], "a server of region 0 is free");
 }
 
 /// Guards against a second attempt beside a slow one that goes by the regions of the request's arrival (HOME).
