--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -80,7 +80,8 @@
     let (good, doubtful, out) = (count(Standing::Good), count(Standing::Doubtful), count(Standing::Out));
     let (version, uptime) = (steering.policy.version, context.uptime());
     log::info!(
-        region, good, doubtful, out, named, in_homes, stopping = context.stopping(), up_ms:% = uptime.as_millis(), version:% = version;
+        region, good, doubtful, out, named, in_homes, stopping = context.stopping(), up_ms:% = uptime.as_millis(),
+        version:% = version;
         "callers: look-up names other regions"
     );
 }
@@ -223,8 +224,9 @@
     }
 }
 
-/// Logs which routes a policy has that the one before it lacked or had for another class, which it lacks, and that it is in force. From these lines of any
-/// instance it is known which requests a version of the policy refuses.
+/// Logs which routes a policy has that the one before it lacked or had for another class, which it lacks, the regions that it
+/// changes, and that it is in force. From these lines of any instance it is known which requests a version refuses, and where the
+/// others may run.
 pub fn policy_changed(before: &ActivePolicy, after: &ActivePolicy) {
     let (known, routes) = (routes(before), routes(after));
     let (version, replaces) = (after.version, before.version);
@@ -240,8 +242,8 @@
     let moved = regions_changed(before, after);
     let accounts = after.policy.accounts.as_ref().map_or_else(|| "-".to_owned(), |accounts| accounts.len().to_string());
     log::info!(
-        version:% = version, source = after.provenance.source.as_str(), replaces:% = replaces, routes = routes.len(), added, removed,
-        accounts, moved;
+        version:% = version, source = after.provenance.source.as_str(), replaces:% = replaces, routes = routes.len(), added,
+        removed, accounts, moved;
         "policy: in force"
     );
 }
