Requests go by the regions of a policy only while its age is known and bounded

An instance that is cut off, has just started from a peer's copy, woke from a pause or is slow ran, retried, hedged and passed on requests by the regions of a policy that was replaced long before.

Cause: nothing asked how old the policy is; only a 404 or 401 was guarded. The class of fault is an irreversible step on a belief whose age is not known.

Change: an instance knows until when its policy may be relied on, from its mirror or from other instances that it asks (call `standing`). The engine asks at each choice and each send, matching on arrival, passing on before each hand-over and once its connection is open. While the store is silent for all, instances of every region that agree on the policy take its place, so that accounts with regions are served on.

--- a/crates/daemon/src/backends/attempt.rs
+++ b/crates/daemon/src/backends/attempt.rs
@@ -112,7 +112,7 @@
     };
     stall::check(context);
     let now = context.now();
-    if !context.driver.with_engine(|engine| engine.may_send(attempt.number, attempt.backend, now)) {
+    if !context.driver.may_send(context, attempt.number, attempt.backend, now) {
         return (Ending::Recalled, None);
     }
     let exchange = exchange(context, outgoing, attempt, &target, connection);
--- a/crates/daemon/src/callers/matching.rs
+++ b/crates/daemon/src/callers/matching.rs
@@ -12,6 +12,7 @@
 use super::identity::Identity;
 use super::{refusal, relay};
 use crate::Context;
+use crate::confirmation;
 use crate::driver::{Outcome, Refusal};
 use crate::policies::ActivePolicy;
 
@@ -76,6 +77,9 @@
     if found.allowed.is_empty() {
         return Err(found.handled(Err(Kind::NoBackend.into())));
     }
+    if !confirmation::may_rely_on(context, &found.allowed) {
+        return Err(found.handled(Err(Kind::PolicyStale.into())));
+    }
     if sender == Sender::Peer && !found.allowed.is_within(&relay::regions::named(&head.headers)) {
         // One of the two policies is out of date, and it may be this daemon's.
         return Err(found.handled(Err(Kind::PolicyStale.into())));
--- a/crates/daemon/src/callers/refusal.rs
+++ b/crates/daemon/src/callers/refusal.rs
@@ -7,7 +7,7 @@
 
 use base::error::Kind;
 
-use crate::{Context, mirror};
+use crate::{Context, confirmation};
 
 /// Returns the error for a request whose route or key the policy in force does not have: `kind`, if that policy was lately known to
 /// be the store's.
@@ -24,7 +24,6 @@
 /// Whether no change of the policy can have been missed for longer than the settings allow.
 fn is_policy_confirmed(context: &Context) -> bool {
     // Without a mirror, the daemon learns of policies from its peers and does not know the age of what they told.
-    let Some(catalog) = context.catalog else { return true };
     let max_age = Duration::from_secs_f64(context.settings.callers.policy_age_s);
-    mirror::policy_age(context, catalog, context.now()).is_some_and(|age| age <= max_age)
+    context.catalog.is_none() || confirmation::policy_age(context, context.now()).is_some_and(|age| age <= max_age)
 }
--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -32,7 +32,7 @@
 use crate::backends::attempt::{self, UNACKED_TIMEOUT};
 use crate::driver::{Outcome, Outdated, Outgoing, Refusal};
 use crate::policies::ActivePolicy;
-use crate::{decision_log, response, stall};
+use crate::{confirmation, decision_log, response, stall};
 
 /// Marks a request that is passed on to an instance of a build up to 4e2e901.
 const EARLIER_MARK: HeaderName = HeaderName::from_static("hemlock-relayed");
@@ -70,6 +70,9 @@
         if !context.is_in_force(active) {
             return Err(Outdated);
         }
+        if !confirmation::may_rely_on(context, passage.allowed) {
+            return Ok(Err(Refusal { kind: Kind::PolicyStale, retry_after }));
+        }
         let left = passage.deadline.since(context.now());
         let Some(peer) = peer::choose(context, passage.allowed, &tried).filter(|_| !left.is_zero()) else {
             return Ok(Err(Refusal { kind: Kind::Unreachable, retry_after }));
@@ -145,7 +148,7 @@
     let id = hash::bytes(address.to_string().as_bytes()) as BackendId;
     let mut connection = connect(context, id, address).await?;
     stall::settled(context).await;
-    if !context.is_in_force(active) {
+    if !context.is_in_force(active) || !confirmation::may_rely_on(context, passage.allowed) {
         return Err(Failure::Unsent);
     }
     let headers = headers(context, outgoing, peer.interface, passage);
--- /dev/null
+++ b/crates/daemon/src/confirmation.rs
@@ -0,0 +1,188 @@
+//! Until when requests may go by the regions that the policy in force names.
+//!
+//! A daemon that has heard nothing of the store for a while asks others how old their policies are; [`fleet::confirmation`] decides what
+//! follows from the answers.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::time::Time;
+use config::policy::Allowed;
+use fleet::confirmation::{Finding, Limits, Round, Standing};
+use fleet::message::State;
+use fleet::replica::Version;
+use tokio::task::JoinSet;
+
+use crate::context::lock;
+use crate::peers::api::PeersClient as _;
+use crate::peers::{client, exchange};
+use crate::plugin::Plugin;
+use crate::{Context, mirror};
+
+/// Questions of a round, where there are no more regions than that.
+const MAX_QUESTIONS: usize = 6;
+
+inventory::submit! {
+    Plugin(kernel::Plugin { name: "confirmation", stage: 30, start })
+}
+
+struct Task(tokio::task::JoinHandle<()>);
+
+impl kernel::Component for Task {
+    fn close(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn start(context: &Arc<Context>) -> kernel::StartResult {
+    // Without a mirror, nothing tells the age of the policy.
+    if context.catalog.is_none() {
+        return Ok(Box::new(kernel::Idle));
+    }
+    Ok(Box::new(Task(context.runtime.spawn(run(Arc::clone(context))))))
+}
+
+fn limits(context: &Context) -> Limits {
+    Limits::new(Duration::from_secs_f64(context.settings.callers.policy_age_s))
+}
+
+/// Returns how long ago the policy in force was last known to be the store's, by this daemon or by others; `None` if it never was, or if
+/// nothing tells it.
+pub fn policy_age(context: &Context, now: Time) -> Option<Duration> {
+    let catalog = context.catalog?;
+    let told = lock(&context.confirmation).confirmed_at().map(|at| now.since(at));
+    let known = mirror::policy_age(context, catalog, now);
+    known.into_iter().chain(told).min()
+}
+
+/// Returns until when requests may go by the regions that the policy of `version`, which is in force, names.
+pub fn expiry(context: &Context, version: Version, now: Time) -> Time {
+    if context.catalog.is_none() {
+        return Time::MAX;
+    }
+    let limits = limits(context);
+    let confirmed = policy_age(context, now).map(|age| now - age + limits.max_age());
+    let agreed = lock(&context.confirmation).agreed_at(version).map(|at| at + limits.max_agreement_age());
+    confirmed.max(agreed).unwrap_or(Time::ZERO)
+}
+
+/// Whether a request may go by `allowed`, the regions that the policy in force lets it run in: they are all, or the policy is known
+/// to be recent enough.
+pub fn may_rely_on(context: &Context, allowed: &Allowed) -> bool {
+    let now = context.now();
+    *allowed == Allowed::All || now <= expiry(context, context.policy().version, now)
+}
+
+/// Returns what this daemon says of its policy to another one.
+pub fn standing(context: &Context) -> Standing {
+    let now = context.now();
+    Standing {
+        version: context.policy().version,
+        age_ms: policy_age(context, now).map(|age| age.as_millis() as u64),
+        pending: is_pending(context),
+    }
+}
+
+/// Whether a change of the policy has arrived from the store that is not in force yet.
+fn is_pending(context: &Context) -> bool {
+    context.catalog.is_some_and(|catalog| mirror::is_policy_pending(context, catalog))
+}
+
+/// Asks other daemons while this one hears nothing of the store; runs until the task is aborted.
+async fn run(context: Arc<Context>) {
+    let limits = limits(&context);
+    let mut rng = fastrand::Rng::with_seed(context.incarnation ^ 3);
+    let mut was_expired = true;
+    loop {
+        tokio::time::sleep(limits.interval().mul_f64(0.75 + rng.f64() / 2.0)).await;
+        let now = context.now();
+        let age = policy_age(&context, now);
+        if age.is_none_or(|age| age >= limits.ask_after()) {
+            ask(&context, limits, &mut rng).await;
+        }
+        let now = context.now();
+        let is_expired = now > expiry(&context, context.policy().version, now);
+        if is_expired != was_expired {
+            log_change(&context, is_expired, now);
+            was_expired = is_expired;
+        }
+    }
+}
+
+fn log_change(context: &Context, is_expired: bool, now: Time) {
+    let age_ms = policy_age(context, now).map_or(-1, |age| age.as_millis() as i64);
+    context.metrics.policy_expired.set(i64::from(is_expired));
+    log::info!(
+        version:% = context.policy().version, expired = is_expired, age_ms;
+        "confirmation: reliance on the policy changed"
+    );
+}
+
+/// A daemon that is asked.
+struct Member {
+    region: String,
+    address: String,
+}
+
+/// Asks daemons of all regions for their standing, and acts on each answer as it comes.
+async fn ask(context: &Arc<Context>, limits: Limits, rng: &mut fastrand::Rng) {
+    let regions: BTreeSet<String> = context.settings.domains.values().cloned().collect();
+    let members = choose(context, &regions, rng);
+    let others = regions.into_iter().filter(|region| *region != context.settings.region).collect();
+    let sent = context.now();
+    let mut round = Round::new(context.policy().version, others, sent);
+    let age = policy_age(context, sent);
+    if members.is_empty() || is_pending(context) || age.is_some_and(|age| age < limits.silent_after()) {
+        round.contradict();
+    }
+    let mut questions = JoinSet::new();
+    for member in members {
+        let Some(client) = client::client_with_timeout(&member.address, limits.timeout()) else { continue };
+        questions.spawn(async move { (client.standing().await, member) });
+    }
+    while let Some(answered) = questions.join_next().await {
+        let Ok((answer, member)) = answered else { continue };
+        match answer {
+            Ok(standing) => act(context, &mut round, &member, &standing, limits),
+            Err(error) => {
+                log::debug!("confirmation: no answer peer={} reason={:?}", member.address, error.to_string());
+            }
+        }
+    }
+}
+
+/// Acts on an answer: confirms the policy in force, fetches a newer one, or notes whether all agree.
+fn act(context: &Arc<Context>, round: &mut Round, member: &Member, standing: &Standing, limits: Limits) {
+    let finding = round.record(&member.region, standing, limits);
+    let mut confirmation = lock(&context.confirmation);
+    match finding {
+        Finding::Confirmed(as_of) => confirmation.confirm(as_of),
+        Finding::Newer => {
+            confirmation.withdraw();
+            drop(confirmation);
+            exchange::fetch_newer(context, standing.version, &member.address);
+        }
+        Finding::Silent => {
+            if let Some(as_of) = round.agreed_at() {
+                confirmation.agree(round.version(), as_of);
+            }
+        }
+    }
+}
+
+/// Chooses random daemons of each region; those that seem dead only where there are no others.
+fn choose(context: &Context, regions: &BTreeSet<String>, rng: &mut fastrand::Rng) -> Vec<Member> {
+    let roster = lock(&context.roster);
+    let per_region = (MAX_QUESTIONS / regions.len().max(1)).max(1);
+    let domains = &context.settings.domains;
+    let chosen = regions.iter().flat_map(|region| {
+        let members = roster.other_members().filter(|record| domains.get(&record.domain) == Some(region));
+        let (mut live, mut dead): (Vec<_>, Vec<_>) = members.partition(|record| record.state <= State::Suspect);
+        rng.shuffle(&mut live);
+        rng.shuffle(&mut dead);
+        let records = live.into_iter().chain(dead).take(per_region);
+        records.map(|record| Member { region: region.clone(), address: record.peer_address.clone() })
+    });
+    chosen.collect()
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -13,6 +13,7 @@
 use config::policy::Policy;
 use dispatch::Engine;
 use dispatch::engine::{Budgets, Limits};
+use fleet::confirmation::Confirmation;
 use fleet::message::Record;
 use fleet::replica::{Replica, Version};
 use fleet::roster::{Roster, Timeouts};
@@ -93,6 +94,8 @@
     pub catalog_state: Mutex<CatalogState>,
     /// The policy document in force, as peers may fetch it.
     pub policy_replica: Mutex<Replica>,
+    /// What other daemons have told of the age of the policy in force.
+    pub confirmation: Mutex<Confirmation>,
     /// The policy in force, parsed.
     pub active_policy: RwLock<Arc<ActivePolicy>>,
     /// Gossip membership, and the loads, losses and leaving servers that are gossiped.
@@ -190,6 +193,7 @@
             runtime,
             store,
             policy_replica: Mutex::new(Replica::new()),
+            confirmation: Mutex::new(Confirmation::default()),
             active_policy: RwLock::new(Arc::new(ActivePolicy::new(Version::default(), Policy::default()))),
             roster: Mutex::new(Roster::new(record, timeouts, incarnation)),
             gossip_limiter: Mutex::new(peers::gossip_limiter(now)),
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use base::error::Kind;
@@ -21,6 +21,7 @@
 use crate::Context;
 use crate::at_most_once::KeyedRequest;
 use crate::backends::attempt;
+use crate::confirmation;
 use crate::context::lock;
 use crate::decision_log;
 use crate::plugin::Plugin;
@@ -243,7 +244,7 @@
 
     /// Applies `work` to the engine, then logs its decisions, carries out its actions and pushes new losses to peers.
     pub fn with_engine_mut<T>(&self, context: &Arc<Context>, work: impl FnOnce(&mut Engine) -> T) -> T {
-        let mut engine = lock(&self.engine);
+        let mut engine = self.engine_by_policy(context);
         let result = work(&mut engine);
         let decisions = engine.take_decisions();
         let actions = engine.take_actions();
@@ -265,6 +266,19 @@
         result
     }
 
+    /// Whether an attempt may still be sent to `backend` at `now`.
+    pub fn may_send(&self, context: &Context, attempt: u64, backend: BackendId, now: Time) -> bool {
+        self.engine_by_policy(context).may_send(attempt, backend, now)
+    }
+
+    /// Locks the engine, which knows then until when the policy in force may be relied on.
+    fn engine_by_policy(&self, context: &Context) -> MutexGuard<'_, Engine> {
+        let expiry = confirmation::expiry(context, context.policy().version, context.now());
+        let mut engine = lock(&self.engine);
+        engine.set_policy_expiry(expiry);
+        engine
+    }
+
     /// Applies `work` to the engine, which it cannot change.
     pub fn with_engine<T>(&self, work: impl FnOnce(&Engine) -> T) -> T {
         work(&lock(&self.engine))
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backends;
 pub mod callers;
 pub mod clock;
+pub mod confirmation;
 pub mod context;
 pub mod decision_log;
 pub mod dialect;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -75,6 +75,8 @@
     pub policy_revision: IntGauge,
     /// Policy documents that were refused.
     pub policy_refused: IntCounter,
+    /// Whether the policy in force is too old to run requests by the regions that it names.
+    pub policy_expired: IntGauge,
     /// Items of the policy in force that cannot be used or are unknown.
     pub policy_passed_over: IntGauge,
     /// Entries of backend servers that cannot be used.
@@ -181,6 +183,7 @@
             relayed: counters(&registry, "hemlock_relayed_total", "Requests passed on to other daemons", &["result"]),
             without_servers: gauge(&registry, "hemlock_without_servers", "1 while no backend server can be reached"),
             policy_revision: gauge(&registry, "hemlock_policy_revision", "Revision of the policy in force"),
+            policy_expired: gauge(&registry, "hemlock_policy_expired", "1 while the policy is too old for its regions"),
             policy_refused: counter(&registry, "hemlock_policy_refused_total", "Copies of the policy refused"),
             policy_passed_over: gauge(&registry, "hemlock_policy_passed_over", "Parts of the policy not used"),
             servers_passed_over: gauge(&registry, "hemlock_servers_passed_over", "Entries of backend servers not used"),
--- a/crates/daemon/src/mirror/mod.rs
+++ b/crates/daemon/src/mirror/mod.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{Notify, watch};
 
 pub use self::follow::changes;
-pub use self::publish::policy_age;
+pub use self::publish::{is_policy_pending, policy_age};
 pub use self::store::confirm;
 use crate::Context;
 use crate::adapter::Catalog;
--- a/crates/daemon/src/peers/api.rs
+++ b/crates/daemon/src/peers/api.rs
@@ -1,6 +1,7 @@
 //! The JSON-RPC interface between daemons.
 
 use fleet::Document;
+use fleet::confirmation::Standing;
 use fleet::message::{Message, Snapshot};
 use fleet::replica::Version;
 use jsonrpsee::proc_macros::rpc;
@@ -38,6 +39,11 @@
         version: Option<Version>,
     ) -> Result<Option<Document>, jsonrpsee::types::ErrorObjectOwned>;
 
+    /// Returns the version of the policy in force and how long ago it was known to be the store's. Earlier builds do not have this
+    /// call.
+    #[method(name = "standing")]
+    async fn standing(&self) -> Result<Standing, jsonrpsee::types::ErrorObjectOwned>;
+
     /// Returns the members, the policy and the leaving backend servers for a starting daemon.
     #[method(name = "snapshot")]
     async fn snapshot(&self) -> Result<Snapshot, jsonrpsee::types::ErrorObjectOwned>;
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fleet::message::{Message, Snapshot};
-use fleet::replica::Origin;
+use fleet::replica::{Origin, Version};
 
 use super::api::PeersClient as _;
 use super::client;
@@ -78,9 +78,13 @@
     }
     super::spread_leaving(context, &message.leaving);
     super::merge_rate_limits(context, &message.rate_limits);
-    if lock(&context.policy_replica).needs(message.version) {
-        let address = message.from.peer_address.clone();
-        let context = Arc::clone(context);
+    fetch_newer(context, message.version, &message.from.peer_address);
+}
+
+/// Starts fetching the policy of the peer at `address`, which has `version` in force, if that is newer.
+pub fn fetch_newer(context: &Arc<Context>, version: Version, address: &str) {
+    if lock(&context.policy_replica).needs(version) {
+        let (context, address) = (Arc::clone(context), address.to_owned());
         let runtime = context.runtime.clone();
         runtime.spawn(async move { fetch_policy(&context, &address).await });
     }
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -5,6 +5,7 @@
 
 use base::error::Kind;
 use fleet::Document;
+use fleet::confirmation::Standing;
 use fleet::message::{self, Message, Snapshot};
 use fleet::replica::Version;
 use http::StatusCode;
@@ -18,6 +19,7 @@
 use super::exchange;
 use crate::Context;
 use crate::at_most_once;
+use crate::confirmation;
 use crate::context::lock;
 use crate::mirror;
 use crate::plugin::Plugin;
@@ -49,6 +51,10 @@
         Ok(replica.document().filter(|document| document.version > after).cloned())
     }
 
+    async fn standing(&self) -> Result<Standing, ErrorObjectOwned> {
+        Ok(confirmation::standing(&self.context))
+    }
+
     async fn snapshot(&self) -> Result<Snapshot, ErrorObjectOwned> {
         let records = lock(&self.context.roster).records();
         let policy = lock(&self.context.policy_replica).document().cloned();
--- a/crates/daemon/src/view/mod.rs
+++ b/crates/daemon/src/view/mod.rs
@@ -21,6 +21,7 @@
 use self::servers::Assignments;
 pub use self::servers::{known_daemons, settled};
 use crate::Context;
+use crate::confirmation;
 use crate::context::lock;
 use crate::decision_log;
 use crate::instance_list::Item;
@@ -101,7 +102,9 @@
     }
     state.versions = None;
     let changes = update(context, &next, &mut state);
+    let expiry = confirmation::expiry(context, next.version, context.now());
     context.driver.with_engine_mut(context, |engine| {
+        engine.set_policy_expiry(expiry);
         // Before the servers, whose change sends what waits.
         engine.apply_policy(next.class_specs(), &next.engine_accounts(), &context.driver.covering_classes(&next));
         changes.apply(engine);
--- a/crates/dispatch/src/engine/held.rs
+++ b/crates/dispatch/src/engine/held.rs
@@ -37,6 +37,9 @@
 impl Engine {
     /// Sends a request about an object to a home that accepts it, or holds it.
     pub(super) fn place(&mut self, request: u64, now: Time) {
+        if self.refuse_expired(request, now) {
+            return;
+        }
         if self.is_early(request) {
             return self.refuse(request, Kind::WontFinish, now);
         }
@@ -101,6 +104,9 @@
         if !self.requests.contains_key(&request) {
             return false;
         }
+        if self.refuse_expired(request, now) {
+            return false;
+        }
         if let Some(backend) = self.pick(request, now) {
             self.start(request, backend, now);
             return false;
--- a/crates/dispatch/src/engine/mod.rs
+++ b/crates/dispatch/src/engine/mod.rs
@@ -73,6 +73,8 @@
     announcements: Announcements,
     /// Until when nothing is sent after a stall of the process, as the state of servers may be out of date.
     suspended_until: Time,
+    /// Until when requests that may not run in all regions are sent by the policy in force.
+    policy_expires_at: Time,
     /// When the last of the announced pauses ends.
     last_pause_end: Time,
     /// When the last of the rate limits ends, unless it is confirmed.
@@ -122,6 +124,7 @@
             refused: Refused::new(),
             announcements: Announcements::new(),
             suspended_until: Time::ZERO,
+            policy_expires_at: Time::MAX,
             last_pause_end: Time::ZERO,
             limits_end_at: Time::ZERO,
             shared_limits: BTreeSet::new(),
--- a/crates/dispatch/src/engine/obstacle.rs
+++ b/crates/dispatch/src/engine/obstacle.rs
@@ -39,6 +39,9 @@
     /// the least far from taking it decides.
     pub(super) fn unplaceable(&self, request: u64, now: Time) -> Option<Kind> {
         let state = self.requests.get(&request)?;
+        if self.are_expired(&state.terms, now) {
+            return Some(Kind::PolicyStale);
+        }
         let Some(tiers) = self.tiers.get(usize::from(state.terms.service)) else {
             return Some(Kind::NoBackend);
         };
--- a/crates/dispatch/src/engine/pick.rs
+++ b/crates/dispatch/src/engine/pick.rs
@@ -38,6 +38,9 @@
             return None;
         }
         let state = self.requests.get(&request)?.clone();
+        if self.are_expired(&state.terms, now) {
+            return None;
+        }
         if let Some(object) = state.object {
             let (backend, homes) = self.pick_keyed(&state, object, now);
             if let Some(state) = self.requests.get_mut(&request) {
--- a/crates/dispatch/src/engine/queue.rs
+++ b/crates/dispatch/src/engine/queue.rs
@@ -110,6 +110,9 @@
             if self.attempts.len() >= self.limits.max_in_flight {
                 return;
             }
+            if self.refuse_expired(request, now) {
+                continue;
+            }
             let cannot_finish = self.cannot_finish(request, now);
             if cannot_finish && !self.trial_is_due(request, now) {
                 self.refuse(request, Kind::WontFinish, now);
--- a/crates/dispatch/src/engine/terms.rs
+++ b/crates/dispatch/src/engine/terms.rs
@@ -7,6 +7,9 @@
 
 use std::collections::BTreeMap;
 
+use base::error::Kind;
+use base::time::Time;
+
 use super::{Account, Engine};
 use crate::backend::Spec;
 use crate::class::{self, Class};
@@ -72,6 +75,11 @@
         server.service == self.service && self.allow_region(server.region)
     }
 
+    /// Whether the request may not run in all regions, so that a policy that is out of date may lead it into a wrong one.
+    pub(super) fn name_regions(&self) -> bool {
+        self.class_regions != regions::Set::ALL || self.account_regions != regions::Set::ALL
+    }
+
     /// Whether servers of a region may run the request.
     pub(super) fn allow_region(&self, region: u16) -> bool {
         self.class_regions.contains(region) && self.account_regions.contains(region)
@@ -119,6 +127,26 @@
         }
     }
 
+    /// Sets until when the policy in force may be relied on: it is known that it was not replaced so long before that a
+    /// request must not go by it any more.
+    pub const fn set_policy_expiry(&mut self, until: Time) {
+        self.policy_expires_at = until;
+    }
+
+    /// Whether nothing may be sent by these terms at `now`, since other ones may have replaced them.
+    pub(super) fn are_expired(&self, terms: &Terms, now: Time) -> bool {
+        now > self.policy_expires_at && terms.name_regions()
+    }
+
+    /// Refuses a waiting request whose terms are expired; returns whether it did.
+    pub(super) fn refuse_expired(&mut self, request: u64, now: Time) -> bool {
+        let is_expired = self.requests.get(&request).is_some_and(|state| self.are_expired(&state.terms, now));
+        if is_expired {
+            self.refuse(request, Kind::PolicyStale, now);
+        }
+        is_expired
+    }
+
     /// Puts each held request to those of its service.
     fn sort_held(&mut self) {
         let held: Vec<u64> = std::mem::take(&mut self.held).into_values().flatten().collect();
--- a/crates/dispatch/src/engine/update.rs
+++ b/crates/dispatch/src/engine/update.rs
@@ -225,7 +225,7 @@
         let Some(server) = self.backends.get(&backend) else { return false };
         let is_allowed = |attempt: &Attempt| {
             let request = self.requests.get(&attempt.request);
-            request.is_some_and(|request| request.terms.allow(&server.spec))
+            request.is_some_and(|request| request.terms.allow(&server.spec) && !self.are_expired(&request.terms, now))
         };
         now >= self.suspended_until && self.attempts.get(&attempt).is_some_and(is_allowed) && accepts(server)
     }
--- /dev/null
+++ b/crates/fleet/src/confirmation.rs
@@ -0,0 +1,176 @@
+//! How long ago the policy in force is known to have been the store's.
+//!
+//! A daemon that goes by a replaced policy may run a request in a region that it must not run in. So it must know of its policy that
+//! it was in force a bounded time ago. The store says so, directly or through another daemon. While the store is silent for all daemons,
+//! it accepts no change either: then it is enough that a daemon hears others of every region, that none of them has a newer policy,
+//! and that none has lately heard from the store.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use base::time::Time;
+use serde::{Deserialize, Serialize};
+
+use crate::replica::Version;
+
+/// Bounds that follow from the time within which a new policy must be in force everywhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    max_age: Duration,
+}
+
+impl Limits {
+    /// Creates the limits of a deployment in which a new policy must be in force everywhere within `apply`. An eighth of it is left for
+    /// the way of a request.
+    pub fn new(apply: Duration) -> Self {
+        Self { max_age: apply * 7 / 8 }
+    }
+
+    /// Age of a policy up to which requests go by the regions that it names.
+    pub const fn max_age(&self) -> Duration {
+        self.max_age
+    }
+
+    /// The same since other daemons agreed on it. The rest is for a change that some daemon learns of in the meantime, and that spreads.
+    pub fn max_agreement_age(&self) -> Duration {
+        self.max_age / 2
+    }
+
+    /// Age from which a daemon asks others.
+    pub fn ask_after(&self) -> Duration {
+        self.max_age / 2
+    }
+
+    /// Age from which a daemon counts as one that hears nothing of the store.
+    pub fn silent_after(&self) -> Duration {
+        self.max_age * 2 / 3
+    }
+
+    /// Time between two rounds of questions.
+    pub fn interval(&self) -> Duration {
+        self.max_age / 6
+    }
+
+    /// Longest wait for the answers of a round.
+    pub fn timeout(&self) -> Duration {
+        self.max_age / 3
+    }
+}
+
+/// What a daemon says of its policy to another one that asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    /// The version in force.
+    pub version: Version,
+    /// How long ago it was known to be the store's, in milliseconds; `None` if it never was.
+    pub age_ms: Option<u64>,
+    /// Whether a change has arrived that is not in force yet.
+    pub pending: bool,
+}
+
+impl Standing {
+    fn age(&self) -> Option<Duration> {
+        self.age_ms.map(Duration::from_millis)
+    }
+}
+
+/// What other daemons have told of the age of the policy in force.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Confirmation {
+    confirmed_at: Option<Time>,
+    agreed: Option<(Version, Time)>,
+}
+
+impl Confirmation {
+    /// Records that at `as_of` the store had no newer policy than the one in force.
+    pub fn confirm(&mut self, as_of: Time) {
+        self.confirmed_at = self.confirmed_at.max(Some(as_of));
+    }
+
+    /// Records that at `as_of` daemons of all regions knew of no policy newer than `version`, and heard nothing of the store.
+    pub const fn agree(&mut self, version: Version, as_of: Time) {
+        self.agreed = Some((version, as_of));
+    }
+
+    /// Forgets the last agreement.
+    pub const fn withdraw(&mut self) {
+        self.agreed = None;
+    }
+
+    /// Returns the latest time at which the store is known to have had no newer policy than the one in force.
+    pub const fn confirmed_at(&self) -> Option<Time> {
+        self.confirmed_at
+    }
+
+    /// Returns when daemons of all regions last agreed on `version`.
+    pub fn agreed_at(&self, version: Version) -> Option<Time> {
+        self.agreed.filter(|(agreed, _)| *agreed == version).map(|(_, at)| at)
+    }
+}
+
+/// What follows from an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finding {
+    /// The other daemon has a newer policy, or a change that is not in force there yet.
+    Newer,
+    /// The store had no newer policy than the one in force at that time.
+    Confirmed(Time),
+    /// The other daemon knows of no newer policy, and hears nothing of the store.
+    Silent,
+}
+
+/// A round of questions to daemons of all regions.
+#[derive(Debug, Clone)]
+pub struct Round {
+    sent: Time,
+    in_force: Version,
+    /// Regions of which nobody has answered yet.
+    unheard: BTreeSet<String>,
+    /// Whether an answer or the daemon itself knows more than that the store is silent.
+    contradicted: bool,
+}
+
+impl Round {
+    /// Begins a round at `sent` while `in_force` is in force, in which daemons of each of `regions` must answer.
+    pub const fn new(in_force: Version, regions: BTreeSet<String>, sent: Time) -> Self {
+        Self { sent, in_force, unheard: regions, contradicted: false }
+    }
+
+    /// Records that this daemon itself knows more than that the store is silent.
+    pub const fn contradict(&mut self) {
+        self.contradicted = true;
+    }
+
+    /// Records the answer of a daemon in `region`.
+    pub fn record(&mut self, region: &str, standing: &Standing, limits: Limits) -> Finding {
+        self.unheard.remove(region);
+        let finding = self.judge(standing, limits);
+        self.contradicted |= finding != Finding::Silent;
+        finding
+    }
+
+    /// Returns since when daemons of all regions agree that they know of no newer policy; `None` if they do not.
+    pub fn agreed_at(&self) -> Option<Time> {
+        (self.unheard.is_empty() && !self.contradicted).then_some(self.sent)
+    }
+
+    /// Returns the version that was in force when the round began.
+    pub const fn version(&self) -> Version {
+        self.in_force
+    }
+
+    /// The answer is older than its receipt by an unknown time, so what it says counts from when it was asked for.
+    fn judge(&self, standing: &Standing, limits: Limits) -> Finding {
+        let (own, other) = (self.in_force, standing.version);
+        // A restored store lists the same policy again, in another era.
+        let is_same = other.declared > 0 && other.declared == own.declared && other.stored.era != own.stored.era;
+        if standing.pending || (other > own && !is_same) {
+            return Finding::Newer;
+        }
+        match standing.age() {
+            Some(age) if age < limits.silent_after() && other <= own => Finding::Confirmed(self.sent - age),
+            Some(age) if age < limits.silent_after() => Finding::Newer,
+            _ => Finding::Silent,
+        }
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! This crate does no I/O: the daemon sends and receives the messages.
 
+pub mod confirmation;
 pub mod gossip;
 pub mod load;
 pub mod message;
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -242,6 +242,11 @@
         self.members.get(name).map(|member| member.record.state)
     }
 
+    /// Returns the records of the other members that have not announced their departure.
+    pub fn other_members(&self) -> impl Iterator<Item = &Record> {
+        self.members.values().map(|member| &member.record).filter(|record| record.state < State::Left)
+    }
+
     /// Returns the names of the other members that are alive or suspect.
     pub fn live_members(&self) -> impl Iterator<Item = &str> {
         let live = self.members.values().filter(|member| member.record.state <= State::Suspect);
--- a/crates/store/src/mirror/mod.rs
+++ b/crates/store/src/mirror/mod.rs
@@ -221,6 +221,11 @@
         is_new
     }
 
+    /// Returns the latest time at which the mirror is known to have been up to date.
+    pub const fn confirmed_at(&self) -> Option<Time> {
+        self.confirmed_at
+    }
+
     /// Returns how long ago the mirror was last known to be up to date; `None` if it never was.
     pub fn age(&self, now: Time) -> Option<Duration> {
         self.confirmed_at.map(|confirmed| now.since(confirmed))
