--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -4,14 +4,16 @@
 //! follows from the answers.
 
 use std::collections::BTreeSet;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::time::Time;
 use config::policy::Allowed;
-use fleet::confirmation::{Finding, Limits, Round, Standing};
-use fleet::message::State;
+use fleet::confirmation::{Finding, Limits, Round, Silence, Standing};
+use fleet::message::{Record, State};
 use fleet::replica::Version;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use crate::context::lock;
@@ -22,6 +24,8 @@
 
 /// Questions of a round, where there are no more regions than that.
 const MAX_QUESTIONS: usize = 6;
+/// Maximum number of members that fell silent since the store did and are asked one by one.
+const MAX_SILENT: usize = 8;
 
 inventory::submit! {
     Plugin(kernel::Plugin { name: "confirmation", stage: 30, start })
@@ -93,13 +97,15 @@
 async fn run(context: Arc<Context>) {
     let limits = limits(&context);
     let mut rng = fastrand::Rng::with_seed(context.incarnation ^ 3);
+    let mut silence = Silence::default();
     let mut was_expired = true;
     loop {
         tokio::time::sleep(limits.interval().mul_f64(0.75 + rng.f64() / 2.0)).await;
+        update(&context, &mut silence);
         let now = context.now();
         let age = policy_age(&context, now);
         if age.is_none_or(|age| age >= limits.ask_after()) {
-            ask(&context, limits, &mut rng).await;
+            ask(&context, limits, &silence, &mut rng).await;
         }
         let now = context.now();
         let is_expired = now > expiry(&context, context.policy().version, now);
@@ -110,6 +116,14 @@
     }
 }
 
+/// Updates which members are silent.
+fn update(context: &Context, silence: &mut Silence) {
+    let now = context.now();
+    let roster = lock(&context.roster);
+    let silent = roster.other_members().filter(|record| record.state != State::Alive);
+    silence.update(silent.map(|record| record.name.as_str()), now);
+}
+
 fn log_change(context: &Context, is_expired: bool, now: Time) {
     let age_ms = policy_age(context, now).map_or(-1, |age| age.as_millis() as i64);
     context.metrics.policy_expired.set(i64::from(is_expired));
@@ -125,64 +139,93 @@
     address: String,
 }
 
+/// The answer of a daemon that was asked, or whether its process is stopped.
+enum Answer {
+    Standing(Standing),
+    None { is_stopped: bool },
+}
+
 /// Asks daemons of all regions for their standing, and acts on each answer as it comes.
-async fn ask(context: &Arc<Context>, limits: Limits, rng: &mut fastrand::Rng) {
+async fn ask(context: &Arc<Context>, limits: Limits, silence: &Silence, rng: &mut fastrand::Rng) {
     let regions: BTreeSet<String> = context.settings.domains.values().cloned().collect();
-    let members = choose(context, &regions, rng);
-    let others = regions.into_iter().filter(|region| *region != context.settings.region).collect();
     let sent = context.now();
-    let mut round = Round::new(context.policy().version, others, sent);
     let age = policy_age(context, sent);
-    if members.is_empty() || is_pending(context) || age.is_some_and(|age| age < limits.silent_after()) {
+    let confirmed_at = age.map(|age| sent - age);
+    let members = choose(context, &regions, silence, confirmed_at, rng);
+    let others = regions.into_iter().filter(|region| *region != context.settings.region).collect();
+    let mut round = Round::new(context.policy().version, others, members.len(), sent);
+    let has_too_many_silent = silence.since(confirmed_at).count() > MAX_SILENT;
+    let hears_store = age.is_some_and(|age| age < limits.silent_after());
+    if members.is_empty() || has_too_many_silent || hears_store || is_pending(context) {
         round.contradict();
     }
     let mut questions = JoinSet::new();
     for member in members {
-        let Some(client) = client::client_with_timeout(&member.address, limits.timeout()) else { continue };
-        questions.spawn(async move { (client.standing().await, member) });
+        questions.spawn(async move { (question(&member.address, limits.timeout()).await, member) });
     }
     while let Some(answered) = questions.join_next().await {
-        let Ok((answer, member)) = answered else { continue };
-        match answer {
-            Ok(standing) => act(context, &mut round, &member, &standing, limits),
-            Err(error) => {
-                log::debug!("confirmation: no answer peer={} reason={:?}", member.address, error.to_string());
-            }
+        match answered {
+            Ok((Answer::Standing(standing), member)) => act(context, &mut round, &member, &standing, limits),
+            Ok((Answer::None { is_stopped }, _)) => round.record_failure(is_stopped),
+            Err(_) => round.record_failure(false),
         }
     }
+    if let Some(as_of) = round.agreed_at() {
+        lock(&context.confirmation).agree(round.version(), as_of);
+    }
+}
+
+/// Asks the daemon at `address` for its standing. If it does not answer and its machine refuses connections, its process is stopped.
+async fn question(address: &str, timeout: Duration) -> Answer {
+    if let Some(client) = client::client_with_timeout(address, timeout)
+        && let Ok(standing) = client.standing().await
+    {
+        return Answer::Standing(standing);
+    }
+    let connection = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+    let is_stopped = matches!(connection, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused);
+    Answer::None { is_stopped }
 }
 
-/// Acts on an answer: confirms the policy in force, fetches a newer one, or notes whether all agree.
+/// Acts on an answer: confirms the policy in force, or fetches a newer one.
 fn act(context: &Arc<Context>, round: &mut Round, member: &Member, standing: &Standing, limits: Limits) {
-    let finding = round.record(&member.region, standing, limits);
-    let mut confirmation = lock(&context.confirmation);
-    match finding {
-        Finding::Confirmed(as_of) => confirmation.confirm(as_of),
+    match round.record(&member.region, standing, limits) {
+        Finding::Confirmed(as_of) => lock(&context.confirmation).confirm(as_of),
         Finding::Newer => {
-            confirmation.withdraw();
-            drop(confirmation);
+            lock(&context.confirmation).withdraw();
             exchange::fetch_newer(context, standing.version, &member.address);
         }
-        Finding::Silent => {
-            if let Some(as_of) = round.agreed_at() {
-                confirmation.agree(round.version(), as_of);
-            }
-        }
+        Finding::Silent => {}
     }
 }
 
-/// Chooses random daemons of each region; those that seem dead only where there are no others.
-fn choose(context: &Context, regions: &BTreeSet<String>, rng: &mut fastrand::Rng) -> Vec<Member> {
+/// Chooses the members that fell silent after `confirmed_at`, up to [`MAX_SILENT`], and random other ones of each region; of those that
+/// fell silent before only where there are no others.
+fn choose(
+    context: &Context,
+    regions: &BTreeSet<String>,
+    silence: &Silence,
+    confirmed_at: Option<Time>,
+    rng: &mut fastrand::Rng,
+) -> Vec<Member> {
     let roster = lock(&context.roster);
-    let per_region = (MAX_QUESTIONS / regions.len().max(1)).max(1);
     let domains = &context.settings.domains;
-    let chosen = regions.iter().flat_map(|region| {
+    let per_region = (MAX_QUESTIONS / regions.len().max(1)).max(1);
+    let suspects: BTreeSet<&str> = silence.since(confirmed_at).take(MAX_SILENT).collect();
+    let member = |record: &Record| {
+        let region = domains.get(&record.domain).cloned().unwrap_or_default();
+        Member { region, address: record.peer_address.clone() }
+    };
+    let mut chosen: Vec<Member> =
+        roster.other_members().filter(|record| suspects.contains(record.name.as_str())).map(member).collect();
+    for region in regions {
         let members = roster.other_members().filter(|record| domains.get(&record.domain) == Some(region));
-        let (mut live, mut dead): (Vec<_>, Vec<_>) = members.partition(|record| record.state <= State::Suspect);
-        rng.shuffle(&mut live);
-        rng.shuffle(&mut dead);
-        let records = live.into_iter().chain(dead).take(per_region);
-        records.map(|record| Member { region: region.clone(), address: record.peer_address.clone() })
-    });
-    chosen.collect()
+        let others = members.filter(|record| !suspects.contains(record.name.as_str()));
+        let (mut silent, mut heard): (Vec<_>, Vec<_>) = others.partition(|record| silence.contains(&record.name));
+        rng.shuffle(&mut heard);
+        rng.shuffle(&mut silent);
+        silent.truncate(usize::from(heard.is_empty()));
+        chosen.extend(heard.into_iter().take(per_region).chain(silent).map(member));
+    }
+    chosen
 }
--- a/crates/fleet/src/confirmation.rs
+++ b/crates/fleet/src/confirmation.rs
@@ -2,10 +2,11 @@
 //!
 //! A daemon that goes by a replaced policy may run a request in a region that it must not run in. So it must know of its policy that
 //! it was in force a bounded time ago. The store says so, directly or through another daemon. While the store is silent for all daemons,
-//! it accepts no change either: then it is enough that a daemon hears others of every region, that none of them has a newer policy,
-//! and that none has lately heard from the store.
+//! it accepts no change either: then it is enough that a daemon hears others of every region, that none of them has a newer policy or
+//! has lately heard from the store, and that none has fallen silent since the store did. Daemons that are cut off together, from the store and from
+//! the others, do not agree by themselves.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use base::time::Time;
@@ -108,6 +109,31 @@
     }
 }
 
+/// Members that are silent, and since when.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Silence(BTreeMap<String, Time>);
+
+impl Silence {
+    /// Records that at `now` the members `silent` do not answer, and no others.
+    pub fn update<'a>(&mut self, silent: impl Iterator<Item = &'a str>, now: Time) {
+        let known = std::mem::take(&mut self.0);
+        self.0 = silent.map(|name| (name.to_owned(), known.get(name).copied().unwrap_or(now))).collect();
+    }
+
+    /// Whether the member `name` is silent.
+    pub fn contains(&self, name: &str) -> bool {
+        self.0.contains_key(name)
+    }
+
+    /// Returns the members that fell silent after `confirmed_at`, when the store was last heard. What took the store away may have
+    /// taken them away, and they may hear it still. Those that fell silent before are out for another reason.
+    pub fn since(&self, confirmed_at: Option<Time>) -> impl Iterator<Item = &str> {
+        let later =
+            self.0.iter().filter(move |(_, since)| confirmed_at.is_none_or(|confirmed_at| **since > confirmed_at));
+        later.map(|(name, _)| name.as_str())
+    }
+}
+
 /// What follows from an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
@@ -126,32 +152,41 @@
     in_force: Version,
     /// Regions of which nobody has answered yet.
     unheard: BTreeSet<String>,
-    /// Whether an answer or the daemon itself knows more than that the store is silent.
+    /// Number of questions that are not answered yet.
+    open: usize,
+    /// Whether an answer, a missing one or the daemon itself speaks against the silence of the store.
     contradicted: bool,
 }
 
 impl Round {
-    /// Begins a round at `sent` while `in_force` is in force, in which daemons of each of `regions` must answer.
-    pub const fn new(in_force: Version, regions: BTreeSet<String>, sent: Time) -> Self {
-        Self { sent, in_force, unheard: regions, contradicted: false }
+    /// Begins a round of `questions` at `sent` while `in_force` is in force. Daemons of each of `regions` must answer.
+    pub const fn new(in_force: Version, regions: BTreeSet<String>, questions: usize, sent: Time) -> Self {
+        Self { sent, in_force, unheard: regions, open: questions, contradicted: false }
     }
 
-    /// Records that this daemon itself knows more than that the store is silent.
+    /// Records that this daemon itself knows of something that speaks against the silence of the store.
     pub const fn contradict(&mut self) {
         self.contradicted = true;
     }
 
     /// Records the answer of a daemon in `region`.
     pub fn record(&mut self, region: &str, standing: &Standing, limits: Limits) -> Finding {
+        self.open = self.open.saturating_sub(1);
         self.unheard.remove(region);
         let finding = self.judge(standing, limits);
         self.contradicted |= finding != Finding::Silent;
         finding
     }
 
-    /// Returns since when daemons of all regions agree that they know of no newer policy; `None` if they do not.
+    /// Records that a daemon has not answered; it may hear the store unless it `is_stopped`.
+    pub const fn record_failure(&mut self, is_stopped: bool) {
+        self.open = self.open.saturating_sub(1);
+        self.contradicted |= !is_stopped;
+    }
+
+    /// Returns since when all that were asked, of all regions, agree that they know of no newer policy; `None` if they do not.
     pub fn agreed_at(&self) -> Option<Time> {
-        (self.unheard.is_empty() && !self.contradicted).then_some(self.sent)
+        (self.open == 0 && self.unheard.is_empty() && !self.contradicted).then_some(self.sent)
     }
 
     /// Returns the version that was in force when the round began.
