A quarter of the time for a new policy is left for the way of a request

What callers saw: nothing yet. A request that is written just before the age passes its bound may reach its server up to 0.7 s later: bytes that are not acknowledged are given up after that time (`UNACKED_TIMEOUT`). An eighth of three seconds does not cover that.

--- a/crates/fleet/src/confirmation.rs
+++ b/crates/fleet/src/confirmation.rs
@@ -21,10 +21,10 @@
 }
 
 impl Limits {
-    /// Creates the limits of a deployment in which a new policy must be in force everywhere within `apply`. An eighth of it is left for
-    /// the way of a request.
+    /// Creates the limits of a deployment in which a new policy must be in force everywhere within `apply`. A quarter of it is left for
+    /// the way of a request, which a link that drops packets makes longer.
     pub fn new(apply: Duration) -> Self {
-        Self { max_age: apply * 7 / 8 }
+        Self { max_age: apply * 3 / 4 }
     }
 
     /// Age of a policy up to which requests go by the regions that it names.
@@ -39,12 +39,12 @@
 
     /// Age from which a daemon asks others.
     pub fn ask_after(&self) -> Duration {
-        self.max_age / 2
+        self.max_age * 2 / 3
     }
 
     /// Age from which a daemon counts as one that hears nothing of the store.
     pub fn silent_after(&self) -> Duration {
-        self.max_age * 2 / 3
+        self.max_age * 3 / 4
     }
 
     /// Time between two rounds of questions.
