A request that names regions is not passed on to a build that ignores them

Cause: the sender passed it on whatever the receiver does with the regions.

Change: a record tells that its build heeds named regions; requests that may not run everywhere go to such instances only. Records that members of earlier builds pass on lack the field, and are completed from others as the relay port is.

--- a/crates/daemon/src/callers/relay/peer.rs
+++ b/crates/daemon/src/callers/relay/peer.rs
@@ -74,17 +74,18 @@
         if tried.contains(&distance) {
             continue;
         }
-        let Some(interface) = interface(context, entry) else { continue };
+        let Some(interface) = interface(context, entry, allowed) else { continue };
         let region = regions.regions.get(usize::from(entry.region)).cloned().unwrap_or_default();
         nearest.entry(distance).or_default().push(Peer { name: entry.name.clone(), region, distance, interface });
     }
     nearest.into_values().find_map(fastrand::choice)
 }
 
-/// Returns where `entry` takes requests that are passed on; `None` as long as it has told nothing of itself.
-fn interface(context: &Context, entry: &Entry) -> Option<Interface> {
+/// Returns where `entry` takes requests that may run in `allowed`; `None` as long as it has told nothing of itself, or if it may run them
+/// elsewhere.
+fn interface(context: &Context, entry: &Entry, allowed: &Allowed) -> Option<Interface> {
     let roster = lock(&context.roster);
-    let record = roster.member(&entry.name)?;
+    let record = roster.member(&entry.name).filter(|record| *allowed == Allowed::All || record.heeds_regions)?;
     match record.relay_address() {
         Some(address) => Some(Interface::Peers(address)),
         None => Some(Interface::Callers(entry.address.parse().ok()?)),
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -157,6 +157,7 @@
             caller_address: adapter.catalog.map_or_else(String::new, |_| settings.callers.address.clone()),
             relay_port: settings.fleet.relay_address().parse().ok().map(|address: SocketAddr| address.port()),
             capacity: Some(settings.machine.capacity()),
+            heeds_regions: true,
             ..Record::new(&settings.instance, clock::unix_time_ms(), &settings.fleet.address, &settings.domain)
         };
         let timeouts = Timeouts { suspect: Duration::from_millis(settings.fleet.suspect_ms) };
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -72,6 +72,10 @@
     /// pass on.
     #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
     pub capacity: Option<u32>,
+    /// Whether it runs what is passed on to it only in the regions that are named with it. Builds up to f5d1856 do not, and drop
+    /// this from records that they pass on.
+    #[serde(rename = "h", default, skip_serializing_if = "std::ops::Not::not")]
+    pub heeds_regions: bool,
 }
 
 impl Record {
@@ -88,6 +92,7 @@
             without_servers: false,
             relay_port: None,
             capacity: None,
+            heeds_regions: false,
         }
     }
 
@@ -103,6 +108,7 @@
         if self.incarnation == other.incarnation {
             self.relay_port = self.relay_port.or(other.relay_port);
             self.capacity = self.capacity.or(other.capacity);
+            self.heeds_regions |= other.heeds_regions;
         }
     }
 
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -344,26 +344,29 @@
     assert_eq!(serde_json::from_str::<Document>(&text).expect("it can be read"), document);
 }
 
-/// A message as members of builds up to 4e2e901 write and read it, without relay ports.
+/// A message as members of builds up to 4e2e901 write and read it, without relay ports and what builds after f5d1856 add.
 fn through_an_earlier_build(message: &Message) -> Message {
     let mut message = message.clone();
-    message.records.iter_mut().for_each(|record| record.relay_port = None);
+    message.records.iter_mut().for_each(|record| (record.relay_port, record.heeds_regions) = (None, false));
     message
 }
 
-/// Guards against requests that are passed on as to an earlier build for good: members of such builds drop the relay ports
-/// from records that they pass on, and a member may get a record from them first.
+/// Guards against requests that are passed on as to an earlier build for good: members of such builds drop the relay ports, and
+/// that regions are heeded, from records that they pass on, and a member may get a record from them first.
 #[rstest]
 #[case(7)]
 #[case(119)]
 fn relay_ports_arrive_although_earlier_builds_drop_them(#[case] count: usize) {
     let is_earlier = |number: usize| number % 2 == 1;
     let port = |number: usize| (!is_earlier(number)).then_some(7_201);
-    let own = |number: usize| Record { relay_port: port(number), ..record(&format!("n{number}"), 1) };
+    let own = |number: usize| {
+        let relay_port = port(number);
+        Record { relay_port, heeds_regions: relay_port.is_some(), ..record(&format!("n{number}"), 1) }
+    };
     let mut rosters: Vec<Roster> = (0..count).map(|number| Roster::new(own(number), TIMEOUTS, number as u64)).collect();
     let now = Time::from_millis(1);
     // All know all from a member of an earlier build.
-    let known: Vec<Record> = (0..count).map(|number| Record { relay_port: None, ..own(number) }).collect();
+    let known: Vec<Record> = (0..count).map(|number| record(&format!("n{number}"), 1)).collect();
     let snapshot = Snapshot { records: known, ..Snapshot::default() };
     rosters.iter_mut().for_each(|roster| roster.merge_snapshot(&snapshot, now));
     for _ in 0..2 * count {
@@ -379,8 +382,9 @@
     }
     for (number, roster) in rosters.iter().enumerate().filter(|(number, _)| !is_earlier(*number)) {
         for other in (0..count).filter(|other| *other != number) {
-            let known = roster.member(&format!("n{other}")).expect("all know all").relay_port;
-            assert_eq!(known, port(other), "n{number} of n{other}");
+            let known = roster.member(&format!("n{other}")).expect("all know all");
+            let known = (known.relay_port, known.heeds_regions);
+            assert_eq!(known, (port(other), !is_earlier(other)), "n{number} of n{other}");
         }
     }
 }
