Lines of attempts tell how old the policy is

Change: 'dispatch: sent' and 'relay: passed on' have policy_ms, the time since the policy in force was last known to be the store's; for a request that is passed on, as of its hand-over. It is computed only where the line is written: two short locks. Result: daemon port each_decision_on_a_request_is_one_line_with_its_fields passes with the new field.

--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -76,11 +76,12 @@
         };
         tried.insert(peer.distance);
         let started = context.now();
+        let policy_ms = decision_log::policy_ms(context, started);
         let result = match tokio::time::timeout(left, exchange(context, active, outgoing, &peer, passage)).await {
             Ok(result) => result,
             Err(_) => Err(Failure::Answer(Kind::BackendTimeout)),
         };
-        log_result(context, outgoing, &peer, &result, started);
+        log_result(context, outgoing, &peer, &result, started, policy_ms);
         match result {
             Ok(answer) => return Ok(Ok(Arc::new(attempt::to_response(context, answer)))),
             Err(Failure::Answer(kind)) => return Ok(Err(kind.into())),
@@ -91,7 +92,15 @@
     }
 }
 
-fn log_result(context: &Context, outgoing: &Outgoing, peer: &Peer, result: &Result<Answer, Failure>, started: Time) {
+/// Logs what became of a request that was passed on at `started`, when the policy in force was `policy_ms` old.
+fn log_result(
+    context: &Context,
+    outgoing: &Outgoing,
+    peer: &Peer,
+    result: &Result<Answer, Failure>,
+    started: Time,
+    policy_ms: i64,
+) {
     let (label, status) = match result {
         Ok(answer) => ("answered", answer.status.as_u16()),
         Err(Failure::Unsent) => ("unsent", 0),
@@ -106,7 +115,7 @@
     log::info!(
         request = outgoing.id.as_str(), peer = peer.name.as_str(), result = label, status, ms:%,
         region = peer.region.as_str(), class, account = outgoing.account.as_deref().unwrap_or("-"),
-        version:% = active.version, allowed, host, path;
+        version:% = active.version, policy_ms, allowed, host, path;
         "relay: passed on"
     );
 }
--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use base::time::Time;
 use config::policy::Allowed;
 use dispatch::Ending;
 use dispatch::backend::BackendId;
@@ -16,7 +17,7 @@
 use crate::driver::Outgoing;
 use crate::policies::ActivePolicy;
 use crate::view::Steering;
-use crate::{Context, rejection};
+use crate::{Context, mirror, rejection};
 
 /// Maximum number of server names in one line about changes of the list.
 const MAX_NAMES: usize = 8;
@@ -45,11 +46,18 @@
         pace:% = format_args!("{:.2}", basis.pace),
         told_ms:% = basis.reported_at.map_or(-1, |reported_at| now.since(reported_at).as_millis() as i64),
         waited_ms:% = waited.as_millis(), left_ms:% = attempt.deadline.since(now).as_millis(), region,
-        class, account = outgoing.account.as_deref().unwrap_or("-"), version:% = active.version, allowed, host, path;
+        class, account = outgoing.account.as_deref().unwrap_or("-"), version:% = active.version,
+        policy_ms = policy_ms(context, now), allowed, host, path;
         "dispatch: sent"
     );
 }
 
+/// Returns how long ago the policy in force was last known to be the store's, in milliseconds; -1 if that is not known.
+pub fn policy_ms(context: &Context, now: Time) -> i64 {
+    let age = context.catalog.and_then(|catalog| mirror::policy_age(context, catalog, now));
+    age.map_or(-1, |age| age.as_millis() as i64)
+}
+
 /// Returns the class that covers a request in a policy and the regions in which it lets the request run, as fields of a log line.
 pub fn allowed<'a>(active: &'a ActivePolicy, outgoing: &Outgoing) -> (&'a str, String) {
     let Some((class, _)) = active.policy.class_of(outgoing.host(), outgoing.path()) else {
