--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -60,6 +60,11 @@
     known.into_iter().chain(told).min()
 }
 
+/// Returns how long ago instances of all regions agreed on the policy of `version`; `None` if they never did.
+pub fn agreement_age(context: &Context, version: Version, now: Time) -> Option<Duration> {
+    lock(&context.confirmation).agreed_at(version).map(|at| now.since(at))
+}
+
 /// Returns until when requests may go by the regions that the policy of `version`, which is in force, names.
 pub fn expiry(context: &Context, version: Version, now: Time) -> Time {
     if context.catalog.is_none() {
@@ -67,7 +72,7 @@
     }
     let limits = limits(context);
     let confirmed = policy_age(context, now).map(|age| now - age + limits.max_age());
-    let agreed = lock(&context.confirmation).agreed_at(version).map(|at| at + limits.max_agreement_age());
+    let agreed = agreement_age(context, version, now).map(|age| now - age + limits.max_agreement_age());
     confirmed.max(agreed).unwrap_or(Time::ZERO)
 }
 
--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -17,7 +17,7 @@
 use crate::driver::Outgoing;
 use crate::policies::ActivePolicy;
 use crate::view::Steering;
-use crate::{Context, mirror, rejection};
+use crate::{Context, confirmation, rejection};
 
 /// Maximum number of server names in one line about changes of the list.
 const MAX_NAMES: usize = 8;
@@ -52,10 +52,12 @@
     );
 }
 
-/// Returns how long ago the policy in force was last known to be the store's, in milliseconds; -1 if that is not known.
+/// Returns how long ago the policy in force was last known to be the store's, or instances of all regions agreed on it, in milliseconds;
+/// -1 if neither is known.
 pub fn policy_ms(context: &Context, now: Time) -> i64 {
-    let age = context.catalog.and_then(|catalog| mirror::policy_age(context, catalog, now));
-    age.map_or(-1, |age| age.as_millis() as i64)
+    let version = context.policy().version;
+    let ages = [confirmation::policy_age(context, now), confirmation::agreement_age(context, version, now)];
+    ages.into_iter().flatten().min().map_or(-1, |age| age.as_millis() as i64)
 }
 
 /// Returns the class that covers a request in a policy and the regions in which it lets the request run, as fields of a log line.
