--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -95,14 +95,14 @@
     }
 }
 
-/// Logs what became of a request that was passed on at `started`, when the policy in force was `policy_ms` old.
+/// Logs what became of a request that was passed on at `started`, when the policy in force was `policy_ms` old and was agreed on `agreed_ms` ago.
 fn log_result(
     context: &Context,
     outgoing: &Outgoing,
     peer: &Peer,
     result: &Result<Answer, Failure>,
     started: Time,
-    policy_ms: i64,
+    [policy_ms, agreed_ms]: [i64; 2],
 ) {
     let (label, status) = match result {
         Ok(answer) => ("answered", answer.status.as_u16()),
@@ -118,7 +118,7 @@
     log::info!(
         request = outgoing.id.as_str(), peer = peer.name.as_str(), result = label, status, ms:%,
         region = peer.region.as_str(), class, account = outgoing.account.as_deref().unwrap_or("-"),
-        version:% = active.version, policy_ms, allowed, host, path;
+        version:% = active.version, policy_ms, agreed_ms, allowed, host, path;
         "relay: passed on"
     );
 }
--- a/crates/daemon/src/decision_log.rs
+++ b/crates/daemon/src/decision_log.rs
@@ -37,6 +37,7 @@
     let (server, domain) = target.map_or(("gone", ""), |instance| (&instance.name, &instance.domain));
     let region = target.map_or("-", |instance| instance.region.as_str());
     let now = context.now();
+    let [policy_ms, agreed_ms] = policy_ms(context, now);
     let warm = warm_label(basis);
     let (host, path) = place(outgoing);
     let (class, allowed) = allowed(active, outgoing);
@@ -47,17 +48,17 @@
         told_ms:% = basis.reported_at.map_or(-1, |reported_at| now.since(reported_at).as_millis() as i64),
         waited_ms:% = waited.as_millis(), left_ms:% = attempt.deadline.since(now).as_millis(), region,
         class, account = outgoing.account.as_deref().unwrap_or("-"), version:% = active.version,
-        policy_ms = policy_ms(context, now), allowed, host, path;
+        policy_ms, agreed_ms, allowed, host, path;
         "dispatch: sent"
     );
 }
 
-/// Returns how long ago the policy in force was last known to be the store's, or instances of all regions agreed on it, in milliseconds;
-/// -1 if neither is known.
-pub fn policy_ms(context: &Context, now: Time) -> i64 {
+/// Returns how long ago the policy in force was last known to be the store's, and how long ago instances of all regions agreed on it, in
+/// milliseconds; -1 if that is not known.
+pub fn policy_ms(context: &Context, now: Time) -> [i64; 2] {
     let version = context.policy().version;
     let ages = [confirmation::policy_age(context, now), confirmation::agreement_age(context, version, now)];
-    ages.into_iter().flatten().min().map_or(-1, |age| age.as_millis() as i64)
+    ages.map(|age| age.map_or(-1, |age| age.as_millis() as i64))
 }
 
 /// Returns the class that covers a request in a policy and the regions in which it lets the request run, as fields of a log line.
--- a/crates/daemon/tests/port.rs
+++ b/crates/daemon/tests/port.rs
@@ -206,9 +206,20 @@
     }
     let fields_of = |sentence: &str| served.iter().find(|(text, _)| text == sentence).map(|(_, fields)| fields.clone());
     let sent = fields_of("dispatch: sent").expect("the line was counted before");
-    for name in
-        ["attempt", "server", "domain", "again", "own", "load", "pace", "told_ms", "waited_ms", "left_ms", "policy_ms"]
-    {
+    for name in [
+        "attempt",
+        "server",
+        "domain",
+        "again",
+        "own",
+        "load",
+        "pace",
+        "told_ms",
+        "waited_ms",
+        "left_ms",
+        "policy_ms",
+        "agreed_ms",
+    ] {
         assert!(sent.contains_key(name), "{name} is missing: {sent:?}");
     }
 }
