The audit tells when instances go by an older policy, and judges its age

Cause: the audit judged single attempts. An instance that goes by an older version for twenty seconds was not noticed unless one of the few requests with regions was sent where the newest version forbids it; attempts without a route and attempts in no log were left out, and come from these instances too. An attempt or a hand-over with regions, by the sender's version, at a policy_ms above that time or of -1 is a fault (aged); lines of earlier builds are not judged by it. If a line has agreed_ms, the time since instances of every region agreed that none has a newer policy, the smaller of both counts. The reader of one instance's lines stands in its own file; the report's reader is split. The tests' scaffolding: one way to a report instead of five, versions named once.

--- a/crates/ctl/src/audit.rs
+++ b/crates/ctl/src/audit.rs
@@ -5,8 +5,10 @@
 //! the one before it while instances may still learn of the newest. What else an instance refuses with a status from 300 to
 //! 499 says something of the request alone, and is judged by who has sent it.
 
+pub mod lag;
 pub mod regions;
 pub mod report;
+mod told;
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -38,6 +40,12 @@
         let (era, revision) = (parts.next()?.parse().ok()?, parts.next()?.parse().ok()?);
         parts.next().is_none().then_some(Self(declared, era, revision))
     }
+
+    /// Whether `other` is a later policy. A store that is restored changes the era of a policy that the operators have numbered, and
+    /// nothing else of it.
+    pub fn is_replaced_by(self, other: Self) -> bool {
+        self.0 < other.0 || (self.0 == 0 && self < other)
+    }
 }
 
 /// A place that a route covers.
--- a/crates/ctl/src/audit/regions.rs
+++ b/crates/ctl/src/audit/regions.rs
@@ -29,6 +29,38 @@
     Instance,
 }
 
+/// How long ago the policy in force was last known to be the store's, as the instance says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PolicyAge {
+    /// The line does not tell, as those of builds up to 6ec4e595.
+    NotTold,
+    /// The instance does not know.
+    Unknown,
+    /// The time in milliseconds.
+    Known(u64),
+}
+
+impl PolicyAge {
+    /// Whether the instance may not go by the regions of its policy, if it may for `bound_ms`.
+    pub const fn exceeds(self, bound_ms: u64) -> bool {
+        match self {
+            Self::NotTold => false,
+            Self::Unknown => true,
+            Self::Known(age_ms) => age_ms > bound_ms,
+        }
+    }
+}
+
+impl fmt::Display for PolicyAge {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotTold => f.write_str("?"),
+            Self::Unknown => f.write_str("-1"),
+            Self::Known(age_ms) => age_ms.fmt(f),
+        }
+    }
+}
+
 /// A request that was sent to a backend server or passed on to another instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Attempt {
@@ -52,6 +84,8 @@
     pub version: Version,
     /// What that version allows, as the sender says; `None` if it says nothing.
     pub allowed: Option<Allowed>,
+    /// How old that version was.
+    pub policy_age: PolicyAge,
 }
 
 /// What can be said of the region that a request was sent to.
@@ -130,11 +164,7 @@
         let possible =
             self.versions.iter().filter(|(version, known)| self.may_be_in_force(**version, known, attempt.at_ms));
         let rules: Vec<Rule> = possible.map(|(_, known)| Rule::of(known, attempt)).collect();
-        let own = self.versions.get(&attempt.version).map(|known| Rule::of(known, attempt));
-        let is_forbidden_by_own = match (own, &attempt.allowed) {
-            (Some(rule), _) if rule != Rule::Unknown => rule.forbids(&attempt.region),
-            (_, allowed) => allowed.as_ref().is_some_and(|allowed| !allowed.contains(&attempt.region)),
-        };
+        let is_forbidden_by_own = self.own_rule(attempt).forbids(&attempt.region);
         if rules.contains(&Rule::Unknown) {
             Verdict::Unknown
         } else if rules.iter().all(|rule| *rule == Rule::NoRoute) {
@@ -148,6 +178,18 @@
         }
     }
 
+    /// Whether the sender's own version lets the request run in some regions only.
+    pub fn has_regions(&self, attempt: &Attempt) -> bool {
+        matches!(self.own_rule(attempt), Rule::Within(allowed) if allowed != Allowed::All)
+    }
+
+    /// Returns what the sender's own version says of a request: as the logs tell it, or else as the sender does.
+    fn own_rule(&self, attempt: &Attempt) -> Rule {
+        let told = || attempt.allowed.clone().map_or(Rule::Unknown, Rule::Within);
+        let known = self.versions.get(&attempt.version).map(|known| Rule::of(known, attempt));
+        known.filter(|rule| *rule != Rule::Unknown).unwrap_or_else(told)
+    }
+
     /// Returns for how long the region had been forbidden when a request was sent to it, in milliseconds: since the first of the
     /// versions up to the last one that `since` knows at that time, all of which forbid it, came into force. `since` tells when a
     /// version did so.
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -23,7 +23,8 @@
   explain REQUEST FILE...     trace one request through the logs of the daemons
   audit FILE...               judge each refusal in the daemons' logs that tells a caller that its request is
                               wrong: does a policy that may have been in force refuse it? Judge the region of
-                              each request that was sent, and look-ups that name other regions
+                              each request that was sent, the age of the policy that it went by, and look-ups
+                              that name other regions; tell when instances went by an older policy
       --apply-ms N            time in which every daemon learns of a new policy  (default 3000)
       --any-callers           callers need not keep to HTTP and to the limits
   check FILE [--against FILE | --in-force]
--- a/crates/ctl/src/verbs/audit.rs
+++ b/crates/ctl/src/verbs/audit.rs
@@ -7,15 +7,16 @@
 use std::io::{BufRead as _, BufReader, Read, stdin};
 use std::path::Path;
 
-use crate::audit::regions::{LookUp, Receiver};
-use crate::audit::report::{Misplaced, Report};
+use crate::audit::lag::Span;
+use crate::audit::regions::{Attempt, LookUp, PolicyAge, Receiver};
+use crate::audit::report::{Misplaced, Report, Unjudged};
 use crate::audit::{Rejection, Verdict};
 use crate::cli::Audit;
 use crate::error::{Error, Result};
 use crate::logs::{Clock, Line};
 
 /// The starts of the lines that an audit needs.
-const SENTENCES: [&str; 4] = ["policy: ", "callers: ", "dispatch: sent", "relay: passed on"];
+const SENTENCES: [&str; 5] = ["life: ", "policy: ", "callers: ", "dispatch: sent", "relay: passed on"];
 /// Maximum number of faults of each kind that are printed.
 const MAX_PRINTED: usize = 50;
 
@@ -41,6 +42,7 @@
     let text = render(&report, &faults);
     let is_clean = faults.is_empty()
         && report.misplaced.is_empty()
+        && report.aged.is_empty()
         && !report.look_ups.iter().any(LookUp::is_fault)
         && report.incomplete.is_empty()
         && report.different.is_empty();
@@ -62,13 +64,15 @@
 
 fn render(report: &Report, faults: &[&(Rejection, Verdict)]) -> String {
     let mut text = format!(
-        "{} versions of the policy, {} rejections: {}; {}; {}; {}; {} log lines left out\n",
+        "{} versions of the policy, {} rejections: {}; {}; {}; {}; {}; {}; {} log lines left out\n",
         report.versions,
         report.judged.len(),
         joined(report.counts()),
         sent(report, Receiver::Server, &format!("attempts and {} that are in no log", report.unseen)),
         sent(report, Receiver::Instance, "passed on"),
         look_ups(report),
+        aged_counts(report),
+        span_counts(report),
         report.left_out
     );
     let incomplete =
@@ -78,7 +82,9 @@
     add(&mut text, &incomplete.chain(different).collect::<Vec<_>>());
     add(&mut text, &faults.iter().map(|fault| rejected(fault)).collect::<Vec<_>>());
     add(&mut text, &report.misplaced.iter().map(misplaced).collect::<Vec<_>>());
+    add(&mut text, &report.aged.iter().map(|attempt| format!("aged: {}", described(attempt))).collect::<Vec<_>>());
     add(&mut text, &report.look_ups.iter().filter(|look_up| look_up.is_fault()).map(look_up).collect::<Vec<_>>());
+    add(&mut text, &report.spans.iter().map(span).collect::<Vec<_>>());
     text
 }
 
@@ -124,20 +130,43 @@
 
 fn misplaced(misplaced: &Misplaced) -> String {
     let Misplaced { attempt, verdict, late_ms, late_anywhere_ms } = misplaced;
+    format!("{verdict}: {} late_ms={late_ms} late_anywhere_ms={late_anywhere_ms}", described(attempt))
+}
+
+/// Formats a request that was sent.
+fn described(attempt: &Attempt) -> String {
+    let Attempt { at_ms, instance, request, region, class, account, version, policy_age, .. } = attempt;
     let receiver = if attempt.receiver == Receiver::Server { "sent" } else { "passed-on" };
     let allowed = attempt.allowed.as_ref().map_or_else(|| "?".to_owned(), ToString::to_string);
     format!(
-        "{verdict}: {} {} {receiver} request={} region={} class={} account={} version={:?} allowed={allowed} late_ms={late_ms} late_anywhere_ms={late_anywhere_ms}",
-        attempt.at_ms,
-        attempt.instance,
-        attempt.request,
-        attempt.region,
-        attempt.class,
-        attempt.account,
-        attempt.version,
+        "{at_ms} {instance} {receiver} request={request} region={region} class={class} account={account} version={version:?} allowed={allowed} policy_ms={policy_age}"
+    )
+}
+
+/// Formats the number of requests that went by the regions of a policy that is too old.
+fn aged_counts(report: &Report) -> String {
+    let unknown = report.aged.iter().filter(|attempt| attempt.policy_age == PolicyAge::Unknown).count();
+    format!("{} with regions by a policy too old, {unknown} of them of unknown age", report.aged.len())
+}
+
+/// Formats the number of spans in which instances went by older versions, and of what they sent in them.
+fn span_counts(report: &Report) -> String {
+    let attempts: usize = report.spans.iter().map(|span| span.attempts).sum();
+    let with_regions: usize = report.spans.iter().map(|span| span.with_regions).sum();
+    let longest = report.spans.first().map(|span| format!(" longest_ms={}", span.length_ms())).unwrap_or_default();
+    let Unjudged { no_route, unseen } = report.in_spans;
+    format!(
+        "{} spans by an older version: attempts={attempts} with-regions={with_regions} no-route={no_route} in-no-log={unseen}{longest}",
+        report.spans.len()
     )
 }
 
+fn span(span: &Span) -> String {
+    let Span { instance, from_ms, to_ms, attempts, with_regions } = span;
+    let length_ms = span.length_ms();
+    format!("span: {from_ms} to {to_ms} {instance} ms={length_ms} attempts={attempts} with-regions={with_regions}")
+}
+
 fn look_up(look_up: &LookUp) -> String {
     let LookUp { at_ms, instance, region, standing: [good, doubtful, out], .. } = look_up;
     format!("look-up: {at_ms} {instance} region={region} good={good} doubtful={doubtful} out={out}")
--- a/crates/ctl/tests/audit.rs
+++ b/crates/ctl/tests/audit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ctl::audit::regions::{Receiver, Verdict as RegionVerdict};
-use ctl::audit::report::Report;
+use ctl::audit::report::{Report, Unjudged};
 use ctl::audit::{Verdict, Version};
 use ctl::logs::{Clock, Line};
 use rstest::rstest;
@@ -11,6 +11,11 @@
 /// Time in which every instance learns of a new policy.
 const APPLY: Duration = Duration::from_secs(3);
 
+const ZERO: &str = "00000000.0.0";
+const ONE: &str = "00000001.0.1";
+const TWO: &str = "00000002.0.5";
+const THREE: &str = "00000003.0.9";
+
 /// A log line of `instance` at `at_ms`.
 fn line(instance: &str, at_ms: u64, text: &str) -> Line {
     let text = format!("{}.{:03} INFO  instance={instance} {text}", at_ms / 1_000, at_ms % 1_000);
@@ -57,20 +62,21 @@
 
 /// Two instances: version 1 has `/a/` and `/old/`; version 2, from second 10 on, has `/new/` in place of `/old/`.
 fn history() -> Vec<Line> {
-    let zero = "00000000.0.0";
-    let (one, two) = ("00000001.0.1", "00000002.0.5");
     [
-        policy("e1", 1_000, [zero, one], &["/a/", "/old/"], &[], 2),
-        policy("e2", 1_200, [zero, one], &["/a/", "/old/"], &[], 2),
-        policy("e1", 10_000, [one, two], &["/new/"], &["/old/"], 2),
-        policy("e2", 10_900, [one, two], &["/new/"], &["/old/"], 2),
+        policy("e1", 1_000, [ZERO, ONE], &["/a/", "/old/"], &[], 2),
+        policy("e2", 1_200, [ZERO, ONE], &["/a/", "/old/"], &[], 2),
+        policy("e1", 10_000, [ONE, TWO], &["/new/"], &["/old/"], 2),
+        policy("e2", 10_900, [ONE, TWO], &["/new/"], &["/old/"], 2),
     ]
     .concat()
 }
 
+fn audit(lines: &[Vec<Line>]) -> Report {
+    Report::new(lines.concat().iter(), APPLY)
+}
+
 fn verdict(line: Line) -> Verdict {
-    let lines = [history(), vec![line]].concat();
-    Report::new(lines.iter(), APPLY).judged[0].1
+    audit(&[history(), vec![line]]).judged[0].1
 }
 
 /// Guards against an audit that misses a refusal which no policy explains (DENIED), or that reports one which a policy does.
@@ -120,9 +126,8 @@
 /// Guards against a process that starts again and is judged by the routes that the one before it told.
 #[test]
 fn a_process_that_starts_again_tells_all_its_routes() {
-    let again = policy("e1", 20_000, ["00000000.0.0", "00000003.0.9"], &["/a/"], &[], 1);
-    let lines = [history(), again, vec![not_found("e1", 24_000, "h", "/new/x")]].concat();
-    let report = Report::new(lines.iter(), APPLY);
+    let again = policy("e1", 20_000, [ZERO, THREE], &["/a/"], &[], 1);
+    let report = audit(&[history(), again, vec![not_found("e1", 24_000, "h", "/new/x")]]);
     assert_eq!(report.judged[0].1, Verdict::Right);
     assert!(report.incomplete.is_empty());
 }
@@ -137,18 +142,17 @@
 /// Guards against a lost line about an added route beside a lost one about a removed route: the number of routes is right then.
 #[test]
 fn a_policy_with_as_many_routes_as_told_is_not_taken_for_complete() {
-    let mut lines = policy("e1", 20_000, ["00000002.0.5", "00000003.0.9"], &["/b/"], &["/a/"], 2);
+    let mut lines = policy("e1", 20_000, [TWO, THREE], &["/b/"], &["/a/"], 2);
     lines.drain(..2);
-    let report = Report::new([history(), lines].concat().iter(), APPLY);
+    let report = audit(&[history(), lines]);
     assert_eq!(report.incomplete.len(), 1);
 }
 
 /// Guards against a policy with missing lines that explains every refusal.
 #[test]
 fn a_policy_whose_routes_are_not_all_told_is_reported() {
-    let incomplete = policy("e1", 20_000, ["00000002.0.5", "00000003.0.9"], &["/b/"], &[], 4);
-    let lines = [history(), incomplete].concat();
-    let report = Report::new(lines.iter(), APPLY);
+    let incomplete = policy("e1", 20_000, [TWO, THREE], &["/b/"], &[], 4);
+    let report = audit(&[history(), incomplete]);
     assert_eq!(report.incomplete.len(), 1);
     assert_eq!(report.versions, 2);
 }
@@ -156,8 +160,8 @@
 /// Guards against an instance that passes a route over, and whose policy then explains every refusal of that route.
 #[test]
 fn a_version_that_instances_tell_differently_is_reported() {
-    let lacking = policy("e3", 500, ["00000000.0.0", "00000001.0.1"], &["/a/"], &[], 1);
-    let report = Report::new([lacking, history()].concat().iter(), APPLY);
+    let lacking = policy("e3", 500, [ZERO, ONE], &["/a/"], &[], 1);
+    let report = audit(&[lacking, history()]);
     assert_eq!(report.different.len(), 1);
     assert!(report.incomplete.is_empty());
 }
@@ -176,10 +180,6 @@
     assert_eq!((first.at_ms, line.at_ms), (1_000, expected));
 }
 
-const ZERO: &str = "00000000.0.0";
-const ONE: &str = "00000001.0.1";
-const TWO: &str = "00000002.0.5";
-
 /// The lines of a policy that comes into force with the routes `/a/` and `/a/b/` and changes `regions`.
 fn with_regions(instance: &str, at_ms: u64, version: [&str; 2], regions: &[&str]) -> Vec<Line> {
     let added: &[&str] = if version[0] == ZERO { &["/a/", "/a/b/"] } else { &[] };
@@ -207,6 +207,12 @@
     .concat()
 }
 
+/// A request with the regions of the class `a` that `instance` sends where its version lets it.
+fn sent_by(instance: &str, at_ms: u64, version: &str, fields: &str) -> Line {
+    let region = if version == ONE { "k" } else { "v" };
+    sent(instance, at_ms, region, version, &format!("class=a account=- path=/a/x {fields}"))
+}
+
 /// A request that `instance` sends to a server in `region`.
 fn sent(instance: &str, at_ms: u64, region: &str, version: &str, request: &str) -> Line {
     let text =
@@ -215,7 +221,7 @@
 }
 
 fn report(lines: Vec<Line>) -> Report {
-    Report::new([moving(), lines].concat().iter(), APPLY)
+    audit(&[moving(), lines])
 }
 
 /// Guards against requests that run where no policy that may be in force allows it, or where the instance's own does not (HOME),
@@ -270,8 +276,7 @@
 /// Guards against a version that allows more than it does, as a line about its regions was left out or an instance read others.
 #[test]
 fn a_version_whose_regions_are_not_known_is_reported() {
-    let three = "00000003.0.9";
-    let mut lacking = with_regions("e1", 20_000, [TWO, three], &["class=a allowed=l"]);
+    let mut lacking = with_regions("e1", 20_000, [TWO, THREE], &["class=a allowed=l"]);
     lacking.remove(0);
     let other = with_regions("e3", 900, [ZERO, ONE], &["class=a allowed=k"]);
     let report = report([lacking, other].concat());
@@ -296,3 +301,85 @@
     let look_ups = report(vec![line("e1", 5_000, &text)]).look_ups;
     assert_eq!((look_ups.len(), look_ups[0].reason(), look_ups[0].is_fault()), (1, reason, is_fault));
 }
+
+/// Guards against requests that run by the regions of a policy whose age is too great or not known (HOME), and against an audit that
+/// reports those without regions, those that are recent enough, or those of earlier builds.
+#[rstest]
+#[case::recent("class=a account=- path=/a/x policy_ms=3000", 0)]
+#[case::too_old("class=a account=- path=/a/x policy_ms=3001", 1)]
+#[case::of_unknown_age("class=a account=- path=/a/x policy_ms=-1", 1)]
+#[case::not_told("class=a account=- path=/a/x", 0)]
+#[case::without_regions("class=a account=- path=/other/ policy_ms=-1", 0)]
+#[case::regions_of_the_account("class=a account=acc path=/a/x policy_ms=9000", 1)]
+#[case::others_agreed("class=a account=- path=/a/x policy_ms=9000 agreed_ms=1400", 0)]
+#[case::others_agreed_long_ago("class=a account=- path=/a/x policy_ms=-1 agreed_ms=3001", 1)]
+#[case::others_did_not_agree("class=a account=- path=/a/x policy_ms=9000 agreed_ms=-1", 1)]
+fn a_request_with_regions_needs_a_policy_that_is_recent(#[case] request: &str, #[case] aged: usize) {
+    let passed_on = format!("relay: passed on request=r1 peer=e3 ms=0 region=k version={ONE} host=h {request}");
+    let report = report(vec![sent("e1", 5_000, "k", ONE, request), line("e1", 5_000, &passed_on)]);
+    let receivers: Vec<Receiver> = report.aged.iter().map(|attempt| attempt.receiver).collect();
+    assert_eq!(receivers, [Receiver::Server, Receiver::Instance].repeat(aged));
+}
+
+/// Guards against an instance that goes by an older version for long and is not noticed as what it sends happens to be allowed, and
+/// against one that is reported though it learnt in time, ended, or has the same policy of a store that was restored.
+#[rstest]
+#[case::never_learnt(vec![], vec![("e2", 10_000, 20_000)])]
+#[case::learnt_late(with_regions("e2", 14_000, [ONE, TWO], &[]), vec![("e2", 10_000, 14_000)])]
+#[case::learnt_in_time(with_regions("e2", 13_000, [ONE, TWO], &[]), vec![])]
+#[case::replaced_by_another_old_one(
+    [with_regions("e1", 11_000, [TWO, THREE], &[]), with_regions("e2", 12_000, [ONE, TWO], &[])].concat(),
+    vec![("e2", 10_000, 20_000)],
+)]
+#[case::started_with_it(
+    [with_regions("e2", 10_500, [ONE, TWO], &[]), with_regions("e3", 12_000, [ZERO, ONE], &[])].concat(),
+    vec![("e3", 12_000, 20_000)],
+)]
+#[case::stopped(vec![line("e2", 12_000, "life: stopped drained=true after_ms=5")], vec![])]
+#[case::killed_and_started_again(
+    [vec![sent_by("e2", 13_200, ONE, "")], with_regions("e2", 16_000, [ZERO, TWO], &[])].concat(),
+    vec![("e2", 10_000, 13_200)],
+)]
+#[case::started_again_without_a_policy(
+    vec![
+        line("e2", 1_300, "life: started callers=a"),
+        sent_by("e2", 13_400, ONE, ""),
+        line("e2", 14_000, "life: started callers=a"),
+        line("e2", 15_000, "callers: answered result=policy-stale"),
+    ],
+    vec![("e2", 10_000, 13_400)],
+)]
+#[case::restored(
+    [with_regions("e2", 10_500, [ONE, TWO], &[]), with_regions("e2", 11_000, [TWO, "00000002.1.7"], &[])].concat(),
+    vec![],
+)]
+fn the_time_by_an_older_version_is_told(#[case] lines: Vec<Line>, #[case] expected: Vec<(&str, u64, u64)>) {
+    let first = [with_regions("e1", 1_000, [ZERO, ONE], &[]), with_regions("e2", 1_200, [ZERO, ONE], &[])];
+    let change = with_regions("e1", 10_000, [ONE, TWO], &[]);
+    let end = vec![line("e1", 20_000, "life: ready")];
+    let report = audit(&[first.concat(), change, lines, end]);
+    let spans = report.spans.iter().map(|span| (span.instance.as_str(), span.from_ms, span.to_ms));
+    assert_eq!(spans.collect::<Vec<_>>(), expected);
+}
+
+/// Guards against numbers of what is sent in such a time that leave out requests that are judged no further.
+#[test]
+fn what_is_sent_by_an_older_version_is_counted() {
+    let no_route = "class=a account=- path=/other/";
+    let lines = vec![
+        sent_by("e2", 9_000, ONE, "attempt=1"),
+        sent_by("e2", 11_500, ONE, "attempt=3"),
+        sent_by("e2", 12_500, ONE, "attempt=7"),
+        sent("e2", 13_500, "l", ONE, no_route),
+        sent("e1", 13_500, "l", TWO, &format!("{no_route} attempt=4")),
+        sent_by("e1", 13_600, TWO, "attempt=5"),
+        line("e1", 15_000, "life: ready"),
+    ];
+    let first = with_regions("e1", 1_000, [ZERO, ONE], &["class=a allowed=k"]);
+    let other = with_regions("e2", 1_200, [ZERO, ONE], &["class=a allowed=k"]);
+    let report = audit(&[first, other, with_regions("e1", 10_000, [ONE, TWO], &["class=a allowed=v"]), lines]);
+    let spans: Vec<_> = report.spans.iter().map(|span| (span.attempts, span.with_regions)).collect();
+    assert_eq!(spans, [(3, 2)]);
+    // One attempt before the version and one of unknown time, three in the span, and three of the other instance.
+    assert_eq!((report.unseen, report.in_spans), (1 + 3 + 3, Unjudged { no_route: 1, unseen: 4 }));
+}
