--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -32,7 +32,7 @@
 use crate::backends::attempt::{self, UNACKED_TIMEOUT};
 use crate::driver::{Outcome, Outdated, Outgoing, Refusal};
 use crate::policies::ActivePolicy;
-use crate::{decision_log, response, stall};
+use crate::{confirmation, decision_log, response, stall};
 
 /// Marks a request that is passed on to an instance of a build up to 4e2e901.
 const EARLIER_MARK: HeaderName = HeaderName::from_static("hemlock-relayed");
@@ -70,17 +70,21 @@
         if !context.is_in_force(active) {
             return Err(Outdated);
         }
+        if !confirmation::may_rely_on(context, passage.allowed) {
+            return Ok(Err(Refusal { kind: Kind::PolicyStale, retry_after }));
+        }
         let left = passage.deadline.since(context.now());
         let Some(peer) = peer::choose(context, passage.allowed, &tried).filter(|_| !left.is_zero()) else {
             return Ok(Err(Refusal { kind: Kind::Unreachable, retry_after }));
         };
         tried.insert(peer.distance);
         let started = context.now();
+        let policy_ms = decision_log::policy_ms(context, started);
         let result = match tokio::time::timeout(left, exchange(context, active, outgoing, &peer, passage)).await {
             Ok(result) => result,
             Err(_) => Err(Failure::Answer(Kind::BackendTimeout)),
         };
-        log_result(context, outgoing, &peer, &result, started);
+        log_result(context, outgoing, &peer, &result, started, policy_ms);
         match result {
             Ok(answer) => return Ok(Ok(Arc::new(attempt::to_response(context, answer)))),
             Err(Failure::Answer(kind)) => return Ok(Err(kind.into())),
@@ -91,7 +95,15 @@
     }
 }
 
-fn log_result(context: &Context, outgoing: &Outgoing, peer: &Peer, result: &Result<Answer, Failure>, started: Time) {
+/// Logs what became of a request that was passed on at `started`, when the policy in force was `policy_ms` old.
+fn log_result(
+    context: &Context,
+    outgoing: &Outgoing,
+    peer: &Peer,
+    result: &Result<Answer, Failure>,
+    started: Time,
+    policy_ms: i64,
+) {
     let (label, status) = match result {
         Ok(answer) => ("answered", answer.status.as_u16()),
         Err(Failure::Unsent) => ("unsent", 0),
@@ -106,7 +118,7 @@
     log::info!(
         request = outgoing.id.as_str(), peer = peer.name.as_str(), result = label, status, ms:%,
         region = peer.region.as_str(), class, account = outgoing.account.as_deref().unwrap_or("-"),
-        version:% = active.version, allowed, host, path;
+        version:% = active.version, policy_ms, allowed, host, path;
         "relay: passed on"
     );
 }
@@ -145,7 +157,7 @@
     let id = hash::bytes(address.to_string().as_bytes()) as BackendId;
     let mut connection = connect(context, id, address).await?;
     stall::settled(context).await;
-    if !context.is_in_force(active) {
+    if !context.is_in_force(active) || !confirmation::may_rely_on(context, passage.allowed) {
         return Err(Failure::Unsent);
     }
     let headers = headers(context, outgoing, peer.interface, passage);
