Ages that are longer than a process has run are represented

Cause: the daemon's clock starts at one second and `Time - Duration` stops at zero, so that an age which a peer states becomes at most the time for which the receiving process has run, plus a second. The next daemon that follows this one takes over the lower age.

Each age below that, of the mirror, of a server's entry and of the policy, is represented as it is stated.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -5,6 +5,10 @@
 use base::time::Time;
 use nix::time::{ClockId, clock_gettime};
 
+/// Time on the clock when it starts. Other daemons state ages that are longer than this process has run: with less, such an age would
+/// count as that of this process.
+const START: Duration = Duration::from_hours(24);
+
 /// A monotonic clock that also counts while the machine is suspended, as leases and deadlines go on then.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
@@ -23,10 +27,9 @@
         Self { start: since_boot() }
     }
 
-    /// Returns the time since the clock started, plus one second.
+    /// Returns the time since the clock started, plus a day.
     pub fn now(&self) -> Time {
-        // The added second lets times shortly before the start be represented.
-        Time::from_micros(since_boot().saturating_sub(self.start).as_micros() as u64 + 1_000_000)
+        Time::ZERO + START + since_boot().saturating_sub(self.start)
     }
 
     /// Returns the duration until `time`; zero if it has passed.
