A member that fell silent with the store stays a suspect until it answers a question

Cause: once a cut heals, a member that may have heard the store all the while counts as alive. A round that happens not to ask it agrees that the store is silent, before its news have spread.

Evidence: members_that_are_back_stay_suspects_until_they_answer fails without the change.

Change: Silence keeps such members, silent or back, until they answer a question, the store is heard or they are no members any more.

--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -110,7 +110,7 @@
         let now = context.now();
         let age = policy_age(&context, now);
         if age.is_none_or(|age| age >= limits.ask_after()) {
-            ask(&context, limits, &silence, &mut rng).await;
+            ask(&context, limits, &mut silence, &mut rng).await;
         }
         let now = context.now();
         let is_expired = now > expiry(&context, context.policy().version, now);
@@ -124,9 +124,10 @@
 /// Updates which members are silent.
 fn update(context: &Context, silence: &mut Silence) {
     let now = context.now();
+    let confirmed_at = policy_age(context, now).map(|age| now - age);
     let roster = lock(&context.roster);
-    let silent = roster.other_members().filter(|record| record.state != State::Alive);
-    silence.update(silent.map(|record| record.name.as_str()), now);
+    let members = roster.other_members().map(|record| (record.name.as_str(), record.state != State::Alive));
+    silence.update(members, confirmed_at, now);
 }
 
 fn log_change(context: &Context, is_expired: bool, now: Time) {
@@ -140,6 +141,7 @@
 
 /// A daemon that is asked.
 struct Member {
+    name: String,
     region: String,
     address: String,
 }
@@ -151,7 +153,7 @@
 }
 
 /// Asks daemons of all regions for their standing, and acts on each answer as it comes.
-async fn ask(context: &Arc<Context>, limits: Limits, silence: &Silence, rng: &mut fastrand::Rng) {
+async fn ask(context: &Arc<Context>, limits: Limits, silence: &mut Silence, rng: &mut fastrand::Rng) {
     let regions: BTreeSet<String> = context.settings.domains.values().cloned().collect();
     let sent = context.now();
     let age = policy_age(context, sent);
@@ -170,7 +172,10 @@
     }
     while let Some(answered) = questions.join_next().await {
         match answered {
-            Ok((Answer::Standing(standing), member)) => act(context, &mut round, &member, &standing, limits),
+            Ok((Answer::Standing(standing), member)) => {
+                silence.record_answer(&member.name);
+                act(context, &mut round, &member, &standing, limits);
+            }
             Ok((Answer::None { is_stopped }, _)) => round.record_failure(is_stopped),
             Err(_) => round.record_failure(false),
         }
@@ -204,7 +209,7 @@
     }
 }
 
-/// Chooses the members that fell silent after `confirmed_at`, up to [`MAX_SILENT`], and random other ones of each region; of those that
+/// Chooses the members that fell silent after `confirmed_at` and have not answered since, up to [`MAX_SILENT`], and random other ones of each region; of those that
 /// fell silent before only where there are no others.
 fn choose(
     context: &Context,
@@ -219,7 +224,7 @@
     let suspects: BTreeSet<&str> = silence.since(confirmed_at).take(MAX_SILENT).collect();
     let member = |record: &Record| {
         let region = domains.get(&record.domain).cloned().unwrap_or_default();
-        Member { region, address: record.peer_address.clone() }
+        Member { name: record.name.clone(), region, address: record.peer_address.clone() }
     };
     let mut chosen: Vec<Member> =
         roster.other_members().filter(|record| suspects.contains(record.name.as_str())).map(member).collect();
--- a/crates/fleet/src/confirmation.rs
+++ b/crates/fleet/src/confirmation.rs
@@ -109,28 +109,59 @@
     }
 }
 
-/// Members that are silent, and since when.
+/// Members that are silent, and those that were lately and have not answered a question since.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Silence(BTreeMap<String, Time>);
+pub struct Silence(BTreeMap<String, Spell>);
+
+/// The last time for which a member was silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Spell {
+    since: Time,
+    /// Whether it is silent still.
+    is_open: bool,
+}
 
 impl Silence {
-    /// Records that at `now` the members `silent` do not answer, and no others.
-    pub fn update<'a>(&mut self, silent: impl Iterator<Item = &'a str>, now: Time) {
+    /// Records which `members` are silent at `now`, by name; the store was last heard at `confirmed_at`.
+    pub fn update<'a>(
+        &mut self,
+        members: impl Iterator<Item = (&'a str, bool)>,
+        confirmed_at: Option<Time>,
+        now: Time,
+    ) {
         let known = std::mem::take(&mut self.0);
-        self.0 = silent.map(|name| (name.to_owned(), known.get(name).copied().unwrap_or(now))).collect();
+        for (name, is_silent) in members {
+            let spell = match (known.get(name), is_silent) {
+                (Some(spell), true) if spell.is_open => *spell,
+                (_, true) => Spell { since: now, is_open: true },
+                (Some(spell), false) if spell.is_after(confirmed_at) => Spell { is_open: false, ..*spell },
+                (_, false) => continue,
+            };
+            self.0.insert(name.to_owned(), spell);
+        }
+    }
+
+    /// Records that the member `name` has answered a question.
+    pub fn record_answer(&mut self, name: &str) {
+        self.0.remove(name);
     }
 
     /// Whether the member `name` is silent.
     pub fn contains(&self, name: &str) -> bool {
-        self.0.contains_key(name)
+        self.0.get(name).is_some_and(|spell| spell.is_open)
     }
 
-    /// Returns the members that fell silent after `confirmed_at`, when the store was last heard. What took the store away may have
-    /// taken them away, and they may hear it still. Those that fell silent before are out for another reason.
+    /// Returns the members that fell silent after `confirmed_at`, when the store was last heard, and have not answered a question since.
+    /// What took the store away may have taken them away, and they may hear it still, or know a newer policy now that they
+    /// are back. Those that fell silent before are out for another reason.
     pub fn since(&self, confirmed_at: Option<Time>) -> impl Iterator<Item = &str> {
-        let later =
-            self.0.iter().filter(move |(_, since)| confirmed_at.is_none_or(|confirmed_at| **since > confirmed_at));
-        later.map(|(name, _)| name.as_str())
+        self.0.iter().filter(move |(_, spell)| spell.is_after(confirmed_at)).map(|(name, _)| name.as_str())
+    }
+}
+
+impl Spell {
+    fn is_after(&self, confirmed_at: Option<Time>) -> bool {
+        confirmed_at.is_none_or(|confirmed_at| self.since > confirmed_at)
     }
 }
 
--- a/crates/fleet/tests/confirmation.rs
+++ b/crates/fleet/tests/confirmation.rs
@@ -160,13 +160,35 @@
 #[test]
 fn members_that_fell_silent_after_the_store_may_hear_it() {
     let mut silence = Silence::default();
-    silence.update(["before"].into_iter(), SENT);
-    silence.update(["before", "after"].into_iter(), SENT + APPLY);
-    let since = |silence: &Silence, at| silence.since(at).map(str::to_owned).collect::<Vec<_>>();
-    assert_eq!(since(&silence, Some(SENT + Duration::from_secs(1))), ["after"]);
-    assert_eq!(since(&silence, None), ["after", "before"], "nobody knows when the store was last heard");
-    silence.update(["before"].into_iter(), SENT + 2 * APPLY);
-    assert!(!silence.contains("after"), "it answered");
-    silence.update(["before", "after"].into_iter(), SENT + 3 * APPLY);
-    assert_eq!(since(&silence, Some(SENT + 2 * APPLY)), ["after"]);
+    let heard = Some(SENT + Duration::from_secs(1));
+    silence.update([("before", true), ("after", false)].into_iter(), heard, SENT);
+    silence.update([("before", true), ("after", true)].into_iter(), heard, SENT + APPLY);
+    assert_eq!(suspects(&silence, heard), ["after"]);
+    assert_eq!(suspects(&silence, None), ["after", "before"], "nobody knows when the store was last heard");
+    assert!(silence.contains("before") && silence.contains("after"));
+    silence.update([("before", true)].into_iter(), heard, SENT + 2 * APPLY);
+    assert!(!silence.contains("after"), "it is no member any more");
+    assert_eq!(suspects(&silence, heard), [""; 0]);
+}
+
+/// Guards against an agreement after a cut has healed, without those that were cut off and know a newer policy.
+#[test]
+fn members_that_are_back_stay_suspects_until_they_answer() {
+    let mut silence = Silence::default();
+    let heard = Some(SENT);
+    let later = |seconds| SENT + Duration::from_secs(seconds);
+    silence.update([("a", true), ("b", true)].into_iter(), heard, later(1));
+    silence.update([("a", false), ("b", false)].into_iter(), heard, later(2));
+    assert!(!silence.contains("a"), "it is back");
+    assert_eq!(suspects(&silence, heard), ["a", "b"]);
+    silence.record_answer("a");
+    assert_eq!(suspects(&silence, heard), ["b"]);
+    silence.update([("a", false), ("b", false)].into_iter(), Some(later(3)), later(4));
+    assert_eq!(suspects(&silence, heard), [""; 0], "the store was heard since");
+    silence.update([("a", true), ("b", false)].into_iter(), Some(later(3)), later(5));
+    assert_eq!(suspects(&silence, Some(later(3))), ["a"], "it fell silent again");
+}
+
+fn suspects(silence: &Silence, confirmed_at: Option<Time>) -> Vec<&str> {
+    silence.since(confirmed_at).collect()
 }
