Tests of requests by a policy that becomes too old while they wait, run or are written

Change: waiting and held requests, retries, second attempts and writes by an expired policy, with the regions of the class, of the account, and without any; a request that may have run is not said not to have run.

--- a/crates/dispatch/tests/terms.rs
+++ b/crates/dispatch/tests/terms.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use base::error::Kind;
+use base::error::{Kind, Outcome};
 use base::time::Time;
 use common::{LIMITS, LOOKUP, backend, classes, started};
 use dispatch::backend::{BackendId, Place, Spec};
@@ -268,3 +268,127 @@
     engine.set_backends(servers, now);
     assert!(engine.queued() == held && held > 0, "{held} before, {} after", engine.queued());
 }
+
+/// Time at which the policy of the tests below is too old.
+const EXPIRY: Time = Time::from_millis(1_020);
+/// A time after that.
+const LATE: Time = Time::from_millis(1_035);
+
+/// Where the regions of a request come from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Bound {
+    ByClass,
+    ByAccount,
+    Nowhere,
+}
+
+/// Does the same as [`engine`], by a policy that is too old from [`EXPIRY`] on.
+fn expiring(moment: Moment, bound: Bound) -> Engine {
+    let mut engine = engine(moment);
+    let class = if bound == Bound::ByClass { spec() } else { class::Spec { regions: Set::ALL, ..spec() } };
+    let account = account(if bound == Bound::ByAccount { &[0] } else { &[] });
+    engine.apply_policy(vec![class], &BTreeMap::from([(account.id, account)]), &COVERED.into());
+    engine.set_policy_expiry(EXPIRY);
+    engine
+}
+
+/// Returns the errors with which the request was refused.
+fn refusals(actions: &[Action]) -> Vec<Kind> {
+    let refused = |action: &Action| match action {
+        Action::Answer { request: REQUEST, verdict: Verdict::Refuse(kind), .. } => Some(*kind),
+        _ => None,
+    };
+    actions.iter().filter_map(refused).collect()
+}
+
+fn is_sent(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Start { request: REQUEST, .. }))
+}
+
+/// Guards against a waiting request that is sent by the regions of a policy that is too old, or that waits on for nothing (HOME).
+#[rstest]
+#[case::queued(Moment::Queued, Bound::ByClass)]
+#[case::queued_of_account(Moment::Queued, Bound::ByAccount)]
+#[case::held(Moment::Held, Bound::ByClass)]
+#[case::held_of_account(Moment::Held, Bound::ByAccount)]
+#[case::queued_unbound(Moment::Queued, Bound::Nowhere)]
+#[case::held_unbound(Moment::Held, Bound::Nowhere)]
+fn a_waiting_request_is_not_sent_by_a_policy_that_is_too_old(#[case] moment: Moment, #[case] bound: Bound) {
+    let mut engine = expiring(moment, bound);
+    let first = engine.take_actions();
+    assert!(!is_sent(&first) && refusals(&first).is_empty(), "it waits");
+    engine.set_backends(servers().into_iter().chain([backend(HERE + 1, Place::Region)]).collect(), LATE);
+    engine.tick(LATE);
+    let actions = engine.take_actions();
+    let expected: &[Kind] = if bound == Bound::Nowhere { &[] } else { &[Kind::PolicyStale] };
+    assert_eq!((is_sent(&actions), refusals(&actions).as_slice()), (bound == Bound::Nowhere, expected));
+}
+
+/// Guards against a request that is sent again by the regions of a policy that is too old, and against one that may have run and is
+/// said not to have run (HOME).
+#[rstest]
+#[case::lost(Ending::Lost, Bound::ByClass, true)]
+#[case::lost_of_account(Ending::Lost, Bound::ByAccount, true)]
+#[case::shed(Ending::Shed, Bound::ByClass, false)]
+#[case::unreachable(Ending::Unreachable, Bound::ByClass, false)]
+#[case::recalled(Ending::Recalled, Bound::ByClass, false)]
+#[case::lost_unbound(Ending::Lost, Bound::Nowhere, true)]
+fn a_request_is_not_sent_again_by_a_policy_that_is_too_old(
+    #[case] ending: Ending,
+    #[case] bound: Bound,
+    #[case] may_have_run: bool,
+) {
+    let mut engine = expiring(Moment::Sent, bound);
+    engine.set_backends(servers().into_iter().chain([backend(HERE + 1, Place::Region)]).collect(), START);
+    let (attempt, _) = started(&mut engine)[0];
+    engine.finish(attempt, ending, LATE);
+    let mut actions = engine.take_actions();
+    for millis in (50..2_000).step_by(50) {
+        engine.tick(LATE + Duration::from_millis(millis));
+        actions.extend(engine.take_actions());
+    }
+    assert_eq!(is_sent(&actions), bound == Bound::Nowhere);
+    if bound != Bound::Nowhere {
+        let refused = refusals(&actions);
+        assert_eq!(refused.len(), 1, "it is answered");
+        assert_eq!(refused[0].answer().outcome != Outcome::NotRun, may_have_run, "{refused:?}");
+    }
+}
+
+/// Guards against a second attempt beside a slow one by a policy that is too old (HOME).
+#[rstest]
+#[case::by_class(Bound::ByClass)]
+#[case::by_account(Bound::ByAccount)]
+#[case::unbound(Bound::Nowhere)]
+fn a_hedge_is_not_sent_by_a_policy_that_is_too_old(#[case] bound: Bound) {
+    let mut engine = expiring(Moment::Sent, bound);
+    engine.set_backends(vec![backend(HERE, Place::Region), backend(HERE + 1, Place::Region)], START);
+    assert_eq!(started(&mut engine).len(), 1);
+    engine.set_policy_expiry(START);
+    let mut now = START;
+    while now < START + Duration::from_millis(900) {
+        now = now + Duration::from_millis(50);
+        engine.tick(now);
+    }
+    assert_eq!(!sent(&mut engine).is_empty(), bound == Bound::Nowhere);
+}
+
+/// Guards against an attempt that is written by a policy that became too old after the choice of its server (HOME), and against one that
+/// is not though the policy was confirmed since.
+#[rstest]
+#[case::in_time(Bound::ByClass, EXPIRY, EXPIRY, true)]
+#[case::late(Bound::ByClass, EXPIRY, LATE, false)]
+#[case::late_of_account(Bound::ByAccount, EXPIRY, LATE, false)]
+#[case::late_unbound(Bound::Nowhere, EXPIRY, LATE, true)]
+#[case::confirmed_since(Bound::ByClass, LATE, LATE, true)]
+fn an_attempt_is_written_only_by_a_policy_that_is_recent(
+    #[case] bound: Bound,
+    #[case] expiry: Time,
+    #[case] now: Time,
+    #[case] may_send: bool,
+) {
+    let mut engine = expiring(Moment::Sent, bound);
+    let (attempt, backend) = started(&mut engine)[0];
+    engine.set_policy_expiry(expiry);
+    assert_eq!(engine.may_send(attempt, backend, now), may_send);
+}
