No daemon agrees that the store is silent while another one is silent

Cause: members that fell silent before the store counted as out for another reason. Daemons of all regions that are cut off first and lose the store later agreed with each other for good, while the others heard the store.

Change: whoever is silent may hear the store, whenever it fell silent. Only a process whose machine refuses connections is known to hear nothing. Price: while the store is silent for all and a machine does not answer, requests with regions are refused until it does or is forgotten.

--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -24,8 +24,8 @@
 
 /// Questions of a round, where there are no more regions than that.
 const MAX_QUESTIONS: usize = 6;
-/// Maximum number of members that fell silent since the store did and are asked one by one.
-const MAX_SILENT: usize = 8;
+/// Maximum number of members that may know more, of which each is asked.
+const MAX_SUSPECTS: usize = 8;
 
 inventory::submit! {
     Plugin(kernel::Plugin { name: "confirmation", stage: 30, start })
@@ -161,9 +161,9 @@
     let members = choose(context, &regions, silence, confirmed_at, rng);
     let others = regions.into_iter().filter(|region| *region != context.settings.region).collect();
     let mut round = Round::new(context.policy().version, others, members.len(), sent);
-    let has_too_many_silent = silence.since(confirmed_at).count() > MAX_SILENT;
+    let has_too_many_suspects = silence.suspects(confirmed_at).count() > MAX_SUSPECTS;
     let hears_store = age.is_some_and(|age| age < limits.silent_after());
-    if members.is_empty() || has_too_many_silent || hears_store || is_pending(context) {
+    if members.is_empty() || has_too_many_suspects || hears_store || is_pending(context) {
         round.contradict();
     }
     let mut questions = JoinSet::new();
@@ -209,8 +209,8 @@
     }
 }
 
-/// Chooses the members that fell silent after `confirmed_at` and have not answered since, up to [`MAX_SILENT`], and random other ones of each region; of those that
-/// fell silent before only where there are no others.
+/// Chooses the members that may know more than this daemon, which last heard the store at `confirmed_at`, up to [`MAX_SUSPECTS`], and random
+/// other ones of each region.
 fn choose(
     context: &Context,
     regions: &BTreeSet<String>,
@@ -221,7 +221,7 @@
     let roster = lock(&context.roster);
     let domains = &context.settings.domains;
     let per_region = (MAX_QUESTIONS / regions.len().max(1)).max(1);
-    let suspects: BTreeSet<&str> = silence.since(confirmed_at).take(MAX_SILENT).collect();
+    let suspects: BTreeSet<&str> = silence.suspects(confirmed_at).take(MAX_SUSPECTS).collect();
     let member = |record: &Record| {
         let region = domains.get(&record.domain).cloned().unwrap_or_default();
         Member { name: record.name.clone(), region, address: record.peer_address.clone() }
@@ -230,12 +230,9 @@
         roster.other_members().filter(|record| suspects.contains(record.name.as_str())).map(member).collect();
     for region in regions {
         let members = roster.other_members().filter(|record| domains.get(&record.domain) == Some(region));
-        let others = members.filter(|record| !suspects.contains(record.name.as_str()));
-        let (mut silent, mut heard): (Vec<_>, Vec<_>) = others.partition(|record| silence.contains(&record.name));
-        rng.shuffle(&mut heard);
-        rng.shuffle(&mut silent);
-        silent.truncate(usize::from(heard.is_empty()));
-        chosen.extend(heard.into_iter().take(per_region).chain(silent).map(member));
+        let mut others: Vec<_> = members.filter(|record| !suspects.contains(record.name.as_str())).collect();
+        rng.shuffle(&mut others);
+        chosen.extend(others.into_iter().take(per_region).map(member));
     }
     chosen
 }
--- a/crates/fleet/src/confirmation.rs
+++ b/crates/fleet/src/confirmation.rs
@@ -3,7 +3,7 @@
 //! A daemon that goes by a replaced policy may run a request in a region that it must not run in. So it must know of its policy that
 //! it was in force a bounded time ago. The store says so, directly or through another daemon. While the store is silent for all daemons,
 //! it accepts no change either: then it is enough that a daemon hears others of every region, that none of them has a newer policy or
-//! has lately heard from the store, and that none has fallen silent since the store did. Daemons that are cut off together, from the store and from
+//! has lately heard from the store, and that no other one is silent, unless its process is stopped. Daemons that are cut off together, from the store and from
 //! the others, do not agree by themselves.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -151,11 +151,11 @@
         self.0.get(name).is_some_and(|spell| spell.is_open)
     }
 
-    /// Returns the members that fell silent after `confirmed_at`, when the store was last heard, and have not answered a question since.
-    /// What took the store away may have taken them away, and they may hear it still, or know a newer policy now that they
-    /// are back. Those that fell silent before are out for another reason.
-    pub fn since(&self, confirmed_at: Option<Time>) -> impl Iterator<Item = &str> {
-        self.0.iter().filter(move |(_, spell)| spell.is_after(confirmed_at)).map(|(name, _)| name.as_str())
+    /// Returns the members that may know more than this daemon, which last heard the store at `confirmed_at`: those that are silent and may
+    /// hear the store still, and those that were silent since then and have not answered a question yet.
+    pub fn suspects(&self, confirmed_at: Option<Time>) -> impl Iterator<Item = &str> {
+        let suspects = self.0.iter().filter(move |(_, spell)| spell.is_open || spell.is_after(confirmed_at));
+        suspects.map(|(name, _)| name.as_str())
     }
 }
 
