A newer policy that an instance is told of brings its age with it

Cause: a version from a peer withdrew the agreement of the instances and brought no age, so the instance refused until its next check or round.

Change: the answer that names the newer version tells how old it is; once it is in force, that counts.

--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -201,9 +201,9 @@
 fn act(context: &Arc<Context>, round: &mut Round, member: &Member, standing: &Standing, limits: Limits) {
     match round.record(&member.region, standing, limits) {
         Finding::Confirmed(as_of) => lock(&context.confirmation).confirm(as_of),
-        Finding::Newer => {
+        Finding::Newer(confirmed_at) => {
             lock(&context.confirmation).withdraw();
-            exchange::fetch_newer(context, standing.version, &member.address);
+            exchange::fetch_newer(context, standing.version, confirmed_at, &member.address);
         }
         Finding::Silent => {}
     }
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use base::time::Time;
 use fleet::message::{Message, Snapshot};
 use fleet::replica::{Origin, Version};
 
@@ -78,15 +79,21 @@
     }
     super::spread_leaving(context, &message.leaving);
     super::merge_rate_limits(context, &message.rate_limits);
-    fetch_newer(context, message.version, &message.from.peer_address);
+    fetch_newer(context, message.version, None, &message.from.peer_address);
 }
 
-/// Starts fetching the policy of the peer at `address`, which has `version` in force, if that is newer.
-pub fn fetch_newer(context: &Arc<Context>, version: Version, address: &str) {
+/// Starts fetching the policy of the peer at `address`, which has `version` in force, if that is newer. At `confirmed_at`, if it is
+/// known, this version was the store's.
+pub fn fetch_newer(context: &Arc<Context>, version: Version, confirmed_at: Option<Time>, address: &str) {
     if lock(&context.policy_replica).needs(version) {
         let (context, address) = (Arc::clone(context), address.to_owned());
         let runtime = context.runtime.clone();
-        runtime.spawn(async move { fetch_policy(&context, &address).await });
+        runtime.spawn(async move {
+            fetch_policy(&context, &address).await;
+            if let Some(as_of) = confirmed_at.filter(|_| context.policy().version >= version) {
+                lock(&context.confirmation).confirm(as_of);
+            }
+        });
     }
 }
 
--- a/crates/fleet/src/confirmation.rs
+++ b/crates/fleet/src/confirmation.rs
@@ -168,8 +168,8 @@
 /// What follows from an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
-    /// The other daemon has a newer policy, or a change that is not in force there yet.
-    Newer,
+    /// The other daemon has a newer policy, which was the store's at that time, or a change that is not in force there yet.
+    Newer(Option<Time>),
     /// The store had no newer policy than the one in force at that time.
     Confirmed(Time),
     /// The other daemon knows of no newer policy, and hears nothing of the store.
@@ -230,13 +230,17 @@
         let (own, other) = (self.in_force, standing.version);
         // A restored store lists the same policy again, in another era.
         let is_same = other.declared > 0 && other.declared == own.declared && other.stored.era != own.stored.era;
-        if standing.pending || (other > own && !is_same) {
-            return Finding::Newer;
+        let confirmed_at = standing.age().map(|age| self.sent - age);
+        if standing.pending {
+            return Finding::Newer(None);
         }
-        match standing.age() {
-            Some(age) if age < limits.silent_after() && other <= own => Finding::Confirmed(self.sent - age),
-            Some(age) if age < limits.silent_after() => Finding::Newer,
-            _ => Finding::Silent,
+        if other > own && !is_same {
+            return Finding::Newer(confirmed_at);
+        }
+        match confirmed_at.filter(|_| standing.age() < Some(limits.silent_after())) {
+            Some(as_of) if other <= own => Finding::Confirmed(as_of),
+            Some(_) => Finding::Newer(None),
+            None => Finding::Silent,
         }
     }
 }
--- a/crates/fleet/tests/confirmation.rs
+++ b/crates/fleet/tests/confirmation.rs
@@ -100,17 +100,17 @@
     assert_eq!(round.agreed_at(), None);
 }
 
-/// Guards against ages that count from the receipt of an answer, which may have been on its way for long, and against old, newer or
-/// incomparable answers that confirm the policy.
+/// Guards against ages that count from the receipt of an answer, which may have been on its way for long, against old, newer or
+/// incomparable answers that confirm the policy, and against a newer policy whose age is not told.
 #[rstest]
 #[case::fresh(standing(5, Some(Duration::from_millis(300))), Finding::Confirmed(Time::from_millis(9_700)))]
 #[case::fresh_of_older(standing(4, Some(Duration::from_millis(300))), Finding::Confirmed(Time::from_millis(9_700)))]
 #[case::almost_old(standing(5, Some(Duration::from_millis(1_600))), Finding::Confirmed(Time::from_millis(8_400)))]
 #[case::old(standing(5, Some(limits().silent_after() + Duration::from_millis(1))), Finding::Silent)]
 #[case::never(standing(5, None), Finding::Silent)]
-#[case::newer(standing(6, None), Finding::Newer)]
-#[case::newer_and_fresh(standing(6, Some(Duration::ZERO)), Finding::Newer)]
-#[case::pending(Standing { pending: true, ..standing(5, Some(Duration::ZERO)) }, Finding::Newer)]
+#[case::newer(standing(6, None), Finding::Newer(None))]
+#[case::newer_and_fresh(standing(6, Some(Duration::ZERO)), Finding::Newer(Some(SENT)))]
+#[case::pending(Standing { pending: true, ..standing(5, Some(Duration::ZERO)) }, Finding::Newer(None))]
 fn an_answer_counts_from_its_question(#[case] standing: Standing, #[case] expected: Finding) {
     assert_eq!(round().record("a", &standing, limits()), expected);
 }
@@ -119,10 +119,10 @@
 /// for those of the former era.
 #[rstest]
 #[case::same(Version::new(5, version::Version::new(2, 1)), None, Finding::Silent)]
-#[case::same_and_fresh(Version::new(5, version::Version::new(2, 1)), Some(Duration::ZERO), Finding::Newer)]
-#[case::newer(Version::new(6, version::Version::new(2, 1)), None, Finding::Newer)]
+#[case::same_and_fresh(Version::new(5, version::Version::new(2, 1)), Some(Duration::ZERO), Finding::Newer(None))]
+#[case::newer(Version::new(6, version::Version::new(2, 1)), None, Finding::Newer(None))]
 #[case::not_counted(Version::new(0, version::Version::new(2, 1)), None, Finding::Silent)]
-#[case::later_in_era(Version::new(5, version::Version::new(1, 9)), None, Finding::Newer)]
+#[case::later_in_era(Version::new(5, version::Version::new(1, 9)), None, Finding::Newer(None))]
 fn a_restored_store_lists_the_same_policy_again(
     #[case] version: Version,
     #[case] age: Option<Duration>,
@@ -137,7 +137,8 @@
 fn policies_that_are_not_counted_differ_between_eras() {
     let uncounted = |era| Version::new(0, version::Version::new(era, 1));
     let mut round = Round::new(uncounted(1), BTreeSet::new(), 1, SENT);
-    assert_eq!(round.record("a", &Standing { version: uncounted(2), ..standing(0, None) }, limits()), Finding::Newer);
+    let answer = Standing { version: uncounted(2), ..standing(0, None) };
+    assert_eq!(round.record("a", &answer, limits()), Finding::Newer(None));
 }
 
 /// Guards against what is known that an older answer replaces, and against agreements on another version than the one in force.
--- a/crates/fleet/tests/reliance.rs
+++ b/crates/fleet/tests/reliance.rs
@@ -326,7 +326,7 @@
         own.silence.record_answer(&from.to_string());
         match open.round.record(Self::region(from), standing, limits) {
             Finding::Confirmed(as_of) => own.confirmation.confirm(as_of),
-            Finding::Newer => own.confirmation.withdraw(),
+            Finding::Newer(_) => own.confirmation.withdraw(),
             Finding::Silent => {}
         }
         if let Some(as_of) = open.round.agreed_at() {
