--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -210,7 +210,7 @@
 }
 
 /// Chooses the members that may know more than this daemon, which last heard the store at `confirmed_at`, up to [`MAX_SUSPECTS`], and random
-/// other ones of each region.
+/// other ones of each region, of different failure domains as far as there are any.
 fn choose(
     context: &Context,
     regions: &BTreeSet<String>,
@@ -232,7 +232,9 @@
         let members = roster.other_members().filter(|record| domains.get(&record.domain) == Some(region));
         let mut others: Vec<_> = members.filter(|record| !suspects.contains(record.name.as_str())).collect();
         rng.shuffle(&mut others);
-        chosen.extend(others.into_iter().take(per_region).map(member));
+        let mut seen = BTreeSet::new();
+        let (first, further): (Vec<_>, Vec<_>) = others.into_iter().partition(|record| seen.insert(&record.domain));
+        chosen.extend(first.into_iter().chain(further).take(per_region).map(member));
     }
     chosen
 }
