--- /dev/null
+++ b/crates/daemon/src/confirmation.rs
@@ -0,0 +1,240 @@
+//! Until when requests may go by the regions that the policy in force names.
+//!
+//! A daemon that has heard nothing of the store for a while asks others how old their policies are; [`fleet::confirmation`] decides what
+//! follows from the answers.
+
+use std::collections::BTreeSet;
+use std::io::ErrorKind;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::time::Time;
+use config::policy::Allowed;
+use fleet::confirmation::{Finding, Limits, Round, Silence, Standing};
+use fleet::message::{Record, State};
+use fleet::replica::Version;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+use crate::context::lock;
+use crate::peers::api::PeersClient as _;
+use crate::peers::{client, exchange};
+use crate::plugin::Plugin;
+use crate::{Context, mirror};
+
+/// Questions of a round, where there are no more regions than that.
+const MAX_QUESTIONS: usize = 6;
+/// Maximum number of members that may know more, of which each is asked.
+const MAX_SUSPECTS: usize = 8;
+
+inventory::submit! {
+    Plugin(kernel::Plugin { name: "confirmation", stage: 30, start })
+}
+
+struct Task(tokio::task::JoinHandle<()>);
+
+impl kernel::Component for Task {
+    fn close(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn start(context: &Arc<Context>) -> kernel::StartResult {
+    // Without a mirror, nothing tells the age of the policy.
+    if context.catalog.is_none() {
+        return Ok(Box::new(kernel::Idle));
+    }
+    Ok(Box::new(Task(context.runtime.spawn(run(Arc::clone(context))))))
+}
+
+fn limits(context: &Context) -> Limits {
+    Limits::new(Duration::from_secs_f64(context.settings.callers.policy_age_s))
+}
+
+/// Returns how long ago the policy in force was last known to be the store's, by this daemon or by others; `None` if it never was, or if
+/// nothing tells it.
+pub fn policy_age(context: &Context, now: Time) -> Option<Duration> {
+    let catalog = context.catalog?;
+    let told = lock(&context.confirmation).confirmed_at().map(|at| now.since(at));
+    let known = mirror::policy_age(context, catalog, now);
+    known.into_iter().chain(told).min()
+}
+
+/// Returns how long ago instances of all regions agreed on the policy of `version`; `None` if they never did.
+pub fn agreement_age(context: &Context, version: Version, now: Time) -> Option<Duration> {
+    lock(&context.confirmation).agreed_at(version).map(|at| now.since(at))
+}
+
+/// Returns until when requests may go by the regions that the policy of `version`, which is in force, names.
+pub fn expiry(context: &Context, version: Version, now: Time) -> Time {
+    if context.catalog.is_none() {
+        return Time::MAX;
+    }
+    let limits = limits(context);
+    let confirmed = policy_age(context, now).map(|age| now - age + limits.max_age());
+    let agreed = agreement_age(context, version, now).map(|age| now - age + limits.max_agreement_age());
+    confirmed.max(agreed).unwrap_or(Time::ZERO)
+}
+
+/// Whether a request may go by `allowed`, the regions that the policy in force lets it run in: they are all, or the policy is known
+/// to be recent enough.
+pub fn may_rely_on(context: &Context, allowed: &Allowed) -> bool {
+    let now = context.now();
+    *allowed == Allowed::All || now <= expiry(context, context.policy().version, now)
+}
+
+/// Returns what this daemon says of its policy to another one.
+pub fn standing(context: &Context) -> Standing {
+    let now = context.now();
+    Standing {
+        version: context.policy().version,
+        age_ms: policy_age(context, now).map(|age| age.as_millis() as u64),
+        pending: is_pending(context),
+    }
+}
+
+/// Whether a change of the policy has arrived from the store that is not in force yet.
+fn is_pending(context: &Context) -> bool {
+    context.catalog.is_some_and(|catalog| mirror::is_policy_pending(context, catalog))
+}
+
+/// Asks other daemons while this one hears nothing of the store; runs until the task is aborted.
+async fn run(context: Arc<Context>) {
+    let limits = limits(&context);
+    let mut rng = fastrand::Rng::with_seed(context.incarnation ^ 3);
+    let mut silence = Silence::default();
+    let mut was_expired = true;
+    loop {
+        tokio::time::sleep(limits.interval().mul_f64(0.75 + rng.f64() / 2.0)).await;
+        update(&context, &mut silence);
+        let now = context.now();
+        let age = policy_age(&context, now);
+        if age.is_none_or(|age| age >= limits.ask_after()) {
+            ask(&context, limits, &mut silence, &mut rng).await;
+        }
+        let now = context.now();
+        let is_expired = now > expiry(&context, context.policy().version, now);
+        if is_expired != was_expired {
+            log_change(&context, is_expired, now);
+            was_expired = is_expired;
+        }
+    }
+}
+
+/// Updates which members are silent.
+fn update(context: &Context, silence: &mut Silence) {
+    let now = context.now();
+    let confirmed_at = policy_age(context, now).map(|age| now - age);
+    let roster = lock(&context.roster);
+    let members = roster.other_members().map(|record| (record.name.as_str(), record.state != State::Alive));
+    silence.update(members, confirmed_at, now);
+}
+
+fn log_change(context: &Context, is_expired: bool, now: Time) {
+    let age_ms = policy_age(context, now).map_or(-1, |age| age.as_millis() as i64);
+    context.metrics.policy_expired.set(i64::from(is_expired));
+    log::info!(
+        version:% = context.policy().version, expired = is_expired, age_ms;
+        "confirmation: reliance on the policy changed"
+    );
+}
+
+/// A daemon that is asked.
+struct Member {
+    name: String,
+    region: String,
+    address: String,
+}
+
+/// The answer of a daemon that was asked, or whether its process is stopped.
+enum Answer {
+    Standing(Standing),
+    None { is_stopped: bool },
+}
+
+/// Asks daemons of all regions for their standing, and acts on each answer as it comes.
+async fn ask(context: &Arc<Context>, limits: Limits, silence: &mut Silence, rng: &mut fastrand::Rng) {
+    let regions: BTreeSet<String> = context.settings.domains.values().cloned().collect();
+    let sent = context.now();
+    let age = policy_age(context, sent);
+    let confirmed_at = age.map(|age| sent - age);
+    let members = choose(context, &regions, silence, confirmed_at, rng);
+    let others = regions.into_iter().filter(|region| *region != context.settings.region).collect();
+    let mut round = Round::new(context.policy().version, others, members.len(), sent);
+    let has_too_many_suspects = silence.suspects(confirmed_at).count() > MAX_SUSPECTS;
+    let hears_store = age.is_some_and(|age| age < limits.silent_after());
+    if members.is_empty() || has_too_many_suspects || hears_store || is_pending(context) {
+        round.contradict();
+    }
+    let mut questions = JoinSet::new();
+    for member in members {
+        questions.spawn(async move { (question(&member.address, limits.timeout()).await, member) });
+    }
+    while let Some(answered) = questions.join_next().await {
+        match answered {
+            Ok((Answer::Standing(standing), member)) => {
+                silence.record_answer(&member.name);
+                act(context, &mut round, &member, &standing, limits);
+            }
+            Ok((Answer::None { is_stopped }, _)) => round.record_failure(is_stopped),
+            Err(_) => round.record_failure(false),
+        }
+    }
+    if let Some(as_of) = round.agreed_at() {
+        lock(&context.confirmation).agree(round.version(), as_of);
+    }
+}
+
+/// Asks the daemon at `address` for its standing. If it does not answer and its machine refuses connections, its process is stopped.
+async fn question(address: &str, timeout: Duration) -> Answer {
+    if let Some(client) = client::client_with_timeout(address, timeout)
+        && let Ok(standing) = client.standing().await
+    {
+        return Answer::Standing(standing);
+    }
+    let connection = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+    let is_stopped = matches!(connection, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused);
+    Answer::None { is_stopped }
+}
+
+/// Acts on an answer: confirms the policy in force, or fetches a newer one.
+fn act(context: &Arc<Context>, round: &mut Round, member: &Member, standing: &Standing, limits: Limits) {
+    match round.record(&member.region, standing, limits) {
+        Finding::Confirmed(as_of) => lock(&context.confirmation).confirm(as_of),
+        Finding::Newer(confirmed_at) => {
+            lock(&context.confirmation).withdraw();
+            exchange::fetch_newer(context, standing.version, confirmed_at, &member.address);
+        }
+        Finding::Silent => {}
+    }
+}
+
+/// Chooses the members that may know more than this daemon, which last heard the store at `confirmed_at`, up to [`MAX_SUSPECTS`], and random
+/// other ones of each region, of different failure domains as far as there are any.
+fn choose(
+    context: &Context,
+    regions: &BTreeSet<String>,
+    silence: &Silence,
+    confirmed_at: Option<Time>,
+    rng: &mut fastrand::Rng,
+) -> Vec<Member> {
+    let roster = lock(&context.roster);
+    let domains = &context.settings.domains;
+    let per_region = (MAX_QUESTIONS / regions.len().max(1)).max(1);
+    let suspects: BTreeSet<&str> = silence.suspects(confirmed_at).take(MAX_SUSPECTS).collect();
+    let member = |record: &Record| {
+        let region = domains.get(&record.domain).cloned().unwrap_or_default();
+        Member { name: record.name.clone(), region, address: record.peer_address.clone() }
+    };
+    let mut chosen: Vec<Member> =
+        roster.other_members().filter(|record| suspects.contains(record.name.as_str())).map(member).collect();
+    for region in regions {
+        let members = roster.other_members().filter(|record| domains.get(&record.domain) == Some(region));
+        let mut others: Vec<_> = members.filter(|record| !suspects.contains(record.name.as_str())).collect();
+        rng.shuffle(&mut others);
+        let mut seen = BTreeSet::new();
+        let (first, further): (Vec<_>, Vec<_>) = others.into_iter().partition(|record| seen.insert(&record.domain));
+        chosen.extend(first.into_iter().chain(further).take(per_region).map(member));
+    }
+    chosen
+}
