What is known of a policy's age names its version

Cause: a confirmation named no version. While a newer policy came into force, the old one counted as confirmed just now: the age of the successor was recorded before it was in force, and an answer on the policy read version and age one after the other.

Change: "at that time the store had no newer policy than this version"; it counts for the policy in force from that version on. The mirror's time is read before the policy, a hand-over asks for the age before it asks which policy is in force, and an answer says so if the version changed meanwhile.

--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -67,10 +67,12 @@
     let mut tried: BTreeSet<Distance> = BTreeSet::new();
     loop {
         stall::settled(context).await;
+        // Asked first, so that the age is that of this policy.
+        let may_rely = confirmation::may_rely_on(context, passage.allowed);
         if !context.is_in_force(active) {
             return Err(Outdated);
         }
-        if !confirmation::may_rely_on(context, passage.allowed) {
+        if !may_rely {
             return Ok(Err(Refusal { kind: Kind::PolicyStale, retry_after }));
         }
         let left = passage.deadline.since(context.now());
@@ -157,7 +159,7 @@
     let id = hash::bytes(address.to_string().as_bytes()) as BackendId;
     let mut connection = connect(context, id, address).await?;
     stall::settled(context).await;
-    if !context.is_in_force(active) || !confirmation::may_rely_on(context, passage.allowed) {
+    if !confirmation::may_rely_on(context, passage.allowed) || !context.is_in_force(active) {
         return Err(Failure::Unsent);
     }
     let headers = headers(context, outgoing, peer.interface, passage);
--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -55,7 +55,8 @@
 /// nothing tells it.
 pub fn policy_age(context: &Context, now: Time) -> Option<Duration> {
     let catalog = context.catalog?;
-    let told = lock(&context.confirmation).confirmed_at().map(|at| now.since(at));
+    let version = context.policy().version;
+    let told = lock(&context.confirmation).confirmed_at(version).map(|at| now.since(at));
     let known = mirror::policy_age(context, catalog, now);
     known.into_iter().chain(told).min()
 }
@@ -86,11 +87,11 @@
 /// Returns what this daemon says of its policy to another one.
 pub fn standing(context: &Context) -> Standing {
     let now = context.now();
-    Standing {
-        version: context.policy().version,
-        age_ms: policy_age(context, now).map(|age| age.as_millis() as u64),
-        pending: is_pending(context),
-    }
+    let version = context.policy().version;
+    let age_ms = policy_age(context, now).map(|age| age.as_millis() as u64);
+    // The age may be that of a policy that has come into force meanwhile.
+    let pending = is_pending(context) || context.policy().version != version;
+    Standing { version, age_ms, pending }
 }
 
 /// Whether a change of the policy has arrived from the store that is not in force yet.
@@ -200,7 +201,7 @@
 /// Acts on an answer: confirms the policy in force, or fetches a newer one.
 fn act(context: &Arc<Context>, round: &mut Round, member: &Member, standing: &Standing, limits: Limits) {
     match round.record(&member.region, standing, limits) {
-        Finding::Confirmed(as_of) => lock(&context.confirmation).confirm(as_of),
+        Finding::Confirmed(as_of) => lock(&context.confirmation).confirm(round.version(), as_of),
         Finding::Newer(confirmed_at) => {
             lock(&context.confirmation).withdraw();
             exchange::fetch_newer(context, standing.version, confirmed_at, &member.address);
--- a/crates/daemon/src/mirror/publish.rs
+++ b/crates/daemon/src/mirror/publish.rs
@@ -19,10 +19,18 @@
 /// Applies the policy and the servers that the mirror holds now; logs each reason for a skipped entry once.
 pub fn publish(context: &Arc<Context>, catalog: Catalog) {
     let _publishing = lock(&context.mirror_sync.publishing);
-    let changes = policy_changes(&lock(&context.mirror), catalog);
+    // Read before the policy, which may be later than that.
+    let (changes, confirmed_at) = {
+        let mirror = lock(&context.mirror);
+        (policy_changes(&mirror, catalog), mirror.confirmed_at())
+    };
     let mut is_read = true;
     match read_policy(context, catalog, changes) {
-        Ok(Some(update)) => apply_policy(context, update),
+        Ok(Some(update)) => {
+            let version = update.version;
+            confirmed_at.into_iter().for_each(|as_of| lock(&context.confirmation).confirm(version, as_of));
+            apply_policy(context, update);
+        }
         Ok(None) => {}
         Err(reason) => {
             is_read = false;
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -90,8 +90,8 @@
         let runtime = context.runtime.clone();
         runtime.spawn(async move {
             fetch_policy(&context, &address).await;
-            if let Some(as_of) = confirmed_at.filter(|_| context.policy().version >= version) {
-                lock(&context.confirmation).confirm(as_of);
+            if let Some(as_of) = confirmed_at {
+                lock(&context.confirmation).confirm(version, as_of);
             }
         });
     }
--- a/crates/daemon/src/policies.rs
+++ b/crates/daemon/src/policies.rs
@@ -154,9 +154,6 @@
     let mut replica = lock(&context.policy_replica);
     match replica.apply(document, origin) {
         Ok(Some(policy)) => {
-            // What the mirror says of its age is then said of this policy.
-            let confirmed_at = lock(&context.mirror).confirmed_at().filter(|_| origin == Origin::Store);
-            confirmed_at.into_iter().for_each(|as_of| lock(&context.confirmation).confirm(as_of));
             activate(context, version, policy, source);
             true
         }
--- a/crates/fleet/src/confirmation.rs
+++ b/crates/fleet/src/confirmation.rs
@@ -14,6 +14,9 @@
 
 use crate::replica::Version;
 
+/// Number of versions of which it is kept when they were the store's: of those that are about to come into force, and the one in force.
+const MAX_VERSIONS: usize = 4;
+
 /// Bounds that follow from the time within which a new policy must be in force everywhere.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -76,16 +79,21 @@
 }
 
 /// What other daemons have told of the age of the policy in force.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Confirmation {
-    confirmed_at: Option<Time>,
+    /// When the store last had no newer policy, for each of the latest versions.
+    confirmed: BTreeMap<Version, Time>,
     agreed: Option<(Version, Time)>,
 }
 
 impl Confirmation {
-    /// Records that at `as_of` the store had no newer policy than the one in force.
-    pub fn confirm(&mut self, as_of: Time) {
-        self.confirmed_at = self.confirmed_at.max(Some(as_of));
+    /// Records that at `as_of` the store had no newer policy than `version`.
+    pub fn confirm(&mut self, version: Version, as_of: Time) {
+        let known = self.confirmed.entry(version).or_insert(as_of);
+        *known = as_of.max(*known);
+        while self.confirmed.len() > MAX_VERSIONS {
+            self.confirmed.pop_first();
+        }
     }
 
     /// Records that at `as_of` daemons of all regions knew of no policy newer than `version`, and heard nothing of the store.
@@ -98,9 +106,9 @@
         self.agreed = None;
     }
 
-    /// Returns the latest time at which the store is known to have had no newer policy than the one in force.
-    pub const fn confirmed_at(&self) -> Option<Time> {
-        self.confirmed_at
+    /// Returns the latest time at which the store is known to have had no newer policy than `version`.
+    pub fn confirmed_at(&self, version: Version) -> Option<Time> {
+        self.confirmed.range(..=version).map(|(_, at)| *at).max()
     }
 
     /// Returns when daemons of all regions last agreed on `version`.
--- a/crates/fleet/tests/confirmation.rs
+++ b/crates/fleet/tests/confirmation.rs
@@ -145,10 +145,10 @@
 #[test]
 fn confirmations_are_kept_by_time_and_agreements_by_version() {
     let mut confirmation = Confirmation::default();
-    assert_eq!(confirmation.confirmed_at(), None);
-    confirmation.confirm(SENT);
-    confirmation.confirm(SENT - Duration::from_secs(1));
-    assert_eq!(confirmation.confirmed_at(), Some(SENT));
+    assert_eq!(confirmation.confirmed_at(version(5)), None);
+    confirmation.confirm(version(5), SENT);
+    confirmation.confirm(version(5), SENT - Duration::from_secs(1));
+    assert_eq!(confirmation.confirmed_at(version(5)), Some(SENT));
     confirmation.agree(version(5), SENT);
     assert_eq!(confirmation.agreed_at(version(5)), Some(SENT));
     assert_eq!(confirmation.agreed_at(version(6)), None, "the daemons agreed on another policy");
--- a/crates/fleet/tests/reliance.rs
+++ b/crates/fleet/tests/reliance.rs
@@ -121,7 +121,7 @@
     }
 
     fn confirmed_at(&self) -> Time {
-        self.checked_at.max(self.confirmation.confirmed_at().unwrap_or(Time::ZERO))
+        self.checked_at.max(self.confirmation.confirmed_at(self.version.into()).unwrap_or(Time::ZERO))
     }
 
     /// Until when the daemon relies on its policy.
@@ -325,7 +325,7 @@
         let Some(mut open) = own.round.take_if(|open| open.number == number) else { return };
         own.silence.record_answer(&from.to_string());
         match open.round.record(Self::region(from), standing, limits) {
-            Finding::Confirmed(as_of) => own.confirmation.confirm(as_of),
+            Finding::Confirmed(as_of) => own.confirmation.confirm(open.round.version(), as_of),
             Finding::Newer(_) => own.confirmation.withdraw(),
             Finding::Silent => {}
         }
