--- a/crates/fleet/src/confirmation.rs
+++ b/crates/fleet/src/confirmation.rs
@@ -3,7 +3,7 @@
 //! A daemon that goes by a replaced policy may run a request in a region that it must not run in. So it must know of its policy that
 //! it was in force a bounded time ago. The store says so, directly or through another daemon. While the store is silent for all daemons,
 //! it accepts no change either: then it is enough that a daemon hears others of every region, that none of them has a newer policy or
-//! has lately heard from the store, and that none has fallen silent since the store did. Daemons that are cut off together, from the store and from
+//! has lately heard from the store, and that no other one is silent, unless its process is stopped. Daemons that are cut off together, from the store and from
 //! the others, do not agree by themselves.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -151,11 +151,11 @@
         self.0.get(name).is_some_and(|spell| spell.is_open)
     }
 
-    /// Returns the members that fell silent after `confirmed_at`, when the store was last heard, and have not answered a question since.
-    /// What took the store away may have taken them away, and they may hear it still, or know a newer policy now that they
-    /// are back. Those that fell silent before are out for another reason.
-    pub fn since(&self, confirmed_at: Option<Time>) -> impl Iterator<Item = &str> {
-        self.0.iter().filter(move |(_, spell)| spell.is_after(confirmed_at)).map(|(name, _)| name.as_str())
+    /// Returns the members that may know more than this daemon, which last heard the store at `confirmed_at`: those that are silent and may
+    /// hear the store still, and those that were silent since then and have not answered a question yet.
+    pub fn suspects(&self, confirmed_at: Option<Time>) -> impl Iterator<Item = &str> {
+        let suspects = self.0.iter().filter(move |(_, spell)| spell.is_open || spell.is_after(confirmed_at));
+        suspects.map(|(name, _)| name.as_str())
     }
 }
 
@@ -168,8 +168,8 @@
 /// What follows from an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
-    /// The other daemon has a newer policy, or a change that is not in force there yet.
-    Newer,
+    /// The other daemon has a newer policy, which was the store's at that time, or a change that is not in force there yet.
+    Newer(Option<Time>),
     /// The store had no newer policy than the one in force at that time.
     Confirmed(Time),
     /// The other daemon knows of no newer policy, and hears nothing of the store.
@@ -230,13 +230,17 @@
         let (own, other) = (self.in_force, standing.version);
         // A restored store lists the same policy again, in another era.
         let is_same = other.declared > 0 && other.declared == own.declared && other.stored.era != own.stored.era;
-        if standing.pending || (other > own && !is_same) {
-            return Finding::Newer;
+        let confirmed_at = standing.age().map(|age| self.sent - age);
+        if standing.pending {
+            return Finding::Newer(None);
         }
-        match standing.age() {
-            Some(age) if age < limits.silent_after() && other <= own => Finding::Confirmed(self.sent - age),
-            Some(age) if age < limits.silent_after() => Finding::Newer,
-            _ => Finding::Silent,
+        if other > own && !is_same {
+            return Finding::Newer(confirmed_at);
+        }
+        match confirmed_at.filter(|_| standing.age() < Some(limits.silent_after())) {
+            Some(as_of) if other <= own => Finding::Confirmed(as_of),
+            Some(_) => Finding::Newer(None),
+            None => Finding::Silent,
         }
     }
 }
--- a/crates/fleet/tests/confirmation.rs
+++ b/crates/fleet/tests/confirmation.rs
@@ -100,17 +100,17 @@
     assert_eq!(round.agreed_at(), None);
 }
 
-/// Guards against ages that count from the receipt of an answer, which may have been on its way for long, and against old, newer or
-/// incomparable answers that confirm the policy.
+/// Guards against ages that count from the receipt of an answer, which may have been on its way for long, against old, newer or
+/// incomparable answers that confirm the policy, and against a newer policy whose age is not told.
 #[rstest]
 #[case::fresh(standing(5, Some(Duration::from_millis(300))), Finding::Confirmed(Time::from_millis(9_700)))]
 #[case::fresh_of_older(standing(4, Some(Duration::from_millis(300))), Finding::Confirmed(Time::from_millis(9_700)))]
 #[case::almost_old(standing(5, Some(Duration::from_millis(1_600))), Finding::Confirmed(Time::from_millis(8_400)))]
 #[case::old(standing(5, Some(limits().silent_after() + Duration::from_millis(1))), Finding::Silent)]
 #[case::never(standing(5, None), Finding::Silent)]
-#[case::newer(standing(6, None), Finding::Newer)]
-#[case::newer_and_fresh(standing(6, Some(Duration::ZERO)), Finding::Newer)]
-#[case::pending(Standing { pending: true, ..standing(5, Some(Duration::ZERO)) }, Finding::Newer)]
+#[case::newer(standing(6, None), Finding::Newer(None))]
+#[case::newer_and_fresh(standing(6, Some(Duration::ZERO)), Finding::Newer(Some(SENT)))]
+#[case::pending(Standing { pending: true, ..standing(5, Some(Duration::ZERO)) }, Finding::Newer(None))]
 fn an_answer_counts_from_its_question(#[case] standing: Standing, #[case] expected: Finding) {
     assert_eq!(round().record("a", &standing, limits()), expected);
 }
@@ -119,10 +119,10 @@
 /// for those of the former era.
 #[rstest]
 #[case::same(Version::new(5, version::Version::new(2, 1)), None, Finding::Silent)]
-#[case::same_and_fresh(Version::new(5, version::Version::new(2, 1)), Some(Duration::ZERO), Finding::Newer)]
-#[case::newer(Version::new(6, version::Version::new(2, 1)), None, Finding::Newer)]
+#[case::same_and_fresh(Version::new(5, version::Version::new(2, 1)), Some(Duration::ZERO), Finding::Newer(None))]
+#[case::newer(Version::new(6, version::Version::new(2, 1)), None, Finding::Newer(None))]
 #[case::not_counted(Version::new(0, version::Version::new(2, 1)), None, Finding::Silent)]
-#[case::later_in_era(Version::new(5, version::Version::new(1, 9)), None, Finding::Newer)]
+#[case::later_in_era(Version::new(5, version::Version::new(1, 9)), None, Finding::Newer(None))]
 fn a_restored_store_lists_the_same_policy_again(
     #[case] version: Version,
     #[case] age: Option<Duration>,
@@ -137,7 +137,8 @@
 fn policies_that_are_not_counted_differ_between_eras() {
     let uncounted = |era| Version::new(0, version::Version::new(era, 1));
     let mut round = Round::new(uncounted(1), BTreeSet::new(), 1, SENT);
-    assert_eq!(round.record("a", &Standing { version: uncounted(2), ..standing(0, None) }, limits()), Finding::Newer);
+    let answer = Standing { version: uncounted(2), ..standing(0, None) };
+    assert_eq!(round.record("a", &answer, limits()), Finding::Newer(None));
 }
 
 /// Guards against what is known that an older answer replaces, and against agreements on another version than the one in force.
@@ -155,20 +156,20 @@
     assert_eq!(confirmation.agreed_at(version(5)), None);
 }
 
-/// Guards against daemons that are cut off together and forget who fell silent with the store, and against an outage from before that
-/// keeps them from agreeing.
+/// Guards against daemons that are cut off together and agree without those that are silent, whether these fell silent before the store
+/// or after it.
 #[test]
-fn members_that_fell_silent_after_the_store_may_hear_it() {
+fn members_that_are_silent_may_hear_the_store() {
     let mut silence = Silence::default();
     let heard = Some(SENT + Duration::from_secs(1));
     silence.update([("before", true), ("after", false)].into_iter(), heard, SENT);
     silence.update([("before", true), ("after", true)].into_iter(), heard, SENT + APPLY);
-    assert_eq!(suspects(&silence, heard), ["after"]);
+    assert_eq!(suspects(&silence, heard), ["after", "before"]);
     assert_eq!(suspects(&silence, None), ["after", "before"], "nobody knows when the store was last heard");
     assert!(silence.contains("before") && silence.contains("after"));
     silence.update([("before", true)].into_iter(), heard, SENT + 2 * APPLY);
     assert!(!silence.contains("after"), "it is no member any more");
-    assert_eq!(suspects(&silence, heard), [""; 0]);
+    assert_eq!(suspects(&silence, heard), ["before"]);
 }
 
 /// Guards against an agreement after a cut has healed, without those that were cut off and know a newer policy.
@@ -190,5 +191,5 @@
 }
 
 fn suspects(silence: &Silence, confirmed_at: Option<Time>) -> Vec<&str> {
-    silence.since(confirmed_at).collect()
+    silence.suspects(confirmed_at).collect()
 }
