A refused connection does not show that an instance is stopped

Cause: while the store was silent, an instance whose connections are refused counted as stopped, so that it hears nothing of the store. A cut can refuse connections as well: instances that it takes from the others and from the store agreed with each other.

Change: whoever is asked and does not answer contradicts an agreement. Price: while the store is silent for all, requests with regions are refused from the end of a process until it answers again.

The unit test of a stopped daemon's exemption tests the opposite now.

--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -4,7 +4,6 @@
 //! follows from the answers.
 
 use std::collections::BTreeSet;
-use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +12,6 @@
 use fleet::confirmation::{Finding, Limits, Round, Silence, Standing};
 use fleet::message::{Record, State};
 use fleet::replica::Version;
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use crate::context::lock;
@@ -147,12 +145,6 @@
     address: String,
 }
 
-/// The answer of a daemon that was asked, or whether its process is stopped.
-enum Answer {
-    Standing(Standing),
-    None { is_stopped: bool },
-}
-
 /// Asks daemons of all regions for their standing, and acts on each answer as it comes.
 async fn ask(context: &Arc<Context>, limits: Limits, silence: &mut Silence, rng: &mut fastrand::Rng) {
     let regions: BTreeSet<String> = context.settings.domains.values().cloned().collect();
@@ -173,12 +165,11 @@
     }
     while let Some(answered) = questions.join_next().await {
         match answered {
-            Ok((Answer::Standing(standing), member)) => {
+            Ok((Some(standing), member)) => {
                 silence.record_answer(&member.name);
                 act(context, &mut round, &member, &standing, limits);
             }
-            Ok((Answer::None { is_stopped }, _)) => round.record_failure(is_stopped),
-            Err(_) => round.record_failure(false),
+            Ok((None, _)) | Err(_) => round.record_failure(),
         }
     }
     if let Some(as_of) = round.agreed_at() {
@@ -186,16 +177,9 @@
     }
 }
 
-/// Asks the daemon at `address` for its standing. If it does not answer and its machine refuses connections, its process is stopped.
-async fn question(address: &str, timeout: Duration) -> Answer {
-    if let Some(client) = client::client_with_timeout(address, timeout)
-        && let Ok(standing) = client.standing().await
-    {
-        return Answer::Standing(standing);
-    }
-    let connection = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
-    let is_stopped = matches!(connection, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused);
-    Answer::None { is_stopped }
+/// Asks the daemon at `address` for its standing; `None` if it does not answer.
+async fn question(address: &str, timeout: Duration) -> Option<Standing> {
+    client::client_with_timeout(address, timeout)?.standing().await.ok()
 }
 
 /// Acts on an answer: confirms the policy in force, or fetches a newer one.
--- a/crates/fleet/src/confirmation.rs
+++ b/crates/fleet/src/confirmation.rs
@@ -3,7 +3,7 @@
 //! A daemon that goes by a replaced policy may run a request in a region that it must not run in. So it must know of its policy that
 //! it was in force a bounded time ago. The store says so, directly or through another daemon. While the store is silent for all daemons,
 //! it accepts no change either: then it is enough that a daemon hears others of every region, that none of them has a newer policy or
-//! has lately heard from the store, and that no other one is silent, unless its process is stopped. Daemons that are cut off together, from the store and from
+//! has lately heard from the store, and that no other one is silent. Daemons that are cut off together, from the store and from
 //! the others, do not agree by themselves.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -217,10 +217,10 @@
         finding
     }
 
-    /// Records that a daemon has not answered; it may hear the store unless it `is_stopped`.
-    pub const fn record_failure(&mut self, is_stopped: bool) {
+    /// Records that a daemon has not answered. It may hear the store, also if its connections are refused: a cut can do that.
+    pub const fn record_failure(&mut self) {
         self.open = self.open.saturating_sub(1);
-        self.contradicted |= !is_stopped;
+        self.contradicted = true;
     }
 
     /// Returns since when all that were asked, of all regions, agree that they know of no newer policy; `None` if they do not.
--- a/crates/fleet/tests/confirmation.rs
+++ b/crates/fleet/tests/confirmation.rs
@@ -70,13 +70,13 @@
 }
 
 /// Guards against an agreement despite daemons that do not answer, since they may hear the store, or despite what the asking daemon
-/// knows itself. A daemon whose process is stopped hears nothing.
+/// knows itself. A cut can refuse connections, so a refused one does not show that the daemon is stopped.
 #[rstest]
-#[case::stopped(true, false, true)]
-#[case::silent(false, false, false)]
+#[case::all_answer(true, false, true)]
+#[case::one_is_silent(false, false, false)]
 #[case::contradicted(true, true, false)]
 fn a_daemon_that_does_not_answer_may_hear_the_store(
-    #[case] is_stopped: bool,
+    #[case] answers: bool,
     #[case] is_contradicted: bool,
     #[case] agreed: bool,
 ) {
@@ -87,19 +87,14 @@
     round.record("a", &standing(5, None), limits());
     round.record("b", &standing(5, None), limits());
     assert_eq!(round.agreed_at(), None, "one has not answered yet");
-    round.record_failure(is_stopped);
+    if answers {
+        round.record("b", &standing(5, None), limits());
+    } else {
+        round.record_failure();
+    }
     assert_eq!(round.agreed_at().is_some(), agreed);
 }
 
-/// Guards against a round that agrees for a region of which only a stopped daemon is known.
-#[test]
-fn a_stopped_daemon_does_not_answer_for_its_region() {
-    let mut round = round();
-    round.record("a", &standing(5, None), limits());
-    round.record_failure(true);
-    assert_eq!(round.agreed_at(), None);
-}
-
 /// Guards against ages that count from the receipt of an answer, which may have been on its way for long, against old, newer or
 /// incomparable answers that confirm the policy, and against a newer policy whose age is not told.
 #[rstest]
