A store that refuses calls does not count as silent

Cause: instances that the store turns away took its refusals for silence and agreed that it accepts no change, while operators still reach it.

Change: an instance that got any answer of the store lately says so and contradicts an agreement. A store that answers nobody is the only one that counts as silent. Not known by any instance: a store that is silent for all of them and still serves the operators.

--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -89,7 +89,12 @@
     let age_ms = policy_age(context, now).map(|age| age.as_millis() as u64);
     // The age may be that of a policy that has come into force meanwhile.
     let pending = is_pending(context) || context.policy().version != version;
-    Standing { version, age_ms, pending }
+    Standing { version, age_ms, pending, hears_store: hears_store(context) }
+}
+
+/// Whether the store has lately answered a call of this daemon, be it with a refusal.
+fn hears_store(context: &Context) -> bool {
+    context.store.silent_for().is_some_and(|silent_for| silent_for < limits(context).silent_after())
 }
 
 /// Whether a change of the policy has arrived from the store that is not in force yet.
@@ -155,8 +160,9 @@
     let others = regions.into_iter().filter(|region| *region != context.settings.region).collect();
     let mut round = Round::new(context.policy().version, others, members.len(), sent);
     let has_too_many_suspects = silence.suspects(confirmed_at).count() > MAX_SUSPECTS;
-    let hears_store = age.is_some_and(|age| age < limits.silent_after());
-    if members.is_empty() || has_too_many_suspects || hears_store || is_pending(context) {
+    let is_confirmed = age.is_some_and(|age| age < limits.silent_after());
+    let knows_more = is_confirmed || hears_store(context) || is_pending(context);
+    if members.is_empty() || has_too_many_suspects || knows_more {
         round.contradict();
     }
     let mut questions = JoinSet::new();
@@ -190,7 +196,7 @@
             lock(&context.confirmation).withdraw();
             exchange::fetch_newer(context, standing.version, confirmed_at, &member.address);
         }
-        Finding::Silent => {}
+        Finding::Refused | Finding::Silent => {}
     }
 }
 
--- a/crates/fleet/src/confirmation.rs
+++ b/crates/fleet/src/confirmation.rs
@@ -70,6 +70,8 @@
     pub age_ms: Option<u64>,
     /// Whether a change has arrived that is not in force yet.
     pub pending: bool,
+    /// Whether the store has lately answered a call, be it with a refusal: it may serve the operators and others.
+    pub hears_store: bool,
 }
 
 impl Standing {
@@ -180,6 +182,8 @@
     Newer(Option<Time>),
     /// The store had no newer policy than the one in force at that time.
     Confirmed(Time),
+    /// The other daemon knows of no newer policy, and the store refuses its calls.
+    Refused,
     /// The other daemon knows of no newer policy, and hears nothing of the store.
     Silent,
 }
@@ -248,6 +252,7 @@
         match confirmed_at.filter(|_| standing.age() < Some(limits.silent_after())) {
             Some(as_of) if other <= own => Finding::Confirmed(as_of),
             Some(_) => Finding::Newer(None),
+            None if standing.hears_store => Finding::Refused,
             None => Finding::Silent,
         }
     }
--- a/crates/fleet/tests/confirmation.rs
+++ b/crates/fleet/tests/confirmation.rs
@@ -23,7 +23,8 @@
 }
 
 fn standing(declared: u64, age: Option<Duration>) -> Standing {
-    Standing { version: version(declared), age_ms: age.map(|age| age.as_millis() as u64), pending: false }
+    let age_ms = age.map(|age| age.as_millis() as u64);
+    Standing { version: version(declared), age_ms, pending: false, hears_store: false }
 }
 
 /// A round of two questions to daemons of the regions `a` and `b` while version 5 is in force.
@@ -58,6 +59,7 @@
 #[case::no_answer(&[], false)]
 #[case::newer(&[("a", standing(5, None)), ("b", standing(6, None))], false)]
 #[case::pending(&[("a", standing(5, None)), ("b", Standing { pending: true, ..standing(5, None) })], false)]
+#[case::refused(&[("a", standing(5, None)), ("b", Standing { hears_store: true, ..standing(5, None) })], false)]
 #[case::fresh(&[("a", standing(5, None)), ("b", standing(5, Some(Duration::ZERO)))], false)]
 #[case::fresh_first(&[("b", standing(5, Some(Duration::ZERO))), ("a", standing(5, None))], false)]
 fn daemons_of_all_regions_must_agree(#[case] answers: &[(&str, Standing)], #[case] agreed: bool) {
--- a/crates/fleet/tests/reliance.rs
+++ b/crates/fleet/tests/reliance.rs
@@ -136,7 +136,7 @@
 
     fn standing(&self, now: Time) -> Standing {
         let age_ms = now.since(self.confirmed_at()).as_millis() as u64;
-        Standing { version: self.version.into(), age_ms: Some(age_ms), pending: false }
+        Standing { version: self.version.into(), age_ms: Some(age_ms), pending: false, hears_store: false }
     }
 }
 
@@ -334,7 +334,7 @@
         match open.round.record(Self::region(from), standing, limits) {
             Finding::Confirmed(as_of) => own.confirmation.confirm(open.round.version(), as_of),
             Finding::Newer(_) => own.confirmation.withdraw(),
-            Finding::Silent => {}
+            Finding::Refused | Finding::Silent => {}
         }
         if let Some(as_of) = open.round.agreed_at() {
             own.confirmation.agree(open.round.version(), as_of);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -43,6 +43,8 @@
     calls: AtomicU64,
     /// The latest era that an answer named.
     era: AtomicU64,
+    /// When the store last answered, whatever its status; `None` if it never did.
+    answered_at: Mutex<Option<Instant>>,
     budget: Budget,
 }
 
@@ -65,7 +67,7 @@
         let address = address.to_owned();
         let (idle, budget) = (Mutex::new(Vec::new()), Budget::new(ANSWER_BUDGET_BYTES));
         let (calls, era) = (AtomicU64::new(0), AtomicU64::new(0));
-        Self { codec, address, timeout, runner, idle, calls, era, budget }
+        Self { codec, address, timeout, runner, idle, calls, era, answered_at: Mutex::new(None), budget }
     }
 
     /// Returns the number of calls made since the client was created.
@@ -78,6 +80,12 @@
         self.era.load(Ordering::Relaxed)
     }
 
+    /// Returns the time since the store last answered a call, whatever its status; `None` if it never did.
+    pub fn silent_for(&self) -> Option<Duration> {
+        let answered_at = *self.answered_at.lock().unwrap_or_else(PoisonError::into_inner);
+        answered_at.map(|at| at.elapsed())
+    }
+
     /// Makes a call; it ends within the client's timeout, plus the wait for a watch.
     ///
     /// An answer from before the latest era known is an error: the store may have lost what it says.
@@ -131,6 +139,7 @@
             budget: &self.budget,
         };
         let answer = connection.exchange(call, |_| true).await.map_err(to_error)?;
+        *self.answered_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
         if answer.reusable {
             let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
             if idle.len() < MAX_IDLE_CONNECTIONS {
