A policy that is refused on its way into force counts as pending

Found by the review, by reading (no test): a document that the replica refuses counted as applied, so that the earlier policy was confirmed and ran requests with regions without end. An agreement held though a change had arrived, a 404 was final while one was pending, an instance that has no mirror counted as one that hears nothing of the store, the metric of an instance that starts was 0, and an age of 0 in the settings made rounds without a pause.

--- a/crates/daemon/src/callers/refusal.rs
+++ b/crates/daemon/src/callers/refusal.rs
@@ -25,5 +25,6 @@
 fn is_policy_confirmed(context: &Context) -> bool {
     // Without a mirror, the daemon learns of policies from its peers and does not know the age of what they told.
     let max_age = Duration::from_secs_f64(context.settings.callers.policy_age_s);
-    context.catalog.is_none() || confirmation::policy_age(context, context.now()).is_some_and(|age| age <= max_age)
+    let is_recent = || confirmation::policy_age(context, context.now()).is_some_and(|age| age <= max_age);
+    context.catalog.is_none() || (!confirmation::is_pending(context) && is_recent())
 }
--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -23,7 +23,9 @@
 /// Questions of a round, where there are no more regions than that.
 const MAX_QUESTIONS: usize = 6;
 /// Maximum number of members that may know more, of which each is asked.
-const MAX_SUSPECTS: usize = 8;
+const MAX_SUSPECTS: usize = 32;
+/// Shortest time between two rounds.
+const MIN_INTERVAL: Duration = Duration::from_millis(50);
 
 inventory::submit! {
     Plugin(kernel::Plugin { name: "confirmation", stage: 30, start })
@@ -71,7 +73,8 @@
     }
     let limits = limits(context);
     let confirmed = policy_age(context, now).map(|age| now - age + limits.max_age());
-    let agreed = agreement_age(context, version, now).map(|age| now - age + limits.max_agreement_age());
+    let agreement = agreement_age(context, version, now).filter(|_| !is_pending(context));
+    let agreed = agreement.map(|age| now - age + limits.max_agreement_age());
     confirmed.max(agreed).unwrap_or(Time::ZERO)
 }
 
@@ -88,7 +91,7 @@
     let version = context.policy().version;
     let age_ms = policy_age(context, now).map(|age| age.as_millis() as u64);
     // The age may be that of a policy that has come into force meanwhile.
-    let pending = is_pending(context) || context.policy().version != version;
+    let pending = context.catalog.is_none() || is_pending(context) || context.policy().version != version;
     Standing { version, age_ms, pending, hears_store: hears_store(context) }
 }
 
@@ -98,7 +101,7 @@
 }
 
 /// Whether a change of the policy has arrived from the store that is not in force yet.
-fn is_pending(context: &Context) -> bool {
+pub fn is_pending(context: &Context) -> bool {
     context.catalog.is_some_and(|catalog| mirror::is_policy_pending(context, catalog))
 }
 
@@ -108,8 +111,9 @@
     let mut rng = fastrand::Rng::with_seed(context.incarnation ^ 3);
     let mut silence = Silence::default();
     let mut was_expired = true;
+    context.metrics.policy_expired.set(1);
     loop {
-        tokio::time::sleep(limits.interval().mul_f64(0.75 + rng.f64() / 2.0)).await;
+        tokio::time::sleep(limits.interval().mul_f64(0.75 + rng.f64() / 2.0).max(MIN_INTERVAL)).await;
         update(&context, &mut silence);
         let now = context.now();
         let age = policy_age(&context, now);
--- a/crates/daemon/src/mirror/publish.rs
+++ b/crates/daemon/src/mirror/publish.rs
@@ -29,7 +29,7 @@
         Ok(Some(update)) => {
             let version = update.version;
             confirmed_at.into_iter().for_each(|as_of| lock(&context.confirmation).confirm(version, as_of));
-            apply_policy(context, update);
+            is_read = apply_policy(context, update);
         }
         Ok(None) => {}
         Err(reason) => {
@@ -79,8 +79,9 @@
     applied != Some(policy_changes(&lock(&context.mirror), catalog))
 }
 
-/// Applies a policy that was read from the store; logs each reason why something in it was ignored once.
-fn apply_policy(context: &Arc<Context>, update: PolicyUpdate) {
+/// Applies a policy that was read from the store; logs each reason why something in it was ignored once. Returns whether it, or a later
+/// one, is in force now.
+fn apply_policy(context: &Arc<Context>, update: PolicyUpdate) -> bool {
     let PolicyUpdate { version, policy, limits, passed_over } = update;
     context.set_caller_limits(Limits::new(&context.settings.callers).with_declared(&limits), version);
     match policy.to_text() {
@@ -97,6 +98,8 @@
     new_reasons.for_each(|reason| log::warn!("policy: entry ignored version={version} reason={reason:?}"));
     state.policy_error = None;
     state.policy_passed_over = passed_over;
+    drop(state);
+    context.policy().version >= version
 }
 
 /// Applies what changes with time alone; runs until the task is aborted.
