The audit tells how late a line was collected

What callers saw: nothing; a verdict could be wrong. Change: faults of attempts have delay_ms, the time for which the line waited beyond the least of its instance. Verdicts stay as they are: a clock that was set looks the same.

--- a/crates/ctl/src/audit/regions.rs
+++ b/crates/ctl/src/audit/regions.rs
@@ -86,6 +86,8 @@
     pub allowed: Option<Allowed>,
     /// How old that version was.
     pub policy_age: PolicyAge,
+    /// How much later than usual the line of it was collected, in milliseconds: up to that much of a lateness is not the sender's.
+    pub delay_ms: u64,
 }
 
 /// What can be said of the region that a request was sent to.
--- a/crates/ctl/src/audit/told.rs
+++ b/crates/ctl/src/audit/told.rs
@@ -214,6 +214,7 @@
         version: line.field("version").and_then(Version::parse)?,
         allowed: line.field("allowed").filter(|allowed| *allowed != "removed").map(Allowed::parse),
         policy_age: policy_age(line),
+        delay_ms: line.delay_ms,
     })
 }
 
--- a/crates/ctl/src/logs.rs
+++ b/crates/ctl/src/logs.rs
@@ -1,6 +1,6 @@
 //! Parses the daemons' log lines and selects those about one request.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time before a request's first line from which related lines belong to its trace, as they may explain it, in
 /// milliseconds.
@@ -15,6 +15,8 @@
     pub instance: String,
     /// Level, component, sentence and fields.
     pub text: String,
+    /// How much longer a collector waited for the line than for others of the daemon, in milliseconds; zero if none tells its time.
+    pub delay_ms: u64,
 }
 
 impl Line {
@@ -26,7 +28,7 @@
         let level = words.next()?;
         let (seconds, millis) = words.next()?.split_once('.')?;
         let at_ms = seconds.parse::<u64>().ok()? * 1_000 + millis.parse::<u64>().ok()?;
-        Some(Self { at_ms, instance: instance.to_owned(), text: format!("{level} {}", rest.trim_end()) })
+        Some(Self { at_ms, instance: instance.to_owned(), text: format!("{level} {}", rest.trim_end()), delay_ms: 0 })
     }
 
     /// Returns the value of a field, without quotes; `None` if the line does not have it.
@@ -63,10 +65,12 @@
 /// The clock of a log collector that puts its time in seconds before each line, as in `-9.3140 host` or `12.0312 host`.
 ///
 /// The lines of machines whose own clocks differ are in one order by it.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Clock {
     /// What is added to the collector's time, in milliseconds: the first line keeps its own time.
     offset_ms: Option<i64>,
+    /// The least difference of the collector's time and each daemon's own so far, in milliseconds.
+    least_ms: BTreeMap<String, i64>,
 }
 
 impl Clock {
@@ -75,7 +79,20 @@
         let line = Line::parse(text)?;
         let Some(collected_ms) = collected_ms(text) else { return Some(line) };
         let offset_ms = *self.offset_ms.get_or_insert(line.at_ms as i64 - collected_ms);
-        Some(Line { at_ms: collected_ms.saturating_add(offset_ms).max(0) as u64, ..line })
+        let delay_ms = self.delay_ms(&line, collected_ms);
+        Some(Line { at_ms: collected_ms.saturating_add(offset_ms).max(0) as u64, delay_ms, ..line })
+    }
+
+    fn delay_ms(&mut self, line: &Line, collected_ms: i64) -> u64 {
+        let difference_ms = collected_ms - line.at_ms as i64;
+        if !self.least_ms.contains_key(&line.instance) {
+            self.least_ms.insert(line.instance.clone(), difference_ms);
+        }
+        let least_ms = self.least_ms.get_mut(&line.instance).map_or(difference_ms, |least_ms| {
+            *least_ms = difference_ms.min(*least_ms);
+            *least_ms
+        });
+        (difference_ms - least_ms) as u64
     }
 }
 
--- a/crates/ctl/src/verbs/audit.rs
+++ b/crates/ctl/src/verbs/audit.rs
@@ -135,11 +135,11 @@
 
 /// Formats a request that was sent.
 fn described(attempt: &Attempt) -> String {
-    let Attempt { at_ms, instance, request, region, class, account, version, policy_age, .. } = attempt;
+    let Attempt { at_ms, instance, request, region, class, account, version, policy_age, delay_ms, .. } = attempt;
     let receiver = if attempt.receiver == Receiver::Server { "sent" } else { "passed-on" };
     let allowed = attempt.allowed.as_ref().map_or_else(|| "?".to_owned(), ToString::to_string);
     format!(
-        "{at_ms} {instance} {receiver} request={request} region={region} class={class} account={account} version={version:?} allowed={allowed} policy_ms={policy_age}"
+        "{at_ms} {instance} {receiver} request={request} region={region} class={class} account={account} version={version:?} allowed={allowed} policy_ms={policy_age} delay_ms={delay_ms}"
     )
 }
 
--- a/crates/ctl/tests/audit.rs
+++ b/crates/ctl/tests/audit.rs
@@ -11,6 +11,16 @@
 /// Time in which every instance learns of a new policy.
 const APPLY: Duration = Duration::from_secs(3);
 
+/// Guards against a slow daemon whose lines arrive late, and whose attempts are then taken to be as late.
+#[test]
+fn a_line_that_is_collected_late_tells_by_how_much() {
+    let mut clock = Clock::default();
+    let texts = ["1.0000 e1 51.000", "1.5000 e2 7.000", "2.0100 e1 52.000", "5.8000 e1 54.000", "6.0000 e2 11.500"];
+    let line = |text: &str| clock.parse(&format!("{text} INFO  instance={} life: ready", &text[7..9]));
+    let delays: Vec<Option<u64>> = texts.into_iter().map(line).map(|line| line.map(|line| line.delay_ms)).collect();
+    assert_eq!(delays, [0, 0, 10, 1_800, 0].map(Some));
+}
+
 const ZERO: &str = "00000000.0.0";
 const ONE: &str = "00000001.0.1";
 const TWO: &str = "00000002.0.5";
