The audit finds policies that are wrongly taken for recent

Cause: the second hypothesis, an instance that is confirmed and wrong, shows in a region only if one of the few requests with regions hits. What the collector got late (delay_ms) is taken off, so that slowed instances are not reported for it.

--- a/crates/ctl/src/audit.rs
+++ b/crates/ctl/src/audit.rs
@@ -190,6 +190,12 @@
         agrees
     }
 
+    /// Returns when a version was replaced: when a later one was first in force anywhere, in milliseconds.
+    fn replaced_ms(&self, version: Version) -> Option<u64> {
+        let later = self.versions.iter().filter(|(other, _)| version.is_replaced_by(**other));
+        later.map(|(_, known)| known.since_ms).min()
+    }
+
     /// Returns the number of versions.
     pub fn len(&self) -> usize {
         self.versions.len()
--- a/crates/ctl/src/audit/regions.rs
+++ b/crates/ctl/src/audit/regions.rs
@@ -9,7 +9,7 @@
 
 use config::policy::{Allowed, host_name};
 
-use super::{History, Known, Place, Version};
+use super::{CLOCK_TOLERANCE_MS, History, Known, Place, Version};
 
 /// Where requests may run by one version of the policy. What it does not name may run everywhere.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -49,6 +49,11 @@
             Self::Known(age_ms) => age_ms > bound_ms,
         }
     }
+
+    /// Whether the instance says that it may.
+    const fn is_within(self, bound_ms: u64) -> bool {
+        matches!(self, Self::Known(_)) && !self.exceeds(bound_ms)
+    }
 }
 
 impl fmt::Display for PolicyAge {
@@ -185,6 +190,13 @@
         matches!(self.own_rule(attempt), Rule::Within(allowed) if allowed != Allowed::All)
     }
 
+    /// Whether the sender took its policy for recent enough while a later one had been in force for too long.
+    pub fn is_misdated(&self, attempt: &Attempt) -> bool {
+        let tolerance_ms = self.apply_ms + CLOCK_TOLERANCE_MS + attempt.delay_ms;
+        let is_outdated = self.replaced_ms(attempt.version).is_some_and(|at_ms| at_ms + tolerance_ms < attempt.at_ms);
+        is_outdated && attempt.policy_age.is_within(self.apply_ms)
+    }
+
     /// Returns what the sender's own version says of a request: as the logs tell it, or else as the sender does.
     fn own_rule(&self, attempt: &Attempt) -> Rule {
         let told = || attempt.allowed.clone().map_or(Rule::Unknown, Rule::Within);
--- a/crates/ctl/src/audit/report.rs
+++ b/crates/ctl/src/audit/report.rs
@@ -44,6 +44,8 @@
     pub misplaced: Vec<Misplaced>,
     /// Those that went by the regions of a policy that was too old for it, or of unknown age.
     pub aged: Vec<Attempt>,
+    /// Those, with regions or without, whose senders took an outdated policy for a recent one.
+    pub misdated: Vec<Attempt>,
     /// When instances went by an older version than the newest for longer than it takes to learn of it; the longest first.
     pub spans: Vec<Span>,
     /// What is judged no further and comes from an instance in such a span.
@@ -102,6 +104,9 @@
         if has_regions && attempt.policy_age.exceeds(apply.as_millis() as u64) {
             self.aged.push(attempt.clone());
         }
+        if history.is_misdated(attempt) {
+            self.misdated.push(attempt.clone());
+        }
     }
 
     fn judge_region(&mut self, attempt: Attempt, history: &History, told: &BTreeMap<&str, Told>) {
--- a/crates/ctl/src/verbs/audit.rs
+++ b/crates/ctl/src/verbs/audit.rs
@@ -43,6 +43,7 @@
     let is_clean = faults.is_empty()
         && report.misplaced.is_empty()
         && report.aged.is_empty()
+        && report.misdated.is_empty()
         && !report.look_ups.iter().any(LookUp::is_fault)
         && report.incomplete.is_empty()
         && report.different.is_empty();
@@ -82,7 +83,11 @@
     add(&mut text, &incomplete.chain(different).collect::<Vec<_>>());
     add(&mut text, &faults.iter().map(|fault| rejected(fault)).collect::<Vec<_>>());
     add(&mut text, &report.misplaced.iter().map(misplaced).collect::<Vec<_>>());
-    add(&mut text, &report.aged.iter().map(|attempt| format!("aged: {}", described(attempt))).collect::<Vec<_>>());
+    let ages = [("aged", &report.aged), ("misdated", &report.misdated)];
+    for (name, attempts) in ages {
+        let lines = attempts.iter().map(|attempt| format!("{name}: {}", described(attempt)));
+        add(&mut text, &lines.collect::<Vec<_>>());
+    }
     add(&mut text, &report.look_ups.iter().filter(|look_up| look_up.is_fault()).map(look_up).collect::<Vec<_>>());
     add(&mut text, &report.spans.iter().map(span).collect::<Vec<_>>());
     text
@@ -146,7 +151,11 @@
 /// Formats the number of requests that went by the regions of a policy that is too old.
 fn aged_counts(report: &Report) -> String {
     let unknown = report.aged.iter().filter(|attempt| attempt.policy_age == PolicyAge::Unknown).count();
-    format!("{} with regions by a policy too old, {unknown} of them of unknown age", report.aged.len())
+    format!(
+        "{} with regions by a policy too old, {unknown} of them of unknown age, {} by one wrongly taken for recent",
+        report.aged.len(),
+        report.misdated.len()
+    )
 }
 
 /// Formats the number of spans in which instances went by older versions, and of what they sent in them.
--- a/crates/ctl/tests/audit.rs
+++ b/crates/ctl/tests/audit.rs
@@ -331,6 +331,28 @@
     assert_eq!(receivers, [Receiver::Server, Receiver::Instance].repeat(aged));
 }
 
+/// Guards against an instance that takes its policy for recent though a later one has been in force for long, and against an audit that
+/// takes an instance for one that is honest, learns in time, or whose line was collected late.
+#[rstest]
+#[case::wrong(13_400, "class=a account=- path=/a/x policy_ms=400", 0, 1)]
+#[case::wrong_without_regions(13_400, "class=a account=- path=/other/ policy_ms=3000", 0, 1)]
+#[case::wrong_agreement(13_400, "class=a account=- path=/a/x policy_ms=-1 agreed_ms=1400", 0, 1)]
+#[case::honest(13_400, "class=a account=- path=/a/x policy_ms=3400", 0, 0)]
+#[case::unknown(13_400, "class=a account=- path=/a/x policy_ms=-1", 0, 0)]
+#[case::not_told(13_400, "class=a account=- path=/a/x", 0, 0)]
+#[case::in_time(13_200, "class=a account=- path=/a/x policy_ms=400", 0, 0)]
+#[case::collected_late(13_400, "class=a account=- path=/a/x policy_ms=2900", 300, 0)]
+#[case::collected_late_and_wrong(13_600, "class=a account=- path=/a/x policy_ms=2900", 300, 1)]
+fn an_outdated_policy_is_not_recent(
+    #[case] at_ms: u64,
+    #[case] request: &str,
+    #[case] delay_ms: u64,
+    #[case] misdated: usize,
+) {
+    let report = report(vec![Line { delay_ms, ..sent("e2", at_ms, "k", ONE, request) }]);
+    assert_eq!(report.misdated.len(), misdated);
+}
+
 /// Guards against an instance that goes by an older version for long and is not noticed as what it sends happens to be allowed, and
 /// against one that is reported though it learnt in time, ended, or has the same policy of a store that was restored.
 #[rstest]
