--- a/crates/ctl/tests/audit.rs
+++ b/crates/ctl/tests/audit.rs
@@ -11,6 +11,16 @@
 /// Time in which every instance learns of a new policy.
 const APPLY: Duration = Duration::from_secs(3);
 
+/// Guards against a slow daemon whose lines arrive late, and whose attempts are then taken to be as late.
+#[test]
+fn a_line_that_is_collected_late_tells_by_how_much() {
+    let mut clock = Clock::default();
+    let texts = ["1.0000 e1 51.000", "1.5000 e2 7.000", "2.0100 e1 52.000", "5.8000 e1 54.000", "6.0000 e2 11.500"];
+    let line = |text: &str| clock.parse(&format!("{text} INFO  instance={} life: ready", &text[7..9]));
+    let delays: Vec<Option<u64>> = texts.into_iter().map(line).map(|line| line.map(|line| line.delay_ms)).collect();
+    assert_eq!(delays, [0, 0, 10, 1_800, 0].map(Some));
+}
+
 const ZERO: &str = "00000000.0.0";
 const ONE: &str = "00000001.0.1";
 const TWO: &str = "00000002.0.5";
@@ -321,6 +331,28 @@
     assert_eq!(receivers, [Receiver::Server, Receiver::Instance].repeat(aged));
 }
 
+/// Guards against an instance that takes its policy for recent though a later one has been in force for long, and against an audit that
+/// takes an instance for one that is honest, learns in time, or whose line was collected late.
+#[rstest]
+#[case::wrong(13_400, "class=a account=- path=/a/x policy_ms=400", 0, 1)]
+#[case::wrong_without_regions(13_400, "class=a account=- path=/other/ policy_ms=3000", 0, 1)]
+#[case::wrong_agreement(13_400, "class=a account=- path=/a/x policy_ms=-1 agreed_ms=1400", 0, 1)]
+#[case::honest(13_400, "class=a account=- path=/a/x policy_ms=3400", 0, 0)]
+#[case::unknown(13_400, "class=a account=- path=/a/x policy_ms=-1", 0, 0)]
+#[case::not_told(13_400, "class=a account=- path=/a/x", 0, 0)]
+#[case::in_time(13_200, "class=a account=- path=/a/x policy_ms=400", 0, 0)]
+#[case::collected_late(13_400, "class=a account=- path=/a/x policy_ms=2900", 300, 0)]
+#[case::collected_late_and_wrong(13_600, "class=a account=- path=/a/x policy_ms=2900", 300, 1)]
+fn an_outdated_policy_is_not_recent(
+    #[case] at_ms: u64,
+    #[case] request: &str,
+    #[case] delay_ms: u64,
+    #[case] misdated: usize,
+) {
+    let report = report(vec![Line { delay_ms, ..sent("e2", at_ms, "k", ONE, request) }]);
+    assert_eq!(report.misdated.len(), misdated);
+}
+
 /// Guards against an instance that goes by an older version for long and is not noticed as what it sends happens to be allowed, and
 /// against one that is reported though it learnt in time, ended, or has the same policy of a store that was restored.
 #[rstest]
