A late answer still tells how old the policy is

Cause: a question to another instance is given up after the time for one round, and a newer policy that an answer names is fetched over a new connection. Where each way takes half a second, no question is ever answered, and nothing is fetched.

Change: a question stays open for as long as its answer could confirm the policy. What comes after its round is no part of an agreement, but confirms the policy or names a newer one. That is fetched over the connection of the answer, from three peers at most at a time.

Evidence: a_late_answer_tells_how_old_the_policy_is (platform/tests/confirmed_policy.rs) failed on ("the peer hears the store", after 30 s), and passes.

--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -13,6 +13,7 @@
 use fleet::confirmation::{Finding, Limits, Round, Silence, Standing};
 use fleet::message::{Record, State};
 use fleet::replica::Version;
+use jsonrpsee_http_client::HttpClient;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
@@ -139,9 +140,9 @@
     address: String,
 }
 
-/// The answer of a daemon that was asked, or whether its process is stopped.
+/// The answer of a daemon that was asked, with the client that has its connection, or whether its process is stopped.
 enum Answer {
-    Standing(Standing),
+    Standing(Standing, HttpClient),
     None { is_stopped: bool },
 }
 
@@ -161,39 +162,60 @@
     }
     let mut questions = JoinSet::new();
     for member in members {
-        questions.spawn(async move { (question(&member.address, limits.timeout()).await, member) });
+        questions.spawn(async move { (question(&member.address, limits).await, member) });
     }
+    let answers = collect(context, &mut round, &mut questions, limits);
+    let is_complete = tokio::time::timeout(limits.timeout(), answers).await.is_ok();
+    if let Some(as_of) = round.agreed_at() {
+        lock(&context.confirmation).agree(round.version(), as_of);
+    }
+    if !is_complete {
+        // A late answer is no part of an agreement, but still tells how old the policy is.
+        let context = Arc::clone(context);
+        tokio::spawn(async move { collect(&context, &mut round, &mut questions, limits).await });
+    }
+}
+
+/// Acts on each answer as it comes, until all have come.
+async fn collect(context: &Arc<Context>, round: &mut Round, questions: &mut JoinSet<(Answer, Member)>, limits: Limits) {
     while let Some(answered) = questions.join_next().await {
         match answered {
-            Ok((Answer::Standing(standing), member)) => act(context, &mut round, &member, &standing, limits),
+            Ok((Answer::Standing(standing, client), member)) => {
+                act(context, round, &member, &standing, client, limits);
+            }
             Ok((Answer::None { is_stopped }, _)) => round.record_failure(is_stopped),
             Err(_) => round.record_failure(false),
         }
     }
-    if let Some(as_of) = round.agreed_at() {
-        lock(&context.confirmation).agree(round.version(), as_of);
-    }
 }
 
 /// Asks the daemon at `address` for its standing. If it does not answer and its machine refuses connections, its process is stopped.
-async fn question(address: &str, timeout: Duration) -> Answer {
-    if let Some(client) = client::client_with_timeout(address, timeout)
+async fn question(address: &str, limits: Limits) -> Answer {
+    // A later answer confirms nothing.
+    if let Some(client) = client::client_with_timeout(address, limits.max_age())
         && let Ok(standing) = client.standing().await
     {
-        return Answer::Standing(standing);
+        return Answer::Standing(standing, client);
     }
-    let connection = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+    let connection = tokio::time::timeout(limits.timeout(), TcpStream::connect(address)).await;
     let is_stopped = matches!(connection, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused);
     Answer::None { is_stopped }
 }
 
 /// Acts on an answer: confirms the policy in force, or fetches a newer one.
-fn act(context: &Arc<Context>, round: &mut Round, member: &Member, standing: &Standing, limits: Limits) {
+fn act(
+    context: &Arc<Context>,
+    round: &mut Round,
+    member: &Member,
+    standing: &Standing,
+    client: HttpClient,
+    limits: Limits,
+) {
     match round.record(&member.region, standing, limits) {
         Finding::Confirmed(as_of) => lock(&context.confirmation).confirm(as_of),
         Finding::Newer => {
             lock(&context.confirmation).withdraw();
-            exchange::fetch_newer(context, standing.version, &member.address);
+            exchange::fetch_newer(context, standing.version, &member.address, client);
         }
         Finding::Silent => {}
     }
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -22,7 +22,7 @@
 use steer::grant::Manager;
 use steer::shift::Controller;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::accounts;
 use crate::adapter::{Adapter, Catalog};
@@ -94,6 +94,8 @@
     pub catalog_state: Mutex<CatalogState>,
     /// The policy document in force, as peers may fetch it.
     pub policy_replica: Mutex<Replica>,
+    /// A permit for each fetch of a policy from a peer.
+    pub policy_fetches: Arc<Semaphore>,
     /// What other daemons have told of the age of the policy in force.
     pub confirmation: Mutex<Confirmation>,
     /// The policy in force, parsed.
@@ -193,6 +195,7 @@
             runtime,
             store,
             policy_replica: Mutex::new(Replica::new()),
+            policy_fetches: Arc::new(Semaphore::new(peers::exchange::MAX_POLICY_FETCHES)),
             confirmation: Mutex::new(Confirmation::default()),
             active_policy: RwLock::new(Arc::new(ActivePolicy::new(Version::default(), Policy::default()))),
             roster: Mutex::new(Roster::new(record, timeouts, incarnation)),
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -6,6 +6,7 @@
 
 use fleet::message::{Message, Snapshot};
 use fleet::replica::{Origin, Version};
+use jsonrpsee_http_client::HttpClient;
 
 use super::api::PeersClient as _;
 use super::client;
@@ -17,6 +18,8 @@
 
 /// Upper bound of the delay between two seeds at startup.
 const MAX_JOIN_BACKOFF: Duration = Duration::from_secs(8);
+/// Maximum number of peers from which the policy is fetched at the same time.
+pub const MAX_POLICY_FETCHES: usize = 3;
 /// Time after which daemons that are started together are assumed to have registered with a seed.
 const REGISTRATION_TIME: Duration = Duration::from_millis(400);
 
@@ -63,9 +66,19 @@
     lock(&context.roster).answer(message, version, now)
 }
 
-/// Applies a peer's message: merges members, loads, losses, leaving servers and rate limits, and starts fetching the
-/// peer's policy if that is newer.
+/// Applies a message that a peer sent, and starts fetching the peer's policy if that is newer.
 pub fn apply_message(context: &Arc<Context>, message: &Message) {
+    merge_message(context, message);
+    let address = &message.from.peer_address;
+    if lock(&context.policy_replica).needs(message.version)
+        && let Some(client) = client::client(context, address)
+    {
+        fetch_newer(context, message.version, address, client);
+    }
+}
+
+/// Applies a peer's message: merges members, loads, losses, leaving servers and rate limits.
+fn merge_message(context: &Arc<Context>, message: &Message) {
     let now = context.now();
     lock(&context.roster).merge(message, now);
     if !message.losses.is_empty() {
@@ -78,16 +91,21 @@
     }
     super::spread_leaving(context, &message.leaving);
     super::merge_rate_limits(context, &message.rate_limits);
-    fetch_newer(context, message.version, &message.from.peer_address);
 }
 
-/// Starts fetching the policy of the peer at `address`, which has `version` in force, if that is newer.
-pub fn fetch_newer(context: &Arc<Context>, version: Version, address: &str) {
-    if lock(&context.policy_replica).needs(version) {
-        let (context, address) = (Arc::clone(context), address.to_owned());
-        let runtime = context.runtime.clone();
-        runtime.spawn(async move { fetch_policy(&context, &address).await });
+/// Starts fetching the policy of the peer at `address`, which has `version` in force, over the connection of `client` if that is newer
+/// and not being fetched from [`MAX_POLICY_FETCHES`] peers already.
+pub fn fetch_newer(context: &Arc<Context>, version: Version, address: &str, client: HttpClient) {
+    if !lock(&context.policy_replica).needs(version) {
+        return;
     }
+    let Ok(permit) = Arc::clone(&context.policy_fetches).try_acquire_owned() else { return };
+    let (context, address) = (Arc::clone(context), address.to_owned());
+    let runtime = context.runtime.clone();
+    runtime.spawn(async move {
+        fetch_policy(&context, &address, client).await;
+        drop(permit);
+    });
 }
 
 /// Sends `message` to one peer and applies its answer; records a failure in the roster, also if another instance answers: the peer has
@@ -96,12 +114,14 @@
     let Some(client) = client::client(context, address) else {
         return;
     };
+    let connected = client.clone();
     match client.exchange(message).await {
         Ok(answer) => {
             context.metrics.exchanges.with_label_values(&["ok"]).inc();
             context.peer_answered_at.store(context.now().as_micros(), Ordering::Relaxed);
             record_sender(context, name, &answer);
-            apply_message(context, &answer);
+            merge_message(context, &answer);
+            fetch_newer(context, answer.version, &answer.from.peer_address, connected);
         }
         Err(error) => {
             context.metrics.exchanges.with_label_values(&["failed"]).inc();
@@ -122,11 +142,8 @@
     }
 }
 
-async fn fetch_policy(context: &Arc<Context>, address: &str) {
+async fn fetch_policy(context: &Arc<Context>, address: &str, client: HttpClient) {
     let after = lock(&context.policy_replica).version();
-    let Some(client) = client::client(context, address) else {
-        return;
-    };
     match client.policy(after.stored.revision, Some(after)).await {
         Ok(Some(document)) => {
             if policies::apply(context, document, Origin::Peer, address) {
