--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -45,7 +45,7 @@
     if context.catalog.is_none() {
         return Ok(Box::new(kernel::Idle));
     }
-    Ok(Box::new(Task(context.control.spawn(run(Arc::clone(context))))))
+    Ok(Box::new(Task(context.runtime.spawn(run(Arc::clone(context))))))
 }
 
 fn limits(context: &Context) -> Limits {
@@ -82,9 +82,11 @@
 /// Returns what this daemon says of its policy to another one.
 pub fn standing(context: &Context) -> Standing {
     let now = context.now();
-    // The age comes first: that of a policy that comes into force meanwhile would pass for the age of the one before.
-    let age_ms = policy_age(context, now).map(|age| age.as_millis() as u64);
-    Standing { version: context.policy().version, age_ms, pending: is_pending(context) }
+    Standing {
+        version: context.policy().version,
+        age_ms: policy_age(context, now).map(|age| age.as_millis() as u64),
+        pending: is_pending(context),
+    }
 }
 
 /// Whether a change of the policy has arrived from the store that is not in force yet.
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -82,8 +82,6 @@
     pub incarnation: u64,
     /// The event loop, which runs the sockets of callers, peers and backend servers.
     pub runtime: tokio::runtime::Handle,
-    /// Runs the calls to the store and to other daemons, and answers theirs, so that these do not wait behind requests.
-    pub control: tokio::runtime::Handle,
     /// Client of the platform's store.
     pub store: store::Client,
     /// Parser of policy and backend servers in the store; `None` if the platform does not keep them there.
@@ -153,12 +151,7 @@
 
 impl Context {
     /// Creates the state of a daemon that starts with `settings`.
-    pub fn new(
-        settings: Settings,
-        adapter: Adapter,
-        runtime: tokio::runtime::Handle,
-        control: tokio::runtime::Handle,
-    ) -> Self {
+    pub fn new(settings: Settings, adapter: Adapter, runtime: tokio::runtime::Handle) -> Self {
         let clock = Clock::new();
         let now = clock.now();
         let incarnation = fastrand::u64(1..);
@@ -183,7 +176,7 @@
         };
         let answer_ttl = Duration::from_millis(settings.callers.answer_kept_ms);
         let address = &settings.platform.address;
-        let store = store::Client::with_runtime(adapter.codec, address, timeout, control.clone());
+        let store = store::Client::with_runtime(adapter.codec, address, timeout, runtime.clone());
         Self {
             dialect: Arc::new(adapter.dialect),
             catalog: adapter.catalog,
@@ -200,7 +193,6 @@
             started_at: now,
             incarnation,
             runtime,
-            control,
             store,
             policy_replica: Mutex::new(Replica::new()),
             policy_fetches: Arc::new(Semaphore::new(peers::exchange::MAX_POLICY_FETCHES)),
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -43,7 +43,7 @@
         let _guard = runtime.enter();
         Signals::new()?
     };
-    let Daemon { context, kernel, runtime, control } = Daemon::start_on(runtime, settings, adapter)?;
+    let Daemon { context, kernel, runtime } = Daemon::start_on(runtime, settings, adapter)?;
     runtime.block_on(async {
         signals.wait_for_stop(&context, source).await;
         let (shared, source) = (Arc::clone(&context), source.clone());
@@ -54,7 +54,6 @@
         stop(&context, kernel).await;
     });
     runtime.shutdown_timeout(RUNTIME_SHUTDOWN_TIMEOUT);
-    control.shutdown_background();
     Ok(())
 }
 
@@ -122,8 +121,6 @@
     context: Arc<Context>,
     kernel: kernel::Kernel,
     runtime: Runtime,
-    /// The runtime of calls between processes.
-    control: Runtime,
 }
 
 impl Daemon {
@@ -135,8 +132,7 @@
     }
 
     fn start_on(runtime: Runtime, settings: Settings, adapter: Adapter) -> Result<Self> {
-        let control = Builder::new_multi_thread().worker_threads(1).thread_name("control").enable_all().build()?;
-        let context = Arc::new(Context::new(settings, adapter, runtime.handle().clone(), control.handle().clone()));
+        let context = Arc::new(Context::new(settings, adapter, runtime.handle().clone()));
         policies::apply_from_settings(&context)?;
         let kernel = kernel::Kernel::start(plugin::all(), &context)?;
         let readiness = operators::readiness(&context);
@@ -147,7 +143,7 @@
             context.settings.fleet.address,
             readiness.ready
         );
-        Ok(Self { context, kernel, runtime, control })
+        Ok(Self { context, kernel, runtime })
     }
 
     /// Returns the state that the plug-ins share.
@@ -159,7 +155,6 @@
     pub fn stop(self) {
         self.runtime.block_on(stop(&self.context, self.kernel));
         self.runtime.shutdown_timeout(RUNTIME_SHUTDOWN_TIMEOUT);
-        self.control.shutdown_background();
     }
 }
 
--- a/crates/daemon/src/mirror/follow.rs
+++ b/crates/daemon/src/mirror/follow.rs
@@ -5,7 +5,6 @@
 
 use base::time::Time;
 use fleet::source::{self, MAX_WAIT, MIN_WAIT};
-use jsonrpsee::core::ClientError;
 use jsonrpsee_http_client::HttpClient;
 use store::changes::{Changes, Item};
 use store::{Error, Result, Version};
@@ -84,12 +83,12 @@
             (mirror.version(), mirror.age(sent).unwrap_or_default())
         };
         let wait = source::wait(stale_after, age);
-        let first = request(context, client, after, String::new(), wait).await?;
+        let first = request(client, after, String::new(), wait).await?;
         let mut items = first.items.clone();
         let mut more = first.more;
         while more {
             let last = items.last().map(|item: &Item| item.key.clone()).unwrap_or_default();
-            let page = request(context, client, Version::new(first.era, 0), last.clone(), MAX_WAIT).await?;
+            let page = request(client, Version::new(first.era, 0), last.clone(), MAX_WAIT).await?;
             if page.era != first.era {
                 return Err(Failure::NoAnswer("the store was restored between two pages".to_owned()));
             }
@@ -120,21 +119,17 @@
 }
 
 async fn request(
-    context: &Context,
     client: &HttpClient,
     after: Version,
     from: String,
     wait: Duration,
 ) -> std::result::Result<Changes, Failure> {
-    let client = client.clone();
-    let call = client::call(context, async move {
-        let call = client.changes(after.revision, from, wait.as_millis() as u64, Some(after.era));
-        tokio::time::timeout(wait + RESPONSE_MARGIN, call).await.unwrap_or(Err(ClientError::RequestTimeout))
-    });
-    match call.await {
-        Ok(Some(changes)) => Ok(changes),
-        Ok(None) => Err(Failure::EmptyMirror),
-        Err(error) => Err(Failure::NoAnswer(error.to_string())),
+    let call = client.changes(after.revision, from, wait.as_millis() as u64, Some(after.era));
+    match tokio::time::timeout(wait + RESPONSE_MARGIN, call).await {
+        Ok(Ok(Some(changes))) => Ok(changes),
+        Ok(Ok(None)) => Err(Failure::EmptyMirror),
+        Ok(Err(error)) => Err(Failure::NoAnswer(error.to_string())),
+        Err(_) => Err(Failure::NoAnswer("no answer in time".to_owned())),
     }
 }
 
--- a/crates/daemon/src/mirror/publish.rs
+++ b/crates/daemon/src/mirror/publish.rs
@@ -62,10 +62,7 @@
 /// Returns how long ago the policy in force was last known to be the store's; `None` if it never was, or if a change of it has
 /// arrived that is not in force yet.
 pub fn policy_age(context: &Context, catalog: Catalog, now: Time) -> Option<Duration> {
-    let applied = lock(&context.catalog_state).policy_changes;
-    // A change must not arrive between the two readings of the mirror.
-    let mirror = lock(&context.mirror);
-    if applied == Some(policy_changes(&mirror, catalog)) { mirror.age(now) } else { None }
+    if is_policy_pending(context, catalog) { None } else { lock(&context.mirror).age(now) }
 }
 
 /// Whether a change of the policy has arrived that is not in force yet.
--- a/crates/daemon/src/peers/client.rs
+++ b/crates/daemon/src/peers/client.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jsonrpsee::core::ClientError;
 use jsonrpsee_http_client::{HttpClient, HttpClientBuilder};
-use tokio::task::JoinSet;
 
 use super::api::{ClaimStatus, PeersClient as _};
 use crate::Context;
@@ -31,20 +29,6 @@
     }
 }
 
-/// Makes a call to another daemon on the control runtime, so that its answer is read and timed there however many requests wait here.
-/// The call ends if the returned future is dropped.
-pub async fn call<T: Send + 'static>(
-    context: &Context,
-    call: impl Future<Output = Result<T, ClientError>> + Send + 'static,
-) -> Result<T, ClientError> {
-    let mut calls = JoinSet::new();
-    calls.spawn_on(call, &context.control);
-    match calls.join_next().await {
-        Some(Ok(result)) => result,
-        _ => Err(ClientError::Custom("the daemon is closing".to_owned())),
-    }
-}
-
 /// Asks the daemon at `address` for the status of a key that its incarnation `incarnation` claimed; `Unknown` if it
 /// does not answer. Blocks the thread.
 pub fn claim_status(
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use fleet::Document;
 use fleet::message::{Message, Snapshot};
 use fleet::replica::{Origin, Version};
 use jsonrpsee_http_client::HttpClient;
@@ -102,11 +101,9 @@
     }
     let Ok(permit) = Arc::clone(&context.policy_fetches).try_acquire_owned() else { return };
     let (context, address) = (Arc::clone(context), address.to_owned());
-    let control = context.control.clone();
-    control.spawn(async move {
-        if let Some(document) = fetch_policy(&context, &address, client).await {
-            apply_policy(&context, document, address).await;
-        }
+    let runtime = context.runtime.clone();
+    runtime.spawn(async move {
+        fetch_policy(&context, &address, client).await;
         drop(permit);
     });
 }
@@ -118,7 +115,7 @@
         return;
     };
     let connected = client.clone();
-    match client::call(context, async move { client.exchange(message).await }).await {
+    match client.exchange(message).await {
         Ok(answer) => {
             context.metrics.exchanges.with_label_values(&["ok"]).inc();
             context.peer_answered_at.store(context.now().as_micros(), Ordering::Relaxed);
@@ -145,27 +142,17 @@
     }
 }
 
-async fn fetch_policy(context: &Arc<Context>, address: &str, client: HttpClient) -> Option<Document> {
+async fn fetch_policy(context: &Arc<Context>, address: &str, client: HttpClient) {
     let after = lock(&context.policy_replica).version();
     match client.policy(after.stored.revision, Some(after)).await {
-        Ok(Some(document)) => return Some(document),
+        Ok(Some(document)) => {
+            if policies::apply(context, document, Origin::Peer, address) {
+                super::push_revision(context);
+            }
+        }
         Ok(None) => log::debug!("peers: policy skipped, not newer peer={address}"),
         Err(error) => log::debug!("peers: policy not fetched peer={address} reason={:?}", error.to_string()),
     }
-    None
-}
-
-/// Puts the policy of the peer at `address` into force where requests are served, and passes the news on.
-async fn apply_policy(context: &Arc<Context>, document: Document, address: String) {
-    let shared = Arc::clone(context);
-    let applied = context.runtime.spawn(async move {
-        if policies::apply(&shared, document, Origin::Peer, &address) {
-            super::push_revision(&shared);
-        }
-    });
-    if let Err(error) = applied.await {
-        log::warn!("peers: policy not applied reason={:?}", error.to_string());
-    }
 }
 
 /// Joins through the first seed that answers, trying them in random order; returns whether one did.
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -11,7 +11,7 @@
 use http::StatusCode;
 use jsonrpsee::core::async_trait;
 use jsonrpsee::server::{HttpResponse, ServerConfig, ServerHandle};
-use jsonrpsee::types::{ErrorCode, ErrorObjectOwned};
+use jsonrpsee::types::ErrorObjectOwned;
 use quota::message::{Ask, Grant};
 use store::Changes;
 
@@ -41,13 +41,8 @@
 #[async_trait]
 impl PeersServer for Handler {
     async fn exchange(&self, message: Message) -> Result<Message, ErrorObjectOwned> {
-        // What a message changes is applied where requests are served.
-        let context = Arc::clone(&self.context);
-        let applied = self.context.runtime.spawn(async move {
-            exchange::apply_message(&context, &message);
-            exchange::answer(&context, &message)
-        });
-        applied.await.map_err(|_e| ErrorCode::InternalError.into())
+        exchange::apply_message(&self.context, &message);
+        Ok(exchange::answer(&self.context, &message))
     }
 
     async fn policy(&self, after: u64, version: Option<Version>) -> Result<Option<Document>, ErrorObjectOwned> {
@@ -132,7 +127,7 @@
         .http_only()
         .build();
     let handler = Handler { context: Arc::clone(context) };
-    let _guard = context.control.enter();
+    let _guard = context.runtime.enter();
     let listener = std::net::TcpListener::bind(&address);
     let recorder = Arc::clone(context);
     let middleware = tower::ServiceBuilder::new().map_response(move |response: HttpResponse| {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -10,7 +10,6 @@
 use h1::{Budget, Payload};
 use http::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
 use tokio::runtime::{Builder, Handle, Runtime};
-use tokio::task::JoinSet;
 
 use crate::call::{Answer, Call, Reply};
 use crate::codec::{Codec, Message};
@@ -36,16 +35,10 @@
 /// A client of the store, which threads can share.
 #[derive(Debug)]
 pub struct Client {
-    runner: Runner,
-    channel: Arc<Channel>,
-}
-
-/// What the calls of a client share.
-#[derive(Debug)]
-struct Channel {
     codec: Codec,
     address: String,
     timeout: Duration,
+    runner: Runner,
     idle: Mutex<Vec<(Connection, Instant)>>,
     calls: AtomicU64,
     /// The latest era that an answer named.
@@ -72,58 +65,23 @@
         let address = address.to_owned();
         let (idle, budget) = (Mutex::new(Vec::new()), Budget::new(ANSWER_BUDGET_BYTES));
         let (calls, era) = (AtomicU64::new(0), AtomicU64::new(0));
-        Self { runner, channel: Arc::new(Channel { codec, address, timeout, idle, calls, era, budget }) }
+        Self { codec, address, timeout, runner, idle, calls, era, budget }
     }
 
     /// Returns the number of calls made since the client was created.
     pub fn calls(&self) -> u64 {
-        self.channel.calls.load(Ordering::Relaxed)
+        self.calls.load(Ordering::Relaxed)
     }
 
     /// Returns the latest era that an answer of the store named, whatever its status; zero before the first.
     pub fn era(&self) -> u64 {
-        self.channel.era()
+        self.era.load(Ordering::Relaxed)
     }
 
-    /// Makes a call on the client's runtime, so that its answer is read and timed there however busy the caller's is. It ends within
-    /// the client's timeout, plus the wait for a watch, and if the returned future is dropped.
+    /// Makes a call; it ends within the client's timeout, plus the wait for a watch.
     ///
     /// An answer from before the latest era known is an error: the store may have lost what it says.
     pub async fn call(&self, call: &Call) -> Result<Answer> {
-        let runtime = match &self.runner {
-            Runner::Own(runtime) => runtime.handle(),
-            Runner::Shared(handle) => handle,
-        };
-        let (channel, call) = (Arc::clone(&self.channel), call.clone());
-        let mut calls = JoinSet::new();
-        calls.spawn_on(async move { channel.call(&call).await }, runtime);
-        match calls.join_next().await {
-            Some(Ok(result)) => result,
-            _ => Err(Error::Ambiguous("the client is closing".to_owned())),
-        }
-    }
-
-    /// Drops the idle connections, so that the next call opens a new one.
-    pub fn reconnect(&self) {
-        self.channel.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
-    }
-
-    /// Makes a call and blocks this thread until it ends.
-    fn call_blocking(&self, call: &Call) -> Result<Reply> {
-        match &self.runner {
-            Runner::Own(runtime) => runtime.block_on(self.channel.call(call)),
-            Runner::Shared(handle) => handle.block_on(self.channel.call(call)),
-        }
-        .map(|answer| answer.reply)
-    }
-}
-
-impl Channel {
-    fn era(&self) -> u64 {
-        self.era.load(Ordering::Relaxed)
-    }
-
-    async fn call(&self, call: &Call) -> Result<Answer> {
         self.calls.fetch_add(1, Ordering::Relaxed);
         let message = (self.codec.encode)(call)?;
         let wait = if let Call::Watch { wait, .. } = call { *wait } else { Duration::ZERO };
@@ -141,6 +99,20 @@
         (self.codec.decode)(call, status, &body).map(|reply| Answer { era, reply })
     }
 
+    /// Drops the idle connections, so that the next call opens a new one.
+    pub fn reconnect(&self) {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
+    /// Makes a call and blocks this thread until it ends.
+    fn call_blocking(&self, call: &Call) -> Result<Reply> {
+        match &self.runner {
+            Runner::Own(runtime) => runtime.block_on(self.call(call)),
+            Runner::Shared(handle) => handle.block_on(self.call(call)),
+        }
+        .map(|answer| answer.reply)
+    }
+
     async fn exchange(&self, message: &Message) -> Result<(u16, Option<u64>, Bytes)> {
         let mut connection = self.connection().await?;
         let mut headers = HeaderMap::new();
