Questions on the age of the policy go over connections that are open

Cause: each question opens a connection, which takes a whole way there and back over a link where packets wait, and is the first thing to be lost there.

Change: the clients of up to twelve instances that answered are kept; in a region of which more than one instance is asked, one of them has such a client, the others are random ones as before.

Evidence: questions_go_over_connections_that_are_open (platform/tests/confirmed_policy.rs) failed on the commit before (four questions from four ports), and passes.

--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -3,9 +3,9 @@
 //! A daemon that has heard nothing of the store for a while asks others how old their policies are; [`fleet::confirmation`] decides what
 //! follows from the answers.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::ErrorKind;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use base::time::Time;
@@ -25,6 +25,8 @@
 
 /// Questions of a round, where there are no more regions than that.
 const MAX_QUESTIONS: usize = 6;
+/// Maximum number of connections to members that are kept between two rounds.
+const MAX_CONTACTS: usize = 12;
 /// Maximum number of members that fell silent since the store did and are asked one by one.
 const MAX_SILENT: usize = 8;
 
@@ -99,6 +101,7 @@
     let limits = limits(&context);
     let mut rng = fastrand::Rng::with_seed(context.incarnation ^ 3);
     let mut silence = Silence::default();
+    let contacts = Contacts::default();
     let mut was_expired = true;
     loop {
         tokio::time::sleep(limits.interval().mul_f64(0.75 + rng.f64() / 2.0)).await;
@@ -106,7 +109,7 @@
         let now = context.now();
         let age = policy_age(&context, now);
         if age.is_none_or(|age| age >= limits.ask_after()) {
-            ask(&context, limits, &silence, &mut rng).await;
+            ask(&context, limits, &silence, &contacts, &mut rng).await;
         }
         let now = context.now();
         let is_expired = now > expiry(&context, context.policy().version, now);
@@ -140,6 +143,33 @@
     address: String,
 }
 
+/// Clients of the daemons that answered last, by address: a busy link takes long to open a new connection.
+#[derive(Debug, Clone, Default)]
+struct Contacts(Arc<Mutex<BTreeMap<String, HttpClient>>>);
+
+impl Contacts {
+    fn contains(&self, address: &str) -> bool {
+        lock(&self.0).contains_key(address)
+    }
+
+    /// Returns the client of the daemon at `address`, or a new one whose calls end within `timeout`.
+    fn client(&self, address: &str, timeout: Duration) -> Option<HttpClient> {
+        let known = lock(&self.0).get(address).cloned();
+        known.or_else(|| client::client_with_timeout(address, timeout))
+    }
+
+    fn insert(&self, address: &str, client: &HttpClient) {
+        let mut clients = lock(&self.0);
+        if clients.len() < MAX_CONTACTS {
+            clients.insert(address.to_owned(), client.clone());
+        }
+    }
+
+    fn remove(&self, address: &str) {
+        lock(&self.0).remove(address);
+    }
+}
+
 /// The answer of a daemon that was asked, with the client that has its connection, or whether its process is stopped.
 enum Answer {
     Standing(Standing, HttpClient),
@@ -147,12 +177,12 @@
 }
 
 /// Asks daemons of all regions for their standing, and acts on each answer as it comes.
-async fn ask(context: &Arc<Context>, limits: Limits, silence: &Silence, rng: &mut fastrand::Rng) {
+async fn ask(context: &Arc<Context>, limits: Limits, silence: &Silence, contacts: &Contacts, rng: &mut fastrand::Rng) {
     let regions: BTreeSet<String> = context.settings.domains.values().cloned().collect();
     let sent = context.now();
     let age = policy_age(context, sent);
     let confirmed_at = age.map(|age| sent - age);
-    let members = choose(context, &regions, silence, confirmed_at, rng);
+    let members = choose(context, &regions, silence, contacts, confirmed_at, rng);
     let others = regions.into_iter().filter(|region| *region != context.settings.region).collect();
     let mut round = Round::new(context.policy().version, others, members.len(), sent);
     let has_too_many_silent = silence.since(confirmed_at).count() > MAX_SILENT;
@@ -162,7 +192,8 @@
     }
     let mut questions = JoinSet::new();
     for member in members {
-        questions.spawn(async move { (question(&member.address, limits).await, member) });
+        let contacts = contacts.clone();
+        questions.spawn(async move { (question(&member.address, &contacts, limits).await, member) });
     }
     let answers = collect(context, &mut round, &mut questions, limits);
     let is_complete = tokio::time::timeout(limits.timeout(), answers).await.is_ok();
@@ -190,13 +221,15 @@
 }
 
 /// Asks the daemon at `address` for its standing. If it does not answer and its machine refuses connections, its process is stopped.
-async fn question(address: &str, limits: Limits) -> Answer {
+async fn question(address: &str, contacts: &Contacts, limits: Limits) -> Answer {
     // A later answer confirms nothing.
-    if let Some(client) = client::client_with_timeout(address, limits.max_age())
+    if let Some(client) = contacts.client(address, limits.max_age())
         && let Ok(standing) = client.standing().await
     {
+        contacts.insert(address, &client);
         return Answer::Standing(standing, client);
     }
+    contacts.remove(address);
     let connection = tokio::time::timeout(limits.timeout(), TcpStream::connect(address)).await;
     let is_stopped = matches!(connection, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused);
     Answer::None { is_stopped }
@@ -227,6 +260,7 @@
     context: &Context,
     regions: &BTreeSet<String>,
     silence: &Silence,
+    contacts: &Contacts,
     confirmed_at: Option<Time>,
     rng: &mut fastrand::Rng,
 ) -> Vec<Member> {
@@ -246,6 +280,9 @@
         let (mut silent, mut heard): (Vec<_>, Vec<_>) = others.partition(|record| silence.contains(&record.name));
         rng.shuffle(&mut heard);
         rng.shuffle(&mut silent);
+        // One over a connection that is open already, if there are others to ask.
+        let open = heard.iter().position(|record| per_region > 1 && contacts.contains(&record.peer_address));
+        open.into_iter().for_each(|index| heard.swap(0, index));
         silent.truncate(usize::from(heard.is_empty()));
         chosen.extend(heard.into_iter().take(per_region).chain(silent).map(member));
     }
