--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -27,8 +27,8 @@
 const MAX_QUESTIONS: usize = 6;
 /// Maximum number of connections to members that are kept between two rounds.
 const MAX_CONTACTS: usize = 12;
-/// Maximum number of members that fell silent since the store did and are asked one by one.
-const MAX_SILENT: usize = 8;
+/// Maximum number of members that may know more, of which each is asked.
+const MAX_SUSPECTS: usize = 8;
 
 inventory::submit! {
     Plugin(kernel::Plugin { name: "confirmation", stage: 30, start })
@@ -63,6 +63,11 @@
     known.into_iter().chain(told).min()
 }
 
+/// Returns how long ago instances of all regions agreed on the policy of `version`; `None` if they never did.
+pub fn agreement_age(context: &Context, version: Version, now: Time) -> Option<Duration> {
+    lock(&context.confirmation).agreed_at(version).map(|at| now.since(at))
+}
+
 /// Returns until when requests may go by the regions that the policy of `version`, which is in force, names.
 pub fn expiry(context: &Context, version: Version, now: Time) -> Time {
     if context.catalog.is_none() {
@@ -70,7 +75,7 @@
     }
     let limits = limits(context);
     let confirmed = policy_age(context, now).map(|age| now - age + limits.max_age());
-    let agreed = lock(&context.confirmation).agreed_at(version).map(|at| at + limits.max_agreement_age());
+    let agreed = agreement_age(context, version, now).map(|age| now - age + limits.max_agreement_age());
     confirmed.max(agreed).unwrap_or(Time::ZERO)
 }
 
@@ -109,7 +114,7 @@
         let now = context.now();
         let age = policy_age(&context, now);
         if age.is_none_or(|age| age >= limits.ask_after()) {
-            ask(&context, limits, &silence, &contacts, &mut rng).await;
+            ask(&context, limits, &mut silence, &contacts, &mut rng).await;
         }
         let now = context.now();
         let is_expired = now > expiry(&context, context.policy().version, now);
@@ -123,9 +128,10 @@
 /// Updates which members are silent.
 fn update(context: &Context, silence: &mut Silence) {
     let now = context.now();
+    let confirmed_at = policy_age(context, now).map(|age| now - age);
     let roster = lock(&context.roster);
-    let silent = roster.other_members().filter(|record| record.state != State::Alive);
-    silence.update(silent.map(|record| record.name.as_str()), now);
+    let members = roster.other_members().map(|record| (record.name.as_str(), record.state != State::Alive));
+    silence.update(members, confirmed_at, now);
 }
 
 fn log_change(context: &Context, is_expired: bool, now: Time) {
@@ -139,6 +145,7 @@
 
 /// A daemon that is asked.
 struct Member {
+    name: String,
     region: String,
     address: String,
 }
@@ -177,7 +184,13 @@
 }
 
 /// Asks daemons of all regions for their standing, and acts on each answer as it comes.
-async fn ask(context: &Arc<Context>, limits: Limits, silence: &Silence, contacts: &Contacts, rng: &mut fastrand::Rng) {
+async fn ask(
+    context: &Arc<Context>,
+    limits: Limits,
+    silence: &mut Silence,
+    contacts: &Contacts,
+    rng: &mut fastrand::Rng,
+) {
     let regions: BTreeSet<String> = context.settings.domains.values().cloned().collect();
     let sent = context.now();
     let age = policy_age(context, sent);
@@ -185,9 +198,9 @@
     let members = choose(context, &regions, silence, contacts, confirmed_at, rng);
     let others = regions.into_iter().filter(|region| *region != context.settings.region).collect();
     let mut round = Round::new(context.policy().version, others, members.len(), sent);
-    let has_too_many_silent = silence.since(confirmed_at).count() > MAX_SILENT;
+    let has_too_many_suspects = silence.suspects(confirmed_at).count() > MAX_SUSPECTS;
     let hears_store = age.is_some_and(|age| age < limits.silent_after());
-    if members.is_empty() || has_too_many_silent || hears_store || is_pending(context) {
+    if members.is_empty() || has_too_many_suspects || hears_store || is_pending(context) {
         round.contradict();
     }
     let mut questions = JoinSet::new();
@@ -195,7 +208,7 @@
         let contacts = contacts.clone();
         questions.spawn(async move { (question(&member.address, &contacts, limits).await, member) });
     }
-    let answers = collect(context, &mut round, &mut questions, limits);
+    let answers = collect(context, &mut round, &mut questions, silence, limits);
     let is_complete = tokio::time::timeout(limits.timeout(), answers).await.is_ok();
     if let Some(as_of) = round.agreed_at() {
         lock(&context.confirmation).agree(round.version(), as_of);
@@ -203,15 +216,23 @@
     if !is_complete {
         // A late answer is no part of an agreement, but still tells how old the policy is.
         let context = Arc::clone(context);
-        tokio::spawn(async move { collect(&context, &mut round, &mut questions, limits).await });
+        let mut silence = Silence::default();
+        tokio::spawn(async move { collect(&context, &mut round, &mut questions, &mut silence, limits).await });
     }
 }
 
 /// Acts on each answer as it comes, until all have come.
-async fn collect(context: &Arc<Context>, round: &mut Round, questions: &mut JoinSet<(Answer, Member)>, limits: Limits) {
+async fn collect(
+    context: &Arc<Context>,
+    round: &mut Round,
+    questions: &mut JoinSet<(Answer, Member)>,
+    silence: &mut Silence,
+    limits: Limits,
+) {
     while let Some(answered) = questions.join_next().await {
         match answered {
             Ok((Answer::Standing(standing, client), member)) => {
+                silence.record_answer(&member.name);
                 act(context, round, &member, &standing, client, limits);
             }
             Ok((Answer::None { is_stopped }, _)) => round.record_failure(is_stopped),
@@ -246,16 +267,16 @@
 ) {
     match round.record(&member.region, standing, limits) {
         Finding::Confirmed(as_of) => lock(&context.confirmation).confirm(as_of),
-        Finding::Newer => {
+        Finding::Newer(confirmed_at) => {
             lock(&context.confirmation).withdraw();
-            exchange::fetch_newer(context, standing.version, &member.address, client);
+            exchange::fetch_newer(context, standing.version, confirmed_at, &member.address, client);
         }
         Finding::Silent => {}
     }
 }
 
-/// Chooses the members that fell silent after `confirmed_at`, up to [`MAX_SILENT`], and random other ones of each region; of those that
-/// fell silent before only where there are no others.
+/// Chooses the members that may know more than this daemon, which last heard the store at `confirmed_at`, up to [`MAX_SUSPECTS`], and random
+/// other ones of each region, of different failure domains as far as there are any.
 fn choose(
     context: &Context,
     regions: &BTreeSet<String>,
@@ -267,24 +288,23 @@
     let roster = lock(&context.roster);
     let domains = &context.settings.domains;
     let per_region = (MAX_QUESTIONS / regions.len().max(1)).max(1);
-    let suspects: BTreeSet<&str> = silence.since(confirmed_at).take(MAX_SILENT).collect();
+    let suspects: BTreeSet<&str> = silence.suspects(confirmed_at).take(MAX_SUSPECTS).collect();
     let member = |record: &Record| {
         let region = domains.get(&record.domain).cloned().unwrap_or_default();
-        Member { region, address: record.peer_address.clone() }
+        Member { name: record.name.clone(), region, address: record.peer_address.clone() }
     };
     let mut chosen: Vec<Member> =
         roster.other_members().filter(|record| suspects.contains(record.name.as_str())).map(member).collect();
     for region in regions {
         let members = roster.other_members().filter(|record| domains.get(&record.domain) == Some(region));
-        let others = members.filter(|record| !suspects.contains(record.name.as_str()));
-        let (mut silent, mut heard): (Vec<_>, Vec<_>) = others.partition(|record| silence.contains(&record.name));
-        rng.shuffle(&mut heard);
-        rng.shuffle(&mut silent);
+        let mut others: Vec<_> = members.filter(|record| !suspects.contains(record.name.as_str())).collect();
+        rng.shuffle(&mut others);
         // One over a connection that is open already, if there are others to ask.
-        let open = heard.iter().position(|record| per_region > 1 && contacts.contains(&record.peer_address));
-        open.into_iter().for_each(|index| heard.swap(0, index));
-        silent.truncate(usize::from(heard.is_empty()));
-        chosen.extend(heard.into_iter().take(per_region).chain(silent).map(member));
+        let open = others.iter().position(|record| per_region > 1 && contacts.contains(&record.peer_address));
+        open.into_iter().for_each(|index| others.swap(0, index));
+        let mut seen = BTreeSet::new();
+        let (first, further): (Vec<_>, Vec<_>) = others.into_iter().partition(|record| seen.insert(&record.domain));
+        chosen.extend(first.into_iter().chain(further).take(per_region).map(member));
     }
     chosen
 }
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use base::time::Time;
 use fleet::message::{Message, Snapshot};
 use fleet::replica::{Origin, Version};
 use jsonrpsee_http_client::HttpClient;
@@ -73,7 +74,7 @@
     if lock(&context.policy_replica).needs(message.version)
         && let Some(client) = client::client(context, address)
     {
-        fetch_newer(context, message.version, address, client);
+        fetch_newer(context, message.version, None, address, client);
     }
 }
 
@@ -94,8 +95,14 @@
 }
 
 /// Starts fetching the policy of the peer at `address`, which has `version` in force, over the connection of `client` if that is newer
-/// and not being fetched from [`MAX_POLICY_FETCHES`] peers already.
-pub fn fetch_newer(context: &Arc<Context>, version: Version, address: &str, client: HttpClient) {
+/// and not being fetched from [`MAX_POLICY_FETCHES`] peers already. At `confirmed_at`, if it is known, this version was the store's.
+pub fn fetch_newer(
+    context: &Arc<Context>,
+    version: Version,
+    confirmed_at: Option<Time>,
+    address: &str,
+    client: HttpClient,
+) {
     if !lock(&context.policy_replica).needs(version) {
         return;
     }
@@ -104,6 +111,9 @@
     let runtime = context.runtime.clone();
     runtime.spawn(async move {
         fetch_policy(&context, &address, client).await;
+        if let Some(as_of) = confirmed_at.filter(|_| context.policy().version >= version) {
+            lock(&context.confirmation).confirm(as_of);
+        }
         drop(permit);
     });
 }
@@ -121,7 +131,7 @@
             context.peer_answered_at.store(context.now().as_micros(), Ordering::Relaxed);
             record_sender(context, name, &answer);
             merge_message(context, &answer);
-            fetch_newer(context, answer.version, &answer.from.peer_address, connected);
+            fetch_newer(context, answer.version, None, &answer.from.peer_address, connected);
         }
         Err(error) => {
             context.metrics.exchanges.with_label_values(&["failed"]).inc();
--- a/crates/fleet/src/confirmation.rs
+++ b/crates/fleet/src/confirmation.rs
@@ -3,7 +3,7 @@
 //! A daemon that goes by a replaced policy may run a request in a region that it must not run in. So it must know of its policy that
 //! it was in force a bounded time ago. The store says so, directly or through another daemon. While the store is silent for all daemons,
 //! it accepts no change either: then it is enough that a daemon hears others of every region, that none of them has a newer policy or
-//! has lately heard from the store, and that none has fallen silent since the store did. Daemons that are cut off together, from the store and from
+//! has lately heard from the store, and that no other one is silent, unless its process is stopped. Daemons that are cut off together, from the store and from
 //! the others, do not agree by themselves.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,10 +21,10 @@
 }
 
 impl Limits {
-    /// Creates the limits of a deployment in which a new policy must be in force everywhere within `apply`. An eighth of it is left for
-    /// the way of a request.
+    /// Creates the limits of a deployment in which a new policy must be in force everywhere within `apply`. A quarter of it is left for
+    /// the way of a request, which a link that drops packets makes longer.
     pub fn new(apply: Duration) -> Self {
-        Self { max_age: apply * 7 / 8 }
+        Self { max_age: apply * 3 / 4 }
     }
 
     /// Age of a policy up to which requests go by the regions that it names.
@@ -39,12 +39,12 @@
 
     /// Age from which a daemon asks others.
     pub fn ask_after(&self) -> Duration {
-        self.max_age / 2
+        self.max_age * 2 / 3
     }
 
     /// Age from which a daemon counts as one that hears nothing of the store.
     pub fn silent_after(&self) -> Duration {
-        self.max_age * 2 / 3
+        self.max_age * 3 / 4
     }
 
     /// Time between two rounds of questions.
@@ -109,36 +109,67 @@
     }
 }
 
-/// Members that are silent, and since when.
+/// Members that are silent, and those that were lately and have not answered a question since.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Silence(BTreeMap<String, Time>);
+pub struct Silence(BTreeMap<String, Spell>);
+
+/// The last time for which a member was silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Spell {
+    since: Time,
+    /// Whether it is silent still.
+    is_open: bool,
+}
 
 impl Silence {
-    /// Records that at `now` the members `silent` do not answer, and no others.
-    pub fn update<'a>(&mut self, silent: impl Iterator<Item = &'a str>, now: Time) {
+    /// Records which `members` are silent at `now`, by name; the store was last heard at `confirmed_at`.
+    pub fn update<'a>(
+        &mut self,
+        members: impl Iterator<Item = (&'a str, bool)>,
+        confirmed_at: Option<Time>,
+        now: Time,
+    ) {
         let known = std::mem::take(&mut self.0);
-        self.0 = silent.map(|name| (name.to_owned(), known.get(name).copied().unwrap_or(now))).collect();
+        for (name, is_silent) in members {
+            let spell = match (known.get(name), is_silent) {
+                (Some(spell), true) if spell.is_open => *spell,
+                (_, true) => Spell { since: now, is_open: true },
+                (Some(spell), false) if spell.is_after(confirmed_at) => Spell { is_open: false, ..*spell },
+                (_, false) => continue,
+            };
+            self.0.insert(name.to_owned(), spell);
+        }
+    }
+
+    /// Records that the member `name` has answered a question.
+    pub fn record_answer(&mut self, name: &str) {
+        self.0.remove(name);
     }
 
     /// Whether the member `name` is silent.
     pub fn contains(&self, name: &str) -> bool {
-        self.0.contains_key(name)
+        self.0.get(name).is_some_and(|spell| spell.is_open)
+    }
+
+    /// Returns the members that may know more than this daemon, which last heard the store at `confirmed_at`: those that are silent and may
+    /// hear the store still, and those that were silent since then and have not answered a question yet.
+    pub fn suspects(&self, confirmed_at: Option<Time>) -> impl Iterator<Item = &str> {
+        let suspects = self.0.iter().filter(move |(_, spell)| spell.is_open || spell.is_after(confirmed_at));
+        suspects.map(|(name, _)| name.as_str())
     }
+}
 
-    /// Returns the members that fell silent after `confirmed_at`, when the store was last heard. What took the store away may have
-    /// taken them away, and they may hear it still. Those that fell silent before are out for another reason.
-    pub fn since(&self, confirmed_at: Option<Time>) -> impl Iterator<Item = &str> {
-        let later =
-            self.0.iter().filter(move |(_, since)| confirmed_at.is_none_or(|confirmed_at| **since > confirmed_at));
-        later.map(|(name, _)| name.as_str())
+impl Spell {
+    fn is_after(&self, confirmed_at: Option<Time>) -> bool {
+        confirmed_at.is_none_or(|confirmed_at| self.since > confirmed_at)
     }
 }
 
 /// What follows from an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
-    /// The other daemon has a newer policy, or a change that is not in force there yet.
-    Newer,
+    /// The other daemon has a newer policy, which was the store's at that time, or a change that is not in force there yet.
+    Newer(Option<Time>),
     /// The store had no newer policy than the one in force at that time.
     Confirmed(Time),
     /// The other daemon knows of no newer policy, and hears nothing of the store.
@@ -199,13 +230,17 @@
         let (own, other) = (self.in_force, standing.version);
         // A restored store lists the same policy again, in another era.
         let is_same = other.declared > 0 && other.declared == own.declared && other.stored.era != own.stored.era;
-        if standing.pending || (other > own && !is_same) {
-            return Finding::Newer;
+        let confirmed_at = standing.age().map(|age| self.sent - age);
+        if standing.pending {
+            return Finding::Newer(None);
+        }
+        if other > own && !is_same {
+            return Finding::Newer(confirmed_at);
         }
-        match standing.age() {
-            Some(age) if age < limits.silent_after() && other <= own => Finding::Confirmed(self.sent - age),
-            Some(age) if age < limits.silent_after() => Finding::Newer,
-            _ => Finding::Silent,
+        match confirmed_at.filter(|_| standing.age() < Some(limits.silent_after())) {
+            Some(as_of) if other <= own => Finding::Confirmed(as_of),
+            Some(_) => Finding::Newer(None),
+            None => Finding::Silent,
         }
     }
 }
