A newer policy comes with the answer that tells of it

Change: a question names the version in force to one instance of each region, which answers with its policy if that is newer. The call has no other user yet.

--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -10,7 +10,7 @@
 
 use base::time::Time;
 use config::policy::Allowed;
-use fleet::confirmation::{Finding, Limits, Round, Silence, Standing};
+use fleet::confirmation::{Finding, Limits, Report, Round, Silence, Standing};
 use fleet::message::{Record, State};
 use fleet::replica::Version;
 use jsonrpsee_http_client::HttpClient;
@@ -148,6 +148,8 @@
     name: String,
     region: String,
     address: String,
+    /// The version that it is asked for a newer one of: the policy is large, so one daemon of each region is.
+    after: Option<Version>,
 }
 
 /// Clients of the daemons that answered last, by address: a busy link takes long to open a new connection.
@@ -179,7 +181,7 @@
 
 /// The answer of a daemon that was asked, with the client that has its connection, or whether its process is stopped.
 enum Answer {
-    Standing(Standing, HttpClient),
+    Report(Report, HttpClient),
     None { is_stopped: bool },
 }
 
@@ -206,7 +208,7 @@
     let mut questions = JoinSet::new();
     for member in members {
         let contacts = contacts.clone();
-        questions.spawn(async move { (question(&member.address, &contacts, limits).await, member) });
+        questions.spawn(async move { (question(&member, &contacts, limits).await, member) });
     }
     let answers = collect(context, &mut round, &mut questions, silence, limits);
     let is_complete = tokio::time::timeout(limits.timeout(), answers).await.is_ok();
@@ -231,9 +233,9 @@
 ) {
     while let Some(answered) = questions.join_next().await {
         match answered {
-            Ok((Answer::Standing(standing, client), member)) => {
+            Ok((Answer::Report(report, client), member)) => {
                 silence.record_answer(&member.name);
-                act(context, round, &member, &standing, client, limits);
+                act(context, round, &member, report, client, limits);
             }
             Ok((Answer::None { is_stopped }, _)) => round.record_failure(is_stopped),
             Err(_) => round.record_failure(false),
@@ -241,14 +243,15 @@
     }
 }
 
-/// Asks the daemon at `address` for its standing. If it does not answer and its machine refuses connections, its process is stopped.
-async fn question(address: &str, contacts: &Contacts, limits: Limits) -> Answer {
+/// Asks a daemon for its standing. If it does not answer and its machine refuses connections, its process is stopped.
+async fn question(member: &Member, contacts: &Contacts, limits: Limits) -> Answer {
+    let address = member.address.as_str();
     // A later answer confirms nothing.
     if let Some(client) = contacts.client(address, limits.max_age())
-        && let Ok(standing) = client.standing().await
+        && let Ok(report) = client.standing(member.after).await
     {
         contacts.insert(address, &client);
-        return Answer::Standing(standing, client);
+        return Answer::Report(report, client);
     }
     contacts.remove(address);
     let connection = tokio::time::timeout(limits.timeout(), TcpStream::connect(address)).await;
@@ -257,19 +260,17 @@
 }
 
 /// Acts on an answer: confirms the policy in force, or fetches a newer one.
-fn act(
-    context: &Arc<Context>,
-    round: &mut Round,
-    member: &Member,
-    standing: &Standing,
-    client: HttpClient,
-    limits: Limits,
-) {
-    match round.record(&member.region, standing, limits) {
+fn act(context: &Arc<Context>, round: &mut Round, member: &Member, report: Report, client: HttpClient, limits: Limits) {
+    match round.record(&member.region, &report.standing, limits) {
         Finding::Confirmed(as_of) => lock(&context.confirmation).confirm(as_of),
         Finding::Newer(confirmed_at) => {
             lock(&context.confirmation).withdraw();
-            exchange::fetch_newer(context, standing.version, confirmed_at, &member.address, client);
+            if let Some(document) = report.policy {
+                exchange::apply_policy(context, document, confirmed_at, &member.address);
+            } else {
+                let version = report.standing.version;
+                exchange::fetch_newer(context, version, confirmed_at, &member.address, client);
+            }
         }
         Finding::Silent => {}
     }
@@ -285,13 +286,14 @@
     confirmed_at: Option<Time>,
     rng: &mut fastrand::Rng,
 ) -> Vec<Member> {
+    let in_force = context.policy().version;
     let roster = lock(&context.roster);
     let domains = &context.settings.domains;
     let per_region = (MAX_QUESTIONS / regions.len().max(1)).max(1);
     let suspects: BTreeSet<&str> = silence.suspects(confirmed_at).take(MAX_SUSPECTS).collect();
     let member = |record: &Record| {
         let region = domains.get(&record.domain).cloned().unwrap_or_default();
-        Member { name: record.name.clone(), region, address: record.peer_address.clone() }
+        Member { name: record.name.clone(), region, address: record.peer_address.clone(), after: None }
     };
     let mut chosen: Vec<Member> =
         roster.other_members().filter(|record| suspects.contains(record.name.as_str())).map(member).collect();
@@ -304,7 +306,9 @@
         open.into_iter().for_each(|index| others.swap(0, index));
         let mut seen = BTreeSet::new();
         let (first, further): (Vec<_>, Vec<_>) = others.into_iter().partition(|record| seen.insert(&record.domain));
-        chosen.extend(first.into_iter().chain(further).take(per_region).map(member));
+        let mut members = first.into_iter().chain(further).take(per_region).map(member);
+        chosen.extend(members.next().map(|first| Member { after: Some(in_force), ..first }));
+        chosen.extend(members);
     }
     chosen
 }
--- a/crates/daemon/src/peers/api.rs
+++ b/crates/daemon/src/peers/api.rs
@@ -1,7 +1,7 @@
 //! The JSON-RPC interface between daemons.
 
 use fleet::Document;
-use fleet::confirmation::Standing;
+use fleet::confirmation::Report;
 use fleet::message::{Message, Snapshot};
 use fleet::replica::Version;
 use jsonrpsee::proc_macros::rpc;
@@ -39,10 +39,10 @@
         version: Option<Version>,
     ) -> Result<Option<Document>, jsonrpsee::types::ErrorObjectOwned>;
 
-    /// Returns the version of the policy in force and how long ago it was known to be the store's. Earlier builds do not have this
-    /// call.
+    /// Returns the version of the policy in force, how long ago it was known to be the store's, and the policy itself if it is newer
+    /// than `after`. Earlier builds do not have this call.
     #[method(name = "standing")]
-    async fn standing(&self) -> Result<Standing, jsonrpsee::types::ErrorObjectOwned>;
+    async fn standing(&self, after: Option<Version>) -> Result<Report, jsonrpsee::types::ErrorObjectOwned>;
 
     /// Returns the members, the policy and the leaving backend servers for a starting daemon.
     #[method(name = "snapshot")]
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use base::time::Time;
+use fleet::Document;
 use fleet::message::{Message, Snapshot};
 use fleet::replica::{Origin, Version};
 use jsonrpsee_http_client::HttpClient;
@@ -110,14 +111,24 @@
     let (context, address) = (Arc::clone(context), address.to_owned());
     let runtime = context.runtime.clone();
     runtime.spawn(async move {
-        fetch_policy(&context, &address, client).await;
-        if let Some(as_of) = confirmed_at.filter(|_| context.policy().version >= version) {
-            lock(&context.confirmation).confirm(as_of);
+        if let Some(document) = fetch_policy(&context, &address, client).await {
+            apply_policy(&context, document, confirmed_at, &address);
         }
         drop(permit);
     });
 }
 
+/// Applies the policy of the peer at `address`, which was the store's at `confirmed_at` if that is known.
+pub fn apply_policy(context: &Arc<Context>, document: Document, confirmed_at: Option<Time>, address: &str) {
+    let version = document.version;
+    if policies::apply(context, document, Origin::Peer, address) {
+        super::push_revision(context);
+    }
+    if let Some(as_of) = confirmed_at.filter(|_| context.policy().version >= version) {
+        lock(&context.confirmation).confirm(as_of);
+    }
+}
+
 /// Sends `message` to one peer and applies its answer; records a failure in the roster, also if another instance answers: the peer has
 /// ended, and its address was given to that one.
 pub async fn exchange_with(context: &Arc<Context>, name: &str, address: &str, message: Message) {
@@ -152,17 +163,14 @@
     }
 }
 
-async fn fetch_policy(context: &Arc<Context>, address: &str, client: HttpClient) {
+async fn fetch_policy(context: &Context, address: &str, client: HttpClient) -> Option<Document> {
     let after = lock(&context.policy_replica).version();
     match client.policy(after.stored.revision, Some(after)).await {
-        Ok(Some(document)) => {
-            if policies::apply(context, document, Origin::Peer, address) {
-                super::push_revision(context);
-            }
-        }
+        Ok(Some(document)) => return Some(document),
         Ok(None) => log::debug!("peers: policy skipped, not newer peer={address}"),
         Err(error) => log::debug!("peers: policy not fetched peer={address} reason={:?}", error.to_string()),
     }
+    None
 }
 
 /// Joins through the first seed that answers, trying them in random order; returns whether one did.
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -5,7 +5,7 @@
 
 use base::error::Kind;
 use fleet::Document;
-use fleet::confirmation::Standing;
+use fleet::confirmation::Report;
 use fleet::message::{self, Message, Snapshot};
 use fleet::replica::Version;
 use http::StatusCode;
@@ -38,6 +38,14 @@
     context: Arc<Context>,
 }
 
+impl Handler {
+    /// Returns the policy in force if it is newer than `after`.
+    fn newer_policy(&self, after: Version) -> Option<Document> {
+        let replica = lock(&self.context.policy_replica);
+        replica.document().filter(|document| document.version > after).cloned()
+    }
+}
+
 #[async_trait]
 impl PeersServer for Handler {
     async fn exchange(&self, message: Message) -> Result<Message, ErrorObjectOwned> {
@@ -46,13 +54,12 @@
     }
 
     async fn policy(&self, after: u64, version: Option<Version>) -> Result<Option<Document>, ErrorObjectOwned> {
-        let after = version.unwrap_or_else(|| after.into());
-        let replica = lock(&self.context.policy_replica);
-        Ok(replica.document().filter(|document| document.version > after).cloned())
+        Ok(self.newer_policy(version.unwrap_or_else(|| after.into())))
     }
 
-    async fn standing(&self) -> Result<Standing, ErrorObjectOwned> {
-        Ok(confirmation::standing(&self.context))
+    async fn standing(&self, after: Option<Version>) -> Result<Report, ErrorObjectOwned> {
+        let standing = confirmation::standing(&self.context);
+        Ok(Report { standing, policy: after.and_then(|after| self.newer_policy(after)) })
     }
 
     async fn snapshot(&self) -> Result<Snapshot, ErrorObjectOwned> {
--- a/crates/fleet/src/confirmation.rs
+++ b/crates/fleet/src/confirmation.rs
@@ -12,6 +12,7 @@
 use base::time::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::Document;
 use crate::replica::Version;
 
 /// Bounds that follow from the time within which a new policy must be in force everywhere.
@@ -165,6 +166,17 @@
     }
 }
 
+/// A daemon's answer to the question for its standing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// What it says of its policy.
+    #[serde(flatten)]
+    pub standing: Standing,
+    /// Its policy, if it was asked for one that is newer than another version, and it is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<Document>,
+}
+
 /// What follows from an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
