--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -4,7 +4,6 @@
 //! follows from the answers.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::ErrorKind;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -14,7 +13,6 @@
 use fleet::message::{Record, State};
 use fleet::replica::Version;
 use jsonrpsee_http_client::HttpClient;
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use crate::context::lock;
@@ -58,7 +56,8 @@
 /// nothing tells it.
 pub fn policy_age(context: &Context, now: Time) -> Option<Duration> {
     let catalog = context.catalog?;
-    let told = lock(&context.confirmation).confirmed_at().map(|at| now.since(at));
+    let version = context.policy().version;
+    let told = lock(&context.confirmation).confirmed_at(version).map(|at| now.since(at));
     let known = mirror::policy_age(context, catalog, now);
     known.into_iter().chain(told).min()
 }
@@ -89,11 +88,11 @@
 /// Returns what this daemon says of its policy to another one.
 pub fn standing(context: &Context) -> Standing {
     let now = context.now();
-    Standing {
-        version: context.policy().version,
-        age_ms: policy_age(context, now).map(|age| age.as_millis() as u64),
-        pending: is_pending(context),
-    }
+    let version = context.policy().version;
+    let age_ms = policy_age(context, now).map(|age| age.as_millis() as u64);
+    // The age may be that of a policy that has come into force meanwhile.
+    let pending = is_pending(context) || context.policy().version != version;
+    Standing { version, age_ms, pending }
 }
 
 /// Whether a change of the policy has arrived from the store that is not in force yet.
@@ -157,6 +156,7 @@
 struct Contacts(Arc<Mutex<BTreeMap<String, HttpClient>>>);
 
 impl Contacts {
+    /// Whether the client of the daemon at `address` is kept.
     fn contains(&self, address: &str) -> bool {
         lock(&self.0).contains_key(address)
     }
@@ -167,6 +167,7 @@
         known.or_else(|| client::client_with_timeout(address, timeout))
     }
 
+    /// Keeps the client of a daemon that has answered.
     fn insert(&self, address: &str, client: &HttpClient) {
         let mut clients = lock(&self.0);
         if clients.len() < MAX_CONTACTS {
@@ -174,16 +175,14 @@
         }
     }
 
+    /// Forgets the client of a daemon that has not.
     fn remove(&self, address: &str) {
         lock(&self.0).remove(address);
     }
 }
 
-/// The answer of a daemon that was asked, with the client that has its connection, or whether its process is stopped.
-enum Answer {
-    Report(Report, HttpClient),
-    None { is_stopped: bool },
-}
+/// The questions of a round; each ends with the answer, if there is one, and the client that has the connection.
+type Questions = JoinSet<(Option<(Report, HttpClient)>, Member)>;
 
 /// Asks daemons of all regions for their standing, and acts on each answer as it comes.
 async fn ask(
@@ -205,7 +204,7 @@
     if members.is_empty() || has_too_many_suspects || hears_store || is_pending(context) {
         round.contradict();
     }
-    let mut questions = JoinSet::new();
+    let mut questions = Questions::new();
     for member in members {
         let contacts = contacts.clone();
         questions.spawn(async move { (question(&member, &contacts, limits).await, member) });
@@ -227,42 +226,38 @@
 async fn collect(
     context: &Arc<Context>,
     round: &mut Round,
-    questions: &mut JoinSet<(Answer, Member)>,
+    questions: &mut Questions,
     silence: &mut Silence,
     limits: Limits,
 ) {
     while let Some(answered) = questions.join_next().await {
         match answered {
-            Ok((Answer::Report(report, client), member)) => {
+            Ok((Some((report, client)), member)) => {
                 silence.record_answer(&member.name);
                 act(context, round, &member, report, client, limits);
             }
-            Ok((Answer::None { is_stopped }, _)) => round.record_failure(is_stopped),
-            Err(_) => round.record_failure(false),
+            Ok((None, _)) | Err(_) => round.record_failure(),
         }
     }
 }
 
-/// Asks a daemon for its standing. If it does not answer and its machine refuses connections, its process is stopped.
-async fn question(member: &Member, contacts: &Contacts, limits: Limits) -> Answer {
-    let address = member.address.as_str();
+/// Asks a daemon for its standing; returns its answer with the client that has the connection, or `None` if it does not answer.
+async fn question(member: &Member, contacts: &Contacts, limits: Limits) -> Option<(Report, HttpClient)> {
     // A later answer confirms nothing.
-    if let Some(client) = contacts.client(address, limits.max_age())
-        && let Ok(report) = client.standing(member.after).await
-    {
-        contacts.insert(address, &client);
-        return Answer::Report(report, client);
+    let client = contacts.client(&member.address, limits.max_age())?;
+    let report = client.standing(member.after).await.ok();
+    if report.is_some() {
+        contacts.insert(&member.address, &client);
+    } else {
+        contacts.remove(&member.address);
     }
-    contacts.remove(address);
-    let connection = tokio::time::timeout(limits.timeout(), TcpStream::connect(address)).await;
-    let is_stopped = matches!(connection, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused);
-    Answer::None { is_stopped }
+    Some((report?, client))
 }
 
-/// Acts on an answer: confirms the policy in force, or fetches a newer one.
+/// Acts on an answer: confirms the policy in force, or applies or fetches a newer one.
 fn act(context: &Arc<Context>, round: &mut Round, member: &Member, report: Report, client: HttpClient, limits: Limits) {
     match round.record(&member.region, &report.standing, limits) {
-        Finding::Confirmed(as_of) => lock(&context.confirmation).confirm(as_of),
+        Finding::Confirmed(as_of) => lock(&context.confirmation).confirm(round.version(), as_of),
         Finding::Newer(confirmed_at) => {
             lock(&context.confirmation).withdraw();
             if let Some(document) = report.policy {
--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -124,8 +124,8 @@
     if policies::apply(context, document, Origin::Peer, address) {
         super::push_revision(context);
     }
-    if let Some(as_of) = confirmed_at.filter(|_| context.policy().version >= version) {
-        lock(&context.confirmation).confirm(as_of);
+    if let Some(as_of) = confirmed_at {
+        lock(&context.confirmation).confirm(version, as_of);
     }
 }
 
