--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -3,15 +3,16 @@
 //! A daemon that has heard nothing of the store for a while asks others how old their policies are; [`fleet::confirmation`] decides what
 //! follows from the answers.
 
-use std::collections::BTreeSet;
-use std::sync::Arc;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use base::time::Time;
 use config::policy::Allowed;
-use fleet::confirmation::{Finding, Limits, Round, Silence, Standing};
+use fleet::confirmation::{Finding, Limits, Report, Round, Silence, Standing};
 use fleet::message::{Record, State};
 use fleet::replica::Version;
+use jsonrpsee_http_client::HttpClient;
 use tokio::task::JoinSet;
 
 use crate::context::lock;
@@ -22,6 +23,8 @@
 
 /// Questions of a round, where there are no more regions than that.
 const MAX_QUESTIONS: usize = 6;
+/// Maximum number of connections to members that are kept between two rounds.
+const MAX_CONTACTS: usize = 12;
 /// Maximum number of members that may know more, of which each is asked.
 const MAX_SUSPECTS: usize = 32;
 /// Shortest time between two rounds.
@@ -110,6 +113,7 @@
     let limits = limits(&context);
     let mut rng = fastrand::Rng::with_seed(context.incarnation ^ 3);
     let mut silence = Silence::default();
+    let contacts = Contacts::default();
     let mut was_expired = true;
     context.metrics.policy_expired.set(1);
     loop {
@@ -118,7 +122,7 @@
         let now = context.now();
         let age = policy_age(&context, now);
         if age.is_none_or(|age| age >= limits.ask_after()) {
-            ask(&context, limits, &mut silence, &mut rng).await;
+            ask(&context, limits, &mut silence, &contacts, &mut rng).await;
         }
         let now = context.now();
         let is_expired = now > expiry(&context, context.policy().version, now);
@@ -152,15 +156,56 @@
     name: String,
     region: String,
     address: String,
+    /// The version that it is asked for a newer one of: the policy is large, so one daemon of each region is.
+    after: Option<Version>,
 }
 
+/// Clients of the daemons that answered last, by address: a busy link takes long to open a new connection.
+#[derive(Debug, Clone, Default)]
+struct Contacts(Arc<Mutex<BTreeMap<String, HttpClient>>>);
+
+impl Contacts {
+    /// Whether the client of the daemon at `address` is kept.
+    fn contains(&self, address: &str) -> bool {
+        lock(&self.0).contains_key(address)
+    }
+
+    /// Returns the client of the daemon at `address`, or a new one whose calls end within `timeout`.
+    fn client(&self, address: &str, timeout: Duration) -> Option<HttpClient> {
+        let known = lock(&self.0).get(address).cloned();
+        known.or_else(|| client::client_with_timeout(address, timeout))
+    }
+
+    /// Keeps the client of a daemon that has answered.
+    fn insert(&self, address: &str, client: &HttpClient) {
+        let mut clients = lock(&self.0);
+        if clients.len() < MAX_CONTACTS {
+            clients.insert(address.to_owned(), client.clone());
+        }
+    }
+
+    /// Forgets the client of a daemon that has not.
+    fn remove(&self, address: &str) {
+        lock(&self.0).remove(address);
+    }
+}
+
+/// The questions of a round; each ends with the answer, if there is one, and the client that has the connection.
+type Questions = JoinSet<(Option<(Report, HttpClient)>, Member)>;
+
 /// Asks daemons of all regions for their standing, and acts on each answer as it comes.
-async fn ask(context: &Arc<Context>, limits: Limits, silence: &mut Silence, rng: &mut fastrand::Rng) {
+async fn ask(
+    context: &Arc<Context>,
+    limits: Limits,
+    silence: &mut Silence,
+    contacts: &Contacts,
+    rng: &mut fastrand::Rng,
+) {
     let regions: BTreeSet<String> = context.settings.domains.values().cloned().collect();
     let sent = context.now();
     let age = policy_age(context, sent);
     let confirmed_at = age.map(|age| sent - age);
-    let members = choose(context, &regions, silence, confirmed_at, rng);
+    let members = choose(context, &regions, silence, contacts, confirmed_at, rng);
     let others = regions.into_iter().filter(|region| *region != context.settings.region).collect();
     let mut round = Round::new(context.policy().version, others, members.len(), sent);
     let has_too_many_suspects = silence.suspects(confirmed_at).count() > MAX_SUSPECTS;
@@ -169,36 +214,68 @@
     if members.is_empty() || has_too_many_suspects || knows_more {
         round.contradict();
     }
-    let mut questions = JoinSet::new();
+    let mut questions = Questions::new();
     for member in members {
-        questions.spawn(async move { (question(&member.address, limits.timeout()).await, member) });
+        let contacts = contacts.clone();
+        questions.spawn(async move { (question(&member, &contacts, limits).await, member) });
+    }
+    let answers = collect(context, &mut round, &mut questions, silence, limits);
+    let is_complete = tokio::time::timeout(limits.timeout(), answers).await.is_ok();
+    if let Some(as_of) = round.agreed_at() {
+        lock(&context.confirmation).agree(round.version(), as_of);
+    }
+    if !is_complete {
+        // A late answer is no part of an agreement, but still tells how old the policy is.
+        let context = Arc::clone(context);
+        let mut silence = Silence::default();
+        tokio::spawn(async move { collect(&context, &mut round, &mut questions, &mut silence, limits).await });
     }
+}
+
+/// Acts on each answer as it comes, until all have come.
+async fn collect(
+    context: &Arc<Context>,
+    round: &mut Round,
+    questions: &mut Questions,
+    silence: &mut Silence,
+    limits: Limits,
+) {
     while let Some(answered) = questions.join_next().await {
         match answered {
-            Ok((Some(standing), member)) => {
+            Ok((Some((report, client)), member)) => {
                 silence.record_answer(&member.name);
-                act(context, &mut round, &member, &standing, limits);
+                act(context, round, &member, report, client, limits);
             }
             Ok((None, _)) | Err(_) => round.record_failure(),
         }
     }
-    if let Some(as_of) = round.agreed_at() {
-        lock(&context.confirmation).agree(round.version(), as_of);
-    }
 }
 
-/// Asks the daemon at `address` for its standing; `None` if it does not answer.
-async fn question(address: &str, timeout: Duration) -> Option<Standing> {
-    client::client_with_timeout(address, timeout)?.standing().await.ok()
+/// Asks a daemon for its standing; returns its answer with the client that has the connection, or `None` if it does not answer.
+async fn question(member: &Member, contacts: &Contacts, limits: Limits) -> Option<(Report, HttpClient)> {
+    // A later answer confirms nothing.
+    let client = contacts.client(&member.address, limits.max_age())?;
+    let report = client.standing(member.after).await.ok();
+    if report.is_some() {
+        contacts.insert(&member.address, &client);
+    } else {
+        contacts.remove(&member.address);
+    }
+    Some((report?, client))
 }
 
-/// Acts on an answer: confirms the policy in force, or fetches a newer one.
-fn act(context: &Arc<Context>, round: &mut Round, member: &Member, standing: &Standing, limits: Limits) {
-    match round.record(&member.region, standing, limits) {
+/// Acts on an answer: confirms the policy in force, or applies or fetches a newer one.
+fn act(context: &Arc<Context>, round: &mut Round, member: &Member, report: Report, client: HttpClient, limits: Limits) {
+    match round.record(&member.region, &report.standing, limits) {
         Finding::Confirmed(as_of) => lock(&context.confirmation).confirm(round.version(), as_of),
         Finding::Newer(confirmed_at) => {
             lock(&context.confirmation).withdraw();
-            exchange::fetch_newer(context, standing.version, confirmed_at, &member.address);
+            if let Some(document) = report.policy {
+                exchange::apply_policy(context, document, confirmed_at, &member.address);
+            } else {
+                let version = report.standing.version;
+                exchange::fetch_newer(context, version, confirmed_at, &member.address, client);
+            }
         }
         Finding::Refused | Finding::Silent => {}
     }
@@ -210,16 +287,18 @@
     context: &Context,
     regions: &BTreeSet<String>,
     silence: &Silence,
+    contacts: &Contacts,
     confirmed_at: Option<Time>,
     rng: &mut fastrand::Rng,
 ) -> Vec<Member> {
+    let in_force = context.policy().version;
     let roster = lock(&context.roster);
     let domains = &context.settings.domains;
     let per_region = (MAX_QUESTIONS / regions.len().max(1)).max(1);
     let suspects: BTreeSet<&str> = silence.suspects(confirmed_at).take(MAX_SUSPECTS).collect();
     let member = |record: &Record| {
         let region = domains.get(&record.domain).cloned().unwrap_or_default();
-        Member { name: record.name.clone(), region, address: record.peer_address.clone() }
+        Member { name: record.name.clone(), region, address: record.peer_address.clone(), after: None }
     };
     let mut chosen: Vec<Member> =
         roster.other_members().filter(|record| suspects.contains(record.name.as_str())).map(member).collect();
@@ -227,9 +306,14 @@
         let members = roster.other_members().filter(|record| domains.get(&record.domain) == Some(region));
         let mut others: Vec<_> = members.filter(|record| !suspects.contains(record.name.as_str())).collect();
         rng.shuffle(&mut others);
+        // One over a connection that is open already, if there are others to ask.
+        let open = others.iter().position(|record| per_region > 1 && contacts.contains(&record.peer_address));
+        open.into_iter().for_each(|index| others.swap(0, index));
         let mut seen = BTreeSet::new();
         let (first, further): (Vec<_>, Vec<_>) = others.into_iter().partition(|record| seen.insert(&record.domain));
-        chosen.extend(first.into_iter().chain(further).take(per_region).map(member));
+        let mut members = first.into_iter().chain(further).take(per_region).map(member);
+        chosen.extend(members.next().map(|first| Member { after: Some(in_force), ..first }));
+        chosen.extend(members);
     }
     chosen
 }
--- a/crates/fleet/src/confirmation.rs
+++ b/crates/fleet/src/confirmation.rs
@@ -12,6 +12,7 @@
 use base::time::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::Document;
 use crate::replica::Version;
 
 /// Number of versions of which it is kept when they were the store's: of those that are about to come into force, and the one in force.
@@ -175,6 +176,17 @@
     }
 }
 
+/// A daemon's answer to the question for its standing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// What it says of its policy.
+    #[serde(flatten)]
+    pub standing: Standing,
+    /// Its policy, if it was asked for one that is newer than another version, and it is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<Document>,
+}
+
 /// What follows from an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
