--- a/crates/daemon/src/mirror/publish.rs
+++ b/crates/daemon/src/mirror/publish.rs
@@ -19,10 +19,18 @@
 /// Applies the policy and the servers that the mirror holds now; logs each reason for a skipped entry once.
 pub fn publish(context: &Arc<Context>, catalog: Catalog) {
     let _publishing = lock(&context.mirror_sync.publishing);
-    let changes = policy_changes(&lock(&context.mirror), catalog);
+    // Read before the policy, which may be later than that.
+    let (changes, confirmed_at) = {
+        let mirror = lock(&context.mirror);
+        (policy_changes(&mirror, catalog), mirror.confirmed_at())
+    };
     let mut is_read = true;
     match read_policy(context, catalog, changes) {
-        Ok(Some(update)) => apply_policy(context, update),
+        Ok(Some(update)) => {
+            let version = update.version;
+            confirmed_at.into_iter().for_each(|as_of| lock(&context.confirmation).confirm(version, as_of));
+            is_read = apply_policy(context, update);
+        }
         Ok(None) => {}
         Err(reason) => {
             is_read = false;
@@ -71,8 +79,9 @@
     applied != Some(policy_changes(&lock(&context.mirror), catalog))
 }
 
-/// Applies a policy that was read from the store; logs each reason why something in it was ignored once.
-fn apply_policy(context: &Arc<Context>, update: PolicyUpdate) {
+/// Applies a policy that was read from the store; logs each reason why something in it was ignored once. Returns whether it, or a later
+/// one, is in force now.
+fn apply_policy(context: &Arc<Context>, update: PolicyUpdate) -> bool {
     let PolicyUpdate { version, policy, limits, passed_over } = update;
     context.set_caller_limits(Limits::new(&context.settings.callers).with_declared(&limits), version);
     match policy.to_text() {
@@ -89,6 +98,8 @@
     new_reasons.for_each(|reason| log::warn!("policy: entry ignored version={version} reason={reason:?}"));
     state.policy_error = None;
     state.policy_passed_over = passed_over;
+    drop(state);
+    context.policy().version >= version
 }
 
 /// Applies what changes with time alone; runs until the task is aborted.
--- a/crates/fleet/src/confirmation.rs
+++ b/crates/fleet/src/confirmation.rs
@@ -3,7 +3,7 @@
 //! A daemon that goes by a replaced policy may run a request in a region that it must not run in. So it must know of its policy that
 //! it was in force a bounded time ago. The store says so, directly or through another daemon. While the store is silent for all daemons,
 //! it accepts no change either: then it is enough that a daemon hears others of every region, that none of them has a newer policy or
-//! has lately heard from the store, and that no other one is silent, unless its process is stopped. Daemons that are cut off together, from the store and from
+//! has lately heard from the store, and that no other one is silent. Daemons that are cut off together, from the store and from
 //! the others, do not agree by themselves.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,8 +12,12 @@
 use base::time::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::Document;
 use crate::replica::Version;
 
+/// Number of versions of which it is kept when they were the store's: of those that are about to come into force, and the one in force.
+const MAX_VERSIONS: usize = 4;
+
 /// Bounds that follow from the time within which a new policy must be in force everywhere.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -67,6 +71,8 @@
     pub age_ms: Option<u64>,
     /// Whether a change has arrived that is not in force yet.
     pub pending: bool,
+    /// Whether the store has lately answered a call, be it with a refusal: it may serve the operators and others.
+    pub hears_store: bool,
 }
 
 impl Standing {
@@ -76,16 +82,21 @@
 }
 
 /// What other daemons have told of the age of the policy in force.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Confirmation {
-    confirmed_at: Option<Time>,
+    /// When the store last had no newer policy, for each of the latest versions.
+    confirmed: BTreeMap<Version, Time>,
     agreed: Option<(Version, Time)>,
 }
 
 impl Confirmation {
-    /// Records that at `as_of` the store had no newer policy than the one in force.
-    pub fn confirm(&mut self, as_of: Time) {
-        self.confirmed_at = self.confirmed_at.max(Some(as_of));
+    /// Records that at `as_of` the store had no newer policy than `version`.
+    pub fn confirm(&mut self, version: Version, as_of: Time) {
+        let known = self.confirmed.entry(version).or_insert(as_of);
+        *known = as_of.max(*known);
+        while self.confirmed.len() > MAX_VERSIONS {
+            self.confirmed.pop_first();
+        }
     }
 
     /// Records that at `as_of` daemons of all regions knew of no policy newer than `version`, and heard nothing of the store.
@@ -98,9 +109,9 @@
         self.agreed = None;
     }
 
-    /// Returns the latest time at which the store is known to have had no newer policy than the one in force.
-    pub const fn confirmed_at(&self) -> Option<Time> {
-        self.confirmed_at
+    /// Returns the latest time at which the store is known to have had no newer policy than `version`.
+    pub fn confirmed_at(&self, version: Version) -> Option<Time> {
+        self.confirmed.range(..=version).map(|(_, at)| *at).max()
     }
 
     /// Returns when daemons of all regions last agreed on `version`.
@@ -165,6 +176,17 @@
     }
 }
 
+/// A daemon's answer to the question for its standing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// What it says of its policy.
+    #[serde(flatten)]
+    pub standing: Standing,
+    /// Its policy, if it was asked for one that is newer than another version, and it is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<Document>,
+}
+
 /// What follows from an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
@@ -172,6 +194,8 @@
     Newer(Option<Time>),
     /// The store had no newer policy than the one in force at that time.
     Confirmed(Time),
+    /// The other daemon knows of no newer policy, and the store refuses its calls.
+    Refused,
     /// The other daemon knows of no newer policy, and hears nothing of the store.
     Silent,
 }
@@ -209,10 +233,10 @@
         finding
     }
 
-    /// Records that a daemon has not answered; it may hear the store unless it `is_stopped`.
-    pub const fn record_failure(&mut self, is_stopped: bool) {
+    /// Records that a daemon has not answered. It may hear the store, also if its connections are refused: a cut can do that.
+    pub const fn record_failure(&mut self) {
         self.open = self.open.saturating_sub(1);
-        self.contradicted |= !is_stopped;
+        self.contradicted = true;
     }
 
     /// Returns since when all that were asked, of all regions, agree that they know of no newer policy; `None` if they do not.
@@ -240,6 +264,7 @@
         match confirmed_at.filter(|_| standing.age() < Some(limits.silent_after())) {
             Some(as_of) if other <= own => Finding::Confirmed(as_of),
             Some(_) => Finding::Newer(None),
+            None if standing.hears_store => Finding::Refused,
             None => Finding::Silent,
         }
     }
