An instance that leaves names itself while its region has no good one

Seen: while all instances of a region, or all instances, are stopped and started within seconds, look-ups are answered by instances that stop themselves. They hold their whole region for out, and name another region, or nobody, though each of them takes connections for callers.answer_kept_ms after its stop began.

Change: such an instance names itself before good ones of other regions (but after good ones in regions that the host's requests name), as long as it takes connections for the life of the answer, which is 1 s then; and at last instead of nobody while it takes any. A drained instance does not. Only the instance that answers is named, as it alone knows when its own stop began.

The new daemon cases others_are_good, soon_closed_and_all_leave and all_leave fail with the mechanism off.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, RwLock};
 use std::time::Duration;
 
 use base::rate::Bucket;
@@ -141,7 +141,8 @@
     pub store_answered_at: AtomicU64,
     /// When a peer last answered, in microseconds of the clock; zero if none ever did.
     pub peer_answered_at: AtomicU64,
-    stopping: AtomicBool,
+    /// When the daemon began to stop.
+    stop_started: OnceLock<Time>,
 }
 
 impl Context {
@@ -213,7 +214,7 @@
             metrics: Metrics::new(),
             store_answered_at: AtomicU64::new(0),
             peer_answered_at: AtomicU64::new(0),
-            stopping: AtomicBool::new(false),
+            stop_started: OnceLock::new(),
             settings,
         }
     }
@@ -286,12 +287,18 @@
 
     /// Whether the daemon is stopping.
     pub fn stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stop_started.get().is_some()
     }
 
     /// Marks the daemon as stopping; the plug-ins read this mark.
     pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+        self.stop_started.get_or_init(|| self.now());
+    }
+
+    /// Returns for how long a daemon that is stopping still takes new connections of callers; `None` while it is not stopping.
+    pub fn accepts_callers_for(&self, now: Time) -> Option<Duration> {
+        let kept = Duration::from_millis(self.settings.callers.answer_kept_ms);
+        self.stop_started.get().map(|started| kept.saturating_sub(now.since(*started)))
     }
 
     /// Returns the id of the session that callers may name with their idempotency keys; it ends with this process.
--- a/crates/daemon/tests/view.rs
+++ b/crates/daemon/tests/view.rs
@@ -49,8 +49,17 @@
 }
 
 fn context(runtime: &tokio::runtime::Runtime, servers: Vec<Instance>) -> Arc<Context> {
-    let settings =
-        Settings { instance: "e".to_owned(), domain: "d".to_owned(), region: "r".to_owned(), ..Settings::default() };
+    context_of("e", Settings::default(), runtime, servers)
+}
+
+/// Returns the state of the entry instance `name` in region `r`.
+fn context_of(
+    name: &str,
+    settings: Settings,
+    runtime: &tokio::runtime::Runtime,
+    servers: Vec<Instance>,
+) -> Arc<Context> {
+    let settings = Settings { instance: name.to_owned(), domain: "d".to_owned(), region: "r".to_owned(), ..settings };
     let context = Context::new(settings, Adapter::native(), runtime.handle().clone());
     let items = servers.into_iter().map(|server| Item::new(server, Time::ZERO)).collect();
     lock(&context.instance_list).replace(items, context.now());
@@ -260,6 +269,30 @@
     String::from_utf8_lossy(&reply.body).into_owned()
 }
 
+/// The regions of look-ups; each has an entry instance with a number of its own, from 1.
+const REGIONS: [&str; 3] = ["r", "s", "t"];
+
+/// Tells a daemon that the entry instances of the `leaving` regions leave, those of `r` numbered 4 among them.
+fn leave(context: &Arc<Context>, leaving: &str) {
+    let record = |(number, region): (u64, &str)| {
+        let record =
+            Record::new(&format!("{region}{number}"), 1, &format!("127.0.0.{number}:7200"), &format!("{region}-d"));
+        Record { state: Standing::Left, ..record }
+    };
+    let instances = (1..).zip(REGIONS).chain([(4, "r")]);
+    let records = instances.filter(|(_, region)| leaving.contains(region)).map(record).collect();
+    lock(&context.roster).merge_snapshot(&Snapshot { records, ..Snapshot::default() }, context.now());
+    view::refresh(context);
+}
+
+/// Returns the regions whose entry instances numbered from 1 are in an answer.
+fn named(answer: &str) -> String {
+    let is_named = |number: usize| answer.contains(&entry("", number).address);
+    let named: Vec<&str> =
+        (1..).zip(REGIONS).filter(|(number, _)| is_named(*number)).map(|(_, region)| region).collect();
+    named.join(" ")
+}
+
 /// Guards against a look-up that takes a region's position from one policy and the entry instances from another, and names those of
 /// another region although the caller's own has good ones: a policy with one more region becomes active meanwhile.
 #[test]
@@ -308,20 +341,46 @@
     #[case] expected: &str,
 ) {
     let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
-    let regions = ["r", "s", "t"];
-    let context = context(&runtime, (1..).zip(regions).map(|(number, region)| entry(region, number)).collect());
-    assert!(policies::apply(&context, regional_policy(1, &regions, classes), Origin::Peer, "test"));
-    let record = |(number, region): (u64, &str)| {
-        let record =
-            Record::new(&format!("{region}{number}"), 1, &format!("127.0.0.{number}:7200"), &format!("{region}-d"));
-        Record { state: Standing::Left, ..record }
-    };
-    let left = (1..).zip(regions).filter(|(_, region)| leaving.contains(region)).map(record).collect();
-    lock(&context.roster).merge_snapshot(&Snapshot { records: left, ..Snapshot::default() }, context.now());
-    view::refresh(&context);
+    let context = context(&runtime, (1..).zip(REGIONS).map(|(number, region)| entry(region, number)).collect());
+    assert!(policies::apply(&context, regional_policy(1, &REGIONS, classes), Origin::Peer, "test"));
+    leave(&context, leaving);
     let answer = look_up(&context, "name=H.&region=r&zone=r-d");
-    let is_named = |number: usize| answer.contains(&entry("", number).address);
-    let named: Vec<&str> =
-        (1..).zip(regions).filter(|(number, _)| is_named(*number)).map(|(_, region)| region).collect();
-    assert_eq!(named.join(" "), expected, "{answer}");
+    assert_eq!(named(&answer), expected, "{answer}");
+}
+
+/// Guards against callers that are led out of their region, or told of no instance at all, while the whole region is replaced: the
+/// instances that leave know of no good one, though each takes connections for `kept_ms` after its stop began. All of region `r` leave.
+#[rstest]
+#[case::others_are_good("", "", 30_000, "", "r", 1)]
+#[case::home_is_good("s", "", 30_000, "", "s", 30)]
+#[case::soon_closed("", "", 500, "", "s t", 30)]
+#[case::soon_closed_and_all_leave("", "", 500, "s t", "r", 1)]
+#[case::all_leave("", "", 30_000, "s t", "r", 1)]
+#[case::closed_and_all_leave("", "", 0, "s t", "", 0)]
+#[case::drained("", "r1", 30_000, "", "s t", 30)]
+fn an_instance_that_leaves_names_itself_while_its_region_has_no_good_one(
+    #[case] homes: &str,
+    #[case] drained: &str,
+    #[case] kept_ms: u64,
+    #[case] leaving: &str,
+    #[case] expected: &str,
+    #[case] ttl_s: u64,
+) {
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+    let mut settings = Settings::default();
+    settings.callers.answer_kept_ms = kept_ms;
+    let entries = (1..).zip(REGIONS).map(|(number, region)| entry(region, number)).chain([entry("r", 4)]);
+    let context = context_of("r1", settings, &runtime, entries.collect());
+    let drain = format!("[[drains]]\nscope = \"instance\"\nname = \"{drained}\"\n");
+    let drain = if drained.is_empty() { "" } else { &drain };
+    let policy = regional_policy(1, &REGIONS, &[("h", homes)]).text + drain;
+    assert!(policies::apply(&context, Document::new(1, policy), Origin::Peer, "test"));
+    assert!(look_up(&context, "name=h&region=r").contains(&entry("r", 4).address), "before it leaves");
+    context.stop();
+    lock(&context.roster).leave();
+    leave(&context, &format!("r {leaving}"));
+    let answer = look_up(&context, "name=h&region=r");
+    assert_eq!(named(&answer), expected, "{answer}");
+    assert!(!answer.contains(&entry("r", 4).address), "the other one of the region may be closed: {answer}");
+    assert_eq!(answer.contains(&format!("\"ttl_s\":{ttl_s}}}")), ttl_s > 0, "{answer}");
 }
--- a/crates/steer/src/by_region.rs
+++ b/crates/steer/src/by_region.rs
@@ -13,36 +13,73 @@
 /// choices then.
 const MIN_NAMED: usize = 3;
 
+/// Entry instances to name if the caller's region has no good one.
+#[derive(Debug, Clone, Copy)]
+enum Group {
+    /// Good ones of the homes.
+    GoodHomes,
+    /// The one that answers, if it leaves and is of the caller's region.
+    LeavingOwn,
+    /// Good ones of any region.
+    Good,
+    /// Doubtful ones of the caller's region.
+    DoubtfulOwn,
+    /// Doubtful ones of the homes.
+    DoubtfulHomes,
+    /// Doubtful ones of any region.
+    Doubtful,
+}
+
+/// The order of preference.
+const ORDER: [Group; 6] =
+    [Group::GoodHomes, Group::LeavingOwn, Group::Good, Group::DoubtfulOwn, Group::DoubtfulHomes, Group::Doubtful];
+
 /// Returns the positions in the view of up to `limit` entry instances for a caller in `region` with the hash `caller`.
 ///
 /// Entry instances of its own region are named, so that callers spread over them; those of other regions only if its own has no
 /// good one, and of these first the ones in its `homes`, regions in which its requests may run. Doubtful ones are named only if no
-/// good one is left. `None` stands for any region.
-pub fn look_up<F>(view: &View, region: Option<RegionId>, homes: F, caller: u64, limit: usize) -> Vec<u16>
+/// good one is left. `leaving` is the instance that answers if it leaves and takes connections for as long as the answer is kept:
+/// a whole region may leave at once, and the others of it may have stopped already. `None` stands for any region.
+pub fn look_up<F>(
+    view: &View,
+    region: Option<RegionId>,
+    homes: F,
+    leaving: Option<u16>,
+    caller: u64,
+    limit: usize,
+) -> Vec<u16>
 where
     F: FnOnce() -> Vec<RegionId>,
 {
-    let matching = |worst: Standing, scope: &[RegionId]| {
-        let entries = view.entries().iter().enumerate();
-        let allowed =
-            entries.filter(|(_, entry)| entry.standing <= worst && (scope.is_empty() || scope.contains(&entry.region)));
-        allowed.map(|(position, entry)| (position as u16, entry)).collect::<Vec<_>>()
-    };
-    let own: Vec<RegionId> = region.into_iter().collect();
-    let good = matching(Standing::Good, &own);
+    let is_own = |entry: &Entry| region.is_none_or(|own| entry.region == own);
+    let good = matching(view, |_, entry| entry.standing == Standing::Good && is_own(entry));
     if !good.is_empty() {
         return sample(good, caller, limit);
     }
     let homes = homes();
-    let preferences = [
-        (Standing::Good, homes.as_slice()),
-        (Standing::Good, &[]),
-        (Standing::Doubtful, &own),
-        (Standing::Doubtful, &homes),
-        (Standing::Doubtful, &[]),
-    ];
-    let found = preferences.into_iter().map(|(worst, scope)| matching(worst, scope));
-    sample(found.into_iter().find(|found| !found.is_empty()).unwrap_or_default(), caller, limit)
+    let is_home = |entry: &Entry| homes.contains(&entry.region);
+    let is_in = |group: Group, position: u16, entry: &Entry| {
+        let (is_good, may_serve) = (entry.standing == Standing::Good, entry.standing <= Standing::Doubtful);
+        match group {
+            Group::GoodHomes => is_good && is_home(entry),
+            Group::LeavingOwn => leaving == Some(position) && is_own(entry),
+            Group::Good => is_good,
+            Group::DoubtfulOwn => may_serve && is_own(entry),
+            Group::DoubtfulHomes => may_serve && is_home(entry),
+            Group::Doubtful => may_serve,
+        }
+    };
+    let mut groups = ORDER.into_iter().map(|group| matching(view, |position, entry| is_in(group, position, entry)));
+    sample(groups.find(|group| !group.is_empty()).unwrap_or_default(), caller, limit)
+}
+
+/// Returns the entry instances that `allowed` accepts, with their positions.
+fn matching<F>(view: &View, allowed: F) -> Vec<(u16, &Entry)>
+where
+    F: Fn(u16, &Entry) -> bool,
+{
+    let entries = (0..).zip(view.entries());
+    entries.filter(|(position, entry)| allowed(*position, entry)).collect()
 }
 
 /// Returns the largest entry instances, and each smaller one with a probability that is its capacity as a fraction of theirs.
--- a/crates/steer/src/view.rs
+++ b/crates/steer/src/view.rs
@@ -75,6 +75,12 @@
         self.entries.get(usize::from(position))
     }
 
+    /// Returns the position of the entry instance `name`; `None` if there is none.
+    pub fn position(&self, name: &str) -> Option<u16> {
+        let position = self.entries.iter().position(|entry| entry.name == name)?;
+        u16::try_from(position).ok()
+    }
+
     /// Returns all entry instances.
     pub fn entries(&self) -> &[Entry] {
         &self.entries
--- a/crates/steer/tests/answers.rs
+++ b/crates/steer/tests/answers.rs
@@ -249,7 +249,7 @@
     let view = sized(&[1_000, 1_000, 1_000, 1_000, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100, 100]);
     let mut load = [0.0; 16];
     for caller in 0..20_000_u64 {
-        let told = by_region::look_up(&view, Some(0), Vec::new, hash::bytes(&caller.to_le_bytes()), 64);
+        let told = by_region::look_up(&view, Some(0), Vec::new, None, hash::bytes(&caller.to_le_bytes()), 64);
         told.iter().for_each(|position| load[usize::from(*position)] += 1.0 / told.len() as f64);
     }
     let (large, small) = (load[..4].iter().sum::<f64>() / 4.0, load[4..].iter().sum::<f64>() / 12.0);
@@ -262,13 +262,13 @@
     let view = sized(&[1_000, 100, 100, 100, 100, 100, 100, 100]);
     let fewer = sized(&[1_000, 100, 100, 100, 100, 100, 100]);
     for caller in 0..100 {
-        let told = by_region::look_up(&view, Some(0), Vec::new, caller, 64);
-        assert_eq!(told, by_region::look_up(&view, Some(0), Vec::new, caller, 64));
+        let told = by_region::look_up(&view, Some(0), Vec::new, None, caller, 64);
+        assert_eq!(told, by_region::look_up(&view, Some(0), Vec::new, None, caller, 64));
         assert!(told.len() >= 3 && told.contains(&0), "{told:?}");
         if !told.contains(&7) {
             assert_eq!(
                 told,
-                by_region::look_up(&fewer, Some(0), Vec::new, caller, 64),
+                by_region::look_up(&fewer, Some(0), Vec::new, None, caller, 64),
                 "the loss of another one changes nothing"
             );
         }
@@ -278,9 +278,9 @@
 /// Guards against a different load where machines are alike or nothing is known of them.
 #[test]
 fn equal_machines_are_all_told() {
-    let told = by_region::look_up(&sized(&[5; 12]), Some(0), Vec::new, 77, 64);
+    let told = by_region::look_up(&sized(&[5; 12]), Some(0), Vec::new, None, 77, 64);
     assert_eq!(told, (0..12).collect::<Vec<u16>>());
-    assert_eq!(by_region::look_up(&sized(&[5; 12]), Some(0), Vec::new, 77, 4).len(), 4, "up to the limit");
+    assert_eq!(by_region::look_up(&sized(&[5; 12]), Some(0), Vec::new, None, 77, 4).len(), 4, "up to the limit");
 }
 
 /// Guards against callers of a region without good instances that are sent to a region in which none of their requests may run, and
@@ -302,8 +302,27 @@
     #[case] expected: &[u16],
 ) {
     let view = view(|region, _| standings[usize::from(region)]);
-    let told = by_region::look_up(&view, Some(0), || homes.to_vec(), 77, 64);
+    let told = by_region::look_up(&view, Some(0), || homes.to_vec(), None, 77, 64);
     let regions: BTreeSet<u16> =
         told.iter().filter_map(|position| view.entry(*position)).map(|entry| entry.region).collect();
     assert_eq!(regions, expected.iter().copied().collect());
 }
+
+/// Guards against an answer of other regions while the instance that answers, the second of region 0, leaves and is open for as long
+/// as the answer is kept, and against one that names it to callers of another region. Standings are those of regions 0, 1 and 2.
+#[rstest]
+#[case::own_is_good([Standing::Good, Standing::Good, Standing::Good], 0, &[], &[0, 1, 2, 3])]
+#[case::own_is_out([Standing::Out, Standing::Good, Standing::Good], 0, &[], &[1])]
+#[case::own_is_doubtful([Standing::Doubtful, Standing::Good, Standing::Good], 0, &[], &[1])]
+#[case::home_is_good([Standing::Out, Standing::Good, Standing::Good], 0, &[2], &[8, 9, 10, 11])]
+#[case::home_is_doubtful([Standing::Out, Standing::Good, Standing::Doubtful], 0, &[2], &[1])]
+#[case::other_region([Standing::Out, Standing::Out, Standing::Good], 1, &[], &[8, 9, 10, 11])]
+fn an_instance_that_leaves_is_named_before_those_of_other_regions(
+    #[case] standings: [Standing; 3],
+    #[case] region: u16,
+    #[case] homes: &[u16],
+    #[case] expected: &[u16],
+) {
+    let view = view(|region, _| standings[usize::from(region)]);
+    assert_eq!(by_region::look_up(&view, Some(region), || homes.to_vec(), Some(1), 77, 64), expected);
+}
