Callers whose requests may not run everywhere are not led abroad by an instance that is still open

Seen: a host's classes name regions, the instances of these all leave, and so do those of the caller's region. In the last second before its connections close, an instance that leaves names good ones in regions where none of the host's requests may run.

Cause: an instance named itself before others only if it takes connections for the whole life of the answer.

Change: for hosts whose classes name regions, an instance that leaves names itself as long as it takes connections at all, after good ones in those regions. What leaves stands in steer::by_region with the order of preference.

Measured: the daemon's cases soon_closed_and_home and soon_closed_and_home_leaves and steer's home_is_out and only_home_is_the_own fail without the change.

--- a/crates/daemon/src/callers/lookup.rs
+++ b/crates/daemon/src/callers/lookup.rs
@@ -2,7 +2,6 @@
 
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
-use std::time::Duration;
 
 use base::error::Kind;
 use base::hash;
@@ -10,6 +9,7 @@
 use http::Method;
 use http::header::{ALLOW, HeaderValue};
 use serde::Serialize;
+use steer::by_region::{self, LEAVING_TTL, Leaving};
 use steer::table::RegionId;
 
 use super::connection::Incoming;
@@ -36,9 +36,6 @@
     session: String,
 }
 
-/// Time for which callers may keep an answer that names the instance that answers while that one leaves.
-const LEAVING_TTL: Duration = Duration::from_secs(1);
-
 /// Methods that look-ups accept, as the header `Allow` names them.
 const METHODS: HeaderValue = HeaderValue::from_static("GET, HEAD");
 
@@ -115,25 +112,14 @@
     ttl_s: u64,
 }
 
-/// This instance while it leaves and still takes connections of callers.
-#[derive(Debug, Clone, Copy)]
-struct Leaving {
-    /// Its position in the view.
-    position: u16,
-    /// For how long it takes new connections.
-    open_for: Duration,
-}
-
-impl Leaving {
-    /// Returns this instance if it leaves, still takes connections and is not drained.
-    fn new(context: &Context, steering: &Steering) -> Option<Self> {
-        let open_for = context.accepts_callers_for(context.now()).filter(|open_for| !open_for.is_zero())?;
-        let (settings, policy) = (&context.settings, &steering.policy.policy);
-        if policy.instance_drained(&settings.instance) || policy.domain_drained(&settings.domain) {
-            return None;
-        }
-        Some(Self { position: steering.view.position(&settings.instance)?, open_for })
+/// Returns this instance if it leaves, still takes connections of callers and is not drained.
+fn leaving(context: &Context, steering: &Steering) -> Option<Leaving> {
+    let open_for = context.accepts_callers_for(context.now()).filter(|open_for| !open_for.is_zero())?;
+    let (settings, policy) = (&context.settings, &steering.policy.policy);
+    if policy.instance_drained(&settings.instance) || policy.domain_drained(&settings.domain) {
+        return None;
     }
+    Some(Leaving { position: steering.view.position(&settings.instance)?, open_for })
 }
 
 /// Answers a look-up by region: returns the addresses of entry instances for callers in `region` that send requests to `host`.
@@ -147,12 +133,8 @@
     };
     let limit = context.settings.callers.answer_entries as usize;
     let caller = hash::bytes(caller.to_string().as_bytes());
-    let leaving = Leaving::new(context, &steering);
-    let in_time = leaving.filter(|leaving| leaving.open_for >= LEAVING_TTL).map(|leaving| leaving.position);
-    let mut found = steer::by_region::look_up(&steering.view, position, homes, in_time, caller, limit);
-    if found.is_empty() {
-        found.extend(leaving.map(|leaving| leaving.position));
-    }
+    let leaving = leaving(context, &steering);
+    let found = by_region::look_up(&steering.view, position, homes, leaving, caller, limit);
     let named: Vec<&steer::view::Entry> = found.iter().filter_map(|place| steering.view.entry(*place)).collect();
     if let Some(position) = position.filter(|position| named.iter().all(|entry| entry.region != *position)) {
         let homes = homes();
--- a/crates/daemon/tests/view.rs
+++ b/crates/daemon/tests/view.rs
@@ -354,6 +354,8 @@
 #[case::others_are_good("", "", 30_000, "", "r", 1)]
 #[case::home_is_good("s", "", 30_000, "", "s", 30)]
 #[case::soon_closed("", "", 500, "", "s t", 30)]
+#[case::soon_closed_and_home("r", "", 500, "", "r", 1)]
+#[case::soon_closed_and_home_leaves("s", "", 500, "s", "r", 1)]
 #[case::soon_closed_and_all_leave("", "", 500, "s t", "r", 1)]
 #[case::all_leave("", "", 30_000, "s t", "r", 1)]
 #[case::closed_and_all_leave("", "", 0, "s t", "", 0)]
--- a/crates/steer/src/by_region.rs
+++ b/crates/steer/src/by_region.rs
@@ -4,6 +4,8 @@
 //! addresses that it is told at random. So a caller is told of a small machine less often, in proportion to what the machine
 //! can carry. A caller is always told of the same ones: it gives up connections to addresses that it is no longer told of.
 
+use std::time::Duration;
+
 use base::hash;
 
 use crate::table::RegionId;
@@ -13,12 +15,25 @@
 /// choices then.
 const MIN_NAMED: usize = 3;
 
+/// Time for which callers may keep an answer that names an instance that leaves.
+pub const LEAVING_TTL: Duration = Duration::from_secs(1);
+
+/// The instance that answers, while it leaves and still takes connections of callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Leaving {
+    /// Its position in the view.
+    pub position: u16,
+    /// For how long it takes new connections.
+    pub open_for: Duration,
+}
+
 /// Entry instances to name if the caller's region has no good one.
 #[derive(Debug, Clone, Copy)]
 enum Group {
     /// Good ones of the homes.
     GoodHomes,
-    /// The one that answers, if it leaves and is of the caller's region.
+    /// The one that answers, if it leaves, is of the caller's region and takes connections for as long as the answer may be kept,
+    /// or if the caller's requests may not run everywhere.
     LeavingOwn,
     /// Good ones of any region.
     Good,
@@ -28,23 +43,32 @@
     DoubtfulHomes,
     /// Doubtful ones of any region.
     Doubtful,
+    /// The one that answers, if it leaves.
+    Leaving,
 }
 
 /// The order of preference.
-const ORDER: [Group; 6] =
-    [Group::GoodHomes, Group::LeavingOwn, Group::Good, Group::DoubtfulOwn, Group::DoubtfulHomes, Group::Doubtful];
+const ORDER: [Group; 7] = [
+    Group::GoodHomes,
+    Group::LeavingOwn,
+    Group::Good,
+    Group::DoubtfulOwn,
+    Group::DoubtfulHomes,
+    Group::Doubtful,
+    Group::Leaving,
+];
 
 /// Returns the positions in the view of up to `limit` entry instances for a caller in `region` with the hash `caller`.
 ///
 /// Entry instances of its own region are named, so that callers spread over them; those of other regions only if its own has no
 /// good one, and of these first the ones in its `homes`, regions in which its requests may run. Doubtful ones are named only if no
-/// good one is left. `leaving` is the instance that answers if it leaves and takes connections for as long as the answer is kept:
-/// a whole region may leave at once, and the others of it may have stopped already. `None` stands for any region.
+/// good one is left. `leaving` is the instance that answers if it leaves: a whole region may leave at once, and the others of it may
+/// have stopped already. `None` stands for any region.
 pub fn look_up<F>(
     view: &View,
     region: Option<RegionId>,
     homes: F,
-    leaving: Option<u16>,
+    leaving: Option<Leaving>,
     caller: u64,
     limit: usize,
 ) -> Vec<u16>
@@ -58,15 +82,18 @@
     }
     let homes = homes();
     let is_home = |entry: &Entry| homes.contains(&entry.region);
+    let leaves = |position: u16| leaving.filter(|leaving| leaving.position == position);
+    let lasts = |leaving: Leaving| leaving.open_for >= LEAVING_TTL || !homes.is_empty();
     let is_in = |group: Group, position: u16, entry: &Entry| {
         let (is_good, may_serve) = (entry.standing == Standing::Good, entry.standing <= Standing::Doubtful);
         match group {
             Group::GoodHomes => is_good && is_home(entry),
-            Group::LeavingOwn => leaving == Some(position) && is_own(entry),
+            Group::LeavingOwn => is_own(entry) && leaves(position).is_some_and(lasts),
             Group::Good => is_good,
             Group::DoubtfulOwn => may_serve && is_own(entry),
             Group::DoubtfulHomes => may_serve && is_home(entry),
             Group::Doubtful => may_serve,
+            Group::Leaving => leaves(position).is_some(),
         }
     };
     let mut groups = ORDER.into_iter().map(|group| matching(view, |position, entry| is_in(group, position, entry)));
--- a/crates/steer/tests/answers.rs
+++ b/crates/steer/tests/answers.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use steer::answer::look_up;
-use steer::by_region;
+use steer::by_region::{self, Leaving};
 use steer::shift::{Controller, HIGH_WATER, Load, RAMP_TIME, Shares};
 use steer::table::{Block, Table};
 use steer::view::{Entry, Standing, View};
@@ -308,21 +308,28 @@
     assert_eq!(regions, expected.iter().copied().collect());
 }
 
-/// Guards against an answer of other regions while the instance that answers, the second of region 0, leaves and is open for as long
-/// as the answer is kept, and against one that names it to callers of another region. Standings are those of regions 0, 1 and 2.
+/// Guards against an answer of other regions while the instance that answers, the second of region 0, leaves and is open for long
+/// enough, and against one that names it to callers of another region. Standings are those of regions 0, 1 and 2. Callers whose requests
+/// may not run everywhere are led abroad only when it is closed.
 #[rstest]
-#[case::own_is_good([Standing::Good, Standing::Good, Standing::Good], 0, &[], &[0, 1, 2, 3])]
-#[case::own_is_out([Standing::Out, Standing::Good, Standing::Good], 0, &[], &[1])]
-#[case::own_is_doubtful([Standing::Doubtful, Standing::Good, Standing::Good], 0, &[], &[1])]
-#[case::home_is_good([Standing::Out, Standing::Good, Standing::Good], 0, &[2], &[8, 9, 10, 11])]
-#[case::home_is_doubtful([Standing::Out, Standing::Good, Standing::Doubtful], 0, &[2], &[1])]
-#[case::other_region([Standing::Out, Standing::Out, Standing::Good], 1, &[], &[8, 9, 10, 11])]
+#[case::own_is_good([Standing::Good, Standing::Good, Standing::Good], 0, &[], 1_000, &[0, 1, 2, 3])]
+#[case::own_is_out([Standing::Out, Standing::Good, Standing::Good], 0, &[], 1_000, &[1])]
+#[case::own_is_doubtful([Standing::Doubtful, Standing::Good, Standing::Good], 0, &[], 1_000, &[1])]
+#[case::soon_closed([Standing::Out, Standing::Good, Standing::Out], 0, &[], 999, &[4, 5, 6, 7])]
+#[case::home_is_good([Standing::Out, Standing::Good, Standing::Good], 0, &[2], 1_000, &[8, 9, 10, 11])]
+#[case::home_is_doubtful([Standing::Out, Standing::Good, Standing::Doubtful], 0, &[2], 1_000, &[1])]
+#[case::home_is_out([Standing::Out, Standing::Good, Standing::Out], 0, &[2], 1, &[1])]
+#[case::only_home_is_the_own([Standing::Out, Standing::Good, Standing::Good], 0, &[0], 1, &[1])]
+#[case::other_region([Standing::Out, Standing::Out, Standing::Good], 1, &[], 1_000, &[8, 9, 10, 11])]
+#[case::all_are_out([Standing::Out, Standing::Out, Standing::Out], 1, &[], 1, &[1])]
 fn an_instance_that_leaves_is_named_before_those_of_other_regions(
     #[case] standings: [Standing; 3],
     #[case] region: u16,
     #[case] homes: &[u16],
+    #[case] open_ms: u64,
     #[case] expected: &[u16],
 ) {
     let view = view(|region, _| standings[usize::from(region)]);
-    assert_eq!(by_region::look_up(&view, Some(region), || homes.to_vec(), Some(1), 77, 64), expected);
+    let leaving = Leaving { position: 1, open_for: Duration::from_millis(open_ms) };
+    assert_eq!(by_region::look_up(&view, Some(region), || homes.to_vec(), Some(leaving), 77, 64), expected);
 }
