--- a/crates/daemon/src/callers/lookup.rs
+++ b/crates/daemon/src/callers/lookup.rs
@@ -9,11 +9,13 @@
 use http::Method;
 use http::header::{ALLOW, HeaderValue};
 use serde::Serialize;
+use steer::by_region::{self, LEAVING_TTL, Leaving};
 use steer::table::RegionId;
 
 use super::connection::Incoming;
 use super::headers::logged_path;
 use super::reply::Reply;
+use crate::view::Steering;
 use crate::{Context, decision_log};
 
 /// The request path of look-ups.
@@ -110,6 +112,16 @@
     ttl_s: u64,
 }
 
+/// Returns this instance if it leaves, still takes connections of callers and is not drained.
+fn leaving(context: &Context, steering: &Steering) -> Option<Leaving> {
+    let open_for = context.accepts_callers_for(context.now()).filter(|open_for| !open_for.is_zero())?;
+    let (settings, policy) = (&context.settings, &steering.policy.policy);
+    if policy.instance_drained(&settings.instance) || policy.domain_drained(&settings.domain) {
+        return None;
+    }
+    Some(Leaving { position: steering.view.position(&settings.instance)?, open_for })
+}
+
 /// Answers a look-up by region: returns the addresses of entry instances for callers in `region` that send requests to `host`.
 fn answer_by_region(context: &Context, region: &str, host: &str, caller: IpAddr) -> Result<Reply, Kind> {
     let steering = context.steering();
@@ -121,7 +133,8 @@
     };
     let limit = context.settings.callers.answer_entries as usize;
     let caller = hash::bytes(caller.to_string().as_bytes());
-    let found = steer::by_region::look_up(&steering.view, position, homes, caller, limit);
+    let leaving = leaving(context, &steering);
+    let found = by_region::look_up(&steering.view, position, homes, leaving, caller, limit);
     let named: Vec<&steer::view::Entry> = found.iter().filter_map(|place| steering.view.entry(*place)).collect();
     if let Some(position) = position.filter(|position| named.iter().all(|entry| entry.region != *position)) {
         let homes = homes();
@@ -132,7 +145,10 @@
     if addresses.is_empty() {
         return Err(Kind::NoBackend);
     }
-    Ok(Reply::look_up(&Addresses { addresses, ttl_s: context.settings.callers.answer_ttl_s }))
+    let ttl_s = context.settings.callers.answer_ttl_s;
+    let names_leaving = leaving.is_some_and(|leaving| found.contains(&leaving.position));
+    let ttl_s = if names_leaving { ttl_s.min(LEAVING_TTL.as_secs()) } else { ttl_s };
+    Ok(Reply::look_up(&Addresses { addresses, ttl_s }))
 }
 
 /// Returns the value of the query parameter `name`.
