--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -4,7 +4,6 @@
 //! follows from the answers.
 
 use std::collections::BTreeSet;
-use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +12,6 @@
 use fleet::confirmation::{Finding, Limits, Round, Silence, Standing};
 use fleet::message::{Record, State};
 use fleet::replica::Version;
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use crate::context::lock;
@@ -55,7 +53,8 @@
 /// nothing tells it.
 pub fn policy_age(context: &Context, now: Time) -> Option<Duration> {
     let catalog = context.catalog?;
-    let told = lock(&context.confirmation).confirmed_at().map(|at| now.since(at));
+    let version = context.policy().version;
+    let told = lock(&context.confirmation).confirmed_at(version).map(|at| now.since(at));
     let known = mirror::policy_age(context, catalog, now);
     known.into_iter().chain(told).min()
 }
@@ -86,11 +85,11 @@
 /// Returns what this daemon says of its policy to another one.
 pub fn standing(context: &Context) -> Standing {
     let now = context.now();
-    Standing {
-        version: context.policy().version,
-        age_ms: policy_age(context, now).map(|age| age.as_millis() as u64),
-        pending: is_pending(context),
-    }
+    let version = context.policy().version;
+    let age_ms = policy_age(context, now).map(|age| age.as_millis() as u64);
+    // The age may be that of a policy that has come into force meanwhile.
+    let pending = is_pending(context) || context.policy().version != version;
+    Standing { version, age_ms, pending }
 }
 
 /// Whether a change of the policy has arrived from the store that is not in force yet.
@@ -146,12 +145,6 @@
     address: String,
 }
 
-/// The answer of a daemon that was asked, or whether its process is stopped.
-enum Answer {
-    Standing(Standing),
-    None { is_stopped: bool },
-}
-
 /// Asks daemons of all regions for their standing, and acts on each answer as it comes.
 async fn ask(context: &Arc<Context>, limits: Limits, silence: &mut Silence, rng: &mut fastrand::Rng) {
     let regions: BTreeSet<String> = context.settings.domains.values().cloned().collect();
@@ -172,12 +165,11 @@
     }
     while let Some(answered) = questions.join_next().await {
         match answered {
-            Ok((Answer::Standing(standing), member)) => {
+            Ok((Some(standing), member)) => {
                 silence.record_answer(&member.name);
                 act(context, &mut round, &member, &standing, limits);
             }
-            Ok((Answer::None { is_stopped }, _)) => round.record_failure(is_stopped),
-            Err(_) => round.record_failure(false),
+            Ok((None, _)) | Err(_) => round.record_failure(),
         }
     }
     if let Some(as_of) = round.agreed_at() {
@@ -185,22 +177,15 @@
     }
 }
 
-/// Asks the daemon at `address` for its standing. If it does not answer and its machine refuses connections, its process is stopped.
-async fn question(address: &str, timeout: Duration) -> Answer {
-    if let Some(client) = client::client_with_timeout(address, timeout)
-        && let Ok(standing) = client.standing().await
-    {
-        return Answer::Standing(standing);
-    }
-    let connection = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
-    let is_stopped = matches!(connection, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused);
-    Answer::None { is_stopped }
+/// Asks the daemon at `address` for its standing; `None` if it does not answer.
+async fn question(address: &str, timeout: Duration) -> Option<Standing> {
+    client::client_with_timeout(address, timeout)?.standing().await.ok()
 }
 
 /// Acts on an answer: confirms the policy in force, or fetches a newer one.
 fn act(context: &Arc<Context>, round: &mut Round, member: &Member, standing: &Standing, limits: Limits) {
     match round.record(&member.region, standing, limits) {
-        Finding::Confirmed(as_of) => lock(&context.confirmation).confirm(as_of),
+        Finding::Confirmed(as_of) => lock(&context.confirmation).confirm(round.version(), as_of),
         Finding::Newer(confirmed_at) => {
             lock(&context.confirmation).withdraw();
             exchange::fetch_newer(context, standing.version, confirmed_at, &member.address);
