The default age of a policy leaves room for usual ages

Found by the review: with the default of 2 s, requests with regions need an age of 1.5 s, and ages up to 1.7 s are usual where an instance follows a slow one. Deployments that state the time in which a policy must be in force are not concerned.

--- a/crates/config/src/configs/callers.rs
+++ b/crates/config/src/configs/callers.rs
@@ -69,7 +69,7 @@
             answer_entries: 3,
             revoke_strict: false,
             revoke_s: 5.0,
-            policy_age_s: 2.0,
+            policy_age_s: 3.0,
         }
     }
 }
