--- a/crates/daemon/src/mirror/publish.rs
+++ b/crates/daemon/src/mirror/publish.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ::store::Mirror;
+use ::store::pages::Gap;
 use base::time::Time;
 use fleet::Document;
 use fleet::replica::Origin;
@@ -73,10 +74,18 @@
     if is_policy_pending(context, catalog) { None } else { lock(&context.mirror).age(now) }
 }
 
-/// Whether a change of the policy has arrived that is not in force yet.
+/// Whether a change of the policy has arrived that is not in force yet, or may be among the keys of which the last list said nothing.
 pub fn is_policy_pending(context: &Context, catalog: Catalog) -> bool {
     let applied = lock(&context.catalog_state).policy_changes;
-    applied != Some(policy_changes(&lock(&context.mirror), catalog))
+    let mirror = lock(&context.mirror);
+    applied != Some(policy_changes(&mirror, catalog))
+        || mirror.gaps().iter().any(|gap| may_hide(gap, catalog.policy_folder))
+}
+
+/// Whether keys of `folder` may be in a gap.
+fn may_hide(gap: &Gap, folder: &str) -> bool {
+    let start = format!("{folder}/");
+    gap.contains(&start) || gap.after.starts_with(&start)
 }
 
 /// Applies a policy that was read from the store; logs each reason why something in it was ignored once. Returns whether it, or a later
