--- a/crates/fleet/src/confirmation.rs
+++ b/crates/fleet/src/confirmation.rs
@@ -12,6 +12,7 @@
 use base::time::Time;
 use serde::{Deserialize, Serialize};
 
+use crate::Document;
 use crate::replica::Version;
 
 /// Number of versions of which it is kept when they were the store's: of those that are about to come into force, and the one in force.
@@ -70,6 +71,8 @@
     pub age_ms: Option<u64>,
     /// Whether a change has arrived that is not in force yet.
     pub pending: bool,
+    /// Whether the store has lately answered a call, be it with a refusal: it may serve the operators and others.
+    pub hears_store: bool,
 }
 
 impl Standing {
@@ -173,6 +176,17 @@
     }
 }
 
+/// A daemon's answer to the question for its standing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// What it says of its policy.
+    #[serde(flatten)]
+    pub standing: Standing,
+    /// Its policy, if it was asked for one that is newer than another version, and it is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<Document>,
+}
+
 /// What follows from an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
@@ -180,6 +194,8 @@
     Newer(Option<Time>),
     /// The store had no newer policy than the one in force at that time.
     Confirmed(Time),
+    /// The other daemon knows of no newer policy, and the store refuses its calls.
+    Refused,
     /// The other daemon knows of no newer policy, and hears nothing of the store.
     Silent,
 }
@@ -248,6 +264,7 @@
         match confirmed_at.filter(|_| standing.age() < Some(limits.silent_after())) {
             Some(as_of) if other <= own => Finding::Confirmed(as_of),
             Some(_) => Finding::Newer(None),
+            None if standing.hears_store => Finding::Refused,
             None => Finding::Silent,
         }
     }
