What waits is not refused while a newer policy comes into force

Cause: as a policy comes into force, the engine was told the age of the one before it, which its successor has outdated.

Change: the age is asked for the version that comes into force.

Test: a_policy_that_comes_into_force_brings_its_own_age (not run without the change).

--- a/crates/daemon/src/confirmation.rs
+++ b/crates/daemon/src/confirmation.rs
@@ -57,8 +57,12 @@
 /// Returns how long ago the policy in force was last known to be the store's, by this daemon or by others; `None` if it never was, or if
 /// nothing tells it.
 pub fn policy_age(context: &Context, now: Time) -> Option<Duration> {
+    age_of(context, context.policy().version, now)
+}
+
+/// Returns how long ago the policy of `version`, which is in force or about to come into force, was last known to be the store's.
+fn age_of(context: &Context, version: Version, now: Time) -> Option<Duration> {
     let catalog = context.catalog?;
-    let version = context.policy().version;
     let told = lock(&context.confirmation).confirmed_at(version).map(|at| now.since(at));
     let known = mirror::policy_age(context, catalog, now);
     known.into_iter().chain(told).min()
@@ -69,13 +73,13 @@
     lock(&context.confirmation).agreed_at(version).map(|at| now.since(at))
 }
 
-/// Returns until when requests may go by the regions that the policy of `version`, which is in force, names.
+/// Returns until when requests may go by the regions that the policy of `version` names, which is in force or about to come into force.
 pub fn expiry(context: &Context, version: Version, now: Time) -> Time {
     if context.catalog.is_none() {
         return Time::MAX;
     }
     let limits = limits(context);
-    let confirmed = policy_age(context, now).map(|age| now - age + limits.max_age());
+    let confirmed = age_of(context, version, now).map(|age| now - age + limits.max_age());
     let agreement = agreement_age(context, version, now).filter(|_| !is_pending(context));
     let agreed = agreement.map(|age| now - age + limits.max_agreement_age());
     confirmed.max(agreed).unwrap_or(Time::ZERO)
--- a/crates/daemon/tests/confirmation.rs
+++ b/crates/daemon/tests/confirmation.rs
@@ -10,7 +10,7 @@
 use daemon::context::{Context, lock};
 use daemon::{confirmation, policies};
 use fleet::Document;
-use fleet::replica::Origin;
+use fleet::replica::{Origin, Version};
 
 const POLICY: &str = "[regions.r]\ndomains = [\"d\"]\n\
 [classes.lookup]\nservice = \"s\"\npaths = [\"/stock\"]\nidempotent = true\nrank = 1\ntarget_ms = 100\ntarget_share = 0.99\ndeadline_ms = 2000\n";
@@ -64,3 +64,21 @@
     assert_eq!(in_force.stored.revision, 1, "the engine was not free to replace it");
     assert!(!relied, "the replaced policy is relied on");
 }
+
+/// Guards against waiting requests with regions that are refused whenever a policy comes into force: its age is known before it is.
+#[test]
+fn a_policy_that_comes_into_force_brings_its_own_age() {
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+    let context = context(&runtime);
+    assert!(
+        policies::apply(&context, Document::new(1, POLICY.to_owned()), Origin::Peer, "peer"),
+        "it is the first one"
+    );
+    let (now, next) = (context.now(), Version::from(2));
+    lock(&context.confirmation).confirm(next, now);
+    assert!(confirmation::expiry(&context, next, now) > now);
+    assert!(
+        confirmation::expiry(&context, context.policy().version, now) < now,
+        "nothing tells how old the first one is"
+    );
+}
