--- a/crates/ctl/src/audit/lag.rs
+++ b/crates/ctl/src/audit/lag.rs
@@ -9,7 +9,7 @@
 /// A time in which an instance went by an older version than the newest one that was in force anywhere.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Span {
-    /// The instance.
+    /// Name of the instance that went by the older version.
     pub instance: String,
     /// When it began, in milliseconds.
     pub from_ms: u64,
--- a/crates/ctl/src/audit/told.rs
+++ b/crates/ctl/src/audit/told.rs
@@ -42,7 +42,7 @@
 /// Attempts that are in no log, between two that are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Gap {
-    /// How many they are.
+    /// Number of attempts that no line tells.
     pub attempts: u64,
     /// When the earlier one was sent, in milliseconds.
     pub from_ms: u64,
--- a/crates/daemon/src/callers/relay/mod.rs
+++ b/crates/daemon/src/callers/relay/mod.rs
@@ -97,7 +97,8 @@
     }
 }
 
-/// Logs what became of a request that was passed on at `started`, when the policy in force was `policy_ms` old and was agreed on `agreed_ms` ago.
+/// Logs what became of a request that was passed on at `started`, when the policy in force was `policy_ms` old and agreed on
+/// `agreed_ms` ago.
 fn log_result(
     context: &Context,
     outgoing: &Outgoing,
