A member is told of others, not of itself

Cause: a record is sent in two to four messages. Two members that join through the same one are told of themselves by it, and each such message counts: none is left for the other. Shown by the new unit test, which fails without the change (one member known in place of two).

Change: a message leaves out what its receiver knows, its own record as it is, and does not count it. A suspicion or a later process under its name is still told.

--- a/crates/daemon/src/peers/exchange.rs
+++ b/crates/daemon/src/peers/exchange.rs
@@ -54,13 +54,20 @@
     Ok(Box::new(Exchange(task, Arc::clone(context))))
 }
 
-/// Returns the next regular gossip message.
+/// Returns the next regular gossip message to any member.
 pub fn message(context: &Context) -> Message {
     let version = lock(&context.policy_replica).version();
     let now = context.now();
     lock(&context.roster).message(version, now)
 }
 
+/// Returns the next regular gossip message to the member `name`.
+pub fn message_to(context: &Context, name: &str) -> Message {
+    let version = lock(&context.policy_replica).version();
+    let now = context.now();
+    lock(&context.roster).message_to(name, version, now)
+}
+
 /// Returns the answer to a peer's message.
 pub fn answer(context: &Context, message: &Message) -> Message {
     let version = lock(&context.policy_replica).version();
@@ -243,7 +250,10 @@
             roster.next_target(now)
         };
         match target {
-            Some((name, address)) => exchange_with(context, &name, &address, message(context)).await,
+            Some((name, address)) => {
+                let message = message_to(context, &name);
+                exchange_with(context, &name, &address, message).await;
+            }
             None if context.stopping() || !lock(&context.roster).is_empty() => {}
             None => _ = join(context).await,
         }
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -118,7 +118,8 @@
 fn push(context: &Arc<Context>, limit: usize) {
     let targets = lock(&context.roster).random_members(limit);
     for (name, address) in targets {
-        spawn_exchange(context, name, address, exchange::message(context));
+        let message = exchange::message_to(context, &name);
+        spawn_exchange(context, name, address, message);
     }
 }
 
--- a/crates/fleet/src/roster/outgoing.rs
+++ b/crates/fleet/src/roster/outgoing.rs
@@ -5,7 +5,7 @@
 
 use super::Roster;
 use crate::gossip::Gossip;
-use crate::message::{self, MAX_LEAVING, MAX_LOADS, MAX_LOSSES, MAX_RATE_LIMITS, MAX_RECORDS, Message, Record};
+use crate::message::{self, MAX_LEAVING, MAX_LOADS, MAX_LOSSES, MAX_RATE_LIMITS, MAX_RECORDS, Message, Record, State};
 use crate::replica::Version;
 
 impl Roster {
@@ -25,9 +25,24 @@
         self.rate_limits.add((server, limit), now);
     }
 
-    /// Creates the message for the next exchange; `version` is that of the policy in force.
+    /// Creates a message for any member; `version` is that of the policy in force.
     pub fn message(&mut self, version: impl Into<Version>, now: Time) -> Message {
-        let records = self.next_records();
+        self.message_without(|_| false, version, now)
+    }
+
+    /// Creates the message for the next exchange with the member `name`, which knows of itself that it is alive.
+    pub fn message_to(&mut self, name: &str, version: impl Into<Version>, now: Time) -> Message {
+        self.message_without(|record| record.name == name && record.state == State::Alive, version, now)
+    }
+
+    /// Creates a message without the records that its receiver knows. They are sent a few times only, and each must be news to somebody.
+    fn message_without(
+        &mut self,
+        is_known: impl Fn(&Record) -> bool,
+        version: impl Into<Version>,
+        now: Time,
+    ) -> Message {
+        let records = self.next_records(is_known);
         let loads = self.loads.next_batch(MAX_LOADS, now);
         Message { records, loads, ..self.urgent_message(version, now) }
     }
@@ -45,15 +60,19 @@
 
     /// Creates the answer to a message: an urgent one gets an urgent answer.
     pub fn answer(&mut self, message: &Message, version: impl Into<Version>, now: Time) -> Message {
-        if message.is_urgent() { self.urgent_message(version, now) } else { self.message(version, now) }
+        if message.is_urgent() {
+            return self.urgent_message(version, now);
+        }
+        let from = &message.from;
+        self.message_without(|record| record.name == from.name && !record.supersedes(from), version, now)
     }
 
-    /// Returns the records for the next message: those that are still to be sent most often first.
-    fn next_records(&mut self) -> Vec<Record> {
+    /// Returns the records for the next message, without those that its receiver knows: those that are still to be sent most often first.
+    fn next_records(&mut self, is_known: impl Fn(&Record) -> bool) -> Vec<Record> {
         let mut pending: Vec<(u32, String)> = self
             .members
             .values()
-            .filter(|member| member.sends_left > 0)
+            .filter(|member| member.sends_left > 0 && !is_known(&member.record))
             .map(|member| (member.sends_left, member.record.name.clone()))
             .collect();
         pending.sort_unstable_by(|one, other| other.cmp(one));
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -344,6 +344,28 @@
     assert_eq!(serde_json::from_str::<Document>(&text).expect("it can be read"), document);
 }
 
+/// Guards against members that do not learn of each other for good (KNOWN-RED 63): both join through the same one at the same time, which
+/// has told each of them of itself as often as it tells of the other.
+#[test]
+fn a_member_is_not_told_of_itself_instead_of_others() {
+    let now = Time::from_millis(1);
+    let mut seed = Roster::new(record("seed", 1), TIMEOUTS, 0);
+    let mut joined = ["a", "b"].map(|name| Roster::new(record(name, 1), TIMEOUTS, 0));
+    for roster in &mut joined {
+        roster.merge_snapshot(&Snapshot { records: vec![seed.own().clone()], ..Snapshot::default() }, now);
+        for _ in 0..4 {
+            let message = roster.message_to("seed", 0, now);
+            seed.merge(&message, now);
+            roster.merge(&seed.answer(&message, 0, now), now);
+            let message = seed.message_to(&roster.own().name.clone(), 0, now);
+            roster.merge(&message, now);
+        }
+    }
+    let message = seed.message_to("a", 0, now);
+    joined[0].merge(&message, now);
+    assert_eq!(joined.each_ref().map(Roster::len), [2, 2]);
+}
+
 /// A message as members of builds up to 4e2e901 write and read it, without relay ports and what builds after f5d1856 add.
 fn through_an_earlier_build(message: &Message) -> Message {
     let mut message = message.clone();
